Add the workspace, the design page and the shared models

Four packages in layers, pinned dependencies, formatter and linter, a test runner that passes over the tests in KNOWN-RED.txt and prints them.

--- /dev/null
+++ b/packages/almondctl/src/almondctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command of almondrouter."""
--- /dev/null
+++ b/packages/almondrouter-standins/src/almondrouter_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform for tests, benches and the demo."""
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/clock.py
@@ -0,0 +1,53 @@
+"""Clocks, so that tests set the time instead of waiting for it."""
+
+from __future__ import annotations
+
+import time
+from abc import ABC, abstractmethod
+
+
+class Clock(ABC):
+    """Monotonic time for deadlines and wall time for records."""
+
+    @abstractmethod
+    def monotonic(self) -> float:
+        """Return seconds that never go back, from an arbitrary origin."""
+
+    @abstractmethod
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+
+
+class SystemClock(Clock):
+    """The clocks of the host."""
+
+    def monotonic(self) -> float:  # noqa: D102
+        return time.monotonic()
+
+    def wall(self) -> float:  # noqa: D102
+        return time.time()
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told to.
+
+    Parameters
+    ----------
+    monotonic, wall
+        First readings in seconds.
+    """
+
+    def __init__(self, *, monotonic: float = 1000.0, wall: float = 1.7e9) -> None:
+        self._monotonic = monotonic
+        self._wall = wall
+
+    def monotonic(self) -> float:  # noqa: D102
+        return self._monotonic
+
+    def wall(self) -> float:  # noqa: D102
+        return self._wall
+
+    def advance(self, seconds: float) -> None:
+        """Move both clocks forward by ``seconds``."""
+        self._monotonic += seconds
+        self._wall += seconds
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination: decisions that daemons take together."""
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol: messages, frames, headers and keys."""
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -0,0 +1,144 @@
+"""Frames of the call links between daemons."""
+
+from __future__ import annotations
+
+import msgspec
+
+from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES, Codec
+from almondrouter.protocol.headers import Outcome
+
+HeaderList = tuple[tuple[str, str], ...]
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
+    """First frame of each end of a call link.
+
+    Parameters
+    ----------
+    clock
+        Monotonic clock of the sender in seconds.
+    """
+
+    cluster: str
+    protocol_version: int
+    host: str
+    incarnation: int
+    clock: float
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Asks the other end for its clock and a sign of life."""
+
+    clock: float
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answers a ping.
+
+    Parameters
+    ----------
+    echoed
+        Clock of the ping.
+    clock
+        Monotonic clock of the sender of the pong in seconds.
+    """
+
+    echoed: float
+    clock: float
+
+
+class CallRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """A call for the backend server beside the receiver.
+
+    Parameters
+    ----------
+    call_id
+        Unique on this link.
+    class_name, backend
+        Class of work and the chosen backend server.
+    method, target, headers, body
+        The HTTP request; ``target`` is path and query.
+    deadline
+        Monotonic clock of the sender in seconds.
+    key
+        Idempotency key; empty for repeatable classes.
+    traceparent
+        W3C trace context; empty if the call is not traced.
+    version
+        Configuration version that the route came from.
+    """
+
+    call_id: int
+    class_name: str
+    backend: str
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes
+    deadline: float
+    key: str
+    traceparent: str
+    version: int
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """Exact load of a backend server.
+
+    Parameters
+    ----------
+    slots, in_use, queued
+        Slots usable now, slots in use, calls that wait.
+    service_time
+        Smoothed seconds that a call holds a slot.
+    """
+
+    slots: int
+    in_use: int
+    queued: int
+    service_time: float
+
+
+class CallReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The result of a call.
+
+    Parameters
+    ----------
+    code
+        Error code; empty for a complete answer.
+    load
+        Load of the backend server; None if it is gone.
+    """
+
+    call_id: int
+    outcome: Outcome
+    status: int
+    headers: HeaderList
+    body: bytes
+    code: str
+    load: Load | None
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Says that the caller of a call has gone away."""
+
+    call_id: int
+
+
+class ClaimQuery(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Asks a claim's holder for the result of the claimed request.
+
+    Parameters
+    ----------
+    deadline
+        Monotonic clock of the sender until which it waits, in seconds.
+    """
+
+    call_id: int
+    key: str
+    claim_id: str
+    deadline: float
+
+
+CallFrame = Hello | Ping | Pong | CallRequest | CallReply | Cancel | ClaimQuery
+
+CALL_CODEC: Codec[CallFrame] = Codec(CallFrame, max_bytes=MAX_CALL_FRAME_BYTES)
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/protocol/headers.py
@@ -0,0 +1,28 @@
+"""HTTP header names and outcomes of calls."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+SERVICE = "Almond-Service"
+CLASS = "Almond-Class"
+TIMEOUT_MS = "Almond-Timeout-Ms"
+ATTEMPT = "Almond-Attempt"
+OUTCOME = "Almond-Outcome"
+CODE = "Almond-Code"
+VERSION = "Almond-Version"
+DEADLINE_MS = "Almond-Deadline-Ms"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+TRACEPARENT = "traceparent"
+
+
+class Outcome(StrEnum):
+    """What became of a call.
+
+    ``NOT_RUN`` is said only if no backend server ran the request and none can
+    run it later.
+    """
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/state/__init__.py
@@ -0,0 +1,1 @@
+"""State: configuration, host records and what is compiled from them."""
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/state/registry.py
@@ -0,0 +1,165 @@
+"""Host records and the registry that merges them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from enum import IntEnum
+
+import msgspec
+import xxhash
+
+
+class HostStatus(IntEnum):
+    """Status of a daemon; at equal numbers the higher one wins."""
+
+    ALIVE = 0
+    LEAVING = 1
+    SUSPECT = 2
+    DEAD = 3
+    LEFT = 4
+
+
+class BackendState(IntEnum):
+    """State of a backend server as its own daemon knows it."""
+
+    READY = 0
+    DRAINING = 1
+    GONE = 2
+
+
+class BackendRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server.
+
+    Parameters
+    ----------
+    name
+        Unique name of this run of the backend server.
+    service
+        Service that it answers.
+    slots
+        Calls that it runs at a time.
+    state
+        Whether it takes work.
+    """
+
+    name: str
+    service: str
+    slots: int
+    state: BackendState = BackendState.READY
+
+
+class HostRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon says of itself, or others say of its silence.
+
+    Parameters
+    ----------
+    host, data_centre, region
+        Names from the daemon's settings.
+    control_address, peer_address
+        ``ip:port`` of control messages and of call links.
+    incarnation
+        Run of the daemon; higher after each restart.
+    sequence
+        Raised by the owner with each change of the record.
+    status
+        Status of the daemon.
+    backends
+        Backend servers on the host.
+    reaches
+        Data centres that the daemon exchanges heartbeats with, its own left out.
+    """
+
+    host: str
+    data_centre: str
+    region: str
+    control_address: str
+    peer_address: str
+    incarnation: int
+    sequence: int = 0
+    status: HostStatus = HostStatus.ALIVE
+    backends: tuple[BackendRecord, ...] = ()
+    reaches: tuple[str, ...] = ()
+
+    def order(self) -> tuple[int, int, int]:
+        """Return the key by which the newer of two records of a host is told."""
+        if self.status is HostStatus.LEFT:
+            return (self.incarnation, _SEQUENCE_OF_LEFT, int(self.status))
+        return (self.incarnation, self.sequence, int(self.status))
+
+    def fingerprint(self) -> int:
+        """Return 64 bits that stand for this state of the record."""
+        text = f"{self.host}|{self.incarnation}|{self.sequence}|{int(self.status)}"
+        return xxhash.xxh3_64_intdigest(text)
+
+    @property
+    def takes_calls(self) -> bool:
+        """Whether new calls may be sent to the host."""
+        return self.status in (HostStatus.ALIVE, HostStatus.SUSPECT)
+
+
+_SEQUENCE_OF_LEFT = 2**62
+
+
+class Registry:
+    """The newest known record of every host.
+
+    Notes
+    -----
+    ``generation`` rises with each merge that changed something; what is
+    compiled from the registry compares it to see whether it is out of date.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, HostRecord] = {}
+        self._digests: dict[str, int] = {}
+        self.generation = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[HostRecord]:
+        return iter(self._records.values())
+
+    def find(self, host: str) -> HostRecord | None:
+        """Return the record of a host, or None."""
+        return self._records.get(host)
+
+    def merge(self, records: Iterable[HostRecord]) -> list[HostRecord]:
+        """Take over the records that are newer; return those."""
+        accepted = [record for record in records if self._accept(record)]
+        if accepted:
+            self.generation += 1
+        return accepted
+
+    def remove(self, host: str) -> None:
+        """Forget a host whose record is dead or left for long."""
+        record = self._records.pop(host, None)
+        if record is not None:
+            self._toggle(record)
+            self.generation += 1
+
+    def digests(self) -> dict[str, int]:
+        """Return one 64-bit digest for each data centre."""
+        return dict(self._digests)
+
+    def list_data_centre(self, data_centre: str) -> list[HostRecord]:
+        """Return the records of a data centre, sorted by host."""
+        found = (r for r in self._records.values() if r.data_centre == data_centre)
+        return sorted(found, key=lambda record: record.host)
+
+    def _accept(self, record: HostRecord) -> bool:
+        known = self._records.get(record.host)
+        if known is not None and known.order() >= record.order():
+            return False
+        if known is not None:
+            self._toggle(known)
+        self._records[record.host] = record
+        self._toggle(record)
+        return True
+
+    def _toggle(self, record: HostRecord) -> None:
+        digest = self._digests.get(record.data_centre, 0) ^ record.fingerprint()
+        if digest:
+            self._digests[record.data_centre] = digest
+        else:
+            self._digests.pop(record.data_centre, None)
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Transport: the store, control links, call links and HTTP."""
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/transport/control.py
@@ -0,0 +1,65 @@
+"""Control links between daemons."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from almondrouter.protocol.control import ControlMessage
+
+ControlHandler = Callable[[ControlMessage, str], Awaitable[ControlMessage | None]]
+
+
+@dataclass(slots=True)
+class ByteCount:
+    """Bytes of control messages with frame headers, by direction."""
+
+    sent: int = 0
+    received: int = 0
+
+
+class ControlEndpoint(ABC):
+    """Sends control messages to other daemons and receives theirs.
+
+    A handler gets a message and the sender's host; what it returns is the
+    reply.
+    """
+
+    @abstractmethod
+    def set_handler(self, message_type: type, handler: ControlHandler) -> None:
+        """Register the handler of a message type."""
+
+    @abstractmethod
+    def send(self, address: str, message: ControlMessage) -> None:
+        """Send a message and expect no reply; drops it if the link is down."""
+
+    @abstractmethod
+    async def request(
+        self, address: str, message: ControlMessage, *, deadline: float
+    ) -> ControlMessage:
+        """Send a message and return its reply.
+
+        Parameters
+        ----------
+        deadline
+            Monotonic seconds.
+
+        Raises
+        ------
+        AlmondError
+            ``peer_timeout`` without a reply by the deadline, or the code of a
+            ``Refused`` reply.
+        """
+
+    @abstractmethod
+    def count_bytes(self) -> dict[str, ByteCount]:
+        """Return the bytes exchanged, by address of the other end."""
+
+    @abstractmethod
+    async def start(self) -> None:
+        """Bind the address and begin to receive."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close all links."""
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/__init__.py
@@ -0,0 +1,1 @@
+"""The almondrouter daemon."""
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,53 @@
+"""Runs every test; prints and passes over the tests in KNOWN-RED.txt."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def read_known_red() -> set[str]:
+    """Return the ids of the tests that are listed as failing for a known fault."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.split()[1] for line in lines if line.startswith("test: ")}
+
+
+def flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
+    """Return the test cases of a suite and of the suites in it."""
+    cases = []
+    for item in suite:
+        cases += flatten(item) if isinstance(item, unittest.TestSuite) else [item]
+    return cases
+
+
+def main() -> int:
+    """Run the tests whose ids contain the arguments, or all; return the exit code."""
+    sys.path.insert(0, str(ROOT / "tests"))
+    found = unittest.defaultTestLoader.discover(str(ROOT / "tests"))
+    known_red = read_known_red()
+    wanted = sys.argv[1:]
+    cases = [
+        case
+        for case in flatten(found)
+        if not wanted or any(word in case.id() for word in wanted)
+    ]
+    passed_over = [case.id() for case in cases if case.id() in known_red]
+    for name in passed_over:
+        print(f"known red, passed over: {name}")
+    suite = unittest.TestSuite(c for c in cases if c.id() not in known_red)
+    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
+    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
+    skipped = len(result.skipped) + len(passed_over)
+    passed = result.testsRun - failed - len(result.skipped)
+    print(f"{passed} passed, {failed} failed, {skipped} skipped")
+    return 1 if failed or not result.testsRun else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
