--- /dev/null
+++ b/packages/almondctl/src/almondctl/connections.py
@@ -0,0 +1,97 @@
+"""Connections of a command to the store and to daemons."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+from almondrouter.coordination.acceptance import ChangeWriter
+from almondrouter.transport.etcd import EtcdStore
+
+from almondrouter.clock import Clock, SystemClock
+from almondrouter.errors import AlmondError, ErrorCode, Finding, FindingsError
+from almondrouter.protocol.keys import StoreKeys
+from almondrouter.settings import SettingValues
+
+CLOCK: Clock = SystemClock()
+_DAEMON_TIMEOUT_S = 5.0
+
+
+class Connections:
+    """Opens what a command needs and closes it at its end."""
+
+    def __init__(self, settings: SettingValues) -> None:
+        self.settings = settings
+        self.keys = StoreKeys(settings["cluster"])
+        self._store: EtcdStore | None = None
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def deadline(self) -> float:
+        """Return the monotonic time until which the command may take."""
+        return CLOCK.monotonic() + self.settings["timeout"]
+
+    @property
+    def store(self) -> EtcdStore:
+        """Return the store.
+
+        Raises
+        ------
+        FindingsError
+            If no address of the store is set.
+        """
+        if self._store is None:
+            _require(self.settings, "store")
+            self._store = EtcdStore(self.settings["store"], clock=CLOCK)
+        return self._store
+
+    @property
+    def writer(self) -> ChangeWriter:
+        """Return the writer of changes."""
+        return ChangeWriter(self.store, self.keys, clock=CLOCK)
+
+    async def ask_daemon(
+        self, path: str, *, method: str = "GET", body: dict[str, Any] | None = None
+    ) -> Any:
+        """Return the JSON that the first responding daemon gives for a path.
+
+        Raises
+        ------
+        AlmondError
+            ``peer_unavailable`` if none responds.
+        """
+        _require(self.settings, "daemon")
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=_DAEMON_TIMEOUT_S)
+            self._session = aiohttp.ClientSession(timeout=timeout)
+        failures = []
+        for address in self.settings["daemon"]:
+            url = f"http://{address}{path}"
+            try:
+                async with self._session.request(method, url, json=body) as response:
+                    return await _read_json(response)
+            except (TimeoutError, aiohttp.ClientError) as error:
+                failures.append(f"{address}: {error or 'timeout'}")
+        raise AlmondError(ErrorCode.PEER_UNAVAILABLE, "; ".join(failures))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._store is not None:
+            await self._store.close()
+        if self._session is not None:
+            await self._session.close()
+
+
+async def _read_json(response: aiohttp.ClientResponse) -> Any:
+    data = await response.json(content_type=None)
+    if response.status < 400:
+        return data
+    code = ErrorCode(data.get("code", ErrorCode.PEER_UNAVAILABLE.value))
+    raise AlmondError(code, data.get("message", f"status {response.status}"))
+
+
+def _require(settings: SettingValues, name: str) -> None:
+    if not settings[name]:
+        message = f"this command needs --{name}"
+        finding = Finding(f"--{name}", ErrorCode.SETTING_MISSING, message)
+        raise FindingsError([finding])
--- /dev/null
+++ b/packages/almondctl/src/almondctl/settings.py
@@ -0,0 +1,41 @@
+"""Settings of the operator command."""
+
+from __future__ import annotations
+
+import getpass
+
+from almondrouter.settings import (
+    Setting,
+    parse_addresses,
+    parse_choice,
+    parse_name,
+    parse_seconds,
+)
+
+
+def _default_author() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+SETTINGS = (
+    Setting("cluster", parse_name, "Name of the cluster", default="main"),
+    Setting(
+        "store", parse_addresses, "IP:PORT list of the key-value service", default=""
+    ),
+    Setting(
+        "daemon",
+        parse_addresses,
+        "IP:PORT list of daemons' admin addresses; the first that responds is used",
+        default="",
+    ),
+    Setting(
+        "author", str, "Who makes the change, for history", default=_default_author()
+    ),
+    Setting("timeout", parse_seconds, "Seconds to wait for a result", default="10"),
+    Setting(
+        "output", parse_choice("text", "json"), "Form of the output", default="text"
+    ),
+)
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/fleetstatus.py
@@ -0,0 +1,157 @@
+"""Status of the fleet, collected through one delegate per data centre."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.delegates import rank_hosts
+from almondrouter.errors import AlmondError
+from almondrouter.protocol.control import (
+    ControlMessage,
+    FleetReply,
+    FleetRequest,
+    StatusReply,
+    StatusRequest,
+)
+from almondrouter.state.registry import HostRecord, Registry
+from almondrouter.transport.control import ControlEndpoint
+
+HOST_TIMEOUT_S = 1.0
+DELEGATE_TIMEOUT_S = 2.5
+MAX_CONCURRENT_REQUESTS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class DataCentreStatus:
+    """Status of the daemons of one data centre.
+
+    Parameters
+    ----------
+    replies
+        Status of each daemon that responded.
+    silent
+        Hosts that did not respond, or that could not be asked.
+    """
+
+    data_centre: str
+    replies: tuple[StatusReply, ...]
+    silent: tuple[str, ...]
+
+
+class FleetStatus:
+    """Collects the status of daemons.
+
+    A daemon asks the daemons of its own data centre, and one delegate of each
+    other one, so that links and bytes between data centres stay few. A daemon
+    that had a version in force is not asked again for it: it never goes back.
+
+    Parameters
+    ----------
+    host, data_centre
+        This daemon.
+    status
+        Returns this daemon's own status.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        data_centre: str,
+        registry: Registry,
+        endpoint: ControlEndpoint,
+        clock: Clock,
+        status: Callable[[], StatusReply],
+    ) -> None:
+        self._host = host
+        self._data_centre = data_centre
+        self._registry = registry
+        self._endpoint = endpoint
+        self._clock = clock
+        self._status = status
+        self._known: dict[str, StatusReply] = {}
+        self._slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
+        endpoint.set_handler(StatusRequest, self._reply_status)
+        endpoint.set_handler(FleetRequest, self._reply_fleet)
+
+    async def collect(self, version: int) -> list[DataCentreStatus]:
+        """Return the status of every data centre.
+
+        Parameters
+        ----------
+        version
+            Daemons known to have it in force are not asked again; use a version
+            that does not exist yet to ask all.
+        """
+        names = sorted({record.data_centre for record in self._registry})
+        collected = (self._collect_data_centre(name, version) for name in names)
+        return list(await asyncio.gather(*collected))
+
+    async def _collect_data_centre(self, name: str, version: int) -> DataCentreStatus:
+        if name == self._data_centre:
+            return await self._collect_own(version)
+        request = FleetRequest(version)
+        for record in rank_hosts(self._registry, name)[:2]:
+            deadline = self._clock.monotonic() + DELEGATE_TIMEOUT_S
+            try:
+                reply = await self._endpoint.request(
+                    record.control_address, request, deadline=deadline
+                )
+            except AlmondError:
+                continue
+            if isinstance(reply, FleetReply):
+                return DataCentreStatus(name, reply.replies, reply.silent)
+        live = _list_live(self._registry.list_data_centre(name))
+        return DataCentreStatus(name, (), tuple(record.host for record in live))
+
+    async def _collect_own(self, version: int) -> DataCentreStatus:
+        records = _list_live(self._registry.list_data_centre(self._data_centre))
+        asked = [self._ask_host(record, version) for record in records]
+        replies = await asyncio.gather(*asked)
+        pairs = list(zip(records, replies, strict=True))
+        return DataCentreStatus(
+            self._data_centre,
+            tuple(reply for _, reply in pairs if reply is not None),
+            tuple(record.host for record, reply in pairs if reply is None),
+        )
+
+    async def _ask_host(self, record: HostRecord, version: int) -> StatusReply | None:
+        if record.host == self._host:
+            return self._status()
+        known = self._known.get(record.host)
+        if known is not None and _is_settled(known, record, version):
+            return known
+        async with self._slots:
+            deadline = self._clock.monotonic() + HOST_TIMEOUT_S
+            try:
+                reply = await self._endpoint.request(
+                    record.control_address, StatusRequest(), deadline=deadline
+                )
+            except AlmondError:
+                return None
+        if not isinstance(reply, StatusReply):
+            return None
+        self._known[record.host] = reply
+        return reply
+
+    async def _reply_status(self, message: ControlMessage, sender: str) -> StatusReply:
+        return self._status()
+
+    async def _reply_fleet(self, message: ControlMessage, sender: str) -> FleetReply:
+        status = await self._collect_own(message.version)
+        return FleetReply(status.replies, status.silent)
+
+
+def _is_settled(known: StatusReply, record: HostRecord, version: int) -> bool:
+    return (
+        known.ready
+        and known.incarnation == record.incarnation
+        and known.head.version >= version
+    )
+
+
+def _list_live(records: Iterable[HostRecord]) -> list[HostRecord]:
+    return [record for record in records if record.takes_calls]
--- a/packages/almondrouter/src/almondrouter/protocol/control.py
+++ b/packages/almondrouter/src/almondrouter/protocol/control.py
@@ -235,6 +235,33 @@
     message: str
 
 
+class FleetRequest(msgspec.Struct, frozen=True, array_like=True, tag="fq"):
+    """Asks a delegate for the status of every daemon of its data centre.
+
+    Parameters
+    ----------
+    version
+        Daemons already known to have this version in force need not be asked.
+    """
+
+    version: int
+
+
+class FleetReply(msgspec.Struct, frozen=True, array_like=True, tag="fr"):
+    """Status of the daemons of a data centre.
+
+    Parameters
+    ----------
+    replies
+        Status of each daemon that responded.
+    silent
+        Hosts that are held to be alive and did not respond.
+    """
+
+    replies: tuple[StatusReply, ...]
+    silent: tuple[str, ...]
+
+
 ControlMessage = (
     Heartbeat
     | HeartbeatReply
@@ -254,6 +281,8 @@
     | SuspicionCleared
     | Accepted
     | Refused
+    | FleetRequest
+    | FleetReply
 )
 
 CONTROL_CODEC: Codec[ControlMessage] = Codec(
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/settings.py
@@ -0,0 +1,232 @@
+"""Settings from flags and environment variables, checked as a whole."""
+
+from __future__ import annotations
+
+import argparse
+import ipaddress
+import re
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any, NoReturn
+
+from almondrouter.errors import AlmondError, ErrorCode, Finding, FindingsError
+
+ENVIRONMENT_PREFIX = "ALMONDROUTER_"
+_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One setting.
+
+    Parameters
+    ----------
+    name
+        Name of the flag without dashes; the environment variable follows from it.
+    parse
+        Turns the text into the value; raises ``ValueError`` if it is not valid.
+    summary
+        What the setting does.
+    default
+        Text of the default; None if the setting is required.
+    secret
+        Whether the value is left out wherever settings are printed.
+    """
+
+    name: str
+    parse: Callable[[str], Any]
+    summary: str
+    default: str | None = None
+    secret: bool = False
+
+    @property
+    def variable(self) -> str:
+        """Return the name of the environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.upper().replace("-", "_")
+
+
+@dataclass(frozen=True, slots=True)
+class SettingValues:
+    """Checked values and the origin of each: flag, environment or default."""
+
+    values: Mapping[str, Any]
+    origins: Mapping[str, str]
+    secrets: frozenset[str] = field(default=frozenset())
+
+    def __getitem__(self, name: str) -> Any:
+        return self.values[name]
+
+    def describe(self) -> list[dict[str, str]]:
+        """Return name, value and origin of each setting, without secrets."""
+        return [
+            {
+                "name": name,
+                "value": "(secret)" if name in self.secrets else _format(value),
+                "origin": self.origins[name],
+            }
+            for name, value in self.values.items()
+        ]
+
+
+class FindingsParser(argparse.ArgumentParser):
+    """An argument parser that raises its errors as findings."""
+
+    def error(self, message: str) -> NoReturn:
+        """Raise ``FindingsError`` instead of ending the process."""
+        raise FindingsError(
+            [Finding("arguments", ErrorCode.SETTING_INVALID, message)]
+        ) from None
+
+
+def add_settings(parser: argparse.ArgumentParser, settings: Sequence[Setting]) -> None:
+    """Add a flag for each setting to a parser."""
+    group = parser.add_argument_group(
+        "settings", "Each flag can also be given by its environment variable."
+    )
+    for setting in settings:
+        default = (
+            "required" if setting.default is None else f"default: {setting.default!r}"
+        )
+        group.add_argument(
+            f"--{setting.name}",
+            dest=_destination(setting),
+            metavar="VALUE",
+            help=f"{setting.summary} [{setting.variable}; {default}]".replace(
+                "%", "%%"
+            ),
+        )
+
+
+def read_settings(
+    settings: Sequence[Setting],
+    arguments: argparse.Namespace,
+    environment: Mapping[str, str],
+    *,
+    unknown_flags: Sequence[str] = (),
+) -> SettingValues:
+    """Check every setting and return the values.
+
+    Raises
+    ------
+    FindingsError
+        With each missing, invalid and unknown setting.
+    """
+    findings = [
+        Finding(flag, ErrorCode.SETTING_INVALID, "there is no such flag")
+        for flag in unknown_flags
+    ]
+    values: dict[str, Any] = {}
+    origins: dict[str, str] = {}
+    for setting in settings:
+        text, origin = _find_text(setting, arguments, environment)
+        if text is None:
+            message = f"is required; set --{setting.name} or {setting.variable}"
+            findings.append(
+                Finding(f"--{setting.name}", ErrorCode.SETTING_MISSING, message)
+            )
+            continue
+        try:
+            values[setting.name] = setting.parse(text)
+        except ValueError as error:
+            place = setting.variable if origin == "environment" else f"--{setting.name}"
+            message = f"{text!r}: {error}"
+            findings.append(Finding(place, ErrorCode.SETTING_INVALID, message))
+        origins[setting.name] = origin
+    if findings:
+        raise FindingsError(findings)
+    secrets = frozenset(setting.name for setting in settings if setting.secret)
+    return SettingValues(values, origins, secrets)
+
+
+def parse_name(text: str) -> str:
+    """Return a name of lower-case letters, digits, dots and dashes."""
+    if not _NAME.fullmatch(text):
+        raise ValueError("must be 1 to 63 of a-z, 0-9, '.' and '-'")
+    return text
+
+
+def parse_address(text: str) -> str:
+    """Return an ``ip:port`` address; IPv6 numbers stand in brackets."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError("must be IP:PORT with a port from 1 to 65535")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        raise ValueError("the part before the port is no IP number") from None
+    return text
+
+
+def parse_addresses(text: str) -> tuple[str, ...]:
+    """Return the addresses of a comma-separated list; may be empty."""
+    return tuple(
+        parse_address(item.strip()) for item in text.split(",") if item.strip()
+    )
+
+
+def parse_share(text: str) -> float:
+    """Return a number from 0 to 1."""
+    value = float(text)
+    if not 0 <= value <= 1:
+        raise ValueError("must be from 0 to 1")
+    return value
+
+
+def parse_seconds(text: str) -> float:
+    """Return a positive number of seconds, at most a day."""
+    value = float(text)
+    if not 0 < value <= 86_400:
+        raise ValueError("must be above 0 and at most 86400 seconds")
+    return value
+
+
+def parse_bytes(text: str) -> int:
+    """Return a positive number of bytes, at most 7,000,000."""
+    value = int(text)
+    if not 0 < value <= 7_000_000:
+        raise ValueError("must be from 1 to 7000000 bytes")
+    return value
+
+
+def parse_choice(*choices: str) -> Callable[[str], str]:
+    """Return a function that accepts one of ``choices``."""
+
+    def parse(text: str) -> str:
+        if text not in choices:
+            raise ValueError(f"must be one of {', '.join(choices)}")
+        return text
+
+    return parse
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP number and port of an ``ip:port`` address."""
+    host, _, port = address.rpartition(":")
+    return host.removeprefix("[").removesuffix("]"), int(port)
+
+
+def explain_bind_error(error: OSError, *, place: str, address: str) -> AlmondError:
+    """Return the error that says why an address could not be bound."""
+    finding = Finding(
+        place, ErrorCode.ADDRESS_IN_USE, f"cannot bind {address}: {error}"
+    )
+    return FindingsError([finding])
+
+
+def _find_text(
+    setting: Setting, arguments: argparse.Namespace, environment: Mapping[str, str]
+) -> tuple[str | None, str]:
+    flag = getattr(arguments, _destination(setting), None)
+    if flag is not None:
+        return flag, "flag"
+    if setting.variable in environment:
+        return environment[setting.variable], "environment"
+    return setting.default, "default"
+
+
+def _destination(setting: Setting) -> str:
+    return "setting_" + setting.name.replace("-", "_")
+
+
+def _format(value: Any) -> str:
+    return ",".join(map(str, value)) if isinstance(value, tuple) else str(value)
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/backendmonitor.py
@@ -0,0 +1,229 @@
+"""The backend server on this host: announcements, loss and crashes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Literal
+
+import msgspec
+from almondrouter.coordination.admission import Admission
+from almondrouter.transport.backends import BackendClient
+
+from almondrouter.clock import Clock
+from almondrouter.errors import ErrorCode, Finding, FindingsError
+from almondrouter.settings import parse_address, parse_name, split_address
+from almondrouter.state.registry import BackendRecord, BackendState
+from almondrouterd.logs import StateLogger
+
+ANNOUNCEMENT_INTERVAL_S = 1.0
+MAX_MISSED_ANNOUNCEMENTS = 3
+SILENCE_LIMIT_S = 10.0
+PROBE_TIMEOUT_S = 1.0
+MAX_SLOTS = 10_000
+
+_log = StateLogger("backend")
+
+
+class BackendAnnouncement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a backend server tells its daemon every second.
+
+    Parameters
+    ----------
+    name
+        Unique name of this run of the backend server.
+    service
+        Service that it answers.
+    address
+        ``ip:port`` of its HTTP server.
+    slots, connections
+        Calls that it runs at a time, and connections that it accepts.
+    state
+        Whether it takes work, finishes what it has, or has ended.
+    """
+
+    name: str
+    service: str
+    address: str
+    slots: int
+    connections: int
+    state: Literal["ready", "draining", "stopped"] = "ready"
+
+
+@dataclass(slots=True)
+class _Backend:
+    announcement: BackendAnnouncement
+    record: BackendRecord
+    heard_at: float
+
+
+class BackendMonitor:
+    """Keeps admission and connections for the backend servers on this host.
+
+    Parameters
+    ----------
+    clock
+        Clock of the daemon.
+    on_change
+        Called with the records of all backend servers after each change.
+    on_crash
+        Called with the name of a backend server that died unannounced.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        on_change: Callable[[tuple[BackendRecord, ...]], None],
+        on_crash: Callable[[str], None],
+    ) -> None:
+        self._clock = clock
+        self._on_change = on_change
+        self._on_crash = on_crash
+        self._backends: dict[str, _Backend] = {}
+        self._probes: set[asyncio.Task[None]] = set()
+        self.admissions: dict[str, Admission] = {}
+        self.clients: dict[str, BackendClient] = {}
+        self.crashes = 0
+
+    def announce(self, announcement: BackendAnnouncement) -> None:
+        """Take an announcement.
+
+        Raises
+        ------
+        FindingsError
+            With every invalid field.
+        """
+        _check_announcement(announcement)
+        if announcement.state == "stopped":
+            self._remove(announcement.name, reason="stopped")
+            return
+        known = self._backends.get(announcement.name)
+        if known is None:
+            self._add(announcement)
+        elif announcement.state == "draining":
+            self._drain(known)
+        if announcement.name in self._backends:
+            self._backends[announcement.name].heard_at = self._clock.monotonic()
+
+    async def run(self) -> None:
+        """Look for backend servers that have gone silent until cancelled."""
+        while True:
+            await asyncio.sleep(ANNOUNCEMENT_INTERVAL_S)
+            for name in self._list_silent(
+                ANNOUNCEMENT_INTERVAL_S * MAX_MISSED_ANNOUNCEMENTS
+            ):
+                await self.probe(name)
+            for name in self._list_silent(SILENCE_LIMIT_S):
+                self._remove(name, reason="silent")
+
+    def report_failure(self, name: str) -> None:
+        """Probe a backend server whose connection failed during a call."""
+        task = asyncio.create_task(self.probe(name))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def probe(self, name: str) -> bool:
+        """Return whether a backend server accepts connections; else remove it."""
+        backend = self._backends.get(name)
+        if backend is None:
+            return False
+        host, port = split_address(backend.announcement.address)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            self._crash(name)
+            return False
+        except (OSError, TimeoutError):
+            return True
+        writer.close()
+        return True
+
+    async def wait_until_idle(self) -> None:
+        """Wait until no call holds a slot."""
+        for admission in list(self.admissions.values()):
+            await admission.wait_until_idle()
+
+    async def close(self) -> None:
+        """Close the connections to the backend servers."""
+        for task in list(self._probes):
+            task.cancel()
+        for client in self.clients.values():
+            with suppress(OSError):
+                await client.close()
+
+    def _add(self, announcement: BackendAnnouncement) -> None:
+        name = announcement.name
+        draining = announcement.state == "draining"
+        state = BackendState.DRAINING if draining else BackendState.READY
+        record = BackendRecord(name, announcement.service, announcement.slots, state)
+        self.admissions[name] = Admission(record, clock=self._clock)
+        if draining:
+            self.admissions[name].start_draining()
+        self.clients[name] = BackendClient(
+            announcement.address,
+            connections=announcement.connections,
+            clock=self._clock,
+        )
+        now = self._clock.monotonic()
+        self._backends[name] = _Backend(announcement, record, now)
+        _log.info("backend server announced", name=name, service=record.service)
+        self._publish()
+
+    def _drain(self, backend: _Backend) -> None:
+        if backend.record.state is not BackendState.READY:
+            return
+        name = backend.record.name
+        self.admissions[name].start_draining()
+        backend.record = msgspec.structs.replace(
+            backend.record, state=BackendState.DRAINING
+        )
+        _log.info("backend server is draining", name=name)
+        self._publish()
+
+    def _crash(self, name: str) -> None:
+        if name not in self._backends:
+            return
+        self.crashes += 1
+        self._on_crash(name)
+        self._remove(name, reason="crashed")
+
+    def _remove(self, name: str, *, reason: str) -> None:
+        if self._backends.pop(name, None) is None:
+            return
+        self.admissions.pop(name).start_draining()
+        client = self.clients.pop(name)
+        task = asyncio.ensure_future(client.close())
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+        _log.warning("backend server is gone", name=name, reason=reason)
+        self._publish()
+
+    def _publish(self) -> None:
+        self._on_change(tuple(item.record for item in self._backends.values()))
+
+    def _list_silent(self, limit: float) -> list[str]:
+        oldest = self._clock.monotonic() - limit
+        return [n for n, item in self._backends.items() if item.heard_at < oldest]
+
+
+def _check_announcement(announcement: BackendAnnouncement) -> None:
+    findings = []
+    for field, parse in (
+        ("name", parse_name),
+        ("service", parse_name),
+        ("address", parse_address),
+    ):
+        try:
+            parse(getattr(announcement, field))
+        except ValueError as error:
+            findings.append(Finding(field, ErrorCode.SETTING_INVALID, str(error)))
+    for field in ("slots", "connections"):
+        if not 1 <= getattr(announcement, field) <= MAX_SLOTS:
+            message = f"must be from 1 to {MAX_SLOTS}"
+            findings.append(Finding(field, ErrorCode.VALUE_OUT_OF_RANGE, message))
+    if findings:
+        raise FindingsError(findings)
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/explanations.py
@@ -0,0 +1,106 @@
+"""Explanations of a daemon's decisions, for operators."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from almondrouter.coordination.quarantine import Quarantine
+from almondrouter.state.occupancy import OccupancyTable
+
+from almondrouter.clock import Clock
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.state.snapshot import Destination, Snapshot
+
+Explanation = dict[str, Any]
+
+
+class Explanations:
+    """Explains where a class is routed, why a request is refused, and versions.
+
+    Parameters
+    ----------
+    snapshot
+        Returns the snapshot in force.
+    occupancy, quarantine
+        Reported loads, and requests that crash.
+    describe_version
+        Returns the lines that say why this version is in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        snapshot: Callable[[], Snapshot],
+        occupancy: OccupancyTable,
+        quarantine: Quarantine,
+        clock: Clock,
+        describe_version: Callable[[], list[str]],
+    ) -> None:
+        self._snapshot = snapshot
+        self._occupancy = occupancy
+        self._quarantine = quarantine
+        self._clock = clock
+        self._describe_version = describe_version
+
+    def explain(self, about: str, name: str) -> Explanation:
+        """Return the explanation of a decision.
+
+        Parameters
+        ----------
+        about
+            ``class``, ``request`` or ``version``.
+        name
+            Class name or fingerprint; any text for the version.
+
+        Raises
+        ------
+        AlmondError
+            ``class_unknown`` or ``target_unknown``.
+        """
+        if about == "class":
+            return self._explain_class(name)
+        if about == "request":
+            return self._explain_request(name)
+        if about == "version":
+            return {"about": "version", "lines": self._describe_version()}
+        message = f"{about!r} cannot be explained; class, request and version can"
+        raise AlmondError(ErrorCode.TARGET_UNKNOWN, message)
+
+    def _explain_class(self, name: str) -> Explanation:
+        snapshot = self._snapshot()
+        route = snapshot.routes.get(name)
+        if route is None:
+            message = f"class {name!r} is not declared in version {snapshot.version}"
+            raise AlmondError(ErrorCode.CLASS_UNKNOWN, message)
+        lines = [
+            f"class {name}: service {route.service}, version {snapshot.version}",
+            f"answer within {route.answer_within * 1000:.0f} ms, "
+            f"priority {route.priority.value}, "
+            f"{'repeatable' if route.repeatable else 'at most once'}",
+        ]
+        lines += [f"limit {n}: {snapshot.limits[n]:g}/s" for n in route.limit_names]
+        if not route.destinations:
+            lines.append("no backend server is known: calls are refused (no_backend)")
+        lines += [self._describe_destination(item) for item in route.destinations]
+        return {"about": "class", "name": name, "lines": lines}
+
+    def _describe_destination(self, destination: Destination) -> str:
+        found = self._occupancy.find(destination.backend)
+        load = "no load reported yet"
+        if found is not None:
+            load = f"about {found.calls(self._clock.monotonic()):.1f} calls"
+        suspect = ", its daemon is suspected to be down" if destination.suspect else ""
+        return (
+            f"{destination.backend} on {destination.host} "
+            f"({destination.data_centre}): {destination.slots} slots, {load}{suspect}"
+        )
+
+    def _explain_request(self, fingerprint: str) -> Explanation:
+        found = self._quarantine.explain(fingerprint)
+        lines = [f"request {fingerprint}: {found.suspicion.value}, {found.reason}"]
+        lines += [
+            f"crash of {report.backend} on {report.host}, report {report.report_id}"
+            for report in found.crashes
+        ]
+        return {"about": "request", "name": fingerprint, "lines": lines}
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/figures.py
@@ -0,0 +1,73 @@
+"""Figures of the daemon that metrics read when they are asked for."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from almondrouterd.metrics import Samples, single
+
+if TYPE_CHECKING:
+    from almondrouterd.daemon import Daemon
+
+
+def register_figures(daemon: Daemon) -> None:
+    """Register the daemon's figures with its metrics."""
+    metrics = daemon.metrics
+    metrics.add_gauge(
+        "almond_configuration_version",
+        "Configuration version in force",
+        lambda: single(daemon.activation.head().version),
+    )
+    metrics.add_gauge(
+        "almond_ready", "1 if the daemon takes calls", lambda: single(daemon.ready)
+    )
+    metrics.add_gauge(
+        "almond_hosts",
+        "Known hosts by status",
+        lambda: _count_hosts(daemon),
+    )
+    metrics.add_gauge(
+        "almond_alarms",
+        "1 for each alarm that stands",
+        lambda: [({"alarm": name}, 1) for name in daemon.distribution.alarms],
+    )
+    metrics.add_gauge(
+        "almond_backend_load",
+        "Slots, calls in flight and calls in the queue, by backend server",
+        lambda: _read_loads(daemon),
+    )
+    metrics.add_counter(
+        "almond_control_bytes_total",
+        "Control bytes by direction and scope of the other end",
+        lambda: _read_control_bytes(daemon),
+    )
+    metrics.add_counter(
+        "almond_store_calls_total",
+        "Calls to the store by kind",
+        lambda: [({"kind": k}, n) for k, n in daemon.store.calls.items()],
+    )
+    metrics.add_counter(
+        "almond_backend_crashes_total",
+        "Crashes of the backend server on this host",
+        lambda: single(daemon.backends.crashes),
+    )
+
+
+def _count_hosts(daemon: Daemon) -> Samples:
+    counts = Counter(record.status.name.lower() for record in daemon.registry)
+    return [({"status": status}, count) for status, count in counts.items()]
+
+
+def _read_loads(daemon: Daemon) -> Samples:
+    for name, admission in daemon.backends.admissions.items():
+        load = admission.load()
+        for figure in ("slots", "in_use", "queued"):
+            yield {"backend": name, "figure": figure}, getattr(load, figure)
+
+
+def _read_control_bytes(daemon: Daemon) -> Samples:
+    sent, received = daemon.status.count_control_bytes()
+    for direction, counts in (("sent", sent), ("received", received)):
+        for scope, value in counts.items():
+            yield {"direction": direction, "scope": scope}, value
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/status.py
@@ -0,0 +1,108 @@
+"""Status of the daemon and of the fleet as plain data."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from almondrouter.coordination.fleetstatus import DataCentreStatus
+
+if TYPE_CHECKING:
+    from almondrouterd.daemon import Daemon
+
+_ASK_ALL_VERSION = 2**53
+
+
+class StatusReports:
+    """Describes a daemon, and the fleet as the daemon sees it.
+
+    Parameters
+    ----------
+    daemon
+        The daemon that is described.
+    """
+
+    def __init__(self, daemon: Daemon) -> None:
+        self._daemon = daemon
+
+    def describe_daemon(self) -> dict[str, Any]:
+        """Return the daemon's own status."""
+        daemon = self._daemon
+        head = daemon.activation.head()
+        snapshot = daemon.activation.snapshot
+        sent, received = self.count_control_bytes()
+        return {
+            "host": daemon.host,
+            "incarnation": daemon.incarnation,
+            "ready": daemon.ready,
+            "reason": daemon.distribution.not_ready_reason or "",
+            "stopping": daemon.stopping,
+            "version": head.version,
+            "digest": head.digest,
+            "hosts": len(daemon.registry),
+            "routes": {n: len(r.destinations) for n, r in snapshot.routes.items()},
+            "alarms": dict(daemon.distribution.alarms),
+            "unreachable": sorted(daemon.membership.unreachable_data_centres()),
+            "backends": sorted(daemon.backends.admissions),
+            "control_bytes_sent": sum(sent.values()),
+            "control_bytes_received": sum(received.values()),
+            "store_calls": dict(daemon.store.calls),
+        }
+
+    async def describe_fleet(self, version: int | None) -> dict[str, Any]:
+        """Return the status of every data centre.
+
+        Parameters
+        ----------
+        version
+            Version that daemons are to have in force; the daemon's own if None.
+        """
+        asked = _ASK_ALL_VERSION if version is None else version
+        collected = await self._daemon.fleet.collect(asked)
+        heads = [reply.head.version for dc in collected for reply in dc.replies]
+        wanted = max(heads, default=0) if version is None else version
+        return {
+            "version": wanted,
+            "hosts": sum(len(dc.replies) + len(dc.silent) for dc in collected),
+            "alarms": dict(self._daemon.distribution.alarms),
+            "data_centres": [describe_data_centre(dc, wanted) for dc in collected],
+        }
+
+    def count_control_bytes(self) -> tuple[Counter[str], Counter[str]]:
+        """Return control bytes sent and received, by scope of the other end.
+
+        The scopes are ``data_centre``, ``region`` and ``other_region``; an
+        address that no host record names counts as ``unknown``.
+        """
+        own = self._daemon.registry.find(self._daemon.host)
+        by_address = {r.control_address: r for r in self._daemon.registry}
+        sent: Counter[str] = Counter()
+        received: Counter[str] = Counter()
+        for address, count in self._daemon.endpoint.count_bytes().items():
+            record = by_address.get(address)
+            if record is None or own is None:
+                scope = "unknown"
+            elif record.data_centre == own.data_centre:
+                scope = "data_centre"
+            elif record.region == own.region:
+                scope = "region"
+            else:
+                scope = "other_region"
+            sent[scope] += count.sent
+            received[scope] += count.received
+        return sent, received
+
+
+def describe_data_centre(status: DataCentreStatus, wanted: int) -> dict[str, Any]:
+    """Return the status of a data centre as plain data."""
+    versions = Counter(reply.head.version for reply in status.replies)
+    return {
+        "data_centre": status.data_centre,
+        "hosts": len(status.replies) + len(status.silent),
+        "ready": sum(reply.ready for reply in status.replies),
+        "versions": {str(version): count for version, count in versions.items()},
+        "behind": sorted(
+            reply.host for reply in status.replies if reply.head.version < wanted
+        ),
+        "unreachable": sorted(status.silent),
+    }
