--- a/packages/almondrouter/src/almondrouter/errors.py
+++ b/packages/almondrouter/src/almondrouter/errors.py
@@ -27,6 +27,8 @@
     TARGET_UNKNOWN = "target_unknown"
     VALUE_OUT_OF_RANGE = "value_out_of_range"
     VERSION_CONFLICT = "version_conflict"
+    VERSION_DIVERGED = "version_diverged"
+    VERSION_OLDER = "version_older"
 
     # Store
     STORE_UNAVAILABLE = "store_unavailable"
--- a/packages/almondrouter/src/almondrouter/state/registry.py
+++ b/packages/almondrouter/src/almondrouter/state/registry.py
@@ -89,7 +89,7 @@
     def fingerprint(self) -> int:
         """Return 64 bits that stand for this state of the record."""
         text = f"{self.host}|{self.incarnation}|{self.sequence}|{int(self.status)}"
-        return xxhash.xxh3_64_intdigest(text)
+        return xxhash.xxh3_64_intdigest(text.encode())
 
     @property
     def takes_calls(self) -> bool:
