--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/watchers.py
@@ -0,0 +1,96 @@
+"""Choice of the daemons that watch the store."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from enum import StrEnum
+
+from almondrouter.coordination.fleet import Rank
+from almondrouter.state.registry import HostRecord, Registry
+
+# Bounds the daemons that try the store while it is down for all of them.
+MAX_CANDIDATES = 4
+ECONOMICAL_DATA_CENTRES = 2
+FAST_WATCHERS = 2
+
+
+class Spread(StrEnum):
+    """What configuration distribution saves: control bytes or time."""
+
+    ECONOMICAL = "economical"
+    FAST = "fast"
+
+
+class WatcherChoice:
+    """Tells which daemons of a region watch the store.
+
+    Parameters
+    ----------
+    registry
+        Known hosts.
+    region
+        Region of this daemon.
+    rank
+        Sorts the live hosts of a data centre, delegates first.
+    spread
+        ``economical``: the first delegate in each of two data centres;
+        ``fast``: two delegates in every data centre.
+    """
+
+    def __init__(
+        self, *, registry: Registry, region: str, rank: Rank, spread: Spread
+    ) -> None:
+        self._registry = registry
+        self._region = region
+        self._rank = rank
+        self._spread = spread
+        self._ranked: dict[str, list[HostRecord]] = {}
+        self._generation = -1
+
+    def list_candidates(self, data_centre: str) -> list[HostRecord]:
+        """Return the first ranks of a data centre, reachable store or not."""
+        if self._generation != self._registry.generation:
+            self._ranked.clear()
+            self._generation = self._registry.generation
+        if data_centre not in self._ranked:
+            ranked = self._rank(self._registry, data_centre)
+            self._ranked[data_centre] = ranked[:MAX_CANDIDATES]
+        return self._ranked[data_centre]
+
+    def find_rank(self, record: HostRecord) -> int:
+        """Return the rank of a host in its data centre, 0 for the first."""
+        hosts = [item.host for item in self.list_candidates(record.data_centre)]
+        return hosts.index(record.host) if record.host in hosts else MAX_CANDIDATES
+
+    def choose(self, unreachable: Collection[str]) -> frozenset[str]:
+        """Return the hosts of the region that are to watch the store.
+
+        Parameters
+        ----------
+        unreachable
+            Data centres that this daemon does not hear. Their watchers are of
+            no use to it, so others are chosen.
+        """
+        names = self._list_data_centres(unreachable)
+        able = {name: self._list_able(name) for name in names}
+        able = {name: records for name, records in able.items() if records}
+        if not able:
+            able = {name: self.list_candidates(name) for name in names}
+        if self._spread is Spread.ECONOMICAL:
+            first = list(able.values())[:ECONOMICAL_DATA_CENTRES]
+            return frozenset(r.host for records in first for r in records[:1])
+        return frozenset(
+            r.host for records in able.values() for r in records[:FAST_WATCHERS]
+        )
+
+    def reaches_store(self, unreachable: Collection[str]) -> bool:
+        """Return whether a watcher of a reachable data centre may have the store."""
+        names = {record.data_centre for record in self._registry}
+        return any(self._list_able(name) for name in names - set(unreachable))
+
+    def _list_data_centres(self, unreachable: Collection[str]) -> list[str]:
+        names = {r.data_centre for r in self._registry if r.region == self._region}
+        return sorted(names - set(unreachable))
+
+    def _list_able(self, data_centre: str) -> list[HostRecord]:
+        return [r for r in self.list_candidates(data_centre) if not r.store_down]
--- a/packages/almondrouter/src/almondrouter/protocol/control.py
+++ b/packages/almondrouter/src/almondrouter/protocol/control.py
@@ -73,9 +73,16 @@
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True, tag="cq"):
-    """Asks for what leads from a version to the receiver's."""
+    """Asks for what leads from a version to the receiver's.
+
+    Parameters
+    ----------
+    with_members
+        Whether the reply is to list the members of the receiver's data centre.
+    """
 
     head: Head
+    with_members: bool = False
 
 
 class ConfigurationReply(msgspec.Struct, frozen=True, array_like=True, tag="cr"):
@@ -90,7 +97,8 @@
     document
         Canonical JSON of the configuration; None if ``records`` suffice.
     members
-        Hosts of the sender's data centre that it holds to be alive.
+        Hosts of the sender's data centre that it holds to be alive; empty if
+        the request did not ask for them.
     """
 
     head: Head
--- a/packages/almondrouter/src/almondrouter/state/registry.py
+++ b/packages/almondrouter/src/almondrouter/state/registry.py
@@ -67,6 +67,8 @@
         Backend servers on the host.
     reaches
         Data centres that the daemon exchanges heartbeats with, its own left out.
+    store_down
+        Whether the daemon tried the store of late and did not reach it.
     """
 
     host: str
@@ -79,6 +81,7 @@
     status: HostStatus = HostStatus.ALIVE
     backends: tuple[BackendRecord, ...] = ()
     reaches: tuple[str, ...] = ()
+    store_down: bool = False
 
     def order(self) -> tuple[int, int, int]:
         """Return the key by which the newer of two records of a host is told."""
--- /dev/null
+++ b/tests/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets of daemons in one process under virtual time."""
--- /dev/null
+++ b/tests/simulation/store.py
@@ -0,0 +1,158 @@
+"""A store in memory, with outages and faults of its answers and watches."""
+
+import asyncio
+from collections import Counter
+
+import msgspec
+
+from almondrouter.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from almondrouter.protocol.keys import StoreKeys
+from almondrouter.state.changes import ChangeRecord, apply_change
+from almondrouter.state.stored import StoredConfiguration, encode_stored
+from almondrouter.state.targets import Configuration
+from almondrouter.transport.store import (
+    CommitResult,
+    Get,
+    KeyValue,
+    Put,
+    ReadResult,
+    Store,
+    WatchBatch,
+    WatchEvent,
+)
+
+KEYS = StoreKeys("test")
+
+
+class MemoryStore:
+    """Keys, revisions and the faults that all clients meet."""
+
+    def __init__(self, random):
+        self.random = random
+        self.items = {}
+        self.revision = 1
+        self.log = []
+        self.calls = Counter()
+        self.down = False
+        self.latency = 0.002
+        self.lost_answers = 0.0
+        self.silent_watches = False
+        self.shuffled_watches = False
+        self.changed = asyncio.Condition()
+        self.accepted = Configuration()
+
+    def put(self, key, value):
+        """Write one key in a revision of its own."""
+        self.revision += 1
+        self.put_now(key, value)
+
+    def put_now(self, key, value):
+        """Write a key in the current revision."""
+        old = self.items.get(key)
+        created = old.create_revision if old else self.revision
+        version = old.version + 1 if old else 1
+        self.items[key] = KeyValue(key, value, created, self.revision, version)
+        self.log.append(WatchEvent(key, value, self.revision))
+
+    def accept(self, change):
+        """Write the next configuration as an operator's command does."""
+        after = apply_change(self.accepted, change)
+        version, digest = after.version, after.digest()
+        record = ChangeRecord(version, f"c{version}", "ann", "", 0, change, digest)
+        self.revision += 1
+        document = encode_stored(StoredConfiguration(f"c{version}", digest, after))
+        self.put_now(KEYS.configuration, document)
+        self.put_now(KEYS.history_record(version), msgspec.json.encode(record))
+        self.accepted = after
+        return after
+
+
+class StoreHandle(Store):
+    """The store as one host sees it; ``reachable`` is False when it is cut off."""
+
+    def __init__(self, memory):
+        self.memory = memory
+        self.reachable = True
+        self.running = asyncio.Event()
+        self.running.set()
+
+    async def _travel(self, kind):
+        memory = self.memory
+        memory.calls[kind] += 1
+        await self.running.wait()
+        await asyncio.sleep(memory.latency / 2)
+        if memory.down or not self.reachable:
+            raise StoreUnavailableError("connection refused")
+
+    async def _reply(self, result):
+        memory = self.memory
+        await asyncio.sleep(memory.latency / 2)
+        await self.running.wait()
+        lost = memory.random.random() < memory.lost_answers
+        if lost or memory.down or not self.reachable:
+            raise StoreOutcomeUnknownError("answer lost")
+        return result
+
+    async def read(self, key):
+        await self._travel("read")
+        item = self.memory.items.get(key)
+        found = ReadResult((item,) if item else (), self.memory.revision)
+        return await self._reply(found)
+
+    async def read_prefix(self, prefix, *, start=None, limit=0):
+        await self._travel("read_prefix")
+        items = self.memory.items
+        keys = sorted(k for k in items if k.startswith(prefix) and k >= (start or ""))
+        chosen = keys[:limit] if limit else keys
+        found = tuple(items[key] for key in chosen)
+        return await self._reply(ReadResult(found, self.memory.revision))
+
+    async def commit(self, transaction):
+        await self._travel("commit")
+        memory = self.memory
+        holds = all(self._holds(compare) for compare in transaction.compares)
+        operations = transaction.success if holds else transaction.failure
+        if any(isinstance(operation, Put) for operation in operations):
+            memory.revision += 1
+        results = tuple(self._do(operation) for operation in operations)
+        return await self._reply(CommitResult(holds, memory.revision, results))
+
+    def _holds(self, compare):
+        item = self.memory.items.get(compare.key)
+        return (item.mod_revision if item else 0) == compare.mod_revision
+
+    def _do(self, operation):
+        item = self.memory.items.get(operation.key)
+        if isinstance(operation, Get):
+            return (item,) if item else ()
+        return self.memory.put_now(operation.key, operation.value)
+
+    async def watch(self, prefix, *, from_revision):
+        await self._travel("watch")
+        memory = self.memory
+        position = 0
+        while True:
+            found = [
+                event
+                for event in memory.log[position:]
+                if event.key.startswith(prefix) and event.mod_revision >= from_revision
+            ]
+            position = len(memory.log)
+            if memory.shuffled_watches and found:
+                found = [*found, memory.log[0], found[0]]
+                memory.random.shuffle(found)
+            await self.running.wait()
+            if memory.down or not self.reachable:
+                raise StoreUnavailableError("connection reset")
+            if found and not memory.silent_watches:
+                for event in found:
+                    yield WatchBatch((event,), event.mod_revision)
+            await asyncio.sleep(memory.latency)
+
+    async def grant_lease(self, ttl):
+        raise NotImplementedError("distribution takes no leases")
+
+    keep_alive = revoke_lease = grant_lease
+
+    async def close(self):
+        pass
