Add call links between daemons

One connection carries all calls from one daemon to another. Replies are matched by call id. Both ends measure the clock offset in the greeting, so the greeting has three legs: the client answers the server's Hello with a Pong, which costs the client no extra round trip. Deadlines are converted to the earliest time that the measurement allows; the midpoint was ruled out, as a greeting that is held up in a buffer would then extend deadlines.

The loss of a link cancels only calls without an idempotency key: the caller of a keyed call sends it again and gets the result from memory.

--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/protocol/outcomes.py
@@ -0,0 +1,47 @@
+"""Errors of calls, which say whether the request may have run."""
+
+from __future__ import annotations
+
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.headers import Outcome
+
+
+class CallError(AlmondError):
+    """A call that has no complete response.
+
+    Parameters
+    ----------
+    code, message
+        As in `AlmondError`.
+    outcome
+        ``NOT_RUN`` only if no backend server ran this sending of the request
+        and none can run it later.
+    """
+
+    def __init__(
+        self, code: ErrorCode, message: str, *, outcome: Outcome = Outcome.NOT_RUN
+    ) -> None:
+        super().__init__(code, message)
+        self.outcome = outcome
+
+
+_NOT_RUN_STATUSES: dict[str, int] = {
+    ErrorCode.HEADER_INVALID: 400,
+    ErrorCode.KEY_MISSING: 400,
+    ErrorCode.KEY_INVALID: 400,
+    ErrorCode.CLASS_UNKNOWN: 404,
+    ErrorCode.SERVICE_UNKNOWN: 404,
+    ErrorCode.CONDEMNED: 409,
+    ErrorCode.KEY_CLAIMED: 409,
+    ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.FRAME_TOO_LARGE: 413,
+    ErrorCode.LIMITED: 429,
+}
+_TIMEOUT_CODES = frozenset({ErrorCode.DEADLINE_EXCEEDED, ErrorCode.PEER_TIMEOUT})
+
+
+def choose_status(outcome: Outcome, code: str) -> int:
+    """Return the HTTP status of a call without a complete response."""
+    if outcome is Outcome.NOT_RUN:
+        return _NOT_RUN_STATUSES.get(code, 503)
+    return 504 if code in _TIMEOUT_CODES else 502
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/transport/calls.py
@@ -0,0 +1,98 @@
+"""Interfaces between the path of a call and its transports."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from almondrouter.protocol.calls import CallReply, CallRequest, ClaimQuery, HeaderList
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request of a caller.
+
+    Parameters
+    ----------
+    method, target, headers, body
+        The HTTP request; ``target`` is path and query, header names are in
+        lower case.
+    """
+
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallerResponse:
+    """The response to a caller, with its Almond headers."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class BackendResponse:
+    """The whole response of a backend server; header names are in lower case."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+class CallLinks(ABC):
+    """Sends calls to the daemons of other hosts."""
+
+    @abstractmethod
+    async def call(
+        self, peer_address: str, request: CallRequest | ClaimQuery
+    ) -> CallReply:
+        """Send a call and return its reply.
+
+        Parameters
+        ----------
+        peer_address
+            ``ip:port`` of the daemon.
+        request
+            Its ``call_id`` is replaced; its ``deadline`` is in monotonic
+            seconds of this host.
+
+        Raises
+        ------
+        CallError
+            ``peer_unavailable`` (not run) if the request surely did not
+            leave, ``peer_timeout`` (unknown) otherwise.
+        """
+
+
+class BackendSender(ABC):
+    """Sends requests to the backend server on this host."""
+
+    @abstractmethod
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: HeaderList,
+        body: bytes,
+        *,
+        deadline: float,
+    ) -> BackendResponse:
+        """Send a request and return the whole response.
+
+        Parameters
+        ----------
+        deadline
+            Monotonic seconds until which the response is waited for.
+
+        Raises
+        ------
+        CallError
+            Not run: ``no_backend`` if the request surely was not sent,
+            ``backend_refused`` if the backend server did not run it,
+            ``deadline_exceeded`` if it was not sent in time. Unknown:
+            ``backend_failed`` or ``deadline_exceeded``.
+        """
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -0,0 +1,418 @@
+"""Call links: one connection carries the calls from one daemon to another."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from almondrouter.clock import Clock
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.calls import (
+    CallFrame,
+    CallReply,
+    CallRequest,
+    Cancel,
+    ClaimQuery,
+    Hello,
+)
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport.calls import CallLinks
+from almondrouter.transport.frames import (
+    HANDSHAKE_S,
+    PING_INTERVAL_S,
+    FrameStream,
+)
+
+CONNECT_S = 1.0
+"""Seconds for connecting and greeting; far regions take 20 ms a round trip."""
+REPLY_GRACE_S = 0.1
+"""Seconds after the deadline in which a definite reply may still arrive."""
+MAX_IDLE_S = 60.0
+"""Seconds after which a link without calls is closed."""
+MAX_OPEN_CALLS = 10_000
+"""Calls of one link that a server holds at a time."""
+
+LinkHandler = Callable[[CallRequest | ClaimQuery], Awaitable[CallReply]]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def make_reply(
+    call_id: int, outcome: Outcome, code: ErrorCode, *, status: int = 0
+) -> CallReply:
+    """Return the reply to a call without a response."""
+    return CallReply(call_id, outcome, status, (), b"", code.value, None)
+
+
+class CallLinkServer:
+    """Serves the calls that other daemons send.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` to listen on; port 0 takes a free one.
+    hello
+        Greeting of this daemon; its clock is filled in.
+    handler
+        Called for each call with the deadline in this host's monotonic
+        seconds. It is cancelled if the caller goes away.
+    clock
+        Source of monotonic time.
+
+    Notes
+    -----
+    The loss of a link cancels only calls without an idempotency key. The
+    others go on, as their callers send them again and then get the response
+    from memory.
+    """
+
+    def __init__(
+        self, *, address: str, hello: Hello, handler: LinkHandler, clock: Clock
+    ) -> None:
+        self._address = address
+        self._hello = hello
+        self._handler = handler
+        self._clock = clock
+        self._server: asyncio.Server | None = None
+        self._links: set[_ServedLink] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._ticker: asyncio.Task | None = None
+        self.draining = False
+        self.counts: Counter[str] = Counter()
+
+    @property
+    def address(self) -> str:
+        """Return the address that the server listens on."""
+        if self._server is None or not self._server.sockets:
+            return self._address
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Listen for links.
+
+        Raises
+        ------
+        AlmondError
+            ``address_in_use`` if the address cannot be taken.
+        """
+        host, port = split_address(self._address)
+        try:
+            self._server = await asyncio.start_server(self._serve, host, port)
+        except OSError as error:
+            raise AlmondError(ErrorCode.ADDRESS_IN_USE, str(error)) from error
+        self._ticker = asyncio.create_task(tick_forever(self.tick))
+
+    async def drain(self) -> None:
+        """Refuse new calls and wait until those in flight are answered."""
+        self.draining = True
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        if self._server is not None:
+            self._server.close()
+        await asyncio.gather(*(link.stream.close_gracefully() for link in self._links))
+
+    async def close(self) -> None:
+        """Stop at once; calls in flight are cancelled."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        if self._server is not None:
+            self._server.close()
+        for link in tuple(self._links):
+            link.stream.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def tick(self) -> None:
+        """Ping the peers of open calls and drop those that are silent."""
+        for link in tuple(self._links):
+            if link.open_calls and link.stream.check_silence():
+                self.counts["silent"] += 1
+                link.stream.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = FrameStream(reader, writer, self._clock)
+        link = _ServedLink(stream)
+        try:
+            async with asyncio.timeout(HANDSHAKE_S):
+                await stream.answer_greeting(self._hello)
+            self._links.add(link)
+            while True:
+                self._take(link, await stream.receive())
+        except AlmondError as error:
+            self.counts[error.code.value] += 1
+            await stream.close_gracefully()
+        except (ConnectionError, TimeoutError):
+            self.counts["closed"] += 1
+        finally:
+            self._links.discard(link)
+            link.cancel_repeatable()
+            stream.close()
+
+    def _take(self, link: _ServedLink, frame: CallFrame) -> None:
+        if isinstance(frame, CallRequest | ClaimQuery):
+            self._start_call(link, frame)
+        elif isinstance(frame, Cancel):
+            link.cancel(frame.call_id)
+        else:
+            raise AlmondError(ErrorCode.FRAME_MALFORMED, "unexpected frame")
+
+    def _start_call(self, link: _ServedLink, frame: CallRequest | ClaimQuery) -> None:
+        if frame.call_id in link.open_calls:
+            raise AlmondError(ErrorCode.FRAME_MALFORMED, "call id is in use")
+        if self.draining and isinstance(frame, CallRequest):
+            self._refuse(link, frame, ErrorCode.STOPPING)
+            return
+        if len(link.open_calls) >= MAX_OPEN_CALLS:
+            self._refuse(link, frame, ErrorCode.OVERLOADED)
+            return
+        if not link.open_calls:
+            link.stream.watch()
+        deadline = link.stream.offset.localize(frame.deadline)
+        request = msgspec.structs.replace(frame, deadline=deadline)
+        task = asyncio.create_task(self._answer(link, request))
+        link.open_calls[frame.call_id] = (task, request.key)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _refuse(
+        self, link: _ServedLink, frame: CallRequest | ClaimQuery, code: ErrorCode
+    ) -> None:
+        self.counts[code.value] += 1
+        outcome = Outcome.NOT_RUN
+        if isinstance(frame, ClaimQuery):
+            outcome = Outcome.UNKNOWN
+        link.stream.send(make_reply(frame.call_id, outcome, code, status=503))
+
+    async def _answer(
+        self, link: _ServedLink, request: CallRequest | ClaimQuery
+    ) -> None:
+        try:
+            reply = await self._handler(request)
+            reply = msgspec.structs.replace(reply, call_id=request.call_id)
+        except Exception:  # noqa: BLE001 - one failed call must not end the link
+            self.counts["failed"] += 1
+            code = ErrorCode.BACKEND_FAILED
+            reply = make_reply(request.call_id, Outcome.UNKNOWN, code)
+        finally:
+            link.open_calls.pop(request.call_id, None)
+        with contextlib.suppress(ConnectionError):
+            await link.stream.wait_writable()
+            self._send_reply(link, reply)
+
+    def _send_reply(self, link: _ServedLink, reply: CallReply) -> None:
+        try:
+            link.stream.send(reply)
+        except AlmondError as error:
+            self.counts[error.code.value] += 1
+            code = ErrorCode.FRAME_TOO_LARGE
+            link.stream.send(make_reply(reply.call_id, Outcome.UNKNOWN, code))
+
+
+class CallLinkPool(CallLinks):
+    """Keeps one link to each daemon that is called.
+
+    Parameters
+    ----------
+    hello
+        Greeting of this daemon; its clock is filled in.
+    clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, *, hello: Hello, clock: Clock) -> None:
+        self._hello = hello
+        self._clock = clock
+        self._links: dict[str, _CalledLink] = {}
+        self._connecting: dict[str, asyncio.Task[_CalledLink]] = {}
+        self._ticker: asyncio.Task | None = None
+        self.counts: Counter[str] = Counter()
+
+    async def start(self) -> None:
+        """Begin to watch the links for silence."""
+        self._ticker = asyncio.create_task(tick_forever(self.tick))
+
+    async def close(self) -> None:
+        """Drop all links; calls in flight end as ``peer_timeout``."""
+        tasks = list(self._connecting.values())
+        if self._ticker is not None:
+            tasks.append(self._ticker)
+        for task in tasks:
+            task.cancel()
+        for link in tuple(self._links.values()):
+            link.stream.close()
+            tasks.append(link.reading)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def call(  # noqa: D102
+        self, peer_address: str, request: CallRequest | ClaimQuery
+    ) -> CallReply:
+        link = self._links.get(peer_address)
+        if link is None:
+            link = await self._connect(peer_address, request.deadline)
+        return await link.call(request)
+
+    def tick(self) -> None:
+        """Ping the peers of open calls; drop silent links and idle ones."""
+        now = self._clock.monotonic()
+        for address, link in tuple(self._links.items()):
+            if link.pending:
+                if link.stream.check_silence():
+                    self.counts["silent"] += 1
+                    self._drop(address, link, "silent")
+            elif now - link.used_at > MAX_IDLE_S:
+                self._drop(address, link, "idle")
+
+    async def _connect(self, address: str, deadline: float) -> _CalledLink:
+        task = self._connecting.get(address)
+        if task is None:
+            task = asyncio.create_task(self._open(address))
+            self._connecting[address] = task
+            task.add_done_callback(lambda _: self._connecting.pop(address, None))
+        try:
+            async with asyncio.timeout(deadline - self._clock.monotonic()):
+                return await asyncio.shield(task)
+        except (AlmondError, OSError, TimeoutError) as error:
+            message = f"no link to {address}: {error}"
+            raise CallError(ErrorCode.PEER_UNAVAILABLE, message) from error
+
+    async def _open(self, address: str) -> _CalledLink:
+        writer = None
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await asyncio.open_connection(*split_address(address))
+                stream = FrameStream(reader, writer, self._clock)
+                await stream.greet(self._hello)
+        except BaseException as error:
+            code = error.code.value if isinstance(error, AlmondError) else "unreachable"
+            self.counts[code] += 1
+            if writer is not None:
+                writer.transport.abort()
+            raise
+        link = _CalledLink(stream, self._clock, self.counts)
+        self._links[address] = link
+        link.reading.add_done_callback(lambda _: self._forget(address, link))
+        return link
+
+    def _drop(self, address: str, link: _CalledLink, reason: str) -> None:
+        link.fail(reason)
+        self._forget(address, link)
+
+    def _forget(self, address: str, link: _CalledLink) -> None:
+        if self._links.get(address) is link:
+            del self._links[address]
+
+
+class _ServedLink:
+    def __init__(self, stream: FrameStream) -> None:
+        self.stream = stream
+        self.open_calls: dict[int, tuple[asyncio.Task, str]] = {}
+
+    def cancel(self, call_id: int) -> None:
+        task, _ = self.open_calls.get(call_id, (None, ""))
+        if task is not None:
+            task.cancel()
+
+    def cancel_repeatable(self) -> None:
+        for task, key in tuple(self.open_calls.values()):
+            if not key:
+                task.cancel()
+
+
+class _CalledLink:
+    def __init__(self, stream: FrameStream, clock: Clock, counts: Counter[str]) -> None:
+        self.stream = stream
+        self.used_at = clock.monotonic()
+        self.pending: dict[int, asyncio.Future[CallReply]] = {}
+        self._clock = clock
+        self._counts = counts
+        self._call_ids = itertools.count(1)
+        self._lost = False
+        self.reading = asyncio.create_task(self._read())
+
+    async def call(self, request: CallRequest | ClaimQuery) -> CallReply:
+        sent = False
+        call_id = next(self._call_ids)
+        now = self._clock.monotonic()
+        if not self.pending:
+            self.stream.watch()
+        future = asyncio.get_running_loop().create_future()
+        self.pending[call_id] = future
+        try:
+            async with asyncio.timeout(request.deadline + REPLY_GRACE_S - now):
+                await self.stream.wait_writable()
+                self._check_open()
+                self.stream.send(msgspec.structs.replace(request, call_id=call_id))
+                sent = True
+                return await future
+        except (ConnectionError, TimeoutError) as error:
+            raise self._make_error(sent, str(error)) from error
+        except AlmondError as error:
+            raise CallError(error.code, error.message) from error
+        finally:
+            self.used_at = self._clock.monotonic()
+            self.pending.pop(call_id, None)
+            self._end_call(call_id, future, sent)
+
+    def fail(self, reason: str) -> None:
+        self._lost = True
+        self.stream.close()
+        for future in self.pending.values():
+            if not future.done():
+                future.set_exception(ConnectionResetError(f"link lost: {reason}"))
+
+    def _end_call(self, call_id: int, future: asyncio.Future, sent: bool) -> None:
+        if future.done() and not future.cancelled():
+            future.exception()  # Marks it as seen if the call ended otherwise.
+        elif sent and not self._lost:
+            self.stream.send(Cancel(call_id))
+
+    def _check_open(self) -> None:
+        if self._lost:
+            raise ConnectionResetError("link lost")
+
+    def _make_error(self, sent: bool, reason: str) -> CallError:
+        if not sent:
+            return CallError(ErrorCode.PEER_UNAVAILABLE, reason)
+        message = reason or "no reply in time"
+        return CallError(ErrorCode.PEER_TIMEOUT, message, outcome=Outcome.UNKNOWN)
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                self._take(await self.stream.receive())
+        except AlmondError as error:
+            self._counts[error.code.value] += 1
+            self.fail(error.message)
+        except (ConnectionError, TimeoutError) as error:
+            self.fail(str(error))
+
+    def _take(self, frame: CallFrame) -> None:
+        if not isinstance(frame, CallReply):
+            raise AlmondError(ErrorCode.FRAME_MALFORMED, "unexpected frame")
+        future = self.pending.get(frame.call_id)
+        if future is None or future.done():
+            self._counts["late"] += 1
+            return
+        future.set_result(frame)
+
+
+async def tick_forever(tick: Callable[[], None]) -> None:
+    """Call ``tick`` every `PING_INTERVAL_S` seconds."""
+    while True:
+        await asyncio.sleep(PING_INTERVAL_S)
+        tick()
--- /dev/null
+++ b/tests/test_transport_links.py
@@ -0,0 +1,274 @@
+"""Call links: matching, refusals, silence, cancellation and drain."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.errors import ErrorCode
+from almondrouter.protocol.calls import CALL_CODEC, Cancel, Pong
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport.frames import ClockOffset, FrameStream
+from almondrouter.transport.links import CallLinkPool, CallLinkServer, split_address
+from calls_support import make_hello, make_reply, make_request, wait_until
+
+
+def frame(message):
+    """Return the bytes of a message on a link."""
+    data = CALL_CODEC.encode(message)
+    return len(data).to_bytes(4, "big") + data
+
+
+class Peer:
+    """A peer that greets, then reads only when told to."""
+
+    async def start(self):
+        self.streams = []
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def serve(self, reader, writer):
+        stream = FrameStream(reader, writer, ManualClock())
+        await stream.answer_greeting(make_hello("silent"))
+        self.streams.append(stream)
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """Calls between a pool and a server over real sockets."""
+
+    async def asyncSetUp(self):
+        self.clock = ManualClock(monotonic=1000.0)
+        self.server_clock = ManualClock(monotonic=5000.0)
+        self.calls = {}
+        self.arrived = []
+        self.cancelled = []
+        self.pool = CallLinkPool(hello=make_hello("caller"), clock=self.clock)
+        self.server = CallLinkServer(
+            address="127.0.0.1:0",
+            hello=make_hello("server"),
+            handler=self.handle,
+            clock=self.server_clock,
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        self.addAsyncCleanup(self.pool.close)
+
+    async def handle(self, request):
+        self.arrived.append(request)
+        future = self.calls[request.body] = asyncio.Future()
+        try:
+            await future
+        except asyncio.CancelledError:
+            self.cancelled.append(request.body)
+            raise
+        return make_reply(request.body)
+
+    def begin(self, body, *, address=None, key=""):
+        request = make_request(body, deadline=self.clock.monotonic() + 60, key=key)
+        return asyncio.create_task(
+            self.pool.call(address or self.server.address, request)
+        )
+
+    async def assert_fails(self, task, code, outcome):
+        with self.assertRaises(CallError) as caught:
+            await task
+        error = caught.exception
+        self.assertEqual((code, outcome), (error.code, error.outcome))
+
+    async def test_crossed_replies_reach_their_own_calls(self):
+        """Guards against replies matched by order instead of call id."""
+        tasks = [self.begin(body) for body in (b"1", b"2", b"3")]
+        await wait_until(lambda: len(self.calls) == 3)
+        for body in (b"3", b"1", b"2"):
+            self.calls[body].set_result(None)
+        replies = await asyncio.gather(*tasks)
+        self.assertEqual([b"1", b"2", b"3"], [reply.body for reply in replies])
+
+    async def test_late_reply_is_dropped(self):
+        """Guards against a reply that arrives after its call was given up."""
+        peer = Peer()
+        address = await peer.start()
+        first = self.begin(b"1", address=address)
+        await wait_until(lambda: peer.streams)
+        request = await peer.streams[0].receive()
+        first.cancel()
+        cancel = await peer.streams[0].receive()
+        self.assertEqual(Cancel(request.call_id), cancel)
+        second = self.begin(b"2", address=address)
+        following = await peer.streams[0].receive()
+        for call_id, body in ((request.call_id, b"1"), (following.call_id, b"2")):
+            reply = make_reply(body)
+            peer.streams[0].send(msgspec.structs.replace(reply, call_id=call_id))
+        self.assertEqual(b"2", (await second).body)
+        self.assertEqual(1, self.pool.counts["late"])
+
+    @parameterized.expand(
+        [
+            ("cluster", make_hello("x", cluster="other"), ErrorCode.CLUSTER_MISMATCH),
+            ("version", make_hello("x", version=99), ErrorCode.PROTOCOL_MISMATCH),
+        ]
+    )
+    async def test_stranger_is_refused_and_counted(self, _, hello, code):
+        """Guards against calls between clusters or protocol versions."""
+        self.pool = CallLinkPool(hello=hello, clock=self.clock)
+        await self.assert_fails(
+            self.begin(b"1"), ErrorCode.PEER_UNAVAILABLE, Outcome.NOT_RUN
+        )
+        await wait_until(lambda: self.server.counts[code])
+        self.assertEqual(1, self.pool.counts[code])
+        self.assertEqual([], self.arrived)
+
+    @parameterized.expand(
+        [
+            ("garbage", b"\0\0\0\3abc", ErrorCode.FRAME_MALFORMED),
+            ("announced too large", b"\xff\xff\xff\xff", ErrorCode.FRAME_TOO_LARGE),
+            ("no hello", frame(Cancel(1)), ErrorCode.FRAME_MALFORMED),
+            (
+                "call before the greeting ends",
+                frame(make_hello("x")) + frame(make_request(deadline=9e9)),
+                ErrorCode.FRAME_MALFORMED,
+            ),
+            (
+                "greeting answered with an old clock",
+                frame(make_hello("x")) + frame(Pong(1.0, 1.0)),
+                ErrorCode.FRAME_MALFORMED,
+            ),
+        ]
+    )
+    async def test_bad_frames_close_the_link(self, _, data, code):
+        """Guards against hostile bytes that leak memory or stop the server."""
+        reader, writer = await asyncio.open_connection(
+            *split_address(self.server.address)
+        )
+        writer.write(data)
+        await wait_until(lambda: self.server.counts[code])
+        while await reader.read(1000):
+            pass
+        writer.close()
+        task = self.begin(b"1")
+        await wait_until(lambda: self.calls)
+        self.calls[b"1"].set_result(None)
+        self.assertEqual(b"1", (await task).body)
+
+    async def test_time_in_a_silent_buffer_counts(self):
+        """Guards against deadlines that start again when a frame is read."""
+        reader, writer = await asyncio.open_connection(
+            *split_address(self.server.address)
+        )
+        stream = FrameStream(reader, writer, self.clock)
+        await stream.greet(make_hello("caller"))
+        data = frame(make_request(b"1", deadline=self.clock.monotonic() + 2))
+        for clock in (self.clock, self.server_clock):
+            clock.advance(5)
+        writer.write(data)
+        await wait_until(lambda: self.arrived)
+        self.assertEqual(5002.0, self.arrived[0].deadline)
+        stream.close()
+
+    async def test_silent_peer_is_replaced(self):
+        """Guards against calls that wait for ever on a frozen or half-open peer.
+
+        The second call never reaches the socket, as the peer reads nothing, so
+        it surely was not sent.
+        """
+        peer = Peer()
+        address = await peer.start()
+        sent = self.begin(bytes(7_000_000), address=address)
+        await wait_until(lambda: peer.streams)
+        await asyncio.sleep(0)
+        held = self.begin(b"2", address=address)
+        await asyncio.sleep(0)
+        for _ in range(3):
+            self.pool.tick()
+            self.assertFalse(sent.done())
+            self.clock.advance(1)
+        self.pool.tick()
+        await self.assert_fails(sent, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+        await self.assert_fails(held, ErrorCode.PEER_UNAVAILABLE, Outcome.NOT_RUN)
+        again = self.begin(b"3", address=address)
+        await wait_until(lambda: len(peer.streams) == 2)
+        again.cancel()
+
+    async def test_own_freeze_does_not_condemn_the_peer(self):
+        """Guards against links dropped because this process was stopped."""
+        task = self.begin(b"1")
+        await wait_until(lambda: self.calls)
+        self.pool.tick()
+        self.clock.advance(30)
+        self.pool.tick()
+        self.calls[b"1"].set_result(None)
+        self.assertEqual(b"1", (await task).body)
+
+    async def test_refused_connection_means_not_run(self):
+        """Guards against an unknown outcome where nothing was sent."""
+        await self.server.close()
+        await self.assert_fails(
+            self.begin(b"1"), ErrorCode.PEER_UNAVAILABLE, Outcome.NOT_RUN
+        )
+
+    async def test_cancelled_caller_cancels_the_handler(self):
+        """Guards against work that goes on for a caller that has gone."""
+        task = self.begin(b"1", key="key")
+        await wait_until(lambda: self.calls)
+        task.cancel()
+        await wait_until(lambda: self.cancelled == [b"1"])
+
+    async def test_lost_link_cancels_only_calls_without_key(self):
+        """Guards against the loss of a result that its caller will ask for again."""
+        tasks = [self.begin(b"1"), self.begin(b"2", key="key")]
+        await wait_until(lambda: len(self.calls) == 2)
+        await self.pool.close()
+        for task in tasks:
+            await self.assert_fails(task, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+        await wait_until(lambda: self.cancelled)
+        self.assertEqual([b"1"], self.cancelled)
+
+    async def test_drain_finishes_calls_and_refuses_new_ones(self):
+        """Guards against planned stops that cut a call in flight."""
+        task = self.begin(b"1")
+        await wait_until(lambda: self.calls)
+        draining = asyncio.create_task(self.server.drain())
+        refused = await self.begin(b"2")
+        self.assertEqual(
+            (Outcome.NOT_RUN, ErrorCode.STOPPING), (refused.outcome, refused.code)
+        )
+        self.assertFalse(draining.done())
+        self.calls[b"1"].set_result(None)
+        self.assertEqual(b"1", (await task).body)
+        await draining
+
+    async def test_reply_too_large_for_a_frame_is_unknown(self):
+        """Guards against a caller that waits because its reply cannot be sent."""
+
+        async def handle(request):
+            return make_reply(bytes(9_000_000))
+
+        self.server._handler = handle
+        reply = await self.begin(b"1")
+        self.assertEqual(
+            (Outcome.UNKNOWN, ErrorCode.FRAME_TOO_LARGE), (reply.outcome, reply.code)
+        )
+
+
+class ClockOffsetTest(unittest.TestCase):
+    """The offset must hold when samples are delayed or old."""
+
+    def test_delayed_sample_does_not_spoil_the_estimate(self):
+        """Guards against a pong that waited in a buffer shifting all deadlines."""
+        offset = ClockOffset()
+        offset.add_sample(sent=10.0, received=10.002, peer=50.001)
+        offset.add_sample(sent=11.0, received=13.0, peer=51.0)
+        self.assertAlmostEqual(9.999, offset.localize(50.0))
+
+    def test_fresh_sample_replaces_an_aged_one(self):
+        """Guards against an estimate that clock drift makes wrong."""
+        offset = ClockOffset()
+        offset.add_sample(sent=0.0, received=0.002, peer=50.001)
+        offset.add_sample(sent=100.0, received=100.004, peer=150.102)
+        self.assertAlmostEqual(99.898, offset.localize(150.0))
