Add the path of a call on its ingress and egress

Once a sending may have run, a later refusal no longer means not run. The egress claims the key while the call waits for its slot, and gives the claim up before it answers not run.

An expired idempotency key has the outcome unknown: its request may have run when it was sent first, so not-run would be false for the request.

--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/calls.py
@@ -0,0 +1,132 @@
+"""The path of one call on both of its daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.claims import ClaimService
+from almondrouter.coordination.collaborators import (
+    Admitter,
+    Choice,
+    Retries,
+    Suspects,
+)
+from almondrouter.coordination.egress import Egress
+from almondrouter.coordination.ingress import Ingress, make_error_reply
+from almondrouter.coordination.limits import LimitService
+from almondrouter.coordination.once import OnceRunner
+from almondrouter.errors import AlmondError
+from almondrouter.protocol.calls import CallReply, CallRequest, ClaimQuery
+from almondrouter.protocol.control import Claim
+from almondrouter.state.snapshot import Snapshot
+from almondrouter.transport.calls import (
+    BackendSender,
+    CallerRequest,
+    CallerResponse,
+    CallLinks,
+)
+
+
+class CallService:
+    """Serves calls as ingress and as egress.
+
+    Parameters
+    ----------
+    snapshot
+        Returns the snapshot in force.
+    links
+        Call links to other daemons.
+    choice, retries
+        Choice of destinations and budget of retries.
+    admissions, backends
+        Admission and client by name of the backend server on this host.
+    claims, limits, quarantine
+        At-most-once claims, rate limits, and requests that may crash.
+    clock, host
+        Time, and name of this host.
+    find_peer
+        Returns the peer address of a claim's holder or None; without it, only
+        holders that the snapshot routes to are found.
+    """
+
+    def __init__(
+        self,
+        *,
+        snapshot: Callable[[], Snapshot],
+        links: CallLinks,
+        choice: Choice,
+        retries: Retries,
+        admissions: Mapping[str, Admitter],
+        backends: Mapping[str, BackendSender],
+        claims: ClaimService,
+        limits: LimitService,
+        quarantine: Suspects,
+        clock: Clock,
+        host: str,
+        find_peer: Callable[[Claim], str | None] | None = None,
+    ) -> None:
+        self._snapshot = snapshot
+        self._admissions = admissions
+        self._ingress = Ingress(
+            snapshot=snapshot,
+            links=links,
+            choice=choice,
+            retries=retries,
+            egress=self.handle_link,
+            clock=clock,
+            host=host,
+        )
+        self._egress = Egress(
+            snapshot=snapshot,
+            admissions=admissions,
+            backends=backends,
+            limits=limits,
+            quarantine=quarantine,
+            clock=clock,
+        )
+        self._once = OnceRunner(
+            egress=self._egress,
+            claims=claims,
+            links=links,
+            find_peer=find_peer or self._find_routed_peer,
+            clock=clock,
+            host=host,
+        )
+
+    async def handle_caller(self, request: CallerRequest) -> CallerResponse:
+        """Serve a request of a caller."""
+        return await self._ingress.handle(request)
+
+    async def handle_link(self, request: CallRequest | ClaimQuery) -> CallReply:
+        """Serve a call or a query of another daemon, or a call of this one.
+
+        Parameters
+        ----------
+        request
+            Its deadline is in monotonic seconds of this host.
+        """
+        if isinstance(request, ClaimQuery):
+            try:
+                return await self._once.answer_query(request)
+            except AlmondError as error:
+                return make_error_reply(error)
+        try:
+            run = self._once.run if request.key else self._egress.run
+            reply = await run(request)
+        except AlmondError as error:
+            reply = make_error_reply(error)
+        admission = self._admissions.get(request.backend)
+        if admission is None:
+            return reply
+        return msgspec.structs.replace(reply, load=admission.load())
+
+    def _find_routed_peer(self, claim: Claim) -> str | None:
+        for route in self._snapshot().routes.values():
+            for destination in route.destinations:
+                same = destination.incarnation == claim.incarnation
+                if destination.host == claim.host and same:
+                    return destination.peer_address
+        return None
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/egress.py
@@ -0,0 +1,198 @@
+"""Calls beside their backend server: admission, hand-over and outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import xxhash
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.collaborators import Admitter, Suspects
+from almondrouter.coordination.limits import LimitService
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol import headers as names
+from almondrouter.protocol.calls import CallReply, CallRequest, HeaderList
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.state.snapshot import Route, Snapshot
+from almondrouter.transport.calls import BackendSender
+
+_DROPPED_FROM_RESPONSE = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "transfer-encoding",
+        "upgrade",
+        names.OUTCOME.lower(),
+        names.CODE.lower(),
+        names.VERSION.lower(),
+    }
+)
+
+
+def make_fingerprint(request: CallRequest) -> str:
+    """Return a digest of a request's content, whatever its key."""
+    digest = xxhash.xxh3_128()
+    for part in (request.class_name, request.method, request.target):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+class Egress:
+    """Decides whether a call may run here, and has the backend server run it.
+
+    Parameters
+    ----------
+    snapshot
+        Returns the snapshot in force.
+    admissions, backends
+        Admission and client by name of the backend server on this host.
+    limits, quarantine
+        Rate limits, and requests that may crash backend servers.
+    clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        snapshot: Callable[[], Snapshot],
+        admissions: Mapping[str, Admitter],
+        backends: Mapping[str, BackendSender],
+        limits: LimitService,
+        quarantine: Suspects,
+        clock: Clock,
+    ) -> None:
+        self._snapshot = snapshot
+        self._admissions = admissions
+        self._backends = backends
+        self._limits = limits
+        self._quarantine = quarantine
+        self._clock = clock
+        self._running_suspects: set[str] = set()
+
+    def find_admission(self, request: CallRequest) -> Admitter:
+        """Return the admission of the call's backend server.
+
+        Raises
+        ------
+        CallError
+            ``no_backend`` if it is not on this host.
+        """
+        admission = self._admissions.get(request.backend)
+        if admission is None or request.backend not in self._backends:
+            message = f"backend server {request.backend!r} is not on this host"
+            raise CallError(ErrorCode.NO_BACKEND, message)
+        return admission
+
+    def check(self, request: CallRequest, fingerprint: str) -> Route:
+        """Refuse a call that may not run here; return its route.
+
+        Raises
+        ------
+        AlmondError
+            ``deadline_exceeded``, ``no_backend``, ``not_ready``,
+            ``key_missing``, ``condemned``, ``limited`` or
+            ``limit_unavailable``; all of them mean not run.
+        """
+        self.check_deadline(request)
+        self.find_admission(request)
+        route = self._snapshot().routes.get(request.class_name)
+        if route is None:
+            message = f"class {request.class_name!r} is not known here yet"
+            raise CallError(ErrorCode.NOT_READY, message)
+        if not route.repeatable and not request.key:
+            message = f"class {request.class_name!r} may not be repeated"
+            raise CallError(ErrorCode.KEY_MISSING, message)
+        self._quarantine.check(fingerprint)
+        self._limits.admit(route.limit_names)
+        return route
+
+    def check_deadline(self, request: CallRequest) -> None:
+        """Refuse a call whose deadline has passed as not run."""
+        if self._clock.monotonic() >= request.deadline:
+            message = "the deadline passed before the request was handed over"
+            raise CallError(ErrorCode.DEADLINE_EXCEEDED, message)
+
+    async def run(self, request: CallRequest) -> CallReply:
+        """Run a call that may be repeated."""
+        fingerprint = make_fingerprint(request)
+        route = self.check(request, fingerprint)
+        admission = self.find_admission(request)
+        slot = await admission.acquire(
+            priority=route.priority, deadline=request.deadline
+        )
+        failed = False
+        try:
+            return await self.hand_over(request, fingerprint)
+        except Exception as error:
+            failed = not is_not_run(error)
+            raise
+        finally:
+            admission.release(slot, failed=failed)
+
+    async def hand_over(self, request: CallRequest, fingerprint: str) -> CallReply:
+        """Send a call that holds a slot to the backend server.
+
+        Raises
+        ------
+        CallError
+            With the outcome; see `BackendSender.send`.
+        """
+        suspect = self._quarantine.is_suspect(fingerprint)
+        if suspect and request.backend in self._running_suspects:
+            message = "another suspected request is in flight here"
+            raise CallError(ErrorCode.OVERLOADED, message)
+        self.check_deadline(request)
+        if suspect:
+            self._running_suspects.add(request.backend)
+        completed = False
+        self._quarantine.begin(request.backend, fingerprint)
+        try:
+            reply = await self._send(request)
+            completed = True
+        finally:
+            self._quarantine.end(request.backend, fingerprint, completed=completed)
+            if suspect:
+                self._running_suspects.discard(request.backend)
+        return reply
+
+    async def _send(self, request: CallRequest) -> CallReply:
+        backend = self._backends.get(request.backend)
+        if backend is None:
+            raise CallError(ErrorCode.NO_BACKEND, "the backend server has gone")
+        response = await backend.send(
+            request.method,
+            request.target,
+            self._make_headers(request),
+            request.body,
+            deadline=request.deadline,
+        )
+        headers = tuple(
+            item for item in response.headers if item[0] not in _DROPPED_FROM_RESPONSE
+        )
+        status = response.status
+        return CallReply(0, Outcome.COMPLETE, status, headers, response.body, "", None)
+
+    def _make_headers(self, request: CallRequest) -> HeaderList:
+        left = request.deadline - self._clock.monotonic()
+        headers = [
+            *request.headers,
+            (names.CLASS.lower(), request.class_name),
+            (names.DEADLINE_MS.lower(), str(max(0, int(left * 1000)))),
+        ]
+        if request.key:
+            headers.append((names.IDEMPOTENCY_KEY.lower(), request.key))
+        if request.traceparent:
+            headers.append((names.TRACEPARENT, request.traceparent))
+        return tuple(headers)
+
+
+def is_not_run(error: Exception) -> bool:
+    """Return whether an error says that the request was not run."""
+    if isinstance(error, CallError):
+        return error.outcome is Outcome.NOT_RUN
+    return isinstance(error, AlmondError)
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/once.py
@@ -0,0 +1,223 @@
+"""Calls that run at most once: claims, joining, replay and takeover."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.claims import ClaimService
+from almondrouter.coordination.egress import Egress, make_fingerprint
+from almondrouter.coordination.ingress import make_error_reply
+from almondrouter.coordination.replays import ReplayMemory, Run
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.calls import CallReply, CallRequest, ClaimQuery
+from almondrouter.protocol.control import Claim
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport.calls import CallLinks
+
+MAX_HOLDERS_ASKED = 3
+"""Holders that a call asks in turn before its outcome counts as unknown."""
+
+JOIN_GRACE_S = 0.05
+"""Seconds after the deadline in which the run itself may still say how it ended."""
+
+
+class OnceRunner:
+    """Runs each request with an idempotency key at most once.
+
+    Parameters
+    ----------
+    egress
+        Admission and hand-over of this host.
+    claims
+        Who may run the request of a key.
+    links, find_peer
+        Call links, and the peer address of a claim's holder or None.
+    clock, host
+        Time, and name of this host.
+    """
+
+    def __init__(
+        self,
+        *,
+        egress: Egress,
+        claims: ClaimService,
+        links: CallLinks,
+        find_peer: Callable[[Claim], str | None],
+        clock: Clock,
+        host: str,
+        memory: ReplayMemory | None = None,
+    ) -> None:
+        self._egress = egress
+        self._claims = claims
+        self._links = links
+        self._find_peer = find_peer
+        self._clock = clock
+        self._host = host
+        self._memory = memory or ReplayMemory(clock=clock)
+
+    async def run(self, request: CallRequest) -> CallReply:
+        """Run a request, or join or replay the run that its key has here."""
+        fingerprint = make_fingerprint(request)
+        run = self._memory.find(request.key)
+        if run is None:
+            run = self._memory.start(request.key, fingerprint)
+            run.task = asyncio.create_task(self._run(run, request))
+        elif run.fingerprint != fingerprint:
+            message = "the idempotency key belongs to a request with other content"
+            raise CallError(ErrorCode.KEY_CLAIMED, message, outcome=Outcome.UNKNOWN)
+        return await self._join(run, request.deadline)
+
+    async def answer_query(self, query: ClaimQuery) -> CallReply:
+        """Return the result of the run under a claim of this host.
+
+        Notes
+        -----
+        A claim that is not known counts as unknown: it may have been used
+        before this daemon was restarted, or been forgotten.
+        """
+        run = self._memory.find(query.key)
+        if run is not None and run.claim_id in ("", query.claim_id):
+            reply = await self._join(run, query.deadline)
+            if run.claim_id == query.claim_id:
+                return reply
+        if self._memory.is_given_up(query.claim_id):
+            error = CallError(ErrorCode.CALL_CANCELLED, "the claim was given up")
+            return make_error_reply(error)
+        message = "nothing is known of the request's run"
+        return make_error_reply(_make_unknown(ErrorCode.KEY_CLAIMED, message))
+
+    async def _join(self, run: Run, deadline: float) -> CallReply:
+        """Wait for a run; the last waiter that goes away cancels it."""
+        if run.reply is not None:
+            return run.reply
+        assert run.task is not None
+        task = run.task
+        run.waiters += 1
+        try:
+            left = deadline + JOIN_GRACE_S - self._clock.monotonic()
+            async with asyncio.timeout(left):
+                return await asyncio.shield(task)
+        except TimeoutError as error:
+            message = "the run under this key has not ended in time"
+            raise _make_unknown(ErrorCode.DEADLINE_EXCEEDED, message) from error
+        finally:
+            run.waiters -= 1
+            if not run.waiters and not task.done():
+                task.cancel()
+
+    async def _run(self, run: Run, request: CallRequest) -> CallReply:
+        try:
+            reply = await self._claim_and_run(run, request)
+        except AlmondError as error:
+            reply = make_error_reply(error)
+        except asyncio.CancelledError:
+            reply = make_error_reply(_make_cancelled(run))
+        except BaseException:
+            message = "the run has failed"
+            error = _make_unknown(ErrorCode.BACKEND_FAILED, message)
+            self._memory.finish(run, make_error_reply(error))
+            raise
+        self._memory.finish(run, reply)
+        return reply
+
+    async def _claim_and_run(self, run: Run, request: CallRequest) -> CallReply:
+        route = self._egress.check(request, run.fingerprint)
+        admission = self._egress.find_admission(request)
+        claiming = asyncio.create_task(self._claim(request))
+        try:
+            slot = await admission.acquire(
+                priority=route.priority, deadline=request.deadline
+            )
+        except BaseException:
+            await self._abandon(claiming)
+            raise
+        failed = False
+        try:
+            held = await self._wait_for_claim(claiming)
+            if isinstance(held, CallReply):
+                return held
+            run.claim_id = held.claim_id
+            reply = await self._run_claimed(run, request, held)
+            failed = reply.outcome is Outcome.UNKNOWN
+            return reply
+        finally:
+            admission.release(slot, failed=failed)
+
+    async def _run_claimed(
+        self, run: Run, request: CallRequest, claim: Claim
+    ) -> CallReply:
+        """Hand over under a claim; give the claim up if nothing was run."""
+        try:
+            run.handed_over = True
+            return await self._egress.hand_over(request, run.fingerprint)
+        except AlmondError as error:
+            reply = make_error_reply(error)
+            if reply.outcome is Outcome.NOT_RUN:
+                run.handed_over = False
+                await self._give_up(claim)
+            return reply
+
+    async def _claim(self, request: CallRequest) -> Claim | CallReply:
+        """Return an own, unused claim, or the reply of the run that has it."""
+        replaces: str | None = None
+        for _ in range(MAX_HOLDERS_ASKED):
+            claim = await self._claims.claim(
+                request.key, deadline=request.deadline, replaces=replaces
+            )
+            if self._claims.owns(claim) and self._memory.use_claim(claim.claim_id):
+                return claim
+            reply = await self._ask_holder(claim, request)
+            if reply.outcome is not Outcome.NOT_RUN:
+                return reply
+            replaces = claim.claim_id
+        message = "the claim on the key keeps changing hands"
+        raise _make_unknown(ErrorCode.KEY_CLAIMED, message)
+
+    async def _ask_holder(self, claim: Claim, request: CallRequest) -> CallReply:
+        if claim.host == self._host and self._memory.is_given_up(claim.claim_id):
+            error = CallError(ErrorCode.CALL_CANCELLED, "the claim was given up")
+            return make_error_reply(error)
+        address = None if claim.host == self._host else self._find_peer(claim)
+        if address is None:
+            message = f"the key is claimed by {claim.host!r}, which cannot be asked"
+            raise _make_unknown(ErrorCode.KEY_CLAIMED, message)
+        query = ClaimQuery(0, request.key, claim.claim_id, request.deadline)
+        try:
+            return await self._links.call(address, query)
+        except CallError as error:
+            raise _make_unknown(ErrorCode.KEY_CLAIMED, error.message) from error
+
+    async def _wait_for_claim(self, claiming: asyncio.Task[Any]) -> Any:
+        try:
+            return await asyncio.shield(claiming)
+        except asyncio.CancelledError:
+            await self._abandon(claiming)
+            raise
+
+    async def _abandon(self, claiming: asyncio.Task[Any]) -> None:
+        """Wait for a claim that is no longer wanted, and give it up."""
+        with contextlib.suppress(AlmondError):
+            held = await claiming
+            if isinstance(held, Claim):
+                await self._give_up(held)
+
+    async def _give_up(self, claim: Claim) -> None:
+        # From here on this daemon never runs under the claim, so the answer
+        # "not run" holds even if the store does not learn of the release.
+        self._memory.give_up_claim(claim.claim_id)
+        with contextlib.suppress(AlmondError):
+            await self._claims.release(claim)
+
+
+def _make_unknown(code: ErrorCode, message: str) -> CallError:
+    return CallError(code, message, outcome=Outcome.UNKNOWN)
+
+
+def _make_cancelled(run: Run) -> CallError:
+    outcome = Outcome.UNKNOWN if run.handed_over else Outcome.NOT_RUN
+    return CallError(ErrorCode.CALL_CANCELLED, "its caller has gone", outcome=outcome)
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/replays.py
@@ -0,0 +1,142 @@
+"""Memory of the requests with an idempotency key that this daemon has run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from almondrouter.clock import Clock
+from almondrouter.protocol.calls import CallReply
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.keys import CLAIM_RETENTION_S
+
+MAX_REPLAY_BYTES = 2_000_000
+ENTRY_BYTES = 1_000
+"""Bytes counted for an entry besides its response."""
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One request with its key, in flight or finished.
+
+    Parameters
+    ----------
+    key, fingerprint
+        Idempotency key, and digest of the content it was first sent with.
+    claim_id
+        Claim under which it runs; empty until the claim is held.
+    handed_over
+        Whether the backend server may have got the request.
+    waiters
+        Callers that wait for the result.
+    """
+
+    key: str
+    fingerprint: str
+    claim_id: str = ""
+    handed_over: bool = False
+    waiters: int = 0
+    task: asyncio.Task[CallReply] | None = None
+    reply: CallReply | None = None
+    size: int = 0
+    finished_at: float = field(default=0.0)
+
+
+class ReplayMemory:
+    """Keeps runs in flight, finished ones, and claims that were given up.
+
+    Parameters
+    ----------
+    clock
+        Source of monotonic time.
+    max_bytes
+        Bound on finished runs and given-up claims together, in bytes. The
+        oldest are forgotten first; what is forgotten counts as unknown.
+    """
+
+    def __init__(self, *, clock: Clock, max_bytes: int = MAX_REPLAY_BYTES) -> None:
+        self._clock = clock
+        self._max_bytes = max_bytes
+        self._runs: dict[str, Run] = {}
+        self._finished: OrderedDict[str, Run] = OrderedDict()
+        self._given_up: OrderedDict[str, float] = OrderedDict()
+        self._used: tuple[set[int], set[int]] = (set(), set())
+        self._rotated_at = clock.monotonic()
+        self.size = 0
+
+    def find(self, key: str) -> Run | None:
+        """Return the run of a key, or None."""
+        self._expire()
+        return self._runs.get(key)
+
+    def start(self, key: str, fingerprint: str) -> Run:
+        """Return a new run of a key that has none."""
+        run = Run(key, fingerprint)
+        self._runs[key] = run
+        return run
+
+    def finish(self, run: Run, reply: CallReply) -> None:
+        """Keep the result of a run; a run that did not happen is forgotten."""
+        run.reply = reply
+        if reply.outcome is Outcome.NOT_RUN:
+            self._runs.pop(run.key, None)
+            return
+        run.size = ENTRY_BYTES + len(reply.body)
+        run.size += sum(len(name) + len(value) for name, value in reply.headers)
+        if run.size > self._max_bytes:
+            self._runs.pop(run.key, None)
+            return
+        run.finished_at = self._clock.monotonic()
+        run.task = None
+        self._finished[run.key] = run
+        self.size += run.size
+        self._expire()
+
+    def use_claim(self, claim_id: str) -> bool:
+        """Return whether a claim is used for the first time.
+
+        Notes
+        -----
+        Claims outlive the memory of their runs, so a used claim must be
+        recognized when its run is forgotten. Hashes are kept for that: one
+        that collides is refused, which is safe.
+        """
+        self._rotate()
+        digest = hash(claim_id)
+        if any(digest in used for used in self._used):
+            return False
+        self._used[0].add(digest)
+        return True
+
+    def give_up_claim(self, claim_id: str) -> None:
+        """Remember that nothing runs under a claim, now or later."""
+        self._given_up[claim_id] = self._clock.monotonic()
+        self.size += ENTRY_BYTES
+        self._expire()
+
+    def is_given_up(self, claim_id: str) -> bool:
+        """Return whether a claim is known to be given up."""
+        self._expire()
+        return claim_id in self._given_up
+
+    def _expire(self) -> None:
+        horizon = self._clock.monotonic() - CLAIM_RETENTION_S
+        while self._finished and (
+            self.size > self._max_bytes
+            or next(iter(self._finished.values())).finished_at < horizon
+        ):
+            key, run = self._finished.popitem(last=False)
+            self._runs.pop(key, None)
+            self.size -= run.size
+        while self._given_up and (
+            self.size > self._max_bytes or next(iter(self._given_up.values())) < horizon
+        ):
+            self._given_up.popitem(last=False)
+            self.size -= ENTRY_BYTES
+
+    def _rotate(self) -> None:
+        now = self._clock.monotonic()
+        if now - self._rotated_at > CLAIM_RETENTION_S:
+            self._used = (set(), self._used[0])
+            self._rotated_at = now
