Add admission by exact slots and one queue

The daemon beside a backend server decides alone which calls run there, so draining, shedding and "not run" need no agreement. Calls that wait are ordered by priority, then deadline; one that cannot be answered in time by the measured service time is refused at once, so that its caller can turn elsewhere while time is left.

The service time is kept by class as well, since one average over classes would refuse short calls on a server that mostly runs long ones. Fast failures are left out of it, as a failing server would look quick.

Tests run on an event loop whose time is a ManualClock; patching timers in each test was ruled out, as it would miss lost wake-ups.

--- /dev/null
+++ b/packages/almondrouter-standins/src/almondrouter_standins/virtual_time.py
@@ -0,0 +1,51 @@
+"""An event loop whose time is a ManualClock, for tests and benches."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any
+
+from almondrouter.clock import ManualClock
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Advances its clock to the next timer instead of waiting for it.
+
+    Runs are deterministic and take no real time, as long as nothing in them
+    uses a socket or a thread.
+
+    Parameters
+    ----------
+    clock
+        Clock that the loop reads and advances.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        super().__init__(_AdvancingSelector(clock))
+
+    def time(self) -> float:  # noqa: D102
+        return self._clock.monotonic()
+
+
+class _AdvancingSelector(selectors.SelectSelector):
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    def select(  # noqa: D102
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise RuntimeError("every task waits and no timer is set")
+        if timeout > 0:
+            self._clock.advance(timeout)
+        return []
+
+
+def run_virtual(main: Coroutine[Any, Any, Any], clock: ManualClock) -> Any:
+    """Run a coroutine to its end in virtual time; return its result."""
+    with asyncio.Runner(loop_factory=lambda: VirtualTimeLoop(clock)) as runner:
+        return runner.run(main)
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/admission.py
@@ -0,0 +1,283 @@
+"""Admission to a backend server: exact slots and one queue."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import itertools
+import math
+from dataclasses import dataclass
+
+from almondrouter.clock import Clock
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.calls import Load
+from almondrouter.state.registry import BackendRecord
+from almondrouter.state.targets import Priority
+
+RAMP_SECONDS = 10.0
+RAMP_START_SHARE = 0.25
+# Two service times of backlog at most; a longer queue only adds calls that are
+# refused later.
+MAX_QUEUED_PER_SLOT = 2
+# Weight of the newest service time; about 20 calls dominate the average.
+SERVICE_TIME_WEIGHT = 0.1
+# Keeps floating point error from hiding a slot that the ramp has just opened.
+_RAMP_TOLERANCE = 1e-9
+
+
+@dataclass(slots=True, eq=False)
+class Slot:
+    """The right to run one call on the backend server.
+
+    Parameters
+    ----------
+    class_name
+        Class of work that the call belongs to.
+    started_at
+        Monotonic clock in seconds when the slot was given.
+    """
+
+    class_name: str
+    started_at: float
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    rank: int
+    deadline: float
+    sequence: int
+    class_name: str
+    granted: asyncio.Future[Slot]
+    expiry: asyncio.TimerHandle | None = None
+
+    def order(self) -> tuple[int, float, int]:
+        return (self.rank, self.deadline, self.sequence)
+
+
+class Admission:
+    """Decides which calls a backend server runs, and in which order.
+
+    Calls that wait are ordered by priority, then deadline. A call that can
+    surely not be answered in time by the measured service time is refused at
+    once, so that its caller can turn elsewhere. Every refusal means that the
+    call was not run.
+
+    Parameters
+    ----------
+    backend
+        The backend server; its slots open over `RAMP_SECONDS`.
+    clock
+        Clock that deadlines refer to.
+    """
+
+    def __init__(self, backend: BackendRecord, *, clock: Clock) -> None:
+        self.backend = backend
+        self._clock = clock
+        self._opened_at = clock.monotonic()
+        self._running: set[Slot] = set()
+        self._queue: list[_Waiter] = []
+        self._sequence = itertools.count()
+        self._service_time = _Average()
+        self._class_times: dict[str, _Average] = {}
+        self._draining = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._ramp_timer: asyncio.TimerHandle | None = None
+
+    async def acquire(
+        self, *, priority: Priority, deadline: float, class_name: str = ""
+    ) -> Slot:
+        """Wait for a slot.
+
+        Parameters
+        ----------
+        priority
+            Priority of the call's class.
+        deadline
+            Monotonic seconds by which the call is to be answered.
+        class_name
+            Class whose measured service time tells how long the call takes.
+
+        Raises
+        ------
+        AlmondError
+            ``overloaded`` if the queue is full, ``deadline_exceeded`` if the
+            call cannot be answered in time, ``no_backend`` while draining. The
+            call was not run.
+        """
+        now = self._clock.monotonic()
+        self._admit_waiting(now)
+        if self._draining:
+            raise _refusal(ErrorCode.NO_BACKEND, "the backend server is draining")
+        if now >= deadline:
+            raise _refusal(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed")
+        if not self._queue and len(self._running) < self._usable_slots(now):
+            return self._start(class_name, now)
+        waiter = _Waiter(
+            rank=priority.rank,
+            deadline=deadline,
+            sequence=next(self._sequence),
+            class_name=class_name,
+            granted=asyncio.get_running_loop().create_future(),
+        )
+        self._enqueue(waiter, now)
+        return await self._wait(waiter)
+
+    def release(self, slot: Slot, *, failed: bool) -> None:
+        """Return a slot; a second release of the same slot has no effect.
+
+        Parameters
+        ----------
+        failed
+            Whether the call failed. The time of a call that fails fast says
+            nothing about the service time and is left out of it.
+        """
+        if slot not in self._running:
+            return
+        self._running.remove(slot)
+        now = self._clock.monotonic()
+        self._record_service_time(slot, now - slot.started_at, failed=failed)
+        self._admit_waiting(now)
+        if not self._running:
+            self._idle.set()
+
+    def load(self) -> Load:
+        """Return the exact load."""
+        return Load(
+            slots=self._usable_slots(self._clock.monotonic()),
+            in_use=len(self._running),
+            queued=len(self._queue),
+            service_time=self._service_time.value,
+        )
+
+    def start_draining(self) -> None:
+        """Refuse new and waiting calls; running calls go on."""
+        self._draining = True
+        for waiter in tuple(self._queue):
+            self._refuse(waiter, ErrorCode.NO_BACKEND, "the backend server drains")
+
+    async def wait_until_idle(self) -> None:
+        """Return when no call is running."""
+        await self._idle.wait()
+
+    def _usable_slots(self, now: float) -> int:
+        elapsed = min(1.0, (now - self._opened_at) / RAMP_SECONDS)
+        share = RAMP_START_SHARE + (1 - RAMP_START_SHARE) * elapsed
+        return max(1, math.floor(self.backend.slots * share + _RAMP_TOLERANCE))
+
+    def _start(self, class_name: str, now: float) -> Slot:
+        slot = Slot(class_name, now)
+        self._running.add(slot)
+        self._idle.clear()
+        return slot
+
+    def _enqueue(self, waiter: _Waiter, now: float) -> None:
+        place = bisect.bisect(self._queue, waiter.order(), key=_Waiter.order)
+        # A turn passes when a slot is released, on average once in this time.
+        turn = self._service_time.value / self._usable_slots(now)
+        needed = (place + 1) * turn + self._class_time(waiter.class_name)
+        if now + needed > waiter.deadline:
+            raise _refusal(
+                ErrorCode.DEADLINE_EXCEEDED, f"an answer would take {needed:.3f} s"
+            )
+        if len(self._queue) >= MAX_QUEUED_PER_SLOT * self.backend.slots:
+            if waiter.rank >= self._queue[-1].rank:
+                raise _refusal(ErrorCode.OVERLOADED, "the queue is full")
+            self._refuse(self._queue[-1], ErrorCode.OVERLOADED, "shed from the queue")
+        self._queue.insert(place, waiter)
+        loop = asyncio.get_running_loop()
+        waiter.expiry = loop.call_later(
+            max(0.0, waiter.deadline - now),
+            self._refuse,
+            waiter,
+            ErrorCode.DEADLINE_EXCEEDED,
+            "the deadline passed in the queue",
+        )
+        self._schedule_ramp(now)
+
+    async def _wait(self, waiter: _Waiter) -> Slot:
+        try:
+            return await waiter.granted
+        except asyncio.CancelledError:
+            self._remove(waiter)
+            # The slot may have been granted just before the cancellation.
+            if waiter.granted.done() and not waiter.granted.cancelled():
+                self._discard(waiter.granted)
+            raise
+
+    def _discard(self, granted: asyncio.Future[Slot]) -> None:
+        if granted.exception() is None:
+            self.release(granted.result(), failed=True)
+
+    def _admit_waiting(self, now: float) -> None:
+        usable = self._usable_slots(now)
+        while self._queue and len(self._running) < usable:
+            waiter = self._queue[0]
+            if now + self._class_time(waiter.class_name) > waiter.deadline:
+                self._refuse(
+                    waiter, ErrorCode.DEADLINE_EXCEEDED, "too little time is left"
+                )
+                continue
+            self._remove(waiter)
+            waiter.granted.set_result(self._start(waiter.class_name, now))
+        self._schedule_ramp(now)
+
+    def _refuse(self, waiter: _Waiter, code: ErrorCode, message: str) -> None:
+        self._remove(waiter)
+        if not waiter.granted.done():
+            waiter.granted.set_exception(_refusal(code, message))
+
+    def _remove(self, waiter: _Waiter) -> None:
+        if waiter.expiry is not None:
+            waiter.expiry.cancel()
+        place = bisect.bisect_left(self._queue, waiter.order(), key=_Waiter.order)
+        if place < len(self._queue) and self._queue[place] is waiter:
+            del self._queue[place]
+
+    def _schedule_ramp(self, now: float) -> None:
+        """Wake waiting calls when the ramp opens a slot without any release."""
+        usable = self._usable_slots(now)
+        if self._ramp_timer is not None or not self._queue:
+            return
+        if usable >= self.backend.slots:
+            return
+        share = ((usable + 1) / self.backend.slots - RAMP_START_SHARE) / (
+            1 - RAMP_START_SHARE
+        )
+        delay = self._opened_at + share * RAMP_SECONDS - now
+        loop = asyncio.get_running_loop()
+        self._ramp_timer = loop.call_later(max(0.0, delay), self._open_slot)
+
+    def _open_slot(self) -> None:
+        self._ramp_timer = None
+        self._admit_waiting(self._clock.monotonic())
+
+    def _class_time(self, class_name: str) -> float:
+        average = self._class_times.get(class_name)
+        return average.value if average else self._service_time.value
+
+    def _record_service_time(self, slot: Slot, seconds: float, *, failed: bool) -> None:
+        averages = (
+            self._service_time,
+            self._class_times.setdefault(slot.class_name, _Average()),
+        )
+        for average in averages:
+            if not failed or seconds > average.value > 0:
+                average.add(seconds)
+
+
+class _Average:
+    """An exponentially weighted average that begins with its first value."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+        self._empty = True
+
+    def add(self, value: float) -> None:
+        weight = 1.0 if self._empty else SERVICE_TIME_WEIGHT
+        self._empty = False
+        self.value += weight * (value - self.value)
+
+
+def _refusal(code: ErrorCode, message: str) -> AlmondError:
+    return AlmondError(code, message)
