Add the occupancy table

Reports lose half of their weight each second, so that an old report of a full server does not repel calls for ever. Own calls started since a report are added to it, and it never counts fewer calls than the own ones in flight.

--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/state/occupancy.py
@@ -0,0 +1,104 @@
+"""Load of backend servers elsewhere, as their hosts last reported it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# A report loses half of its weight in this time. Queues hold about two service
+# times, so a backlog that was reported a second ago has mostly been served.
+HALF_LIFE_SECONDS = 1.0
+MAX_ENTRIES = 1024
+
+
+@dataclass(slots=True)
+class Occupancy:
+    """What is known of the load of one backend server.
+
+    Parameters
+    ----------
+    slots, in_use, queued, service_time
+        As last reported; ``slots`` is 0 before the first report.
+    reported_at
+        Monotonic seconds of the report.
+    in_flight
+        Own calls that have no reply yet.
+    since_report
+        Own calls started after the report, which it cannot count.
+    """
+
+    slots: int = 0
+    in_use: int = 0
+    queued: int = 0
+    service_time: float = 0.0
+    reported_at: float = 0.0
+    in_flight: int = 0
+    since_report: int = 0
+
+    def weight(self, now: float) -> float:
+        """Return the weight of the report by its age, 1 when new."""
+        return 0.5 ** (max(0.0, now - self.reported_at) / HALF_LIFE_SECONDS)
+
+    def calls(self, now: float) -> float:
+        """Return the calls expected to be running or waiting there."""
+        reported = (self.in_use + self.queued) * self.weight(now)
+        return max(reported + self.since_report, float(self.in_flight))
+
+
+class OccupancyTable:
+    """The last report of each backend server that this daemon used."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Occupancy] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, backend: str) -> Occupancy | None:
+        """Return what is known of a backend server, or None."""
+        return self._entries.get(backend)
+
+    def start(self, backend: str) -> None:
+        """Count an own call that leaves for a backend server."""
+        entry = self._entries.get(backend)
+        if entry is None:
+            self._make_room()
+            entry = self._entries[backend] = Occupancy()
+        entry.in_flight += 1
+        entry.since_report += 1
+
+    def finish(self, backend: str) -> None:
+        """Count an own call as over."""
+        entry = self._entries.get(backend)
+        if entry is not None:
+            entry.in_flight = max(0, entry.in_flight - 1)
+            entry.since_report = min(entry.since_report, entry.in_flight)
+
+    def report(
+        self,
+        backend: str,
+        *,
+        slots: int,
+        in_use: int,
+        queued: int,
+        service_time: float,
+        now: float,
+    ) -> None:
+        """Take over the load that the backend server's own host reports."""
+        entry = self._entries.get(backend)
+        if entry is None:
+            self._make_room()
+            entry = self._entries[backend] = Occupancy()
+        entry.slots, entry.in_use, entry.queued = slots, in_use, queued
+        entry.service_time = service_time
+        entry.reported_at = now
+        entry.since_report = 0
+
+    def _make_room(self) -> None:
+        if len(self._entries) < MAX_ENTRIES:
+            return
+        unused = (name for name, entry in self._entries.items() if not entry.in_flight)
+        oldest = min(
+            unused, key=lambda name: self._entries[name].reported_at, default=None
+        )
+        if oldest is not None:
+            del self._entries[oldest]
--- /dev/null
+++ b/tests/test_state_occupancy.py
@@ -0,0 +1,51 @@
+"""Tests of the load that is remembered of other backend servers."""
+
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.state.occupancy import MAX_ENTRIES, OccupancyTable
+
+
+def report(table, *, backend="a-1", in_use=4, queued=2, now=100.0):
+    """Record one report of a backend server with 4 slots."""
+    table.report(
+        backend, slots=4, in_use=in_use, queued=queued, service_time=0.1, now=now
+    )
+
+
+class OccupancyTest(unittest.TestCase):
+    """Old reports must not attract or repel calls for ever."""
+
+    @parameterized.expand([(100.0, 6.0), (101.0, 3.0), (102.0, 1.5), (99.0, 6.0)])
+    def test_stale_report_decays(self, now, calls):
+        table = OccupancyTable()
+        report(table)
+        self.assertAlmostEqual(table.find("a-1").calls(now), calls)
+
+    def test_own_calls_count_once(self):
+        table = OccupancyTable()
+        table.start("a-1")
+        report(table)
+        self.assertEqual(table.find("a-1").calls(100.0), 6)
+        table.start("a-1")
+        self.assertEqual(table.find("a-1").calls(100.0), 7)
+        table.finish("a-1")
+        table.finish("a-1")
+        self.assertEqual(table.find("a-1").calls(100.0), 6)
+
+    def test_own_calls_outlast_the_report(self):
+        table = OccupancyTable()
+        for _ in range(3):
+            table.start("a-1")
+        report(table, in_use=3, queued=0)
+        self.assertEqual(table.find("a-1").calls(1000.0), 3)
+
+    def test_is_bounded_and_keeps_servers_with_calls(self):
+        table = OccupancyTable()
+        table.start("busy")
+        for number in range(2 * MAX_ENTRIES):
+            report(table, backend=f"a-{number}", now=float(number))
+        self.assertEqual(len(table), MAX_ENTRIES)
+        self.assertIsNotNone(table.find("busy"))
+        self.assertIsNotNone(table.find(f"a-{2 * MAX_ENTRIES - 1}"))
