--- /dev/null
+++ b/tests/test_coordination_retries.py
@@ -0,0 +1,46 @@
+"""Tests of the retry budget."""
+
+import unittest
+
+from almondrouter.coordination.retries import FLOOR_RETRIES, RetryBudget
+
+
+def count_retries(budget, calls, **options):
+    """Return the retries allowed when every one of ``calls`` fails."""
+    allowed = 0
+    for _ in range(calls):
+        budget.record_call("renewals")
+        while budget.try_spend("renewals", **options):
+            allowed += 1
+    return allowed
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Retries must not multiply the calls of an overloaded service."""
+
+    def test_retries_are_a_tenth_of_calls(self):
+        allowed = count_retries(RetryBudget(), 1000)
+        self.assertEqual(allowed, 100 + FLOOR_RETRIES)
+
+    def test_rare_calls_have_a_floor(self):
+        self.assertEqual(count_retries(RetryBudget(), 1), FLOOR_RETRIES)
+
+    def test_quiet_time_saves_no_burst(self):
+        budget = RetryBudget()
+        for _ in range(100_000):
+            budget.record_call("renewals")
+        self.assertLessEqual(count_retries(budget, 1), 11)
+
+    def test_names_do_not_share(self):
+        budget = RetryBudget()
+        count_retries(budget, 100)
+        self.assertTrue(budget.try_spend("quotes"))
+
+    def test_depth_20_does_not_multiply(self):
+        calls = 1000
+        budget = RetryBudget()
+        attempts = calls + count_retries(budget, calls)
+        for _ in range(19):
+            below = RetryBudget()
+            attempts += count_retries(below, attempts, caller_retries=True)
+        self.assertLessEqual(attempts, 1.1 * calls + FLOOR_RETRIES)
--- /dev/null
+++ b/tests/test_coordination_routing.py
@@ -0,0 +1,188 @@
+"""Tests of the choice of a backend server."""
+
+import random
+import unittest
+from collections import Counter
+
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.routing import LeastOccupied, RoundRobin
+from almondrouter.protocol.calls import Load
+from almondrouter.protocol.headers import Outcome
+from almondrouter.state.occupancy import OccupancyTable
+from almondrouter.state.snapshot import Destination
+
+COMPLETE, NOT_RUN, UNKNOWN = Outcome
+IDLE = Load(slots=4, in_use=0, queued=0, service_time=0.1)
+
+
+def place(backend, data_centre="n1", *, suspect=False):
+    """Return a destination; the region is the data centre's first letter."""
+    return Destination(
+        backend=backend,
+        host=f"host-{backend}",
+        data_centre=data_centre,
+        region=data_centre[0],
+        peer_address="127.0.0.1:1",
+        incarnation=1,
+        slots=4,
+        suspect=suspect,
+    )
+
+
+LOCAL = [place("a"), place("b")]
+NEAR = place("c", "n2")
+FAR = place("d", "s1")
+
+
+class LeastOccupiedTest(unittest.TestCase):
+    """Calls must go where they are answered soonest."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.policy = LeastOccupied(
+            data_centre="n1",
+            region="n",
+            occupancy=OccupancyTable(),
+            random=random.Random(1),
+            clock=self.clock,
+        )
+
+    def report(self, destination, **changes):
+        values = {"slots": 4, "in_use": 0, "queued": 0, "service_time": 0.1}
+        self.finish(destination, load=Load(**values | changes))
+
+    def finish(self, destination, *, outcome=COMPLETE, load=IDLE, failed=False):
+        self.policy.started(destination)
+        self.policy.finished(
+            destination, outcome=outcome, load=load, elapsed=0.1, failed=failed
+        )
+
+    def count(self, destinations, calls=200, **options):
+        chosen = Counter()
+        for _ in range(calls):
+            choice = self.policy.choose(
+                destinations, now=self.clock.monotonic(), **options
+            )
+            chosen[choice.backend] += 1
+        return dict(chosen)
+
+    @parameterized.expand(
+        [
+            # Waits are (in use + queued + 1 - slots) * service time / slots.
+            ("idle", 0, 0.1, "a"),
+            ("last slot", 3, 0.1, "a"),
+            ("saves less than 1 ms", 4, 0.0036, "a"),
+            ("saves more than 1 ms", 4, 0.0044, "c"),
+            ("near one is full too, saves less than 20 ms", 4, 0.076, "a", 4),
+            ("near one is full too, saves more than 20 ms", 4, 0.088, "d", 4),
+        ]
+    )
+    def test_spills_only_when_it_pays(self, _name, busy, seconds, expected, near=0):
+        local = place("a")
+        self.report(local, in_use=busy, service_time=seconds)
+        self.report(NEAR, in_use=near, service_time=seconds)
+        self.report(FAR, in_use=0, service_time=seconds)
+        self.assertEqual(self.count([local, NEAR, FAR]), {expected: 200})
+
+    def test_counts_own_calls_between_reports(self):
+        for _ in range(8):
+            now = self.clock.monotonic()
+            self.policy.started(self.policy.choose(LOCAL, now=now))
+        counts = [self.policy._occupancy.find(d.backend).in_flight for d in LOCAL]
+        self.assertEqual(counts, [4, 4])
+
+    def test_stale_report_of_a_full_server_is_forgotten(self):
+        self.report(LOCAL[0], in_use=4, queued=4)
+        self.report(NEAR)
+        self.assertEqual(self.count([LOCAL[0], NEAR]), {"c": 200})
+        self.clock.advance(10.0)
+        self.assertEqual(self.count([LOCAL[0], NEAR]), {"a": 200})
+
+    def test_slow_server_is_avoided_though_idle(self):
+        self.report(LOCAL[0], service_time=1.0)
+        self.report(LOCAL[1], in_use=3)
+        self.report(NEAR)
+        self.assertEqual(self.count([*LOCAL, NEAR]), {"b": 200})
+
+    @parameterized.expand(
+        [
+            ("errors", COMPLETE, IDLE, True),
+            ("timeouts", UNKNOWN, None, False),
+        ]
+    )
+    def test_server_that_lies_about_health_is_outvoted(
+        self, _name, outcome, load, failed
+    ):
+        for _ in range(4):
+            self.assertIn("a", self.count(LOCAL))
+            self.finish(LOCAL[0], outcome=outcome, load=load, failed=failed)
+        self.assertEqual(self.count(LOCAL), {"b": 200})
+
+    def test_refused_link_excludes_at_once(self):
+        self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
+        self.assertEqual(self.count(LOCAL), {"b": 200})
+
+    def test_busy_reply_is_no_failure(self):
+        for _ in range(20):
+            self.finish(LOCAL[0], outcome=NOT_RUN)
+        self.assertIn("a", self.count(LOCAL))
+
+    def test_readmission_is_exponential(self):
+        waits = []
+        self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
+        for _ in range(9):
+            waits.append(0)
+            while "a" not in self.count(LOCAL):
+                self.clock.advance(0.5)
+                waits[-1] += 0.5
+            self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
+        self.assertEqual(waits, [1, 2, 4, 8, 16, 32, 60, 60, 60])
+
+    def test_readmitted_server_gets_doubling_calls(self):
+        self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
+        self.clock.advance(1.0)
+        allowed = []
+        for _ in range(4):
+            allowed.append(0)
+            while "a" in self.count(LOCAL, calls=20):
+                self.policy.started(LOCAL[0])
+                self.policy.started(LOCAL[1])
+                allowed[-1] += 1
+            for _ in range(allowed[-1]):
+                self.policy._occupancy.finish("a")
+                self.policy._occupancy.finish("b")
+            self.finish(LOCAL[0])
+        self.assertEqual(allowed, [1, 2, 4, 8])
+
+    def test_failures_everywhere_exclude_nobody(self):
+        for destination in LOCAL:
+            for _ in range(20):
+                self.finish(destination, outcome=UNKNOWN, load=None)
+        self.assertEqual(set(self.count(LOCAL)), {"a", "b"})
+
+    @parameterized.expand(
+        [
+            ("suspect", [place("a", suspect=True), place("b")], (), {"b": 200}),
+            ("only suspects", [place("a", suspect=True)], (), {"a": 200}),
+            ("tried", LOCAL, ("a",), {"b": 200}),
+        ]
+    )
+    def test_leaves_out(self, _name, destinations, excluded, expected):
+        self.assertEqual(self.count(destinations, excluded=excluded), expected)
+
+    @parameterized.expand([(LeastOccupied,), (RoundRobin,)])
+    def test_nothing_left(self, kind):
+        policy = self.policy if kind is LeastOccupied else RoundRobin()
+        chosen = policy.choose(LOCAL, now=0.0, excluded=("a", "b"))
+        self.assertIsNone(chosen)
+
+
+class RoundRobinTest(unittest.TestCase):
+    """The baseline must spread calls evenly, or comparisons flatter us."""
+
+    def test_takes_turns(self):
+        policy = RoundRobin()
+        chosen = Counter(policy.choose(LOCAL, now=0.0).backend for _ in range(10))
+        self.assertEqual(chosen, {"a": 5, "b": 5})
