--- a/packages/almondrouter/src/almondrouter/protocol/control.py
+++ b/packages/almondrouter/src/almondrouter/protocol/control.py
@@ -207,6 +207,8 @@
         Requests that were in flight.
     condemned
         Requests that are condemned from now on.
+    grounds
+        Ids of the earlier reports that made the condemned request a suspect.
     """
 
     report_id: str
@@ -214,10 +216,21 @@
     backend: str
     fingerprints: tuple[str, ...]
     condemned: tuple[str, ...] = ()
+    grounds: tuple[str, ...] = ()
 
 
 class SuspicionCleared(msgspec.Struct, frozen=True, array_like=True, tag="cc"):
-    """Says that suspected requests have completed, or that an operator lifted them."""
+    """Says that suspected requests have completed, or that an operator lifted them.
+
+    Parameters
+    ----------
+    report_id
+        Report of the crash that no longer speaks against the requests.
+    fingerprints
+        The requests.
+    lifted
+        Whether an operator said so; the crash then casts no suspicion at all.
+    """
 
     report_id: str
     fingerprints: tuple[str, ...]
