Add the store client over the etcd v3 JSON gateway

A caller must never be told that a write was not applied when it may be. Only a connection that was not set up, or a refusal by a gRPC code that precedes every effect, counts as surely not applied; UNAVAILABLE does not, as it also stands for a write that lost its leader. A write goes to another endpoint only after a failure of the first kind.

--- a/packages/almondrouter-standins/src/almondrouter_standins/keyspace.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/keyspace.py
@@ -85,6 +85,14 @@
     operations: tuple[tuple[str, Any], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class _Touched:
+    """Keys that a transaction may put, and ranges that it may delete."""
+
+    puts: set[bytes]
+    deletes: list[tuple[bytes, bytes]]
+
+
 class Keyspace:
     """Linearizable keys with revisions, transactions, leases and event history.
 
@@ -323,29 +331,45 @@
     return key <= candidate and (range_end == b"\0" or candidate < range_end)
 
 
-def _check_transaction(body: Body) -> set[bytes]:
-    """Refuse what the protocol refuses; return the keys that may be written."""
+def _check_transaction(body: Body) -> _Touched:
+    """Refuse what the protocol refuses; return what may be written."""
     lists = [body.get(name) or [] for name in ("compare", "success", "failure")]
     if max(map(len, lists)) > MAX_TRANSACTION_OPERATIONS:
         message = "etcdserver: too many operations in txn request"
         raise ProtocolError(INVALID_ARGUMENT, message)
-    return _check_branch(lists[1]) | _check_branch(lists[2])
+    success, failure = map(_check_branch, lists[1:])
+    return _Touched(success.puts | failure.puts, success.deletes + failure.deletes)
 
 
-def _check_branch(operations: list[Body]) -> set[bytes]:
-    written: set[bytes] = set()
+def _check_branch(operations: list[Body]) -> _Touched:
+    """Refuse a key that is put twice, or put and deleted, in one list."""
+    seen = _Touched(set(), [])
     for item in operations:
-        ((kind, request),) = item.items()
-        keys: set[bytes] = set()
-        if kind == "request_txn":
-            keys = _check_transaction(request)
-        elif kind == "request_put":
-            keys = {decode_bytes(request.get("key"))}
-            if len(decode_bytes(request.get("value"))) > MAX_VALUE_BYTES:
-                message = "etcdserver: request is too large"
-                raise ProtocolError(INVALID_ARGUMENT, message)
-        if keys & written:
+        touched = _find_touched(item)
+        if (
+            seen.puts & touched.puts
+            or _overlap(seen.deletes, touched.puts)
+            or _overlap(touched.deletes, seen.puts)
+        ):
             message = "etcdserver: duplicate key given in txn request"
             raise ProtocolError(INVALID_ARGUMENT, message)
-        written |= keys
-    return written
+        seen = _Touched(seen.puts | touched.puts, seen.deletes + touched.deletes)
+    return seen
+
+
+def _overlap(deletes: list[tuple[bytes, bytes]], puts: set[bytes]) -> bool:
+    return any(_covers(key, end, put) for key, end in deletes for put in puts)
+
+
+def _find_touched(item: Body) -> _Touched:
+    ((kind, request),) = item.items()
+    if kind == "request_txn":
+        return _check_transaction(request)
+    key = decode_bytes(request.get("key"))
+    if kind == "request_delete_range":
+        return _Touched(set(), [(key, decode_bytes(request.get("range_end")))])
+    if kind != "request_put":
+        return _Touched(set(), [])
+    if len(decode_bytes(request.get("value"))) > MAX_VALUE_BYTES:
+        raise ProtocolError(INVALID_ARGUMENT, "etcdserver: request is too large")
+    return _Touched({key}, [])
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/transport/etcd.py
@@ -0,0 +1,285 @@
+"""The store over the JSON gateway of etcd v3."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+
+from almondrouter.clock import Clock
+from almondrouter.errors import (
+    AlmondError,
+    ErrorCode,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from almondrouter.transport.etcdcodec import (
+    Body,
+    decode_commit,
+    decode_read,
+    decode_watch,
+    encode_prefix_read,
+    encode_range,
+    encode_transaction,
+)
+from almondrouter.transport.store import (
+    CommitResult,
+    Lease,
+    ReadResult,
+    Store,
+    Transaction,
+    WatchBatch,
+)
+
+# A connection may take this part of the time left, so that an endpoint that does
+# not accept it leaves time for the next one.
+CONNECT_SHARE = 0.5
+# A watch that carries neither events nor progress for so long is given up; its
+# link may have gone silent.
+WATCH_SILENCE_S = 30.0
+MAX_WATCH_MESSAGE_BYTES = 8_000_000
+# gRPC status codes with which a request is refused before it has any effect:
+# INVALID_ARGUMENT, NOT_FOUND, PERMISSION_DENIED, RESOURCE_EXHAUSTED,
+# FAILED_PRECONDITION, OUT_OF_RANGE, UNIMPLEMENTED, UNAUTHENTICATED. UNAVAILABLE
+# is not one of them: it also stands for a write that lost its leader midway.
+_REFUSALS = frozenset({3, 5, 7, 8, 9, 11, 12, 16})
+_REFUSAL_STATUS = frozenset({400, 401, 403, 404, 405, 413, 429})
+_NOT_FOUND = 5
+
+
+class EtcdStore(Store):
+    """A store client that tells what surely had no effect from what may have had.
+
+    Parameters
+    ----------
+    endpoints
+        URLs such as ``http://10.0.0.5:2379``. Another one is tried only after a
+        failure that surely had no effect, or for a read.
+    clock
+        Measures deadlines and leases.
+    timeout
+        Seconds for a call, over all endpoints.
+    watch_silence
+        Seconds without a message after which a watch ends with an error.
+
+    Attributes
+    ----------
+    calls
+        Requests sent, by kind.
+    """
+
+    def __init__(
+        self,
+        endpoints: tuple[str, ...],
+        *,
+        clock: Clock,
+        timeout: float = 1.0,
+        watch_silence: float = WATCH_SILENCE_S,
+    ) -> None:
+        if not endpoints:
+            raise AlmondError(ErrorCode.SETTING_MISSING, "no store endpoint is set")
+        self._endpoints = tuple(url.rstrip("/") for url in endpoints)
+        self._preferred = 0
+        self._clock = clock
+        self._timeout = timeout
+        self._watch_silence = watch_silence
+        self._session: aiohttp.ClientSession | None = None
+        self.calls: dict[str, int] = {}
+
+    async def read(self, key: str) -> ReadResult:  # noqa: D102
+        return await self._read(encode_range(key))
+
+    async def read_prefix(  # noqa: D102
+        self, prefix: str, *, start: str | None = None, limit: int = 0
+    ) -> ReadResult:
+        return await self._read(encode_prefix_read(prefix, start, limit))
+
+    async def commit(self, transaction: Transaction) -> CommitResult:  # noqa: D102
+        body = encode_transaction(transaction)
+        answer = await self._call("txn", "/v3/kv/txn", body)
+        return _decode(decode_commit, answer)
+
+    async def grant_lease(self, ttl: int) -> Lease:  # noqa: D102
+        sent_at = self._clock.monotonic()
+        answer = await self._call("grant", "/v3/lease/grant", {"TTL": str(ttl)})
+        return _decode(
+            lambda body: Lease(int(body["ID"]), sent_at + int(body["TTL"])), answer
+        )
+
+    async def keep_alive(self, lease: Lease) -> Lease:  # noqa: D102
+        sent_at = self._clock.monotonic()
+        body = {"ID": str(lease.lease_id)}
+        answer = await self._call("keepalive", "/v3/lease/keepalive", body)
+        ttl = _decode(lambda body: int(body["result"].get("TTL", 0)), answer)
+        if ttl <= 0:
+            message = f"lease {lease.lease_id} has expired"
+            raise AlmondError(ErrorCode.LEASE_EXPIRED, message)
+        return Lease(lease.lease_id, sent_at + ttl)
+
+    async def revoke_lease(self, lease: Lease) -> None:  # noqa: D102
+        body = {"ID": str(lease.lease_id)}
+        await self._call("revoke", "/v3/lease/revoke", body)
+
+    async def watch(  # noqa: D102
+        self, prefix: str, *, from_revision: int
+    ) -> AsyncIterator[WatchBatch]:
+        create = encode_range(prefix, prefix=True) | {
+            "start_revision": str(from_revision),
+            "progress_notify": True,
+        }
+        try:
+            async with asyncio.timeout(self._timeout):
+                response = await self._open_watch({"create_request": create})
+        except (TimeoutError, OSError, aiohttp.ClientError) as error:
+            self._prefer_next()
+            raise StoreUnavailableError(f"watch: {error!r}") from error
+        try:
+            async for message in self._read_watch(response):
+                yield _decode_watch_message(message)
+        finally:
+            response.close()
+
+    async def close(self) -> None:  # noqa: D102
+        if self._session is not None:
+            await self._session.close()
+
+    async def _read(self, body: Body) -> ReadResult:
+        try:
+            answer = await self._call("range", "/v3/kv/range", body, effect=False)
+            return _decode(decode_read, answer)
+        except StoreOutcomeUnknownError as error:
+            raise StoreUnavailableError(error.message) from error
+
+    async def _call(
+        self, kind: str, path: str, body: Body, *, effect: bool = True
+    ) -> Body:
+        """Try the endpoints in turn as long as that is safe; return the answer."""
+        deadline = self._clock.monotonic() + self._timeout
+        failure: AlmondError = StoreUnavailableError(f"{kind}: no time left")
+        for _ in self._endpoints:
+            remaining = deadline - self._clock.monotonic()
+            if remaining <= 0:
+                break
+            try:
+                return await self._post(kind, path, body, remaining)
+            except _RefusedError:
+                raise
+            except StoreUnavailableError as error:
+                failure = error
+            except StoreOutcomeUnknownError as error:
+                failure = error
+                if effect:
+                    self._prefer_next()
+                    break
+            self._prefer_next()
+        raise failure
+
+    async def _post(self, kind: str, path: str, body: Body, remaining: float) -> Body:
+        """Send one request to the preferred endpoint.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the connection was not set up, or the store refused the request.
+        StoreOutcomeUnknownError
+            If the answer was lost or does not say that nothing was done.
+        """
+        self._count(kind)
+        timeout = aiohttp.ClientTimeout(
+            total=remaining, connect=remaining * CONNECT_SHARE
+        )
+        url = self._endpoints[self._preferred] + path
+        try:
+            async with self._get_session().post(
+                url, json=body, timeout=timeout, allow_redirects=False
+            ) as response:
+                data = await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise StoreUnavailableError(f"{kind}: {error!r}") from error
+        except (TimeoutError, OSError, aiohttp.ClientError) as error:
+            raise StoreOutcomeUnknownError(f"{kind}: {error!r}") from error
+        return _check_answer(kind, response.status, data)
+
+    async def _open_watch(self, body: Body) -> aiohttp.ClientResponse:
+        self._count("watch")
+        url = self._endpoints[self._preferred] + "/v3/watch"
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=self._watch_silence)
+        response = await self._get_session().post(
+            url, json=body, timeout=timeout, allow_redirects=False
+        )
+        if response.status != 200:
+            response.close()
+            raise StoreUnavailableError(f"watch: status {response.status}")
+        return response
+
+    async def _read_watch(
+        self, response: aiohttp.ClientResponse
+    ) -> AsyncIterator[bytes]:
+        buffer = bytearray()
+        try:
+            async for chunk in response.content.iter_any():
+                buffer += chunk
+                while (end := buffer.find(b"\n")) >= 0:
+                    yield bytes(buffer[:end])
+                    del buffer[: end + 1]
+                if len(buffer) > MAX_WATCH_MESSAGE_BYTES:
+                    raise StoreUnavailableError("watch: message is too large")
+        except (TimeoutError, OSError, aiohttp.ClientError) as error:
+            self._prefer_next()
+            raise StoreUnavailableError(f"watch: {error!r}") from error
+        raise StoreUnavailableError("watch: ended by the store")
+
+    def _get_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    def _prefer_next(self) -> None:
+        self._preferred = (self._preferred + 1) % len(self._endpoints)
+
+    def _count(self, kind: str) -> None:
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+
+
+class _RefusedError(StoreUnavailableError):
+    """A refusal by the store itself; another endpoint would refuse as well."""
+
+
+def _check_answer(kind: str, status: int, data: bytes) -> Body:
+    """Return the body of a good answer, raise the error of another one."""
+    try:
+        body = json.loads(data)
+    except ValueError:
+        body = None
+    if status == 200 and isinstance(body, dict):
+        return body
+    code = body.get("code") if isinstance(body, dict) else None
+    text = body.get("message", body) if isinstance(body, dict) else data[:200]
+    message = f"{kind}: status {status}, {text}"
+    if code == _NOT_FOUND and "lease not found" in str(text):
+        raise AlmondError(ErrorCode.LEASE_EXPIRED, message)
+    if code in _REFUSALS or (code is None and status in _REFUSAL_STATUS):
+        raise _RefusedError(message)
+    raise StoreOutcomeUnknownError(message)
+
+
+def _decode(decoder: Any, body: Body) -> Any:
+    try:
+        return decoder(body)
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        raise StoreOutcomeUnknownError(f"answer not understood: {error!r}") from error
+
+
+def _decode_watch_message(line: bytes) -> WatchBatch:
+    try:
+        message = json.loads(line)
+        result = message["result"]
+        if result.get("canceled"):
+            compacted = result.get("compact_revision", "0")
+            raise StoreUnavailableError(f"watch: cancelled, compacted at {compacted}")
+        return decode_watch(result)
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        raise StoreUnavailableError(f"watch: not understood: {error!r}") from error
--- a/tests/test_standins_store.py
+++ b/tests/test_standins_store.py
@@ -72,6 +72,9 @@
         nested = {"request_txn": {"failure": [_put("a")]}}
         for name, body in {
             "duplicate": {"success": [_put("a"), nested]},
+            "put and delete": {
+                "success": [{"request_delete_range": {"key": _b64("a")}}, _put("a")]
+            },
             "too many": {"success": [_put(f"k{i}") for i in range(129)]},
             "too large": {"success": [_put("a", "x" * 1_000_001)]},
             "no lease": {"success": [_put("a", lease="99")]},
