--- a/packages/almondrouter-standins/src/almondrouter_standins/processes.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/processes.py
@@ -114,6 +114,7 @@
         self._directory = directory
         self._next_port = base_port
         self._options = options
+        self.daemon_command = ("-m", "almondrouterd.main")
         self.cluster = cluster
         self.store_address = self.take_address()
         self.hosts: dict[str, HostPlan] = {}
@@ -179,7 +180,7 @@
         others = [p.daemon.control for p in self.hosts.values() if p.name != name]
         program = await self._start(
             f"daemon-{name}",
-            *("-m", "almondrouterd.main"),
+            *self.daemon_command,
             *("--cluster", self.cluster),
             *("--host", name),
             *("--data-centre", plan.data_centre),
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -6,24 +6,20 @@
 import random
 from typing import Any
 
-from almondrouter.coordination.activation import Activation
-from almondrouter.coordination.calls import CallService
 from almondrouter.coordination.delegates import rank_hosts
-from almondrouter.coordination.distribution import Distribution
 from almondrouter.coordination.membership import Membership
-from almondrouter.coordination.quarantine import Quarantine
-from almondrouter.coordination.retries import RetryBudget
-from almondrouter.coordination.routing import LeastOccupied
-from almondrouter.state.occupancy import OccupancyTable
-from almondrouter.transport.callers import CallerServer
-from almondrouter.transport.calls import CallerRequest, CallerResponse
-from almondrouter.transport.etcd import EtcdStore
-from almondrouter.transport.links import CallLinkPool, CallLinkServer
 from almondrouter.transport.zeromq import ZmqControlEndpoint
 
 from almondrouter.clock import SystemClock
+from almondrouter.coordination.activation import Activation
 from almondrouter.coordination.broadcast import Broadcast
+from almondrouter.coordination.calls import CallService
+from almondrouter.coordination.distribution import Distribution
 from almondrouter.coordination.fleetstatus import FleetStatus
+from almondrouter.coordination.quarantine import Quarantine
+from almondrouter.coordination.retries import RetryBudget
+from almondrouter.coordination.routing import LeastOccupied
+from almondrouter.coordination.watchers import Spread
 from almondrouter.protocol import headers
 from almondrouter.protocol.calls import Hello
 from almondrouter.protocol.codec import PROTOCOL_VERSION
@@ -31,9 +27,14 @@
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.settings import SettingValues, explain_bind_error
+from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.registry import BackendRecord, HostRecord, Registry
 from almondrouter.state.snapshot import EMPTY_SNAPSHOT, Snapshot
 from almondrouter.tracing import PassTracer, Tracer
+from almondrouter.transport.callers import CallerServer
+from almondrouter.transport.calls import CallerRequest, CallerResponse
+from almondrouter.transport.etcd import EtcdStore
+from almondrouter.transport.links import CallLinkPool, CallLinkServer
 from almondrouterd.admin import AdminServer
 from almondrouterd.backendmonitor import BackendMonitor
 from almondrouterd.explanations import Explanations
@@ -64,6 +65,8 @@
         self.incarnation = int(self.clock.wall() * 1000)
         self.metrics = DaemonMetrics()
         self.stopping = False
+        self.version_at = 0.0
+        """Wall time at which the version in force was put in force."""
         self._tracer = _make_tracer(settings)
         self._tasks: list[asyncio.Task[None]] = []
         self._build_control()
@@ -146,8 +149,10 @@
 
     def _build_control(self) -> None:
         settings = self._settings
+        self._record = self._make_record()
         self.registry = Registry()
         self.activation = Activation(registry=self.registry)
+        self.activation.add_listener(self._record_version)
         self.keys = StoreKeys(settings["cluster"])
         self.store = EtcdStore(settings["store"], clock=self.clock)
         self.endpoint = ZmqControlEndpoint(
@@ -158,7 +163,7 @@
             clock=self.clock,
         )
         self.membership = Membership(
-            record=self._make_record(),
+            record=self._record,
             endpoint=self.endpoint,
             registry=self.registry,
             clock=self.clock,
@@ -166,13 +171,17 @@
             head=self.activation.head,
         )
         self.distribution = Distribution(
+            record=self._record,
+            registry=self.registry,
             activation=self.activation,
             membership=self.membership,
             endpoint=self.endpoint,
             store=self.store,
             keys=self.keys,
             clock=self.clock,
-            spread=settings["spread"],
+            spread=Spread(settings["spread"]),
+            rank=rank_hosts,
+            random=random.Random(),
         )
         self.fleet = FleetStatus(
             host=self.host,
@@ -264,6 +273,10 @@
         outcome = Outcome(own[headers.OUTCOME])
         self.metrics.record_call(class_name, outcome, own[headers.CODE], seconds)
 
+    def _record_version(self, snapshot: Snapshot) -> None:
+        self.version_at = self.clock.wall()
+        _log.info("configuration in force", version=snapshot.version)
+
     def _update_backends(self, records: tuple[BackendRecord, ...]) -> None:
         self.membership.update_backends(records)
 
