Add control links over ZeroMQ and a control network in memory

Every control message travels in an envelope with cluster, protocol version, sender and correlation id. Faulty frames are dropped and counted by code; a faulty request is refused.

The endpoint is in transport/zeromq.py, apart from the ABC, as EtcdStore is apart from Store. Frames between one and two times the limit are counted; above that ZeroMQ closes the connection uncounted.

SimulatedLoop advances a ManualClock instead of waiting. Clock gains sleep_until, so that a host can be frozen in a simulation.

--- /dev/null
+++ b/packages/almondrouter-standins/src/almondrouter_standins/simulation.py
@@ -0,0 +1,107 @@
+"""An event loop whose time is a ManualClock, so that tests never wait."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+from almondrouter.clock import Clock, ManualClock
+
+T = TypeVar("T")
+
+# Coarser steps make freezes visible and keep the heap of timers short; the
+# loop of asyncio may wake one resolution early.
+_RESOLUTION_SECONDS = 1e-6
+
+
+class SimulatedLoop(asyncio.SelectorEventLoop):
+    """Event loop that advances a clock to the next timer instead of waiting.
+
+    Parameters
+    ----------
+    clock
+        Its monotonic time is the time of the loop.
+
+    Notes
+    -----
+    Only for tasks and timers: sockets and threads take real time, which does
+    not pass here.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(_SimulatedSelector(clock))
+        self.clock = clock
+
+    def time(self) -> float:
+        """Return the monotonic time of the clock."""
+        return self.clock.monotonic()
+
+
+class _SimulatedSelector(selectors.DefaultSelector):
+    """Selector that advances the clock by the time it would have waited."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError("every task waits and no timer is set")
+        if timeout > 0:
+            self._clock.advance(timeout + _RESOLUTION_SECONDS)
+        return super().select(0)
+
+
+def run_simulated(
+    main: Callable[[ManualClock], Coroutine[Any, Any, T]],
+    *,
+    clock: ManualClock | None = None,
+) -> T:
+    """Run a coroutine function on a `SimulatedLoop` and return its result.
+
+    Parameters
+    ----------
+    main
+        Called with the clock of the loop.
+    """
+    clock = clock or ManualClock()
+    with asyncio.Runner(loop_factory=lambda: SimulatedLoop(clock)) as runner:
+        return runner.run(main(clock))
+
+
+class HostClock(Clock):
+    """The clock of one of several simulated hosts, which can be frozen.
+
+    While frozen, its sleepers do not wake; the time goes on, as it does for a
+    process that is stopped.
+
+    Parameters
+    ----------
+    base
+        Clock of the simulation.
+    """
+
+    def __init__(self, base: Clock) -> None:
+        self._base = base
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def monotonic(self) -> float:  # noqa: D102
+        return self._base.monotonic()
+
+    def wall(self) -> float:  # noqa: D102
+        return self._base.wall()
+
+    async def sleep_until(self, deadline: float) -> None:  # noqa: D102
+        await self._base.sleep_until(deadline)
+        await self._running.wait()
+
+    def freeze(self) -> None:
+        """Stop waking sleepers."""
+        self._running.clear()
+
+    def thaw(self) -> None:
+        """Wake the sleepers whose time has come."""
+        self._running.set()
--- a/packages/almondrouter/src/almondrouter/clock.py
+++ b/packages/almondrouter/src/almondrouter/clock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from abc import ABC, abstractmethod
 
@@ -17,6 +18,13 @@
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
 
+    async def sleep_until(self, deadline: float) -> None:
+        """Wait until the monotonic time ``deadline`` on the running loop.
+
+        A `ManualClock` needs a loop that advances it instead of waiting.
+        """
+        await asyncio.sleep(max(0.0, deadline - self.monotonic()))
+
 
 class SystemClock(Clock):
     """The clocks of the host."""
--- a/packages/almondrouter/src/almondrouter/transport/control.py
+++ b/packages/almondrouter/src/almondrouter/transport/control.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
 
 from almondrouter.protocol.control import ControlMessage
@@ -52,6 +52,13 @@
             ``Refused`` reply.
         """
 
+    def close_other_links(self, addresses: Collection[str]) -> None:  # noqa: B027
+        """Close the links to addresses other than these that are not in use.
+
+        A closed link opens again when it is needed. Endpoints without links of
+        their own do nothing.
+        """
+
     @abstractmethod
     def count_bytes(self) -> dict[str, ByteCount]:
         """Return the bytes exchanged, by address of the other end."""
--- /dev/null
+++ b/tests/test_standins_network.py
@@ -0,0 +1,88 @@
+"""Tests of the control network in memory."""
+
+import asyncio
+import unittest
+
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.control import Accepted, Announcement, Head, StatusRequest
+from almondrouter_standins.network import LinkFaults, MemoryControlNetwork
+from almondrouter_standins.simulation import run_simulated
+
+
+class _Pair:
+    """Two endpoints; ``b`` keeps the versions that are announced to it."""
+
+    def __init__(self, clock, **options):
+        self.clock = clock
+        self.network = MemoryControlNetwork(seed=1, **options)
+        self.a, self.b = (
+            self.network.create_endpoint(h, host=h, incarnation=1, clock=clock)
+            for h in ("a", "b")
+        )
+        self.versions = []
+
+    async def start(self):
+        self.b.set_handler(Announcement, self.keep)
+        self.b.set_handler(StatusRequest, self.answer)
+        await self.a.start()
+        await self.b.start()
+
+    async def keep(self, message, _host):
+        self.versions.append(message.head.version)
+
+    async def answer(self, _message, _host):
+        return Accepted()
+
+    async def announce(self, count):
+        for version in range(count):
+            self.a.send("b", Announcement("a", Head(version, "d")))
+        await asyncio.sleep(60)
+
+    async def ask(self, seconds=1.0):
+        deadline = self.clock.monotonic() + seconds
+        try:
+            await self.a.request("b", StatusRequest(), deadline=deadline)
+        except AlmondError as error:
+            return error.code
+        return None
+
+
+class MemoryControlNetworkTest(unittest.TestCase):
+    """Faults must happen as asked for, or the tests that use them show nothing."""
+
+    def test_faults(self):
+        async def main(clock):
+            faults = LinkFaults(loss=0.2, duplication=0.2, jitter=5.0)
+            pair = _Pair(clock, faults=faults)
+            await pair.start()
+            await pair.announce(500)
+            return pair.versions
+
+        versions = run_simulated(main)
+        self.assertEqual(versions, run_simulated(main))
+        self.assertNotEqual(versions, sorted(versions))
+        self.assertTrue(350 < len(set(versions)) < 450)
+        self.assertGreater(len(versions) - len(set(versions)), 50)
+
+    def test_cuts_freezes_and_kills_time_requests_out(self):
+        async def main(clock):
+            pair = _Pair(clock)
+            await pair.start()
+            results = [await pair.ask()]
+            pair.network.cut(["b"], ["a"], two_way=False)
+            await pair.announce(1)
+            results.append(await pair.ask())
+            pair.network.heal_all()
+            results.append(await pair.ask())
+            pair.network.freeze("b")
+            results.append(await pair.ask())
+            pair.network.thaw("b")
+            results.append(await pair.ask())
+            pair.b.kill()
+            results.append(await pair.ask())
+            return results, pair.versions
+
+        timeout = ErrorCode.PEER_TIMEOUT
+        results, versions = run_simulated(main)
+        self.assertEqual(results, [None, timeout, None, timeout, None, timeout])
+        self.assertEqual(versions, [0])
--- /dev/null
+++ b/tests/test_transport_zeromq.py
@@ -0,0 +1,254 @@
+"""Tests of control links over ZeroMQ on loopback."""
+
+import asyncio
+import unittest
+
+import msgspec
+import zmq
+import zmq.asyncio
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock, SystemClock
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.codec import MAX_CONTROL_FRAME_BYTES
+from almondrouter.protocol.control import (
+    CONTROL_CODEC,
+    Accepted,
+    Announcement,
+    Head,
+    StatusReply,
+    StatusRequest,
+)
+from almondrouter.transport.envelopes import MAX_ENVELOPE_BYTES, Envelope
+from almondrouter.transport.zeromq import IDLE_LINK_SECONDS, ZmqControlEndpoint
+
+CLOCK = SystemClock()
+LIMIT_SECONDS = 20.0
+
+
+def _make_frame(*, cluster="c", version=1, correlation=7, message=None):
+    if message is None:
+        message = CONTROL_CODEC.encode(StatusRequest())
+    envelope = Envelope(cluster, version, "x", 1, correlation, message)
+    return msgspec.msgpack.encode(envelope)
+
+
+class ZmqControlEndpointTest(unittest.IsolatedAsyncioTestCase):
+    """Faulty frames and links must not disturb the others."""
+
+    async def asyncSetUp(self):
+        self.received = asyncio.Queue()
+        self.server = await self.start_endpoint("b")
+        self.client = await self.start_endpoint("a")
+
+    async def start_endpoint(self, host, *, cluster="c", address="127.0.0.1:0"):
+        endpoint = ZmqControlEndpoint(
+            cluster=cluster, host=host, incarnation=1, address=address, clock=CLOCK
+        )
+        endpoint.set_handler(StatusRequest, self.answer_status)
+        endpoint.set_handler(Announcement, self.take_announcement)
+        await endpoint.start()
+        self.addAsyncCleanup(endpoint.close)
+        return endpoint
+
+    async def answer_status(self, _message, host):
+        return StatusReply(host, 1, Head(3, "d"), True)
+
+    async def take_announcement(self, message, host):
+        await self.received.put((message, host))
+
+    async def ask(self, endpoint, address, *, seconds=LIMIT_SECONDS):
+        deadline = CLOCK.monotonic() + seconds
+        return await endpoint.request(address, StatusRequest(), deadline=deadline)
+
+    async def test_replies_reach_their_requests_and_bytes_are_counted(self):
+        replies = await asyncio.gather(
+            *(self.ask(self.client, self.server.address) for _ in range(20))
+        )
+        self.assertEqual({reply.host for reply in replies}, {"a"})
+        sent = self.client.count_bytes()[self.server.address]
+        got = self.server.count_bytes()[self.client.address]
+        self.assertEqual((sent.sent, sent.received), (got.received, got.sent))
+
+    async def test_message_without_reply_opens_the_link(self):
+        message = Announcement("a", Head(1, "d"))
+        self.client.send(self.server.address, message)
+        got = await asyncio.wait_for(self.received.get(), LIMIT_SECONDS)
+        self.assertEqual(got, (message, "a"))
+
+    @parameterized.expand(
+        [
+            ("cluster", _make_frame(cluster="d"), ErrorCode.CLUSTER_MISMATCH),
+            ("version", _make_frame(version=9), ErrorCode.PROTOCOL_MISMATCH),
+            ("message", _make_frame(message=b"\xc1"), ErrorCode.FRAME_MALFORMED),
+            (
+                "large message",
+                _make_frame(message=b" " * (MAX_CONTROL_FRAME_BYTES + 1)),
+                ErrorCode.FRAME_TOO_LARGE,
+            ),
+        ]
+    )
+    async def test_refuses_request(self, _name, frame, code):
+        socket = self.open_raw_link()
+        await socket.send(frame)
+        answer = await asyncio.wait_for(socket.recv(), LIMIT_SECONDS)
+        envelope = msgspec.msgpack.decode(answer, type=Envelope)
+        refused = CONTROL_CODEC.decode(envelope.message)
+        self.assertEqual((envelope.correlation, refused.code), (-7, code.value))
+        self.assertEqual(self.server.refused, {code: 1})
+        await self.ask(self.client, self.server.address)
+
+    @parameterized.expand(
+        [
+            ("foreign", b"GET / HTTP/1.1\r\n\r\n", ErrorCode.FRAME_MALFORMED),
+            ("empty", b"", ErrorCode.FRAME_MALFORMED),
+            ("large", b" " * (MAX_ENVELOPE_BYTES + 1), ErrorCode.FRAME_TOO_LARGE),
+        ]
+    )
+    async def test_drops_and_counts_frame(self, _name, frame, code):
+        socket = self.open_raw_link()
+        await socket.send(frame)
+        await socket.send(_make_frame())
+        await asyncio.wait_for(socket.recv(), LIMIT_SECONDS)
+        self.assertEqual(self.server.refused, {code: 1})
+
+    async def test_closes_the_link_of_a_frame_beyond_memory_limits(self):
+        socket = self.open_raw_link()
+        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        await socket.send(b" " * (3 * MAX_ENVELOPE_BYTES))
+        await asyncio.wait_for(monitor.recv_multipart(), LIMIT_SECONDS)
+        socket.disable_monitor()
+        await self.ask(self.client, self.server.address)
+        self.assertEqual(self.server.refused, {})
+
+    async def test_request_to_another_cluster_fails_with_its_code(self):
+        other = await self.start_endpoint("o", cluster="other")
+        with self.assertRaises(AlmondError) as caught:
+            await self.ask(self.client, other.address)
+        self.assertEqual(caught.exception.code, ErrorCode.CLUSTER_MISMATCH)
+
+    async def test_message_without_handler_is_refused(self):
+        deadline = CLOCK.monotonic() + LIMIT_SECONDS
+        with self.assertRaises(AlmondError) as caught:
+            await self.client.request(
+                self.server.address, Accepted(), deadline=deadline
+            )
+        self.assertEqual(caught.exception.code, ErrorCode.NOT_READY)
+
+    async def test_silent_link_is_replaced_while_new_links_work(self):
+        """A connection that is open but carries nothing must not stay in use."""
+        proxy = await _SilencingProxy.open(self.server.address)
+        self.addAsyncCleanup(proxy.close)
+        await self.ask(self.client, proxy.address)
+        proxy.silence()
+        with self.assertRaises(AlmondError) as caught:
+            await self.ask(self.client, proxy.address, seconds=0.05)
+        self.assertEqual(caught.exception.code, ErrorCode.PEER_TIMEOUT)
+        await self.ask(self.client, proxy.address)
+        self.assertEqual(self.client.replaced_links, 1)
+
+    async def test_restarted_peer_is_reached_over_the_same_link(self):
+        await self.ask(self.client, self.server.address)
+        address = self.server.address
+        await self.server.close()
+        self.server = await self.start_endpoint("b", address=address)
+        await self.ask(self.client, address)
+
+    async def test_address_in_use_is_reported(self):
+        with self.assertRaises(AlmondError) as caught:
+            await self.start_endpoint("c", address=self.server.address)
+        self.assertEqual(caught.exception.code, ErrorCode.ADDRESS_IN_USE)
+
+    async def test_full_link_drops_instead_of_growing(self):
+        for version in range(1000):
+            self.client.send("127.0.0.1:1", Announcement("a", Head(version, "d")))
+        self.assertGreater(self.client.dropped, 900)
+
+    async def test_closes_links_that_are_not_neighbours(self):
+        await self.ask(self.client, self.server.address)
+        self.client.close_other_links([self.server.address])
+        self.assertEqual(self.client.links, (self.server.address,))
+        self.client.close_other_links([])
+        self.assertEqual(self.client.links, ())
+
+    def open_raw_link(self):
+        context = zmq.asyncio.Context()
+        self.addCleanup(context.destroy, linger=0)
+        socket = context.socket(zmq.DEALER)
+        socket.connect(f"tcp://{self.server.address}")
+        return socket
+
+
+class IdleLinkTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon must not keep a link to every daemon that it ever asked."""
+
+    async def test_idle_link_closes(self):
+        clock = _SteppedClock()
+        endpoint = ZmqControlEndpoint(
+            cluster="c", host="a", incarnation=1, address="127.0.0.1:0", clock=clock
+        )
+        await endpoint.start()
+        self.addAsyncCleanup(endpoint.close)
+        endpoint.send("127.0.0.1:1", Accepted())
+        await clock.step(IDLE_LINK_SECONDS - 1)
+        self.assertEqual(endpoint.links, ("127.0.0.1:1",))
+        await clock.step(2)
+        self.assertEqual(endpoint.links, ())
+
+
+class _SteppedClock(ManualClock):
+    """Wakes every sleeper at each step."""
+
+    def __init__(self):
+        super().__init__()
+        self.sleepers = []
+
+    async def sleep_until(self, _deadline):
+        sleeper = asyncio.get_running_loop().create_future()
+        self.sleepers.append(sleeper)
+        await sleeper
+
+    async def step(self, seconds):
+        await asyncio.sleep(0)
+        self.advance(seconds)
+        sleepers, self.sleepers = self.sleepers, []
+        for sleeper in sleepers:
+            sleeper.set_result(None)
+        await asyncio.sleep(0)
+
+
+class _SilencingProxy:
+    """TCP proxy whose open connections can be made silent."""
+
+    @classmethod
+    async def open(cls, target):
+        proxy = cls()
+        proxy.target = target
+        proxy.silenced = set()
+        proxy.tasks = set()
+        proxy.server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
+        host, port = proxy.server.sockets[0].getsockname()
+        proxy.address = f"{host}:{port}"
+        return proxy
+
+    def silence(self):
+        self.silenced |= self.tasks
+
+    async def serve(self, reader, writer):
+        host, port = self.target.split(":")
+        upstream_reader, upstream_writer = await asyncio.open_connection(host, port)
+        for source, sink in ((reader, upstream_writer), (upstream_reader, writer)):
+            task = asyncio.get_running_loop().create_task(self.copy(source, sink))
+            self.tasks.add(task)
+
+    async def copy(self, reader, writer):
+        while data := await reader.read(4096):
+            if asyncio.current_task() not in self.silenced:
+                writer.write(data)
+        writer.close()
+
+    async def close(self):
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
