Send to the backend server with httptools on an asyncio protocol

A response that ends with its connection is never complete, and no request is sent twice. Idle connections end here before the backend server ends them.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+from http import HTTPStatus
 
-import aiohttp
-from yarl import URL
+import httptools
 
 from almondrouter.clock import Clock
 from almondrouter.errors import ErrorCode
@@ -13,6 +14,20 @@
 from almondrouter.protocol.headers import OUTCOME, Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.calls import BackendResponse, BackendSender
+from almondrouter.transport.links import split_address
+
+CONNECT_S = 1.0
+MAX_IDLE_S = 30.0
+"""Seconds after which an idle connection is not used again.
+
+A request on a connection that the backend server closes at that moment has an
+unknown outcome, so idle connections end here before they end there.
+"""
+MAX_RESPONSE_BYTES = 7_500_000
+"""Longest response; it has to fit into a frame with its headers."""
+MAX_HEADER_BYTES = 131_072
+
+_OUTCOME_HEADER = OUTCOME.lower()
 
 
 class BackendClient(BackendSender):
@@ -29,21 +44,23 @@
     """
 
     def __init__(self, address: str, *, connections: int, clock: Clock) -> None:
-        self._base = f"http://{address}"
-        connector = aiohttp.TCPConnector(limit=connections, use_dns_cache=False)
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            timeout=aiohttp.ClientTimeout(total=None),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
-        # A second sending on a broken connection could run the request twice.
-        self._session._retry_connection = False
+        self._address = address
+        self._limit = connections
         self._clock = clock
+        self._idle: list[_Connection] = []
+        self._open: set[_Connection] = set()
+        self._connecting = 0
+        self._waiters: deque[asyncio.Future[None]] = deque()
+
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open or being opened."""
+        return len(self._open) + self._connecting
 
     async def close(self) -> None:
-        """Close all connections."""
-        await self._session.close()
+        """Close all connections; requests in flight fail."""
+        for connection in tuple(self._open):
+            connection.abort()
 
     async def send(  # noqa: D102
         self,
@@ -54,31 +71,233 @@
         *,
         deadline: float,
     ) -> BackendResponse:
+        data = encode_request(self._address, method, target, headers, body)
+        sent = False
+        connection = None
         try:
             async with asyncio.timeout(deadline - self._clock.monotonic()):
-                return await self._send(method, target, headers, body)
-        except aiohttp.ClientConnectorError as error:
-            raise CallError(ErrorCode.NO_BACKEND, str(error)) from error
-        except aiohttp.ClientError as error:
-            code = ErrorCode.BACKEND_FAILED
-            raise CallError(code, str(error), outcome=Outcome.UNKNOWN) from error
+                connection = await self._acquire()
+                self._check_deadline(deadline)
+                sent = True
+                response = await connection.request(data, is_head=method == "HEAD")
         except TimeoutError as error:
+            outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
             code = ErrorCode.DEADLINE_EXCEEDED
-            message = "no response in time"
-            raise CallError(code, message, outcome=Outcome.UNKNOWN) from error
+            raise CallError(code, "no response in time", outcome=outcome) from error
+        finally:
+            if connection is not None:
+                self._give_back(connection)
+        if is_refusal(response):
+            message = "the backend server did not run the request"
+            raise CallError(ErrorCode.BACKEND_REFUSED, message)
+        return response
 
-    async def _send(
-        self, method: str, target: str, headers: HeaderList, body: bytes
-    ) -> BackendResponse:
-        url = URL(self._base + target, encoded=True)
-        sending = self._session.request(
-            method, url, headers=headers, data=body or None, allow_redirects=False
-        )
-        async with sending as response:
-            data = await response.read()
-            if response.headers.get(OUTCOME) == Outcome.NOT_RUN:
-                raise CallError(ErrorCode.BACKEND_REFUSED, "refused as not run")
-            received = tuple(
-                (name.lower(), value) for name, value in response.headers.items()
+    def _check_deadline(self, deadline: float) -> None:
+        if self._clock.monotonic() >= deadline:
+            raise CallError(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed")
+
+    async def _acquire(self) -> _Connection:
+        while True:
+            connection = self._take_idle()
+            if connection is not None:
+                return connection
+            if self.connections < self._limit:
+                return await self._connect()
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.append(waiter)
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if waiter.done() and not waiter.cancelled():
+                    self._wake_next()
+                raise
+
+    def _take_idle(self) -> _Connection | None:
+        horizon = self._clock.monotonic() - MAX_IDLE_S
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable and connection.idle_since > horizon:
+                return connection
+            connection.abort()
+            self._open.discard(connection)
+        return None
+
+    async def _connect(self) -> _Connection:
+        loop = asyncio.get_running_loop()
+        host, port = split_address(self._address)
+        self._connecting += 1
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, connection = await loop.create_connection(_Connection, host, port)
+        except (OSError, TimeoutError) as error:
+            self._wake_next()
+            message = f"the backend server cannot be connected: {error}"
+            raise CallError(ErrorCode.NO_BACKEND, message) from error
+        except asyncio.CancelledError:
+            self._wake_next()
+            raise
+        finally:
+            self._connecting -= 1
+        self._open.add(connection)
+        return connection
+
+    def _give_back(self, connection: _Connection) -> None:
+        if connection.usable:
+            connection.idle_since = self._clock.monotonic()
+            self._idle.append(connection)
+        else:
+            connection.abort()
+            self._open.discard(connection)
+        self._wake_next()
+
+    def _wake_next(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+
+class _Connection(asyncio.Protocol):
+    """One connection, with one request at a time."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._future: asyncio.Future[BackendResponse] | None = None
+        self._is_head = False
+        self.usable = True
+        self.idle_since = 0.0
+        self._reset()
+
+    async def request(self, data: bytes, *, is_head: bool) -> BackendResponse:
+        """Send a request and return its whole response.
+
+        Raises
+        ------
+        CallError
+            ``backend_failed`` (unknown).
+        """
+        self._reset()
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_head = is_head
+        self._future = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        try:
+            return await self._future
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        finally:
+            self._future = None
+
+    def abort(self) -> None:
+        """Drop the connection, which cancels its request."""
+        self.usable = False
+        self._transport.abort()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
+        self._transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
+        self._fail("the backend server closed the connection")
+
+    def data_received(self, data: bytes) -> None:  # noqa: D102
+        if self._future is None or self._future.done():
+            self._fail("data without a request")
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"malformed response: {error}")
+        self._received += len(data)
+        limit = MAX_RESPONSE_BYTES if self._headers_done else MAX_HEADER_BYTES
+        if self._received > limit and not self._complete:
+            self._fail("the response is too large")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Finish a response to HEAD, whose length stands for no body."""
+        if self._parser.get_status_code() < HTTPStatus.OK:
+            return
+        self._headers_done = True
+        if self._is_head:
+            self.usable = False
+            self._finish()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Finish the response, unless it is an interim one.
+
+        Notes
+        -----
+        A response that ends with its connection is never complete: it cannot
+        be told from a truncated one.
+        """
+        if not self._headers_done:
+            self._headers = []
+        elif not self._complete:
+            self._finish()
+        else:
+            self.usable = False
+
+    def _finish(self) -> None:
+        self._complete = True
+        if not self._parser.should_keep_alive():
+            self.usable = False
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        status = self._parser.get_status_code()
+        if self._future is not None and not self._future.done():
+            response = BackendResponse(status, tuple(self._headers), body)
+            self._future.set_result(response)
+
+    def _fail(self, message: str) -> None:
+        self.abort()
+        if self._future is not None and not self._future.done():
+            code = ErrorCode.BACKEND_FAILED
+            self._future.set_exception(
+                CallError(code, message, outcome=Outcome.UNKNOWN)
             )
-            return BackendResponse(response.status, received, data)
+
+    def _reset(self) -> None:
+        self._headers: list[tuple[str, str]] = []
+        self._headers_done = False
+        self._body: list[bytes] = []
+        self._received = 0
+        self._complete = False
+
+
+def is_refusal(response: BackendResponse) -> bool:
+    """Return whether a backend server says that it did not run the request."""
+    if response.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    return (_OUTCOME_HEADER, Outcome.NOT_RUN.value) in response.headers
+
+
+def encode_request(
+    address: str, method: str, target: str, headers: HeaderList, body: bytes
+) -> bytes:
+    """Return the bytes of a request.
+
+    Raises
+    ------
+    CallError
+        ``header_invalid`` (not run) if a part would break out of its line.
+    """
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}\r\n\r\n")
+    text = "\r\n".join(lines)
+    if text.count("\n") != len(lines) + 1 or text.count("\r") != len(lines) + 1:
+        message = "a header holds a line break"
+        raise CallError(ErrorCode.HEADER_INVALID, message)
+    try:
+        return text.encode("latin-1") + body
+    except UnicodeEncodeError as error:
+        raise CallError(ErrorCode.HEADER_INVALID, str(error)) from error
