Test the caller server and the backend client with hostile peers

Each partial, malformed, oversized or late message has a row. Found by them: an upgrade request was run before it was refused, and a response above the bound passed when its last part arrived in the same read.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -210,10 +210,9 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"malformed response: {error}")
-        self._received += len(data)
-        limit = MAX_RESPONSE_BYTES if self._headers_done else MAX_HEADER_BYTES
-        if self._received > limit and not self._complete:
-            self._fail("the response is too large")
+        self._header_bytes += 0 if self._headers_done else len(data)
+        if self._header_bytes > MAX_HEADER_BYTES:
+            self._fail("the headers are too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header."""
@@ -230,7 +229,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
-        self._body.append(body)
+        self._body_size += len(body)
+        if self._body_size > MAX_RESPONSE_BYTES:
+            self._fail("the response is too large")
+        else:
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Finish the response, unless it is an interim one.
@@ -269,7 +272,8 @@
         self._headers: list[tuple[str, str]] = []
         self._headers_done = False
         self._body: list[bytes] = []
-        self._received = 0
+        self._header_bytes = 0
+        self._body_size = 0
         self._complete = False
 
 
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -197,6 +197,8 @@
         self._expires_at = self._server.clock.monotonic() + READ_BODY_S
         size = sum(len(name) + len(value) for name, value in self._headers)
         self._count_header_bytes(size + len(self._target))
+        if self._parser.should_upgrade():
+            self._refuse(ErrorCode.HEADER_INVALID)
         for name, value in self._headers:
             if name == "content-length" and int(value) > self._server.max_body_bytes:
                 self._refuse(ErrorCode.BODY_TOO_LARGE)
--- /dev/null
+++ b/tests/test_transport_backends.py
@@ -0,0 +1,170 @@
+"""Backend client: what a failure says of whether the request has run."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.clock import SystemClock
+from almondrouter.errors import ErrorCode
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport.backends import MAX_RESPONSE_BYTES, BackendClient
+from calls_support import TIMEOUT_S, wait_until
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+SHED = b"HTTP/1.1 503 x\r\nAlmond-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+
+
+class BackendClientTest(unittest.IsolatedAsyncioTestCase):
+    """Each request goes to a server that plays a script."""
+
+    async def asyncSetUp(self):
+        self.requests = []
+        self.closed = 0
+        self.script = None
+        self.held = asyncio.Event()
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        host, port = self.server.sockets[0].getsockname()
+        self.client = BackendClient(
+            f"{host}:{port}", connections=2, clock=SystemClock()
+        )
+        self.addAsyncCleanup(self.client.close)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                if self.script is None:
+                    await self.held.wait()
+                    writer.write(OK)
+                    continue
+                writer.write(self.script[0])
+                if self.script[1]:
+                    writer.close()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+            writer.close()
+
+    def send(self, *, seconds=TIMEOUT_S, method="GET", headers=()):
+        deadline = SystemClock().monotonic() + seconds
+        return self.client.send(method, "/x", headers, b"", deadline=deadline)
+
+    async def assert_fails(self, sending, code, outcome):
+        with self.assertRaises(CallError) as caught:
+            await sending
+        error = caught.exception
+        self.assertEqual((code, outcome), (error.code, error.outcome))
+
+    @parameterized.expand(
+        [
+            ("whole", OK, False, b"body"),
+            ("whole and closed", OK, True, b"body"),
+            (
+                "chunked",
+                CHUNKED + b"4\r\nbody\r\n0\r\n\r\n",
+                False,
+                b"body",
+            ),
+            ("after an interim one", INTERIM + OK, False, b"body"),
+            ("followed by another", OK + OK, False, b"body"),
+        ]
+    )
+    async def test_whole_response(self, _, data, close, body):
+        """Guards against whole responses that are refused or mixed up."""
+        self.script = (data, close)
+        for _ in range(2):
+            self.assertEqual(body, (await self.send()).body)
+            if close:
+                await wait_until(lambda: not self.client._idle[0].usable)
+
+    @parameterized.expand(
+        [
+            ("nothing", b""),
+            ("half a head", HEAD),
+            ("half a body", OK[:-2]),
+            ("body without length", HEAD + b"\r\nbody"),
+            ("half a chunk", CHUNKED + b"4\r\nbo"),
+            ("no last chunk", CHUNKED + b"4\r\nbody\r\n"),
+            ("no HTTP", b"220 mail server ready\r\n"),
+            ("half a refusal", SHED[:-2]),
+            ("refusal with another status", SHED.replace(b"503", b"2x0")),
+        ]
+    )
+    async def test_partial_response_is_unknown(self, _, data):
+        """Guards against a truncated answer that passes as whole or as not run."""
+        self.script = (data, True)
+        await self.assert_fails(self.send(), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN)
+        self.assertEqual(1, len(self.requests))
+
+    async def test_refusal_is_not_run(self):
+        """Guards against a shed request that counts as run."""
+        self.script = (SHED, False)
+        await self.assert_fails(self.send(), ErrorCode.BACKEND_REFUSED, Outcome.NOT_RUN)
+
+    async def test_response_too_large_for_a_frame_is_unknown(self):
+        """Guards against responses that fill the memory."""
+        size = MAX_RESPONSE_BYTES + 1
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % size
+        self.script = (head + bytes(size), False)
+        await self.assert_fails(self.send(), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN)
+
+    async def test_response_to_head_has_no_body(self):
+        """Guards against waiting for a body that never comes."""
+        self.script = (OK[:-4], False)
+        self.assertEqual(b"", (await self.send(method="HEAD")).body)
+
+    async def test_refused_connection_is_not_run(self):
+        """Guards against an unknown outcome where nothing was sent."""
+        self.server.close()
+        await self.server.wait_closed()
+        await self.assert_fails(self.send(), ErrorCode.NO_BACKEND, Outcome.NOT_RUN)
+
+    async def test_deadline_before_the_hand_over_is_not_run(self):
+        """Guards against a hand-over after the deadline."""
+        code = ErrorCode.DEADLINE_EXCEEDED
+        await self.assert_fails(self.send(seconds=-1), code, Outcome.NOT_RUN)
+        self.assertEqual([], self.requests)
+
+    async def test_deadline_after_the_hand_over_is_unknown(self):
+        """Guards against a backend server that stops answering."""
+        code = ErrorCode.DEADLINE_EXCEEDED
+        await self.assert_fails(self.send(seconds=0.1), code, Outcome.UNKNOWN)
+        self.held.set()
+        await wait_until(lambda: self.closed == 1)
+
+    async def test_connections_are_bounded(self):
+        """Guards against more connections than the backend server allows."""
+        tasks = [asyncio.create_task(self.send()) for _ in range(5)]
+        await wait_until(lambda: len(self.requests) == 2)
+        code = ErrorCode.DEADLINE_EXCEEDED
+        await self.assert_fails(self.send(seconds=0.05), code, Outcome.NOT_RUN)
+        self.assertEqual(2, self.client.connections)
+        self.held.set()
+        for response in await asyncio.gather(*tasks):
+            self.assertEqual(b"body", response.body)
+        self.assertEqual(2, self.client.connections)
+
+    async def test_cancelled_request_closes_its_connection(self):
+        """Guards against work that goes on for a caller that has gone."""
+        task = asyncio.create_task(self.send())
+        await wait_until(lambda: self.requests)
+        task.cancel()
+        self.held.set()
+        await wait_until(lambda: self.closed == 1)
+        self.assertEqual(0, self.client.connections)
+
+    @parameterized.expand(["a\r\nevil: 1", "a\nb", "a\rb", "\u20ac"])
+    async def test_line_break_in_a_header_is_refused(self, value):
+        """Guards against a peer that smuggles a second request."""
+        sending = self.send(headers=(("name", value),))
+        await self.assert_fails(sending, ErrorCode.HEADER_INVALID, Outcome.NOT_RUN)
+        self.assertEqual([], self.requests)
--- /dev/null
+++ b/tests/test_transport_callers.py
@@ -0,0 +1,214 @@
+"""HTTP server for callers: hostile input, slow callers, cancellation, drain."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.transport.callers import (
+    KEEP_ALIVE_S,
+    LINGER_S,
+    MAX_HEADER_BYTES,
+    READ_BODY_S,
+    READ_HEADERS_S,
+    CallerServer,
+)
+from almondrouter.transport.calls import CallerResponse
+from almondrouter.transport.links import split_address
+from calls_support import TIMEOUT_S, wait_until
+
+MAX_BODY = 1000
+GET = b"GET /a?b HTTP/1.1\r\nHost: x\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
+
+
+class CallerServerTest(unittest.IsolatedAsyncioTestCase):
+    """Requests come as raw bytes over real sockets."""
+
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.requests = []
+        self.cancelled = 0
+        self.release = asyncio.Event()
+        self.release.set()
+        self.server = CallerServer(
+            address="127.0.0.1:0",
+            handler=self.handle,
+            max_body_bytes=MAX_BODY,
+            version=lambda: 7,
+            clock=self.clock,
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+
+    async def handle(self, request):
+        self.requests.append(request)
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if request.target == "/fail":
+            raise RuntimeError
+        headers = (("Almond-Outcome", "complete"),)
+        return CallerResponse(200, headers, request.target.encode() + request.body)
+
+    async def open(self, data):
+        reader, writer = await asyncio.open_connection(
+            *split_address(self.server.address)
+        )
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return reader, writer
+
+    async def read_response(self, reader):
+        async with asyncio.timeout(TIMEOUT_S):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            lines = head.split("\r\n")
+            size = next(int(x[16:]) for x in lines if x.startswith("content-length"))
+            return lines[0].split()[1], head, await reader.readexactly(size)
+
+    async def assert_refused(self, reader, status, code, outcome="not-run"):
+        found, head, _ = await self.read_response(reader)
+        self.assertEqual(status, found)
+        self.assertIn(f"almond-code: {code}\r\n", head)
+        self.assertIn(f"almond-outcome: {outcome}\r\n", head)
+        self.assertIn("almond-version: 7\r\n", head)
+
+    async def assert_serves(self):
+        reader, _ = await self.open(GET)
+        self.assertEqual(b"/a?b", (await self.read_response(reader))[2])
+
+    @parameterized.expand(
+        [
+            ("no HTTP", b"\x16\x03\x01\x02\r\n\r\n", "400", "header_invalid"),
+            ("bad name", POST + b"A B: 1\r\n\r\n", "400", "header_invalid"),
+            ("line break", POST + b"a: b\nc\r\n\r\n", "400", "header_invalid"),
+            ("bad length", POST + b"Content-Length: -1\r\n", "400", "header_invalid"),
+            (
+                "length and chunks",
+                POST + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "400",
+                "header_invalid",
+            ),
+            (
+                "upgrade",
+                POST + b"Connection: upgrade\r\nUpgrade: websocket\r\n\r\n",
+                "400",
+                "header_invalid",
+            ),
+            (
+                "long headers",
+                POST + b"a: " + b"x" * MAX_HEADER_BYTES,
+                "400",
+                "header_invalid",
+            ),
+            (
+                "long target",
+                b"GET /" + b"x" * MAX_HEADER_BYTES + b" HTTP/1.1\r\n\r\n",
+                "400",
+                "header_invalid",
+            ),
+            (
+                "long body",
+                POST + b"Content-Length: 1001\r\n\r\n",
+                "413",
+                "body_too_large",
+            ),
+            (
+                "long chunks",
+                POST
+                + b"Transfer-Encoding: chunked\r\n\r\n"
+                + b"258\r\n%s\r\n" % (b"x" * 600) * 2,
+                "413",
+                "body_too_large",
+            ),
+        ]
+    )
+    async def test_bad_request_is_refused(self, _, data, status, code):
+        """Guards against hostile input that is run, leaks or stops the server."""
+        reader, _ = await self.open(data)
+        await self.assert_refused(reader, status, code)
+        self.assertEqual(b"", await reader.read())
+        self.clock.advance(LINGER_S)
+        self.server.tick()
+        await wait_until(lambda: not self.server.connections)
+        self.assertEqual([], self.requests)
+        await self.assert_serves()
+
+    @parameterized.expand(
+        [
+            ("headers", POST, READ_HEADERS_S),
+            ("body", POST + b"Content-Length: 9\r\n\r\nx", READ_BODY_S),
+        ]
+    )
+    async def test_request_that_never_ends(self, _, data, seconds):
+        """Guards against slow callers that hold connections for ever."""
+        reader, _ = await self.open(data)
+        await wait_until(lambda: any(c._reading for c in self.server.connections))
+        self.clock.advance(seconds - 1)
+        self.server.tick()
+        self.assertFalse(self.server.counts["slow_callers"])
+        self.clock.advance(1)
+        self.server.tick()
+        await self.assert_refused(reader, "400", "header_invalid")
+
+    async def test_idle_connection_is_closed(self):
+        """Guards against idle connections that pile up."""
+        reader, _ = await self.open(GET)
+        await self.read_response(reader)
+        self.clock.advance(KEEP_ALIVE_S)
+        self.server.tick()
+        self.assertEqual(b"", await reader.read())
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        """Guards against a response that goes to another request."""
+        data = b"".join(GET.replace(b"a?b", b"%d" % i) for i in range(5))
+        reader, _ = await self.open(data)
+        bodies = [(await self.read_response(reader))[2] for _ in range(5)]
+        self.assertEqual([b"/%d" % i for i in range(5)], bodies)
+
+    async def test_request_in_single_bytes(self):
+        """Guards against parts of a request that are lost between reads."""
+        data = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+        data += b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        reader, writer = await self.open(b"")
+        for byte in data:
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        self.assertEqual(b"/abc", (await self.read_response(reader))[2])
+
+    async def test_caller_gone_cancels_the_call(self):
+        """Guards against work that goes on for a caller that has gone."""
+        self.release.clear()
+        _, writer = await self.open(GET)
+        await wait_until(lambda: self.requests)
+        writer.close()
+        await wait_until(lambda: self.cancelled == 1)
+
+    async def test_failure_of_the_handler_is_unknown(self):
+        """Guards against a fault of ours that looks like not run."""
+        reader, _ = await self.open(GET.replace(b"a?b", b"fail"))
+        await self.assert_refused(reader, "502", "backend_failed", "unknown")
+
+    async def test_drain(self):
+        """Guards against planned stops that cut a request in flight."""
+        self.release.clear()
+        reader, _ = await self.open(GET)
+        idle, _ = await self.open(b"")
+        await wait_until(lambda: self.requests and len(self.server.connections) == 2)
+        draining = asyncio.create_task(self.server.drain())
+        self.assertEqual(b"", await idle.read())
+        late, _ = await self.open(GET)
+        await self.assert_refused(late, "503", "stopping")
+        self.assertFalse(draining.done())
+        self.release.set()
+        _, head, body = await self.read_response(reader)
+        self.assertEqual(b"/a?b", body)
+        self.assertIn("connection: close", head)
+        await draining
+        with self.assertRaises(ConnectionError):
+            await self.open(GET)
