--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -103,7 +103,9 @@
         self._cluster = cluster
         self._size = size
         self._slopes = slopes
-        self._store = EtcdStore((cluster.store_address,), clock=SystemClock())
+        self._store = EtcdStore(
+            (f"http://{cluster.store_address}",), clock=SystemClock()
+        )
         self._writer = ChangeWriter(
             self._store, StoreKeys(cluster.cluster), clock=SystemClock()
         )
--- a/packages/almondctl/src/almondctl/connections.py
+++ b/packages/almondctl/src/almondctl/connections.py
@@ -42,7 +42,9 @@
         """
         if self._store is None:
             _require(self.settings, "store")
-            self._store = EtcdStore(self.settings["store"], clock=CLOCK)
+            addresses = self.settings["store"]
+            endpoints = tuple(f"http://{address}" for address in addresses)
+            self._store = EtcdStore(endpoints, clock=CLOCK)
         return self._store
 
     @property
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -154,7 +154,8 @@
         self.activation = Activation(registry=self.registry)
         self.activation.add_listener(self._record_version)
         self.keys = StoreKeys(settings["cluster"])
-        self.store = EtcdStore(settings["store"], clock=self.clock)
+        endpoints = tuple(f"http://{address}" for address in settings["store"])
+        self.store = EtcdStore(endpoints, clock=self.clock)
         self.endpoint = ZmqControlEndpoint(
             cluster=settings["cluster"],
             host=self.host,
