Add membership: overlay, failure detector, dissemination and reachability

The registry digest leaves dead and left hosts out, so that daemons that have forgotten them agree with those that have not. Heartbeat replies omit digests that equal the asker's. Delegates hear another data centre through one heartbeat each 2 s and ask another of its hosts after each miss. A record takes one way between data centres: the first delegate brings it, and digests repair what that loses. Pushing over all delegate links was ruled out for its bytes between regions.

Corrects Registry.fingerprint: xxhash 4.1.0 takes bytes only, so any merge raised TypeError.

--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/membership.py
@@ -0,0 +1,460 @@
+"""Membership: which daemons live, where they are and what runs beside them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from random import Random
+from typing import Any
+
+import logbook
+import msgspec
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.delegates import Overlay
+from almondrouter.coordination.dissemination import Dissemination
+from almondrouter.coordination.liveness import FailureDetector
+from almondrouter.coordination.reachability import Reachability
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.control import (
+    Accepted,
+    ControlMessage,
+    Head,
+    Heartbeat,
+    HeartbeatReply,
+    Records,
+    RecordsRequest,
+)
+from almondrouter.state.registry import (
+    BackendRecord,
+    HostRecord,
+    HostStatus,
+    Registry,
+)
+from almondrouter.transport.control import ControlEndpoint
+
+HEARTBEAT_SECONDS = 1.0
+# Ends before the next heartbeat, so that a miss counts at once.
+HEARTBEAT_TIMEOUT_SECONDS = 0.8
+# Delegates hear another data centre through one heartbeat each 2 s, because
+# bytes between data centres cost more than those inside.
+DELEGATE_HEARTBEAT_SECONDS = 2.0
+FREEZE_SECONDS = 2.0
+JOIN_DELAY_SECONDS = 1.0
+MAX_JOIN_DELAY_SECONDS = 10.0
+PROBE_SECONDS = 5.0
+INCARNATION_SECONDS = 1.0
+# A pull of a data centre of 97 hosts is about 15 KB; those refused ask again.
+MAX_PULLS_SERVED_PER_SECOND = 16
+# Far longer than the partitions between regions, which last minutes: a data
+# centre that was cut off must not bring back a host that others have forgotten.
+FORGET_SECONDS = 3600.0
+
+ChangeListener = Callable[[list[HostRecord]], None]
+HeadListener = Callable[[HostRecord, Head], None]
+
+_logger = logbook.Logger("almondrouter.membership")
+
+
+class Membership:
+    """Keeps the registry in step with the fleet.
+
+    Parameters
+    ----------
+    record
+        Own record as configured; its sequence and incarnation rise from here.
+    endpoint
+        Control endpoint, started and closed by the caller.
+    registry
+        Takes the records.
+    clock
+        Times every step.
+    seeds
+        Control addresses of daemons to join through.
+    head
+        Returns the head that this daemon has in force.
+    random
+        Source of jitter.
+
+    Notes
+    -----
+    ``joined`` tells whether a seed has answered, or none is configured.
+    """
+
+    def __init__(
+        self,
+        *,
+        record: HostRecord,
+        endpoint: ControlEndpoint,
+        registry: Registry,
+        clock: Clock,
+        seeds: Sequence[str],
+        head: Callable[[], Head],
+        random: Random | None = None,
+    ) -> None:
+        self.record = record
+        self.joined = False
+        self._endpoint = endpoint
+        self._registry = registry
+        self._clock = clock
+        self._seeds = [seed for seed in seeds if seed != record.control_address]
+        self._head = head
+        self._random = random or Random()
+        self._reachability = Reachability(registry, record, clock)
+        self.overlay = Overlay(
+            registry, record, find_unreachable=self._reachability.find_unreachable
+        )
+        self._detector = FailureDetector(clock)
+        self._dissemination = Dissemination(
+            record=record,
+            endpoint=endpoint,
+            registry=registry,
+            overlay=self.overlay,
+            clock=clock,
+            merge=self._merge,
+            random=self._random,
+        )
+        self._change_listeners: list[ChangeListener] = []
+        self._head_listeners: list[HeadListener] = []
+        self._resume_listeners: list[Callable[[], None]] = []
+        self._gone_since: dict[str, float] = {}
+        self._next_delegate_heartbeat = 0.0
+        self._next_probe = clock.monotonic() + PROBE_SECONDS
+        self._next_incarnation = 0.0
+        self._served_since = 0.0
+        self._served = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Begin to answer and to join through the seeds."""
+        self._endpoint.set_handler(Heartbeat, self._answer_heartbeat)
+        self._endpoint.set_handler(Records, self._take_records)
+        self._endpoint.set_handler(RecordsRequest, self._serve_records)
+        self._registry.merge([self.record])
+        self._start_task(self._run())
+        self._start_task(self._join())
+        self._start_task(self._dissemination.run())
+
+    async def leave(self) -> None:
+        """Tell the others that this daemon takes no new calls and will leave."""
+        if self.record.status is HostStatus.ALIVE:
+            self._change_own(status=HostStatus.LEAVING)
+            self._dissemination.flush()
+
+    async def close(self) -> None:
+        """Stop; after `leave`, first tell neighbours that this daemon has left."""
+        if self.record.status is HostStatus.LEAVING:
+            self._change_own(status=HostStatus.LEFT)
+            await self._say_goodbye()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def update_backends(self, backends: tuple[BackendRecord, ...]) -> None:
+        """Put other backend servers into the own record and spread it."""
+        if backends != self.record.backends:
+            self._change_own(backends=backends)
+
+    def push_targets(self) -> tuple[HostRecord, ...]:
+        """Return the overlay neighbours that changes are pushed to."""
+        return self.overlay.ring_neighbours + self.overlay.delegate_links
+
+    def live_hosts(self, data_centre: str) -> tuple[HostRecord, ...]:
+        """Return the hosts of a data centre that are neither dead nor left."""
+        records = self._registry.list_data_centre(data_centre)
+        return tuple(r for r in records if r.status < HostStatus.DEAD)
+
+    def unreachable_data_centres(self) -> frozenset[str]:
+        """Return the known data centres that no chain of delegates reaches."""
+        return self._reachability.find_unreachable()
+
+    def add_change_listener(self, listener: ChangeListener) -> None:
+        """Call ``listener`` with the records of each merge that were accepted."""
+        self._change_listeners.append(listener)
+
+    def add_head_listener(self, listener: HeadListener) -> None:
+        """Call ``listener`` with the neighbour and head of each heartbeat."""
+        self._head_listeners.append(listener)
+
+    def add_resume_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when this process goes on after it was frozen."""
+        self._resume_listeners.append(listener)
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Join through more addresses, such as those kept in the store."""
+        known = {*self._seeds, self.record.control_address}
+        self._seeds += [a for a in dict.fromkeys(addresses) if a not in known]
+
+    # Loops
+
+    async def _run(self) -> None:
+        # Daemons that start together must not heartbeat together.
+        first = self._clock.monotonic() + self._random.random() * HEARTBEAT_SECONDS
+        await self._clock.sleep_until(first)
+        while True:
+            self._tick()
+            planned = self._clock.monotonic() + HEARTBEAT_SECONDS
+            await self._clock.sleep_until(planned)
+            gap = self._clock.monotonic() - planned
+            if gap > FREEZE_SECONDS:
+                self._resume(gap)
+
+    def _tick(self) -> None:
+        now = self._clock.monotonic()
+        self._spread(self._detector.judge(self.overlay.monitored))
+        for record in self.overlay.monitored:
+            self._start_task(self._check(record))
+        if now >= self._next_delegate_heartbeat:
+            self._next_delegate_heartbeat = now + DELEGATE_HEARTBEAT_SECONDS
+            for name in self._reachability.choose_data_centres(self.overlay):
+                self._start_task(self._check_data_centre(name))
+            self._update_reaches()
+        if now >= self._next_probe:
+            self._next_probe = now + PROBE_SECONDS * (0.5 + self._random.random())
+            self._probe()
+            self._forget(now)
+            links = {record.control_address for record in self.push_targets()}
+            links |= {record.control_address for record in self.overlay.monitored}
+            self._endpoint.close_other_links(links)
+
+    async def _join(self) -> None:
+        """Join through the seeds, in random order and with random delay.
+
+        Goes on until another host of the data centre is known or each seed has
+        answered, because a seed that has just started itself knows nobody.
+        """
+        limit = JOIN_DELAY_SECONDS
+        answered: set[str] = set()
+        while len(answered) < len(self._seeds) and not (answered and self._members()):
+            delay = self._random.random() * limit
+            await self._clock.sleep_until(self._clock.monotonic() + delay)
+            seed = self._random.choice([s for s in self._seeds if s not in answered])
+            if await self._join_through(seed):
+                answered.add(seed)
+                self.joined = True
+            elif not self.joined:
+                if limit == JOIN_DELAY_SECONDS:
+                    _logger.warn("the first seed has not answered; trying others")
+                limit = min(2 * limit, MAX_JOIN_DELAY_SECONDS)
+        self.joined = True
+        self._dissemination.queue([self.record], source=self.record.host)
+
+    def _members(self) -> list[HostRecord]:
+        """Return the other live hosts of the own data centre."""
+        own = self.record
+        return [r for r in self.live_hosts(own.data_centre) if r.host != own.host]
+
+    async def _join_through(self, seed: str) -> bool:
+        """Pull the own data centre from a seed, and the rest from a member.
+
+        Seeds are few: when many daemons start, the members share the load.
+        """
+        own = self.record
+        if not await self._dissemination.pull(seed, own.data_centre):
+            return False
+        self._endpoint.send(seed, Records((own,)))
+        members = self._members()
+        member = self._random.choice(members).control_address if members else seed
+        await self._dissemination.pull(member, "")
+        return True
+
+    def _resume(self, gap: float) -> None:
+        """Go on after the process stood still for ``gap`` seconds."""
+        _logger.warn("the process stood still for {:.1f} s", gap)
+        self._detector.reset()
+        self._reachability.reset()
+        if gap > FORGET_SECONDS / 2:
+            # What others have forgotten since must not come back from here.
+            for record in list(self._registry):
+                if record.host != self.record.host:
+                    self._registry.remove(record.host)
+            self._gone_since.clear()
+            self._start_task(self._join())
+        # Others have taken this host for suspect or dead by now.
+        self._change_own()
+        for listener in self._resume_listeners:
+            listener()
+
+    # Heartbeats
+
+    async def _check(self, record: HostRecord) -> None:
+        """Send a heartbeat to a monitored host."""
+        if await self._exchange_heartbeat(record, HEARTBEAT_TIMEOUT_SECONDS):
+            self._detector.record_reply(record.host)
+        else:
+            self._detector.record_miss(record.host)
+
+    async def _check_data_centre(self, name: str) -> None:
+        """Send a heartbeat to a host of another data centre."""
+        record = self._reachability.choose_host(self.overlay.ranks(name), name)
+        if record is not None:
+            heard = await self._exchange_heartbeat(record, DELEGATE_HEARTBEAT_SECONDS)
+            self._reachability.record(name, heard=heard)
+
+    async def _exchange_heartbeat(self, record: HostRecord, seconds: float) -> bool:
+        deadline = self._clock.monotonic() + seconds
+        digests = self._registry.digests()
+        message = self._make(Heartbeat, digests)
+        try:
+            reply = await self._endpoint.request(
+                record.control_address, message, deadline=deadline
+            )
+        except AlmondError:
+            return False
+        # A replaced host may have taken the address over.
+        if not isinstance(reply, HeartbeatReply) or reply.host != record.host:
+            return False
+        self._hear(reply, reply.digests or digests)
+        return True
+
+    async def _answer_heartbeat(
+        self, message: Heartbeat, _host: str
+    ) -> ControlMessage | None:
+        self._hear(message, message.digests)
+        digests = self._registry.digests()
+        return self._make(HeartbeatReply, {} if digests == message.digests else digests)
+
+    def _make(self, kind: type, digests: dict[str, int]) -> Any:
+        return kind(self.record.host, self.record.incarnation, self._head(), digests)
+
+    def _hear(
+        self, message: Heartbeat | HeartbeatReply, digests: dict[str, int]
+    ) -> None:
+        self._detector.record_contact()
+        record = self._registry.find(message.host)
+        if record is None:
+            return
+        for listener in self._head_listeners:
+            listener(record, message.head)
+        names = self._dissemination.compare(record, digests)
+        if names:
+            self._start_task(self._dissemination.pull_differences(record, names))
+        if record.status >= HostStatus.SUSPECT:
+            # It lives: let it know what is said of it, so that it refutes.
+            self._endpoint.send(record.control_address, Records((record,)))
+
+    def _probe(self) -> None:
+        """Look for a host that is taken for dead, or a seed, behind a healed link."""
+        gone = [
+            record
+            for record in self._registry
+            if record.status is HostStatus.DEAD
+            and record.data_centre == self.record.data_centre
+        ]
+        if gone:
+            record = self._random.choice(gone)
+            self._start_task(self._exchange_with(record))
+
+    async def _exchange_with(self, record: HostRecord) -> None:
+        await self._exchange_heartbeat(record, HEARTBEAT_SECONDS)
+
+    def _update_reaches(self) -> None:
+        reaches = self._reachability.list_heard()
+        if reaches != self.record.reaches:
+            self._change_own(reaches=reaches)
+
+    # Records
+
+    async def _take_records(self, message: Records, host: str) -> ControlMessage | None:
+        sender = self._registry.find(host)
+        records = message.records
+        if sender is not None and sender.status >= HostStatus.DEAD:
+            # A host that is cut off one way goes on accusing those it does not
+            # hear; until it refutes, only its own record counts.
+            records = tuple(r for r in records if r.host in (host, self.record.host))
+        self._merge(records, host)
+        return Accepted()
+
+    async def _serve_records(
+        self, message: RecordsRequest, _host: str
+    ) -> ControlMessage | None:
+        now = self._clock.monotonic()
+        if now - self._served_since >= 1.0:
+            self._served_since, self._served = now, 0
+        self._served += 1
+        if self._served > MAX_PULLS_SERVED_PER_SECOND:
+            raise AlmondError(ErrorCode.OVERLOADED, "too many pulls")
+        return self._dissemination.serve(message)
+
+    def _merge(self, records: Iterable[HostRecord], source: str) -> list[HostRecord]:
+        """Take over records; pass them on if they came from a source."""
+        others = []
+        for record in records:
+            if record.host == self.record.host:
+                self._refute(record)
+            else:
+                others.append(record)
+        accepted = self._registry.merge(others)
+        self._note(accepted)
+        if source:
+            self._dissemination.queue(accepted, source=source)
+        return accepted
+
+    def _spread(self, records: list[HostRecord]) -> None:
+        """Take over own statements and push them."""
+        accepted = self._registry.merge(records)
+        self._note(accepted)
+        self._dissemination.queue(accepted, source=self.record.host)
+
+    def _note(self, accepted: list[HostRecord]) -> None:
+        if not accepted:
+            return
+        now = self._clock.monotonic()
+        for record in accepted:
+            if record.status >= HostStatus.DEAD:
+                self._gone_since[record.host] = now
+                self._dissemination.forget(record.host)
+            else:
+                self._gone_since.pop(record.host, None)
+        for listener in self._change_listeners:
+            listener(accepted)
+
+    def _refute(self, record: HostRecord) -> None:
+        """Raise the own numbers above a record that another made of this host."""
+        own = self.record
+        if record.order() <= own.order() or own.status is HostStatus.LEFT:
+            return
+        if record.incarnation > own.incarnation or record.status is HostStatus.LEFT:
+            # An earlier run of this host had a clock that was ahead. If two
+            # daemons carry one host name, they must not outbid each other fast.
+            now = self._clock.monotonic()
+            if now < self._next_incarnation:
+                return
+            self._next_incarnation = now + INCARNATION_SECONDS
+            _logger.warn("host {} has run before as {}", own.host, record.incarnation)
+            self._change_own(incarnation=record.incarnation + 1, sequence=0)
+        else:
+            self._change_own(sequence=max(record.sequence, own.sequence) + 1)
+
+    def _change_own(self, **changes: Any) -> None:
+        changes.setdefault("sequence", self.record.sequence + 1)
+        self.record = msgspec.structs.replace(self.record, **changes)
+        self._endpoint.incarnation = self.record.incarnation
+        self._spread([self.record])
+
+    def _forget(self, now: float) -> None:
+        for host, since in list(self._gone_since.items()):
+            if now - since >= FORGET_SECONDS:
+                del self._gone_since[host]
+                self._registry.remove(host)
+
+    async def _say_goodbye(self) -> None:
+        """Pass the last record on for certain, as the link closes right after."""
+        deadline = self._clock.monotonic() + HEARTBEAT_SECONDS
+        message = Records((self.record,))
+        targets = {r.control_address for r in self.push_targets()}
+        await asyncio.gather(
+            *(self._endpoint.request(t, message, deadline=deadline) for t in targets),
+            return_exceptions=True,
+        )
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _logger.error("membership task failed: {!r}", task.exception())
--- a/packages/almondrouter/src/almondrouter/protocol/control.py
+++ b/packages/almondrouter/src/almondrouter/protocol/control.py
@@ -36,7 +36,10 @@
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="hr"):
-    """Answers a heartbeat with the same content."""
+    """Answers a heartbeat with the same content.
+
+    ``digests`` is empty if they equal those of the heartbeat.
+    """
 
     host: str
     incarnation: int
--- a/packages/almondrouter/src/almondrouter/state/registry.py
+++ b/packages/almondrouter/src/almondrouter/state/registry.py
@@ -82,14 +82,12 @@
 
     def order(self) -> tuple[int, int, int]:
         """Return the key by which the newer of two records of a host is told."""
-        if self.status is HostStatus.LEFT:
-            return (self.incarnation, _SEQUENCE_OF_LEFT, int(self.status))
-        return (self.incarnation, self.sequence, int(self.status))
+        return order_numbers(self.incarnation, self.sequence, self.status)
 
     def fingerprint(self) -> int:
         """Return 64 bits that stand for this state of the record."""
         text = f"{self.host}|{self.incarnation}|{self.sequence}|{int(self.status)}"
-        return xxhash.xxh3_64_intdigest(text)
+        return xxhash.xxh3_64_intdigest(text.encode())
 
     @property
     def takes_calls(self) -> bool:
@@ -97,6 +95,15 @@
         return self.status in (HostStatus.ALIVE, HostStatus.SUSPECT)
 
 
+def order_numbers(
+    incarnation: int, sequence: int, status: HostStatus | int
+) -> tuple[int, int, int]:
+    """Return the key by which the newer of two records of a host is told."""
+    if status == HostStatus.LEFT:
+        sequence = _SEQUENCE_OF_LEFT
+    return (incarnation, sequence, int(status))
+
+
 _SEQUENCE_OF_LEFT = 2**62
 
 
@@ -139,7 +146,11 @@
             self.generation += 1
 
     def digests(self) -> dict[str, int]:
-        """Return one 64-bit digest for each data centre."""
+        """Return one 64-bit digest for each data centre with a live host.
+
+        Dead and left hosts are not part of it, so that daemons that have
+        forgotten them agree with those that have not.
+        """
         return dict(self._digests)
 
     def list_data_centre(self, data_centre: str) -> list[HostRecord]:
@@ -158,6 +169,8 @@
         return True
 
     def _toggle(self, record: HostRecord) -> None:
+        if record.status >= HostStatus.DEAD:
+            return
         digest = self._digests.get(record.data_centre, 0) ^ record.fingerprint()
         if digest:
             self._digests[record.data_centre] = digest
--- a/packages/almondrouter/src/almondrouter/transport/control.py
+++ b/packages/almondrouter/src/almondrouter/transport/control.py
@@ -23,9 +23,11 @@
     """Sends control messages to other daemons and receives theirs.
 
     A handler gets a message and the sender's host; what it returns is the
-    reply.
+    reply. ``incarnation`` is the run of this daemon, sent with each message.
     """
 
+    incarnation: int
+
     @abstractmethod
     def set_handler(self, message_type: type, handler: ControlHandler) -> None:
         """Register the handler of a message type."""
