--- a/tests/test_coordination_quarantine.py
+++ b/tests/test_coordination_quarantine.py
@@ -113,6 +113,8 @@
                 self.fleet.run(place, name)
                 self.fleet.crash(place)
                 self.fleet.spread()
+            if self.fleet.find("venom") is Suspicion.CONDEMNED:
+                self.assertNotEqual(self.fleet.find("x"), Suspicion.CONDEMNED)
         found = [self.fleet.find(name) for name in ("x", "venom", "poison")]
         condemned = Suspicion.CONDEMNED
         self.assertEqual(found, [Suspicion.NONE, condemned, condemned])
@@ -157,7 +159,8 @@
             for n in range(2 * MAX_ENTRIES // 9)
         ]
         for report in reports:
-            self.assertTrue(daemon.merge(report))
+            found = [daemon.merge(report), daemon.merge(report)]
+            self.assertEqual(found, [True, False], "a duplicate must not spread on")
         self.assertFalse(daemon.merge(reports[0]), "a dropped report came back")
         kept = sum(len(m.fingerprints) for m in daemon.list_messages())
         self.assertLessEqual(kept, MAX_ENTRIES)
--- a/tests/test_coordination_routing.py
+++ b/tests/test_coordination_routing.py
@@ -146,7 +146,7 @@
         allowed = []
         for _ in range(4):
             allowed.append(0)
-            while "a" in self.count(LOCAL, calls=20):
+            while allowed[-1] < 20 and "a" in self.count(LOCAL, calls=20):
                 self.policy.started(LOCAL[0])
                 self.policy.started(LOCAL[1])
                 allowed[-1] += 1
@@ -156,11 +156,13 @@
             self.finish(LOCAL[0])
         self.assertEqual(allowed, [1, 2, 4, 8])
 
-    def test_failures_everywhere_exclude_nobody(self):
-        for destination in LOCAL:
+    @parameterized.expand([(1, {"b", "e"}), (2, {"a", "b", "e"})])
+    def test_failures_of_most_servers_exclude_nobody(self, failing, chosen):
+        servers = [*LOCAL, place("e")]
+        for destination in servers[:failing]:
             for _ in range(20):
                 self.finish(destination, outcome=UNKNOWN, load=None)
-        self.assertEqual(set(self.count(LOCAL)), {"a", "b"})
+        self.assertEqual(set(self.count(servers)), chosen)
 
     @parameterized.expand(
         [
