Serve admin requests without aiohttp and open the store at first use

Cause: a daemon's resident memory was 50 MB, of which aiohttp took over 10 MB, while only delegates use the store and admin requests are few. Ruled out: aioprometheus, which adds 0.6 MB.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,9 +20,9 @@
 
 import psutil
 import uvloop
-from almondrouter.coordination.acceptance import ChangeWriter
 
 from almondrouter.clock import SystemClock
+from almondrouter.coordination.acceptance import ChangeWriter
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.state.changes import Change
 from almondrouter.state.targets import ClassTarget, ServiceTarget
--- a/packages/almondctl/src/almondctl/connections.py
+++ b/packages/almondctl/src/almondctl/connections.py
@@ -5,13 +5,13 @@
 from typing import Any
 
 import aiohttp
-from almondrouter.coordination.acceptance import ChangeWriter
-from almondrouter.transport.etcd import EtcdStore
 
 from almondrouter.clock import Clock, SystemClock
+from almondrouter.coordination.acceptance import ChangeWriter
 from almondrouter.errors import AlmondError, ErrorCode, Finding, FindingsError
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.settings import SettingValues
+from almondrouter.transport.etcd import EtcdStore
 
 CLOCK: Clock = SystemClock()
 _DAEMON_TIMEOUT_S = 5.0
--- a/packages/almondrouter-standins/src/almondrouter_standins/demo.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/demo.py
@@ -49,7 +49,7 @@
     """Outcomes of the demo's calls, and guarantees that were broken."""
 
     outcomes: Counter[str] = field(default_factory=Counter)
-    broken: list[str] = field(default_factory=list)
+    broken: Counter[str] = field(default_factory=Counter)
 
     @property
     def sent(self) -> int:
@@ -63,6 +63,7 @@
     def __init__(self, cluster: Cluster) -> None:
         self._cluster = cluster
         self._tally = Tally()
+        self._codes: Counter[str] = Counter()
         self._keys: dict[str, list[str]] = {}
         self._session: aiohttp.ClientSession | None = None
         self._convergence_ms = 0
@@ -112,7 +113,7 @@
             counts = Counter(await asyncio.gather(*calls))
             say(f"{class_name} through {host}: {dict(counts)}")
             if counts[headers.Outcome.COMPLETE.value] != CALLS_PER_CLASS:
-                self._tally.broken.append(f"{class_name}: not all calls complete")
+                self._tally.broken[f"{class_name}: not all calls complete"] += 1
 
     async def _resend_keys(self) -> None:
         hosts = list(self._cluster.hosts)
@@ -142,7 +143,7 @@
         await wait_until(in_force, f"version {version} in force everywhere")
         self._convergence_ms = round((time.monotonic() - accepted) * 1000)
         if self._convergence_ms > CONVERGENCE_TARGET_MS:
-            self._tally.broken.append("convergence took over 5 s")
+            self._tally.broken["convergence took over 5 s"] += 1
         say(f"in force on every daemon after {self._convergence_ms} ms")
         say(await self._almondctl("status"))
 
@@ -158,7 +159,7 @@
         code = await self._cluster.daemons[name].stop()
         say(f"stopped the daemon of {name} gracefully under load, exit code {code}")
         if code != 0:
-            self._tally.broken.append("graceful stop failed")
+            self._tally.broken["graceful stop failed"] += 1
         await self._cluster.start_daemon(name)
 
         async def ready() -> bool:
@@ -172,7 +173,7 @@
             counts += await load
         say(f"calls during the restart: {dict(counts)}")
         if counts[headers.Outcome.UNKNOWN.value]:
-            self._tally.broken.append("the restart cut calls in flight")
+            self._tally.broken["the restart cut calls in flight"] += 1
 
     async def _load(
         self, class_name: str, hosts: list[str], stop: asyncio.Event
@@ -186,42 +187,43 @@
 
     async def _call(self, class_name: str, host: str, *, key: str | None = None) -> str:
         fields = {headers.CLASS: class_name}
-        if class_name in NOT_REPEATABLE:
-            if key is None:
-                key = str(uuid6.uuid7())
-                self._keys.setdefault(class_name, []).append(key)
+        if class_name in NOT_REPEATABLE and key is None:
+            key = str(uuid6.uuid7())
+            self._keys.setdefault(class_name, []).append(key)
+        if key is not None:
             fields[headers.IDEMPOTENCY_KEY] = key
         address = self._cluster.hosts[host].daemon.caller
-        marker = uuid6.uuid7().hex
-        url = f"http://{address}/{SERVICES[class_name]}?marker={marker}"
-        async with self._session.post(url, headers=fields, data=b"{}") as response:
+        marker = key or uuid6.uuid7().hex
+        url = f"http://{address}/{SERVICES[class_name]}"
+        async with self._session.post(url, headers=fields, data=marker) as response:
             body = await response.read()
             outcome = response.headers.get(headers.OUTCOME, "missing")
             code = response.headers.get(headers.CODE, "")
-        self._check_answer(outcome, code, body, marker, resent=key is not None)
+        self._check_answer(outcome, code, body, marker)
         self._tally.outcomes[outcome] += 1
+        if outcome != headers.Outcome.COMPLETE.value:
+            self._codes[code] += 1
         return outcome
 
-    def _check_answer(
-        self, outcome: str, code: str, body: bytes, marker: str, *, resent: bool
-    ) -> None:
+    def _check_answer(self, outcome: str, code: str, body: bytes, marker: str) -> None:
         if outcome not in set(headers.Outcome):
-            self._tally.broken.append(f"a response without an outcome: {code}")
+            self._tally.broken[f"a response without an outcome: {code}"] += 1
         complete = outcome == headers.Outcome.COMPLETE.value
-        if complete and not resent and marker.encode() not in body:
-            self._tally.broken.append("an answer to another request")
+        if complete and body != marker.encode():
+            self._tally.broken["an answer to another request"] += 1
 
     async def _summarize(self) -> dict[str, Any]:
         runs = await self._count_runs()
         double_runs = sum(count - 1 for count in runs.values() if count > 1)
         if double_runs:
-            self._tally.broken.append(f"{double_runs} double runs")
+            self._tally.broken[f"{double_runs} double runs"] += 1
         statuses = await asyncio.gather(
             *(self._cluster.read_admin(name) for name in self._cluster.hosts)
         )
         outcomes = self._tally.outcomes
-        for fault in self._tally.broken:
-            say(f"broken guarantee: {fault}")
+        say(f"codes of calls that were not complete: {dict(self._codes)}")
+        for fault, count in self._tally.broken.items():
+            say(f"broken guarantee, {count} times: {fault}")
         return {
             "calls_sent": self._tally.sent,
             "calls_complete": outcomes[headers.Outcome.COMPLETE.value],
@@ -230,7 +232,7 @@
             "double_runs": double_runs,
             "convergence_ms": self._convergence_ms,
             "control_bytes": sum(s["control_bytes_sent"] for s in statuses),
-            "broken_guarantees": self._tally.broken,
+            "broken_guarantees": dict(self._tally.broken),
         }
 
     async def _count_runs(self) -> Counter[str]:
@@ -238,7 +240,7 @@
         for plan in self._cluster.hosts.values():
             if plan.service:
                 found = await fetch_json(f"http://{plan.backend_address}/runs")
-                runs.update(run["key"] for run in found["runs"] if run["key"])
+                runs.update(run["key"] for run in found if run["key"])
         return runs
 
     async def _almondctl(self, *arguments: str) -> str:
--- a/packages/almondrouter-standins/src/almondrouter_standins/processes.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/processes.py
@@ -16,6 +16,9 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
+FIRST_PORT = 18_000
+PORT_BLOCKS = 40
+PORTS_PER_BLOCK = 300
 
 
 class ProcessError(Exception):
@@ -112,7 +115,8 @@
         options: tuple[str, ...] = (),
     ) -> None:
         self._directory = directory
-        self._next_port = base_port
+        self._fixed = base_port is not None
+        self._next_port = base_port or _choose_first_port()
         self._options = options
         self.daemon_command = ("-m", "almondrouterd.main")
         self.cluster = cluster
@@ -131,17 +135,17 @@
         ProcessError
             If the next port of a fixed range is taken.
         """
-        with socket.socket() as probe:
-            port = self._next_port or 0
+        while True:
+            port = self._next_port
+            self._next_port += 1
             try:
-                probe.bind(("127.0.0.1", port))
+                _check_port(port)
             except OSError as error:
+                if not self._fixed:
+                    continue
                 message = f"[address_in_use] port {port} is taken: {error.strerror}"
                 raise ProcessError(message) from error
-            port = probe.getsockname()[1]
-        if self._next_port is not None:
-            self._next_port += 1
-        return f"127.0.0.1:{port}"
+            return f"127.0.0.1:{port}"
 
     def plan_host(
         self,
@@ -276,6 +280,18 @@
         return program
 
 
+def _choose_first_port() -> int:
+    """Return a port below the range that outgoing connections take theirs from."""
+    return FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
+
+
+def _check_port(port: int) -> None:
+    with socket.socket() as probe:
+        # A connection that a former run closed must not count as a user.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind(("127.0.0.1", port))
+
+
 async def fetch_json(url: str) -> Any:
     """Return the JSON of a URL."""
     timeout = aiohttp.ClientTimeout(total=5)
--- a/packages/almondrouter/src/almondrouter/coordination/fleetstatus.py
+++ b/packages/almondrouter/src/almondrouter/coordination/fleetstatus.py
@@ -74,7 +74,6 @@
         self._status = status
         self._known: dict[str, StatusReply] = {}
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
-        endpoint.set_handler(StatusRequest, self._reply_status)
         endpoint.set_handler(FleetRequest, self._reply_fleet)
 
     async def collect(self, version: int) -> list[DataCentreStatus]:
@@ -137,9 +136,6 @@
         self._known[record.host] = reply
         return reply
 
-    async def _reply_status(self, message: ControlMessage, sender: str) -> StatusReply:
-        return self._status()
-
     async def _reply_fleet(self, message: ControlMessage, sender: str) -> FleetReply:
         status = await self._collect_own(message.version)
         return FleetReply(status.replies, status.silent)
--- a/packages/almondrouter/src/almondrouter/coordination/membership.py
+++ b/packages/almondrouter/src/almondrouter/coordination/membership.py
@@ -156,6 +156,11 @@
         if backends != self.record.backends:
             self._change_own(backends=backends)
 
+    def update_store_down(self, store_down: bool) -> None:
+        """Put into the own record whether the store was not reached of late."""
+        if store_down != self.record.store_down:
+            self._change_own(store_down=store_down)
+
     def push_targets(self) -> tuple[HostRecord, ...]:
         """Return the overlay neighbours that changes are pushed to."""
         return self.overlay.ring_neighbours + self.overlay.delegate_links
--- a/packages/almondrouter/src/almondrouter/settings.py
+++ b/packages/almondrouter/src/almondrouter/settings.py
@@ -205,7 +205,7 @@
     return host.removeprefix("[").removesuffix("]"), int(port)
 
 
-def explain_bind_error(error: OSError, *, place: str, address: str) -> AlmondError:
+def explain_bind_error(error: Exception, *, place: str, address: str) -> AlmondError:
     """Return the error that says why an address could not be bound."""
     finding = Finding(
         place, ErrorCode.ADDRESS_IN_USE, f"cannot bind {address}: {error}"
--- a/packages/almondrouterd/src/almondrouterd/admin.py
+++ b/packages/almondrouterd/src/almondrouterd/admin.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, urlsplit
 
 import msgspec
-from aiohttp import web
 
 from almondrouter.errors import AlmondError, ErrorCode, FindingsError
-from almondrouter.settings import split_address
+from almondrouter.transport.callers import CallerServer
+from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouterd.backendmonitor import BackendAnnouncement
 
 if TYPE_CHECKING:
@@ -17,10 +19,16 @@
 MAX_ADMIN_BODY_BYTES = 10_000
 _STATUS_BY_CODE = {ErrorCode.TARGET_UNKNOWN: 404, ErrorCode.CLASS_UNKNOWN: 404}
 
+Parts = tuple[str, ...]
+Action = Callable[[CallerRequest, Parts], Awaitable[CallerResponse]]
+
 
 class AdminServer:
     """Serves the daemon's admin address.
 
+    It shares the HTTP server of callers, because a second library for a few
+    requests a minute would take over 10 MB of memory.
+
     Parameters
     ----------
     address
@@ -30,91 +38,103 @@
     """
 
     def __init__(self, *, address: str, daemon: Daemon) -> None:
-        self._address = address
         self._daemon = daemon
-        application = web.Application(
-            middlewares=[_report_errors], client_max_size=MAX_ADMIN_BODY_BYTES
+        self._server = CallerServer(
+            address=address, handler=self.handle, max_body_bytes=MAX_ADMIN_BODY_BYTES
         )
-        application.router.add_get("/metrics", self._get_metrics)
-        application.router.add_get("/status", self._get_status)
-        application.router.add_get("/fleet", self._get_fleet)
-        application.router.add_get("/explain/{about}/{name}", self._get_explanation)
-        application.router.add_get("/quarantine", self._get_quarantine)
-        application.router.add_delete("/quarantine/{name}", self._lift)
-        application.router.add_post("/announce", self._announce)
-        self._runner = web.AppRunner(application, access_log=None)
+        self._actions: dict[tuple[str, str], Action] = {
+            ("GET", "metrics"): self._get_metrics,
+            ("GET", "status"): self._get_status,
+            ("GET", "fleet"): self._get_fleet,
+            ("GET", "explain"): self._get_explanation,
+            ("GET", "quarantine"): self._get_quarantine,
+            ("DELETE", "quarantine"): self._lift,
+            ("POST", "announce"): self._announce,
+        }
 
     async def start(self) -> None:
         """Bind the address and serve."""
-        await self._runner.setup()
-        host, port = split_address(self._address)
-        await web.TCPSite(self._runner, host, port).start()
+        await self._server.start()
 
     async def close(self) -> None:
         """Close the address and all connections."""
-        await self._runner.cleanup()
+        await self._server.close()
 
-    async def _get_metrics(self, request: web.Request) -> web.Response:
+    async def handle(self, request: CallerRequest) -> CallerResponse:
+        """Serve one request."""
+        first, *rest = urlsplit(request.target).path.strip("/").split("/")
+        action = self._actions.get((request.method, first))
+        try:
+            if action is None:
+                message = f"{request.method} {request.target} is not served here"
+                raise AlmondError(ErrorCode.TARGET_UNKNOWN, message)
+            return await action(request, tuple(rest))
+        except AlmondError as error:
+            return _describe_error(error)
+
+    async def _get_metrics(self, request: CallerRequest, rest: Parts) -> CallerResponse:
         body = self._daemon.metrics.render()
-        return web.Response(body=body, content_type="text/plain", charset="utf-8")
+        headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
+        return CallerResponse(200, headers, body)
 
-    async def _get_status(self, request: web.Request) -> web.Response:
+    async def _get_status(self, request: CallerRequest, rest: Parts) -> CallerResponse:
         return _respond(self._daemon.status.describe_daemon())
 
-    async def _get_fleet(self, request: web.Request) -> web.Response:
-        text = request.query.get("version", "")
+    async def _get_fleet(self, request: CallerRequest, rest: Parts) -> CallerResponse:
+        query = parse_qs(urlsplit(request.target).query)
+        text = query.get("version", [""])[0]
         if text and not text.isdecimal():
             message = f"version {text!r} is no number"
             raise AlmondError(ErrorCode.HEADER_INVALID, message)
-        return _respond(
-            await self._daemon.status.describe_fleet(int(text) if text else None)
-        )
+        version = int(text) if text else None
+        return _respond(await self._daemon.status.describe_fleet(version))
 
-    async def _get_explanation(self, request: web.Request) -> web.Response:
-        about, name = request.match_info["about"], request.match_info["name"]
+    async def _get_explanation(
+        self, request: CallerRequest, rest: Parts
+    ) -> CallerResponse:
+        about, name = _expect_parts(rest, 2)
         return _respond(self._daemon.explanations.explain(about, name))
 
-    async def _get_quarantine(self, request: web.Request) -> web.Response:
+    async def _get_quarantine(
+        self, request: CallerRequest, rest: Parts
+    ) -> CallerResponse:
         condemned = [
             {"fingerprint": item.fingerprint, "reason": item.reason}
             for item in self._daemon.quarantine.list_condemned()
         ]
         return _respond({"condemned": condemned})
 
-    async def _lift(self, request: web.Request) -> web.Response:
-        self._daemon.lift(request.match_info["name"])
-        return _respond({"lifted": request.match_info["name"]})
+    async def _lift(self, request: CallerRequest, rest: Parts) -> CallerResponse:
+        (fingerprint,) = _expect_parts(rest, 1)
+        self._daemon.lift(fingerprint)
+        return _respond({"lifted": fingerprint})
 
-    async def _announce(self, request: web.Request) -> web.Response:
-        body = await request.read()
+    async def _announce(self, request: CallerRequest, rest: Parts) -> CallerResponse:
         try:
-            announcement = msgspec.json.decode(body, type=BackendAnnouncement)
-        except msgspec.DecodeError as error:
+            announcement = msgspec.json.decode(request.body, type=BackendAnnouncement)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise AlmondError(ErrorCode.HEADER_INVALID, str(error)) from error
         self._daemon.backends.announce(announcement)
         return _respond({"host": self._daemon.host})
 
 
-@web.middleware
-async def _report_errors(request: web.Request, handler: Any) -> web.StreamResponse:
-    try:
-        return await handler(request)
-    except FindingsError as error:
-        findings = [
+def _expect_parts(parts: Parts, count: int) -> Parts:
+    if len(parts) != count:
+        message = f"the path needs {count} more parts"
+        raise AlmondError(ErrorCode.TARGET_UNKNOWN, message)
+    return parts
+
+
+def _describe_error(error: AlmondError) -> CallerResponse:
+    data: dict[str, Any] = {"code": error.code.value, "message": error.message}
+    if isinstance(error, FindingsError):
+        data["findings"] = [
             {"place": item.place, "code": item.code.value, "message": item.message}
             for item in error.findings
         ]
-        return _respond(
-            {"code": error.code.value, "message": str(error), "findings": findings},
-            status=400,
-        )
-    except AlmondError as error:
-        status = _STATUS_BY_CODE.get(error.code, 400)
-        return _respond(
-            {"code": error.code.value, "message": error.message}, status=status
-        )
+    return _respond(data, status=_STATUS_BY_CODE.get(error.code, 400))
 
 
-def _respond(data: Any, *, status: int = 200) -> web.Response:
-    body = msgspec.json.encode(data)
-    return web.Response(body=body, status=status, content_type="application/json")
+def _respond(data: Any, *, status: int = 200) -> CallerResponse:
+    headers = (("Content-Type", "application/json"),)
+    return CallerResponse(status, headers, msgspec.json.encode(data))
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -6,20 +6,19 @@
 import random
 from typing import Any
 
-from almondrouter.coordination.delegates import rank_hosts
-from almondrouter.coordination.membership import Membership
-from almondrouter.transport.zeromq import ZmqControlEndpoint
-
 from almondrouter.clock import SystemClock
 from almondrouter.coordination.activation import Activation
 from almondrouter.coordination.broadcast import Broadcast
 from almondrouter.coordination.calls import CallService
+from almondrouter.coordination.delegates import rank_hosts
 from almondrouter.coordination.distribution import Distribution
 from almondrouter.coordination.fleetstatus import FleetStatus
+from almondrouter.coordination.membership import Membership
 from almondrouter.coordination.quarantine import Quarantine
 from almondrouter.coordination.retries import RetryBudget
 from almondrouter.coordination.routing import LeastOccupied
 from almondrouter.coordination.watchers import Spread
+from almondrouter.errors import AlmondError
 from almondrouter.protocol import headers
 from almondrouter.protocol.calls import Hello
 from almondrouter.protocol.codec import PROTOCOL_VERSION
@@ -33,8 +32,10 @@
 from almondrouter.tracing import PassTracer, Tracer
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import CallerRequest, CallerResponse
-from almondrouter.transport.etcd import EtcdStore
+from almondrouter.transport.lazystore import LazyStore
 from almondrouter.transport.links import CallLinkPool, CallLinkServer
+from almondrouter.transport.store import Store
+from almondrouter.transport.zeromq import ZmqControlEndpoint
 from almondrouterd.admin import AdminServer
 from almondrouterd.backendmonitor import BackendMonitor
 from almondrouterd.explanations import Explanations
@@ -154,8 +155,7 @@
         self.activation = Activation(registry=self.registry)
         self.activation.add_listener(self._record_version)
         self.keys = StoreKeys(settings["cluster"])
-        endpoints = tuple(f"http://{address}" for address in settings["store"])
-        self.store = EtcdStore(endpoints, clock=self.clock)
+        self.store = LazyStore(self._open_store)
         self.endpoint = ZmqControlEndpoint(
             cluster=settings["cluster"],
             host=self.host,
@@ -195,6 +195,12 @@
 
     def _build_calls(self) -> None:
         settings = self._settings
+        from almondrouterd.scratch import ScratchClaims, ScratchLimits
+
+        self.claims, self.limits = (
+            ScratchClaims(self.host, self.incarnation),
+            ScratchLimits(),
+        )
         self.quarantine = Quarantine(host=self.host, clock=self.clock)
         self.broadcast = Broadcast(
             endpoint=self.endpoint,
@@ -253,6 +259,12 @@
             describe_version=self._describe_version,
         )
 
+    def _open_store(self) -> Store:
+        from almondrouter.transport.etcd import EtcdStore
+
+        endpoints = tuple(f"http://{address}" for address in self._settings["store"])
+        return EtcdStore(endpoints, clock=self.clock)
+
     def _find_snapshot(self) -> Snapshot:
         """Return the snapshot in force; an empty one refuses all calls."""
         return self.activation.snapshot if self.distribution.ready else EMPTY_SNAPSHOT
@@ -292,7 +304,7 @@
 
     def _find_delegate(self) -> str | None:
         """Return the control address of this data centre's first delegate."""
-        ranked = rank_hosts(self.registry, self._settings["data-centre"])
+        ranked = self.membership.overlay.ranks(self._settings["data-centre"])
         if not ranked or ranked[0].host == self.host:
             return None
         return ranked[0].control_address
@@ -330,7 +342,7 @@
     async def _bind(self, place: str, part: Any) -> None:
         try:
             await part.start()
-        except OSError as error:
+        except (OSError, AlmondError) as error:
             raise explain_bind_error(
                 error, place=f"--{place}", address=self._settings[place]
             ) from error
