--- a/packages/almondrouter-standins/src/almondrouter_standins/memory.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/memory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import StrEnum
 
 from almondrouter.clock import Clock
@@ -51,7 +51,8 @@
     keyspace
         Shared by all clients of the same store.
     choose_fault
-        Called with the kind of each call before it is done.
+        Called with the kind of each call before it is done; a call waits as
+        long as this does.
     """
 
     def __init__(
@@ -59,11 +60,11 @@
         keyspace: Keyspace,
         *,
         clock: Clock,
-        choose_fault: Callable[[str], CallFault] = lambda _kind: CallFault.NONE,
+        choose_fault: Callable[[str], Awaitable[CallFault]] | None = None,
     ) -> None:
         super().__init__(("memory",), clock=clock)
         self.keyspace = keyspace
-        self.choose_fault = choose_fault
+        self.choose_fault = choose_fault or _choose_none
         self.late: list[Callable[[], Body]] = []
 
     def deliver_late(self, index: int = 0) -> None:
@@ -86,8 +87,12 @@
 
     async def _post(self, kind: str, path: str, body: Body, remaining: float) -> Body:
         self._count(kind)
-        fault = self.choose_fault(kind)
-        await asyncio.sleep(0)
+        try:
+            fault = await self.choose_fault(kind)
+        except asyncio.CancelledError:
+            # A request that its caller no longer waits for is on its way.
+            self.late.append(lambda: self._apply(path, body))
+            raise
         if fault is CallFault.REFUSED:
             raise StoreUnavailableError(f"{kind}: refused")
         if fault is CallFault.LATE:
@@ -128,6 +133,11 @@
         }
 
 
+async def _choose_none(_kind: str) -> CallFault:
+    await asyncio.sleep(0)
+    return CallFault.NONE
+
+
 def _raise_refusal(answer: Body) -> None:
     if answer["code"] == NOT_FOUND:
         raise AlmondError(ErrorCode.LEASE_EXPIRED, answer["error"])
--- a/packages/almondrouter/src/almondrouter/transport/etcd.py
+++ b/packages/almondrouter/src/almondrouter/transport/etcd.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
-from typing import Any
+from collections.abc import AsyncIterator, Callable
+from typing import TypeVar
 
 import aiohttp
 
@@ -27,7 +27,9 @@
 )
 from almondrouter.transport.store import (
     CommitResult,
+    Delete,
     Lease,
+    Put,
     ReadResult,
     Store,
     Transaction,
@@ -49,6 +51,8 @@
 _REFUSAL_STATUS = frozenset({400, 401, 403, 404, 405, 413, 429})
 _NOT_FOUND = 5
 
+T = TypeVar("T")
+
 
 class EtcdStore(Store):
     """A store client that tells what surely had no effect from what may have had.
@@ -90,15 +94,19 @@
         self.calls: dict[str, int] = {}
 
     async def read(self, key: str) -> ReadResult:  # noqa: D102
-        return await self._read(encode_range(key))
+        body = encode_range(key)
+        return await self._query("range", "/v3/kv/range", body, decode_read)
 
     async def read_prefix(  # noqa: D102
         self, prefix: str, *, start: str | None = None, limit: int = 0
     ) -> ReadResult:
-        return await self._read(encode_prefix_read(prefix, start, limit))
+        body = encode_prefix_read(prefix, start, limit)
+        return await self._query("range", "/v3/kv/range", body, decode_read)
 
     async def commit(self, transaction: Transaction) -> CommitResult:  # noqa: D102
         body = encode_transaction(transaction)
+        if not _has_effect(transaction):
+            return await self._query("txn", "/v3/kv/txn", body, decode_commit)
         answer = await self._call("txn", "/v3/kv/txn", body)
         return _decode(decode_commit, answer)
 
@@ -146,10 +154,12 @@
         if self._session is not None:
             await self._session.close()
 
-    async def _read(self, body: Body) -> ReadResult:
+    async def _query(
+        self, kind: str, path: str, body: Body, decoder: Callable[[Body], T]
+    ) -> T:
+        """Do what has no effect, so that no failure leaves a doubt."""
         try:
-            answer = await self._call("range", "/v3/kv/range", body, effect=False)
-            return _decode(decode_read, answer)
+            return _decode(decoder, await self._call(kind, path, body, effect=False))
         except StoreOutcomeUnknownError as error:
             raise StoreUnavailableError(error.message) from error
 
@@ -266,7 +276,15 @@
     raise StoreOutcomeUnknownError(message)
 
 
-def _decode(decoder: Any, body: Body) -> Any:
+def _has_effect(transaction: Transaction) -> bool:
+    items = (*transaction.success, *transaction.failure)
+    nested = [item for item in items if isinstance(item, Transaction)]
+    return any(isinstance(item, Put | Delete) for item in items) or any(
+        map(_has_effect, nested)
+    )
+
+
+def _decode(decoder: Callable[[Body], T], body: Body) -> T:
     try:
         return decoder(body)
     except (KeyError, ValueError, TypeError, AttributeError) as error:
