--- a/packages/almondrouter/src/almondrouter/coordination/dissemination.py
+++ b/packages/almondrouter/src/almondrouter/coordination/dissemination.py
@@ -99,28 +99,30 @@
             records = tuple(
                 record
                 for record, source in queue.values()
-                if source != target.host
-                and record.host != target.host
-                and self._brings(record, target)
+                if source != target.host and self._concerns(record, target)
             )
             if records:
                 self._endpoint.send(target.control_address, Records(records))
 
-    def _brings(self, record: HostRecord, target: HostRecord) -> bool:
-        """Return whether a record goes from this data centre to the target's.
+    def _concerns(self, record: HostRecord, target: HostRecord) -> bool:
+        """Return whether a record is to be pushed to a target.
 
         A data centre brings its own records to its region, and the region's
         first one exchanges those of whole regions. No record takes two ways.
         """
         own = self._record
+        if record.host == target.host and record.status < HostStatus.SUSPECT:
+            return False
         if target.data_centre == own.data_centre:
             return True
         if target.region != own.region:
             return record.region == own.region
-        return record.data_centre == own.data_centre or record.region != own.region
+        if record.region != own.region:
+            return self._overlay.crosses_regions
+        return record.data_centre == own.data_centre
 
     def serve(self, request: RecordsRequest) -> Records:
-        """Return what a pull asks for.
+        """Return what a pull asks for, and name what the asker has newer.
 
         Dead hosts that the other side does not know stay out, so that a host
         that was forgotten everywhere does not come back as a dead one.
@@ -135,7 +137,16 @@
                     newer.append(record)
             elif record.order() > order_numbers(*known):
                 newer.append(record)
-        return Records(tuple(newer))
+        wanted = tuple(
+            host for host, known in request.known.items() if self._lacks(host, known)
+        )
+        return Records(tuple(newer), wanted)
+
+    def _lacks(self, host: str, known: tuple[int, int, int]) -> bool:
+        record = self._registry.find(host)
+        if record is None:
+            return known[2] < HostStatus.DEAD
+        return record.order() < order_numbers(*known)
 
     def compare(self, neighbour: HostRecord, digests: dict[str, int]) -> list[str]:
         """Return the data centres to pull from a neighbour with these digests."""
@@ -184,6 +195,10 @@
         if not isinstance(reply, Records):
             return False
         self._merge(reply.records, source)
+        found = (self._registry.find(host) for host in reply.wanted)
+        wanted = tuple(record for record in found if record is not None)
+        if wanted:
+            self._endpoint.send(address, Records(wanted))
         return True
 
     async def pull_differences(self, neighbour: HostRecord, names: list[str]) -> None:
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/joining.py
@@ -0,0 +1,115 @@
+"""Joins the fleet through seeds, and finds hosts again after a partition."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+import logbook
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.dissemination import Dissemination
+from almondrouter.state.registry import HostRecord, HostStatus, Registry
+
+JOIN_DELAY_SECONDS = 1.0
+MAX_JOIN_DELAY_SECONDS = 10.0
+
+_logger = logbook.Logger("almondrouter.membership")
+
+
+class Joining:
+    """Pulls records from seeds and from hosts that may be back.
+
+    Parameters
+    ----------
+    record
+        Names the host, its data centre and control address.
+    seeds
+        Control addresses; the own one is left out.
+    """
+
+    def __init__(
+        self,
+        *,
+        record: HostRecord,
+        registry: Registry,
+        dissemination: Dissemination,
+        clock: Clock,
+        seeds: Sequence[str],
+        random: Random,
+    ) -> None:
+        self._tried = False
+        self._record = record
+        self._registry = registry
+        self._dissemination = dissemination
+        self._clock = clock
+        self._seeds: list[str] = []
+        self._random = random
+        self.add_seeds(seeds)
+
+    @property
+    def joined(self) -> bool:
+        """Whether another daemon is known, or there is none to join through."""
+        return len(self._registry) > 1 or self._tried
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Join through more addresses, such as those kept in the store."""
+        known = {*self._seeds, self._record.control_address}
+        self._seeds += [a for a in dict.fromkeys(addresses) if a not in known]
+
+    async def run(self) -> None:
+        """Join through the seeds, in random order and with random delay.
+
+        Goes on until another host of the data centre is known or each seed has
+        answered, because a seed that has just started itself knows nobody.
+        """
+        limit = JOIN_DELAY_SECONDS
+        answered: set[str] = set()
+        while len(answered) < len(self._seeds) and not (answered and self._members()):
+            delay = self._random.random() * limit
+            await self._clock.sleep_until(self._clock.monotonic() + delay)
+            seed = self._random.choice([s for s in self._seeds if s not in answered])
+            if await self._join_through(seed):
+                answered.add(seed)
+            else:
+                if limit == JOIN_DELAY_SECONDS:
+                    _logger.warn("the first seed has not answered; trying others")
+                limit = min(2 * limit, MAX_JOIN_DELAY_SECONDS)
+        self._tried = True
+
+    async def probe(self) -> None:
+        """Look for a host behind a healed link: one taken for dead, or a seed.
+
+        Seeds matter after a partition that outlasted the memory of dead hosts.
+        """
+        own = self._record
+        live = {r.control_address for r in self._registry if r.status < HostStatus.DEAD}
+        addresses = [seed for seed in self._seeds if seed not in live]
+        addresses += [
+            record.control_address
+            for record in self._registry.list_data_centre(own.data_centre)
+            if record.status is HostStatus.DEAD
+        ]
+        if addresses:
+            address = self._random.choice(addresses)
+            await self._dissemination.pull(address, own.data_centre)
+
+    async def _join_through(self, seed: str) -> bool:
+        """Pull the own data centre from a seed, and the rest from a member.
+
+        Seeds are few: when many daemons start, the members share the load.
+        """
+        if not await self._dissemination.pull(seed, self._record.data_centre):
+            return False
+        members = self._members()
+        member = self._random.choice(members).control_address if members else seed
+        await self._dissemination.pull(member, "")
+        return True
+
+    def _members(self) -> list[HostRecord]:
+        """Return the other live hosts of the own data centre."""
+        return [
+            record
+            for record in self._registry.list_data_centre(self._record.data_centre)
+            if record.status < HostStatus.DEAD and record.host != self._record.host
+        ]
--- a/packages/almondrouter/src/almondrouter/coordination/membership.py
+++ b/packages/almondrouter/src/almondrouter/coordination/membership.py
@@ -13,6 +13,7 @@
 from almondrouter.clock import Clock
 from almondrouter.coordination.delegates import Overlay
 from almondrouter.coordination.dissemination import Dissemination
+from almondrouter.coordination.joining import Joining
 from almondrouter.coordination.liveness import FailureDetector
 from almondrouter.coordination.reachability import Reachability
 from almondrouter.errors import AlmondError, ErrorCode
@@ -40,8 +41,6 @@
 # bytes between data centres cost more than those inside.
 DELEGATE_HEARTBEAT_SECONDS = 2.0
 FREEZE_SECONDS = 2.0
-JOIN_DELAY_SECONDS = 1.0
-MAX_JOIN_DELAY_SECONDS = 10.0
 PROBE_SECONDS = 5.0
 INCARNATION_SECONDS = 1.0
 # A pull of a data centre of 97 hosts is about 15 KB; those refused ask again.
@@ -75,10 +74,6 @@
         Returns the head that this daemon has in force.
     random
         Source of jitter.
-
-    Notes
-    -----
-    ``joined`` tells whether a seed has answered, or none is configured.
     """
 
     def __init__(
@@ -93,11 +88,9 @@
         random: Random | None = None,
     ) -> None:
         self.record = record
-        self.joined = False
         self._endpoint = endpoint
         self._registry = registry
         self._clock = clock
-        self._seeds = [seed for seed in seeds if seed != record.control_address]
         self._head = head
         self._random = random or Random()
         self._reachability = Reachability(registry, record, clock)
@@ -114,6 +107,14 @@
             merge=self._merge,
             random=self._random,
         )
+        self._joining = Joining(
+            record=record,
+            registry=registry,
+            dissemination=self._dissemination,
+            clock=clock,
+            seeds=seeds,
+            random=self._random,
+        )
         self._change_listeners: list[ChangeListener] = []
         self._head_listeners: list[HeadListener] = []
         self._resume_listeners: list[Callable[[], None]] = []
@@ -125,6 +126,11 @@
         self._served = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def joined(self) -> bool:
+        """Whether another daemon is known, or there is none to join through."""
+        return self._joining.joined
+
     async def start(self) -> None:
         """Begin to answer and to join through the seeds."""
         self._endpoint.set_handler(Heartbeat, self._answer_heartbeat)
@@ -132,7 +138,7 @@
         self._endpoint.set_handler(RecordsRequest, self._serve_records)
         self._registry.merge([self.record])
         self._start_task(self._run())
-        self._start_task(self._join())
+        self._start_task(self._joining.run())
         self._start_task(self._dissemination.run())
 
     async def leave(self) -> None:
@@ -183,8 +189,7 @@
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Join through more addresses, such as those kept in the store."""
-        known = {*self._seeds, self.record.control_address}
-        self._seeds += [a for a in dict.fromkeys(addresses) if a not in known]
+        self._joining.add_seeds(addresses)
 
     # Loops
 
@@ -212,53 +217,12 @@
             self._update_reaches()
         if now >= self._next_probe:
             self._next_probe = now + PROBE_SECONDS * (0.5 + self._random.random())
-            self._probe()
+            self._start_task(self._joining.probe())
             self._forget(now)
             links = {record.control_address for record in self.push_targets()}
             links |= {record.control_address for record in self.overlay.monitored}
             self._endpoint.close_other_links(links)
 
-    async def _join(self) -> None:
-        """Join through the seeds, in random order and with random delay.
-
-        Goes on until another host of the data centre is known or each seed has
-        answered, because a seed that has just started itself knows nobody.
-        """
-        limit = JOIN_DELAY_SECONDS
-        answered: set[str] = set()
-        while len(answered) < len(self._seeds) and not (answered and self._members()):
-            delay = self._random.random() * limit
-            await self._clock.sleep_until(self._clock.monotonic() + delay)
-            seed = self._random.choice([s for s in self._seeds if s not in answered])
-            if await self._join_through(seed):
-                answered.add(seed)
-                self.joined = True
-            elif not self.joined:
-                if limit == JOIN_DELAY_SECONDS:
-                    _logger.warn("the first seed has not answered; trying others")
-                limit = min(2 * limit, MAX_JOIN_DELAY_SECONDS)
-        self.joined = True
-        self._dissemination.queue([self.record], source=self.record.host)
-
-    def _members(self) -> list[HostRecord]:
-        """Return the other live hosts of the own data centre."""
-        own = self.record
-        return [r for r in self.live_hosts(own.data_centre) if r.host != own.host]
-
-    async def _join_through(self, seed: str) -> bool:
-        """Pull the own data centre from a seed, and the rest from a member.
-
-        Seeds are few: when many daemons start, the members share the load.
-        """
-        own = self.record
-        if not await self._dissemination.pull(seed, own.data_centre):
-            return False
-        self._endpoint.send(seed, Records((own,)))
-        members = self._members()
-        member = self._random.choice(members).control_address if members else seed
-        await self._dissemination.pull(member, "")
-        return True
-
     def _resume(self, gap: float) -> None:
         """Go on after the process stood still for ``gap`` seconds."""
         _logger.warn("the process stood still for {:.1f} s", gap)
@@ -270,7 +234,7 @@
                 if record.host != self.record.host:
                     self._registry.remove(record.host)
             self._gone_since.clear()
-            self._start_task(self._join())
+            self._start_task(self._joining.run())
         # Others have taken this host for suspect or dead by now.
         self._change_own()
         for listener in self._resume_listeners:
@@ -334,21 +298,6 @@
             # It lives: let it know what is said of it, so that it refutes.
             self._endpoint.send(record.control_address, Records((record,)))
 
-    def _probe(self) -> None:
-        """Look for a host that is taken for dead, or a seed, behind a healed link."""
-        gone = [
-            record
-            for record in self._registry
-            if record.status is HostStatus.DEAD
-            and record.data_centre == self.record.data_centre
-        ]
-        if gone:
-            record = self._random.choice(gone)
-            self._start_task(self._exchange_with(record))
-
-    async def _exchange_with(self, record: HostRecord) -> None:
-        await self._exchange_heartbeat(record, HEARTBEAT_SECONDS)
-
     def _update_reaches(self) -> None:
         reaches = self._reachability.list_heard()
         if reaches != self.record.reaches:
--- a/packages/almondrouter/src/almondrouter/protocol/control.py
+++ b/packages/almondrouter/src/almondrouter/protocol/control.py
@@ -48,9 +48,17 @@
 
 
 class Records(msgspec.Struct, frozen=True, array_like=True, tag="rs"):
-    """Host records, pushed on change or sent for a pull."""
+    """Host records, pushed on change or sent for a pull.
+
+    Parameters
+    ----------
+    wanted
+        In the reply to a pull, hosts whose records the asker has newer; it
+        pushes them, so that one exchange repairs both sides.
+    """
 
     records: tuple[HostRecord, ...]
+    wanted: tuple[str, ...] = ()
 
 
 class RecordsRequest(msgspec.Struct, frozen=True, array_like=True, tag="rq"):
--- a/packages/almondrouter/src/almondrouter/transport/control.py
+++ b/packages/almondrouter/src/almondrouter/transport/control.py
@@ -55,7 +55,7 @@
         """
 
     def close_other_links(self, addresses: Collection[str]) -> None:  # noqa: B027
-        """Close the links to addresses other than these that are not in use.
+        """Close the links to addresses other than these unless used lately.
 
         A closed link opens again when it is needed. Endpoints without links of
         their own do nothing.
--- a/packages/almondrouter/src/almondrouter/transport/zeromq.py
+++ b/packages/almondrouter/src/almondrouter/transport/zeromq.py
@@ -20,6 +20,8 @@
 )
 
 IDLE_LINK_SECONDS = 60.0
+# A link to a host that is not a neighbour serves a few requests in a row.
+UNLISTED_LINK_SECONDS = 10.0
 SWEEP_SECONDS = 10.0
 # Messages queued for each link and direction. Control messages are small and
 # repaired by heartbeats, so that a slow link drops instead of queueing.
@@ -112,8 +114,9 @@
             self._context = self._router = None
 
     def close_other_links(self, addresses: Collection[str]) -> None:  # noqa: D102
+        oldest = self._clock.monotonic() - UNLISTED_LINK_SECONDS
         for address, link in list(self._links.items()):
-            if address not in addresses and not link.requests:
+            if address not in addresses and link.is_idle_since(oldest):
                 self._close_link(address)
 
     async def request(  # noqa: D102
@@ -172,7 +175,7 @@
             await self._clock.sleep_until(now + SWEEP_SECONDS)
             oldest = self._clock.monotonic() - IDLE_LINK_SECONDS
             for address, link in list(self._links.items()):
-                if link.last_used < oldest and not link.requests:
+                if link.is_idle_since(oldest):
                     self._close_link(address)
 
     async def _read_replies(self, address: str, link: _Link) -> None:
@@ -213,6 +216,10 @@
         self.last_used = now
         self.last_received = now
 
+    def is_idle_since(self, moment: float) -> bool:
+        """Return whether the link has not been used since a monotonic time."""
+        return self.last_used < moment and not self.requests
+
 
 def _set_options(socket: zmq.asyncio.Socket) -> None:
     socket.setsockopt(zmq.LINGER, 0)
