Test distribution in fleets with failures under virtual time

A simulated fleet runs real Distribution objects over encoded messages, with a loop whose time jumps to the next timer. The fault table has 20 faults, single and two together, in both spreads; others cover the start rule, freezes, the store's content, pulls, watchers and seeds.

Found and corrected on the way: a peer that replied with less than it had announced was asked again without end; a silent peer rested 3 s, which cost the guarantee of 5 s on lossy links, and now rests 1 s, while one whose reply was refused rests 30 s. Tasks that fail unexpectedly are started again.

--- a/packages/almondrouter/src/almondrouter/coordination/distribution.py
+++ b/packages/almondrouter/src/almondrouter/coordination/distribution.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 from random import Random
 
+from logbook import Logger
+
 from almondrouter.clock import Clock
 from almondrouter.coordination.activation import Activation
 from almondrouter.coordination.alarms import Alarm, Alarms
@@ -40,6 +42,10 @@
 RECONCILE_INTERVAL_S = 1.0
 # Joins membership changes that arrive together into one choice of watchers.
 RECONCILE_PAUSE_S = 0.1
+RESTART_DELAY_S = 1.0
+
+_LOG = Logger(__name__)
+_Work = Callable[[], Awaitable[None]]
 
 
 class Distribution:
@@ -170,10 +176,10 @@
         self._membership.add_change_listener(lambda *_: self._changed.set())
         self._membership.add_head_listener(self._note_head)
         self._membership.add_resume_listener(self._resume)
-        self._spawn(self._puller.run())
-        self._spawn(self._manage_watch())
-        self._spawn(self._seeds.run())
-        self._catching_up = self._spawn(self._catch_up.run())
+        self._spawn(self._puller.run)
+        self._spawn(self._manage_watch)
+        self._spawn(self._seeds.run)
+        self._catching_up = self._spawn(self._catch_up.run)
 
     async def close(self) -> None:
         """End all tasks."""
@@ -182,8 +188,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
+    def _spawn(self, work: _Work) -> asyncio.Task[None]:
+        task = asyncio.create_task(_run_again(work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
@@ -282,7 +288,7 @@
 
     async def _switch_watch(self, wanted: bool) -> None:
         if wanted and self._watching is None:
-            self._watching = self._spawn(self._store_watch.run())
+            self._watching = self._spawn(self._store_watch.run)
         elif not wanted and self._watching is not None:
             self._watching.cancel()
             await asyncio.gather(self._watching, return_exceptions=True)
@@ -296,7 +302,7 @@
     def _resume(self) -> None:
         self._catch_up.hold_after_freeze()
         if self._catching_up is None or self._catching_up.done():
-            self._catching_up = self._spawn(self._catch_up.run())
+            self._catching_up = self._spawn(self._catch_up.run)
 
     def _forget_heads(self) -> None:
         """Drop the heads of hosts that are gone."""
@@ -308,3 +314,16 @@
 
     def _list_unreachable(self) -> set[str]:
         return set(self._membership.unreachable_data_centres())
+
+
+async def _run_again(work: _Work) -> None:
+    """Run a task to its end; start it again after an error that it did not expect.
+
+    A task that ended silently would leave this daemon behind for good.
+    """
+    while True:
+        try:
+            return await work()
+        except Exception:
+            _LOG.exception("a task of configuration distribution failed")
+            await asyncio.sleep(RESTART_DELAY_S)
--- a/packages/almondrouter/src/almondrouter/coordination/pulls.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pulls.py
@@ -18,8 +18,10 @@
 
 # A silent link costs this long before the next source is asked.
 PULL_TIMEOUT_S = 1.0
-# Heartbeats offer a source again every second; one that failed rests longer.
-RETRY_AFTER_S = 3.0
+SILENT_REST_S = 1.0
+# Heartbeats offer a source every second; asking for a bad document each time
+# would cost its whole size.
+REFUSED_REST_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,26 +91,29 @@
             source = self._choose()
             if source is None:
                 await self._wait_for_source()
-            elif not await self.pull(source.record):
-                self._sources.pop(source.record.host, None)
-                rest = self._clock.monotonic() + RETRY_AFTER_S
-                self._resting[source.record.host] = rest
+            else:
+                await self._pull(source)
+
+    async def _pull(self, source: _Source) -> None:
+        host = source.record.host
+        reply = await self.ask(source.record)
+        # A peer that has restarted may have less than it announced before.
+        self._sources.pop(host, None)
+        if reply is not None and not self._is_behind(reply.head):
+            return
+        rest = SILENT_REST_S if reply is None else REFUSED_REST_S
+        self._resting[host] = self._clock.monotonic() + rest
 
-    async def pull(self, record: HostRecord, *, with_members: bool = False) -> bool:
+    async def ask(
+        self, record: HostRecord, *, with_members: bool = False
+    ) -> ConfigurationReply | None:
         """Ask a peer for what it has and put that in force.
 
         Returns
         -------
-        bool
-            Whether this daemon is no longer behind what the peer replied.
+        ConfigurationReply or None
+            None if the peer did not reply.
         """
-        reply = await self.ask(record, with_members=with_members)
-        return reply is not None and not self._is_behind(reply.head)
-
-    async def ask(
-        self, record: HostRecord, *, with_members: bool = False
-    ) -> ConfigurationReply | None:
-        """Ask a peer as `pull` does; return its reply or None."""
         reply = await self._request(record, self._activation.head(), with_members)
         if reply is None or not self._is_behind(reply.head):
             return reply
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -226,6 +226,7 @@
         self.spread = spread
         self.data_centres = tuple(sizes)
         self.activations = []
+        self.faults = []
         self.hosts = {}
         for name, size in sizes.items():
             for index in range(size):
@@ -256,9 +257,54 @@
         await asyncio.gather(*(host.kill() for host in running))
 
     def on_activation(self, host):
-        """Record when a host put which version in force."""
+        """Record when a host put which version in force, and what is wrong with it."""
         version = host.activation.head().version
         self.activations.append((self.loop.time(), host.record.host, version))
+        if version <= host.version_applied:
+            self.faults.append(f"{host.record.host} moved back to {version}")
+        if host.activation.configuration != self.store.history.get(version):
+            self.faults.append(f"{host.record.host} has a bad version {version}")
+        host.version_applied = version
+        self.check_routes(host)
+
+    def check_routes(self, host):
+        """Record routes that lead to what the host does not know."""
+        known = {
+            (record.host, backend.name, backend.service)
+            for record in host.registry
+            if record.takes_calls
+            for backend in record.backends
+        }
+        snapshot = host.activation.snapshot
+        for route in snapshot.routes.values():
+            ends = {(d.host, d.backend, route.service) for d in route.destinations}
+            services = host.activation.configuration.services
+            if ends - known or route.service not in services:
+                self.faults.append(f"{host.record.host} has a bad route")
+
+    def list_behind(self):
+        """Return the running hosts that lack the newest accepted version."""
+        newest = self.store.accepted.version
+        return [
+            host.record.host
+            for host in self.hosts.values()
+            if host.endpoint.up and host.activation.head().version != newest
+        ]
+
+    def list_unready(self):
+        """Return the running hosts that do not serve."""
+        return [
+            host.record.host
+            for host in self.hosts.values()
+            if host.endpoint.up and not host.distribution.ready
+        ]
+
+    async def wait_until(self, condition, within):
+        """Return whether a condition holds within so many virtual seconds."""
+        deadline = self.loop.time() + within
+        while not condition() and self.loop.time() < deadline:
+            await asyncio.sleep(0.05)
+        return condition()
 
     def spread_record(self, record):
         """Carry a changed record to all that are reachable."""
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -50,7 +50,7 @@
 
 
 def _names(record):
-    return (record.host, record.data_centre, record.region, "all")
+    return (record.host, record.data_centre, record.region)
 
 
 class MemoryEndpoint(ControlEndpoint):
--- a/tests/simulation/store.py
+++ b/tests/simulation/store.py
@@ -1,6 +1,7 @@
 """A store in memory, with outages and faults of its answers and watches."""
 
 import asyncio
+import contextlib
 from collections import Counter
 
 import msgspec
@@ -22,6 +23,8 @@
 )
 
 KEYS = StoreKeys("test")
+# An open watch notices so late that the store is lost.
+FAULT_NOTICE_S = 0.5
 
 
 class MemoryStore:
@@ -38,8 +41,9 @@
         self.lost_answers = 0.0
         self.silent_watches = False
         self.shuffled_watches = False
-        self.changed = asyncio.Condition()
+        self.news = asyncio.Event()
         self.accepted = Configuration()
+        self.history = {0: self.accepted}
 
     def put(self, key, value):
         """Write one key in a revision of its own."""
@@ -53,6 +57,8 @@
         version = old.version + 1 if old else 1
         self.items[key] = KeyValue(key, value, created, self.revision, version)
         self.log.append(WatchEvent(key, value, self.revision))
+        self.news.set()
+        self.news = asyncio.Event()
 
     def accept(self, change):
         """Write the next configuration as an operator's command does."""
@@ -63,7 +69,7 @@
         document = encode_stored(StoredConfiguration(f"c{version}", digest, after))
         self.put_now(KEYS.configuration, document)
         self.put_now(KEYS.history_record(version), msgspec.json.encode(record))
-        self.accepted = after
+        self.accepted = self.history[version] = after
         return after
 
 
@@ -147,6 +153,8 @@
             if found and not memory.silent_watches:
                 for event in found:
                     yield WatchBatch((event,), event.mod_revision)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(memory.news.wait(), FAULT_NOTICE_S)
             await asyncio.sleep(memory.latency)
 
     async def grant_lease(self, ttl):
--- /dev/null
+++ b/tests/test_coordination_catchup.py
@@ -0,0 +1,155 @@
+"""Tests of when a daemon that starts or was frozen may serve."""
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.state.changes import Change
+from almondrouter.state.targets import ServiceTarget
+from simulation.fleet import SimulatedFleet
+from simulation.loop import run_virtual
+
+CHANGE = Change(set_services={"accounts": ServiceTarget()})
+# One round of questions, their timeouts and the delays between rounds.
+SETTLED_S = 15
+
+
+async def start_fleet(sizes, versions=2):
+    """Return a fleet that has some versions in force."""
+    fleet = SimulatedFleet(sizes)
+    for _ in range(versions):
+        fleet.store.accept(CHANGE)
+    await fleet.start()
+    # Membership's view of the start settles as well.
+    await asyncio.sleep(6)
+    assert not fleet.list_unready()
+    return fleet
+
+
+async def restart(fleet, prefix, suffix=""):
+    """Kill the hosts with such names together and start them together."""
+    names = [n for n in fleet.hosts if n.startswith(prefix) and n.endswith(suffix)]
+    chosen = [fleet.hosts[name] for name in names]
+    await asyncio.gather(*(host.kill() for host in chosen))
+    await asyncio.gather(*(host.start() for host in chosen))
+    return chosen
+
+
+class StartTest(unittest.TestCase):
+    """A daemon that lost its memory must not serve an older version."""
+
+    @parameterized.expand(
+        [
+            # Peers hold the version while the store is down.
+            ("one of five", {"n-1": 5}, "n-1-0", True, "", 2),
+            ("herd", {"n-1": 3, "n-2": 3}, ("n-1-0", "n-2-0", "n-2-1"), True, "", 2),
+            # A data centre that lost all memory learns from the other one.
+            ("data centre", {"n-1": 3, "n-2": 3}, "n-1", True, "", 2),
+            # Empty heads of members that restarted together confirm nothing.
+            ("all", {"n-1": 3, "n-2": 3}, "n", True, "no member of its data", 0),
+            ("all, store up", {"n-1": 3, "n-2": 3}, "n", False, "", 2),
+            ("alone", {"n-1": 1}, "n", True, "knows no other member", 0),
+            ("alone, store up", {"n-1": 1}, "n", False, "", 2),
+        ]
+    )
+    def test_restart(self, _name, sizes, prefix, store_down, reason, version):
+        async def work():
+            fleet = await start_fleet(sizes)
+            fleet.store.down = store_down
+            for host in await restart(fleet, prefix):
+                self.assertFalse(host.distribution.ready)
+            await asyncio.sleep(SETTLED_S)
+            for host in fleet.hosts.values():
+                self.assertEqual(host.distribution.ready, not reason)
+                self.assertIn(reason, host.distribution.not_ready_reason)
+                self.assertEqual(host.activation.head().version, version)
+            fleet.store.down = False
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(fleet.list_unready() + fleet.list_behind(), [])
+            await fleet.close()
+
+        run_virtual(work)
+
+    def test_minority_that_is_behind_does_not_confirm(self):
+        """Guards against service with an old version after a partition."""
+
+        async def work():
+            fleet = await start_fleet({"n-1": 6})
+            fleet.store.down = True
+            newcomer = fleet.hosts["n-1-0"]
+            behind, ahead = ("n-1-1", "n-1-2"), ("n-1-3", "n-1-4", "n-1-5")
+            fleet.network.cuts |= {(a, b) for a in ahead for b in (*behind, "n-1-0")}
+            after = fleet.store.accept(CHANGE)
+            for host in ahead:
+                fleet.hosts[host].activation.activate(after, digest=after.digest())
+            await restart(fleet, "n-1-0")
+            # The members that cannot be asked are still on the peers' lists.
+            await asyncio.sleep(3.5)
+            self.assertFalse(newcomer.distribution.ready)
+            self.assertIn("2 of 5 members", newcomer.distribution.not_ready_reason)
+            fleet.network.cuts.clear()
+            await asyncio.sleep(SETTLED_S)
+            self.assertTrue(newcomer.distribution.ready)
+            self.assertEqual(newcomer.activation.head().version, 3)
+            await fleet.close()
+
+        run_virtual(work)
+
+    def test_bad_document_in_the_store_confirms_nothing(self):
+        async def work():
+            fleet = SimulatedFleet({"n-1": 2})
+            fleet.store.put("/almondrouter/test/configuration", b'{"kind": "Pod"}')
+            await fleet.start()
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(len(fleet.list_unready()), 2)
+            fleet.store.accept(CHANGE)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(fleet.list_unready() + fleet.list_behind(), [])
+            await fleet.close()
+
+        run_virtual(work)
+
+    def test_herd_asks_peers_and_leaves_the_store_alone(self):
+        """Guards against store calls that grow with the daemons that restart."""
+
+        async def work(size):
+            fleet = await start_fleet({"n-1": size, "n-2": size})
+            fleet.store.calls.clear()
+            await restart(fleet, "n", ("1", "3", "5", "7"))
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(fleet.list_unready() + fleet.list_behind(), [])
+            calls.append(fleet.store.calls["read"] + fleet.store.calls["watch"])
+            await fleet.close()
+
+        calls = []
+        run_virtual(lambda: work(8))
+        run_virtual(lambda: work(24))
+        # Two data centres, four candidates each, a read and a watch for each.
+        self.assertLessEqual(max(calls), 16)
+
+
+class FreezeTest(unittest.TestCase):
+    """A daemon that was frozen must not serve before it has compared heads."""
+
+    def test_compares_heads_before_it_serves_again(self):
+        async def work():
+            fleet = await start_fleet({"n-1": 4})
+            host = fleet.hosts["n-1-2"]
+            fleet.store.down = True
+            host.pause()
+            after = fleet.store.accept(CHANGE)
+            fleet.hosts["n-1-0"].activation.activate(after, digest=after.digest())
+            await asyncio.sleep(8)
+            fleet.network.cuts |= {("n-1", host.record.host)}
+            host.wake()
+            await asyncio.sleep(3)
+            self.assertFalse(host.distribution.ready)
+            self.assertIn("frozen", host.distribution.not_ready_reason)
+            fleet.network.cuts.clear()
+            await fleet.wait_until(lambda: host.distribution.ready, SETTLED_S)
+            self.assertTrue(host.distribution.ready)
+            self.assertEqual(host.activation.head().version, 3)
+            await fleet.close()
+
+        run_virtual(work)
--- /dev/null
+++ b/tests/test_coordination_distribution.py
@@ -0,0 +1,218 @@
+"""Tests of distribution in fleets with failures, under virtual time."""
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.coordination.watchers import Spread
+from almondrouter.state.changes import Change
+from almondrouter.state.targets import ClassTarget, ServiceTarget
+from simulation.fleet import SimulatedFleet
+from simulation.loop import run_virtual
+from simulation.store import KEYS
+
+SIZES = {"n-1": 4, "n-2": 3, "s-1": 4, "s-2": 3}
+# The guarantee is 5 s from acceptance (G9).
+CONVERGENCE_S = 5.0
+# A fault that hits the daemons which would repair another one costs the
+# failure detector's time on top.
+TWO_FAULTS_S = 10.0
+FIRST = Change(set_services=dict.fromkeys(("accounts", "other"), ServiceTarget()))
+
+
+def make_change(name="renewals"):
+    """Return a change that sets one class."""
+    return Change(set_classes={name: ClassTarget("accounts", 250)})
+
+
+def list_watchers(fleet, region=""):
+    """Return the hosts that watch the store."""
+    return [
+        host
+        for host in fleet.hosts.values()
+        if host.distribution.watches_store and host.record.region.startswith(region)
+    ]
+
+
+def cut(fleet, *pairs, both=True):
+    """Cut the network between names of hosts, data centres or regions."""
+    others = [(a, b) for a, _ in pairs for b in fleet.data_centres if a != b]
+    for one, other in others if pairs[0][1] == "all" else pairs:
+        fleet.network.cuts |= {(one, other), (other, one)} if both else {(one, other)}
+    fleet.change_view()
+
+
+def heal(fleet):
+    """End every fault."""
+    fleet.network.cuts.clear()
+    fleet.network.loss = fleet.network.duplicates = fleet.network.jitter = 0.0
+    store = fleet.store
+    store.down = store.silent_watches = store.shuffled_watches = False
+    store.latency, store.lost_answers = 0.002, 0.0
+    for host in fleet.hosts.values():
+        host.store.reachable = True
+        if host.endpoint.up and not host.running:
+            host.wake()
+    fleet.change_view()
+
+
+def set_store(**attributes):
+    """Return a fault of the store."""
+
+    def apply(fleet):
+        for name, value in attributes.items():
+            setattr(fleet.store, name, value)
+
+    return apply
+
+
+def set_network(**attributes):
+    """Return a fault of every control link."""
+
+    def apply(fleet):
+        for name, value in attributes.items():
+            setattr(fleet.network, name, value)
+
+    return apply
+
+
+def lose_store(*prefixes):
+    """Return a cut between the store and the hosts with these names."""
+
+    def apply(fleet):
+        for host in fleet.hosts.values():
+            if host.record.host.startswith(prefixes):
+                host.store.reachable = False
+
+    return apply
+
+
+def cut_between(*pairs, both=True):
+    """Return a cut of the network."""
+    return lambda fleet: cut(fleet, *pairs, both=both)
+
+
+def pause_watchers(region=""):
+    """Return the freezing of every watcher of the store."""
+
+    def apply(fleet):
+        for host in list_watchers(fleet, region):
+            host.pause()
+
+    return apply
+
+
+def spoil_record(fleet):
+    """Let the next change record be truncated in the store."""
+    put = fleet.store.put_now
+
+    def put_spoilt(key, value):
+        put(key, value[:20] if key.startswith(KEYS.history) else value)
+
+    fleet.store.put_now = put_spoilt
+
+
+def spoil_document(fleet):
+    """Let the next document be truncated in the store."""
+    put = fleet.store.put_now
+
+    def put_spoilt(key, value):
+        put(key, value[:-9] if key == KEYS.configuration else value)
+
+    fleet.store.put_now = put_spoilt
+
+
+# Name, faults before the change, hosts that cannot get it before the faults
+# end (by prefix), seconds within which the others have it.
+FAULTS = [
+    ("none", [], (), CONVERGENCE_S),
+    ("store slow", [set_store(latency=1.5)], (), CONVERGENCE_S),
+    ("silent watches", [set_store(silent_watches=True)], (), CONVERGENCE_S),
+    ("watch events shuffled", [set_store(shuffled_watches=True)], (), CONVERGENCE_S),
+    ("store answers lost", [set_store(lost_answers=0.5)], (), CONVERGENCE_S),
+    ("record truncated", [spoil_record], (), CONVERGENCE_S),
+    ("document truncated", [spoil_document], (), CONVERGENCE_S),
+    ("links lossy", [set_network(loss=0.3, duplicates=0.3, jitter=0.5)], (), 5.0),
+    ("one region without the store", [lose_store("s")], (), CONVERGENCE_S),
+    ("one data centre has the store", [lose_store("n", "s-1")], (), CONVERGENCE_S),
+    ("region cut off", [cut_between(("n", "s"))], (), CONVERGENCE_S),
+    ("one way cut", [cut_between(("n-1", "all"), both=False)], (), CONVERGENCE_S),
+    ("data centre cut off", [cut_between(("s-2", "all"))], (), CONVERGENCE_S),
+    (
+        "data centre cut off from all and the store",
+        [cut_between(("s-2", "all")), lose_store("s-2")],
+        ("s-2",),
+        CONVERGENCE_S,
+    ),
+    (
+        "region cut off from the other and the store",
+        [cut_between(("n", "s")), lose_store("s")],
+        ("s",),
+        CONVERGENCE_S,
+    ),
+    ("watchers of a region frozen", [pause_watchers("n")], (), TWO_FAULTS_S),
+    ("all watchers frozen", [pause_watchers()], (), TWO_FAULTS_S),
+    (
+        "watchers frozen, watches silent",
+        [pause_watchers("s"), set_store(silent_watches=True)],
+        (),
+        TWO_FAULTS_S,
+    ),
+    (
+        "region without the store, links lossy",
+        [lose_store("s"), set_network(loss=0.3, jitter=0.5)],
+        (),
+        TWO_FAULTS_S,
+    ),
+    (
+        "store answers lost, data centre cut off",
+        [set_store(lost_answers=0.5), cut_between(("n-1", "all"))],
+        (),
+        TWO_FAULTS_S,
+    ),
+]
+
+
+class FaultsTest(unittest.TestCase):
+    """A change reaches all that can be reached, and all after the fault."""
+
+    @parameterized.expand(
+        [
+            (f"{spread.value} {name}", spread, *rest)
+            for spread in Spread
+            for name, *rest in FAULTS
+        ]
+    )
+    def test_change_arrives(self, _name, spread, faults, cut_off, within):
+        async def work():
+            fleet = SimulatedFleet(SIZES, spread=spread)
+            fleet.store.accept(FIRST)
+            await fleet.start()
+            await asyncio.sleep(6)
+            self.assertEqual(fleet.list_unready(), [])
+            put = fleet.store.put_now
+            for fault in faults:
+                fault(fleet)
+            paused = [h.record.host for h in fleet.hosts.values() if not h.running]
+            fleet.store.accept(make_change())
+            fleet.store.put_now = put
+            behind = sorted(h for h in fleet.hosts if h.startswith(cut_off or "-"))
+            await fleet.wait_until(
+                lambda: set(fleet.list_behind()) == {*behind, *paused}, within
+            )
+            self.assertEqual(sorted(fleet.list_behind()), sorted({*behind, *paused}))
+            heal(fleet)
+            await fleet.wait_until(lambda: not fleet.list_behind(), CONVERGENCE_S)
+            self.assertEqual(fleet.list_behind(), [])
+            fleet.store.accept(make_change("second"))
+            await fleet.wait_until(lambda: not fleet.list_behind(), CONVERGENCE_S)
+            self.assertEqual(fleet.list_behind(), [])
+            await asyncio.sleep(10)
+            self.assertEqual(fleet.list_unready(), [])
+            self.assertEqual(fleet.faults, [])
+            alarms = [host.distribution.alarms for host in fleet.hosts.values()]
+            self.assertFalse(any(alarms), alarms)
+            await fleet.close()
+
+        run_virtual(work)
--- /dev/null
+++ b/tests/test_coordination_pulls.py
@@ -0,0 +1,136 @@
+"""Tests of pulls from peers and of the answers to them."""
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.coordination.alarms import Alarm
+from almondrouter.coordination.watchers import Spread
+from almondrouter.protocol.control import (
+    Announcement,
+    ConfigurationReply,
+    ConfigurationRequest,
+    Head,
+)
+from almondrouter.state.changes import Change
+from almondrouter.state.targets import ServiceTarget
+from simulation.fleet import SimulatedFleet
+from simulation.loop import run_virtual
+
+CHANGE = Change(set_services={"accounts": ServiceTarget()})
+
+
+async def start_fleet(sizes, spread=Spread.ECONOMICAL):
+    """Return a fleet at version 1."""
+    fleet = SimulatedFleet(sizes, spread=spread)
+    fleet.store.accept(CHANGE)
+    await fleet.start()
+    await asyncio.sleep(6)
+    return fleet
+
+
+class PullsTest(unittest.TestCase):
+    """A configuration is pulled once, and a bad one is not pulled all the time."""
+
+    def test_one_pull_for_each_daemon(self):
+        """Guards against a pull for each of the neighbours that announce."""
+
+        async def work():
+            fleet = await start_fleet({"n-1": 12, "n-2": 12})
+            fleet.network.duplicates = 0.5
+            pulls = sum(h.distribution._puller.pulls for h in fleet.hosts.values())
+            fleet.store.accept(CHANGE)
+            await asyncio.sleep(3)
+            self.assertEqual(fleet.list_behind(), [])
+            pulls -= sum(h.distribution._puller.pulls for h in fleet.hosts.values())
+            self.assertLessEqual(-pulls, len(fleet.hosts))
+            await fleet.close()
+
+        run_virtual(work)
+
+    @parameterized.expand([(spread.value, spread) for spread in Spread])
+    def test_one_copy_crosses_to_a_region_without_the_store(self, _name, spread):
+        async def work():
+            fleet = await start_fleet({"n-1": 4, "n-2": 4, "s-1": 4, "s-2": 4}, spread)
+            for host in fleet.hosts.values():
+                host.store.reachable = host.record.region == "n"
+            await asyncio.sleep(20)
+            crossing = []
+            carry = fleet.network.carry
+
+            async def count(sender, receiver, message):
+                far = sender.record.region != receiver.record.region
+                if far and isinstance(message, ConfigurationReply):
+                    crossing.append(message)
+                return await carry(sender, receiver, message)
+
+            fleet.network.carry = count
+            fleet.store.accept(CHANGE)
+            await asyncio.sleep(3)
+            self.assertEqual(fleet.list_behind(), [])
+            self.assertEqual(len(crossing), 1)
+            self.assertEqual(len(crossing[0].records), 1)
+            await fleet.close()
+
+        run_virtual(work)
+
+    def test_document_follows_if_the_records_are_not_kept(self):
+        async def work():
+            fleet = await start_fleet({"n-1": 2})
+            one, other = fleet.hosts.values()
+            self.assertIsNone(one.activation.find_records(Head(0, "")))
+            fleet.network.cuts |= {("n-1", "n-1")}
+            other.store.reachable = one.store.reachable = False
+            for _ in range(3):
+                after = fleet.store.accept(CHANGE)
+            one.activation.activate(after, digest=after.digest())
+            fleet.network.cuts.clear()
+            await asyncio.sleep(3)
+            self.assertEqual(other.activation.head().version, 4)
+            await fleet.close()
+
+        run_virtual(work)
+
+    def test_bad_reply_is_refused_and_not_asked_for_again_at_once(self):
+        """Guards against a whole bad document at each heartbeat."""
+
+        async def work():
+            fleet = await start_fleet({"n-1": 2})
+            one, other = fleet.hosts.values()
+            head = Head(9, "0" * 32)
+            asked = []
+
+            async def answer(message, _sender):
+                asked.append(message.head)
+                return ConfigurationReply(head, document=one.activation.document())
+
+            one.endpoint.handlers[ConfigurationRequest] = answer
+            for _ in range(20):
+                one.endpoint.send(
+                    other.record.control_address, Announcement(one.record.host, head)
+                )
+                await asyncio.sleep(1)
+            self.assertEqual(len(asked), 1)
+            self.assertEqual(other.activation.head().version, 1)
+            self.assertEqual(other.activation.refusals.total(), 1)
+            await fleet.close()
+
+        run_virtual(work)
+
+    def test_divergence_is_an_alarm_as_long_as_it_lasts(self):
+        async def work():
+            fleet = await start_fleet({"n-1": 2})
+            one, other = fleet.hosts.values()
+            rogue = Announcement(one.record.host, Head(1, "0" * 32))
+            one.heartbeats.cancel()
+            other.heartbeats.cancel()
+            one.endpoint.send(other.record.control_address, rogue)
+            await asyncio.sleep(1)
+            self.assertEqual(list(other.distribution.alarms), [Alarm.VERSION_DIVERGED])
+            fleet.store.accept(CHANGE)
+            await asyncio.sleep(3)
+            self.assertEqual(other.distribution.alarms, {})
+            await fleet.close()
+
+        run_virtual(work)
