Guard all replies of a pool with one timer

Nearly all calls end long before their deadline, and a timer for each cost about a tenth of a daemon's processor time. A call whose deadline has passed before it is sent is now refused as not run.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -14,6 +14,7 @@
 from almondrouter.protocol.headers import OUTCOME, Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.calls import BackendResponse, BackendSender
+from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import split_address
 
 CONNECT_S = 1.0
@@ -47,6 +48,7 @@
         self._address = address
         self._limit = connections
         self._clock = clock
+        self._deadlines = Deadlines(clock)
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
         self._connecting = 0
@@ -73,13 +75,18 @@
     ) -> BackendResponse:
         data = encode_request(self._address, method, target, headers, body)
         sent = False
-        connection = None
+        connection = future = None
         try:
-            async with asyncio.timeout(deadline - self._clock.monotonic()):
-                connection = await self._acquire()
+            self._check_deadline(deadline)
+            connection = self._take_idle()
+            if connection is None:
+                async with asyncio.timeout(deadline - self._clock.monotonic()):
+                    connection = await self._acquire()
                 self._check_deadline(deadline)
-                sent = True
-                response = await connection.request(data, is_head=method == "HEAD")
+            sent = True
+            future = connection.start(data, is_head=method == "HEAD")
+            self._deadlines.add(future, deadline)
+            response = await connection.finish(future)
         except TimeoutError as error:
             outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
             code = ErrorCode.DEADLINE_EXCEEDED
@@ -87,6 +94,7 @@
         finally:
             if connection is not None:
                 self._give_back(connection)
+                self._deadlines.discard(future)
         if is_refusal(response):
             message = "the backend server did not run the request"
             raise CallError(ErrorCode.BACKEND_REFUSED, message)
@@ -170,22 +178,26 @@
         self.idle_since = 0.0
         self._reset()
 
-    async def request(self, data: bytes, *, is_head: bool) -> BackendResponse:
-        """Send a request and return its whole response.
+    def start(self, data: bytes, *, is_head: bool) -> asyncio.Future[BackendResponse]:
+        """Send a request; the future gets its whole response."""
+        self._reset()
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_head = is_head
+        self._future = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        return self._future
+
+    async def finish(self, future: asyncio.Future[BackendResponse]) -> BackendResponse:
+        """Return the whole response, or drop the connection.
 
         Raises
         ------
         CallError
             ``backend_failed`` (unknown).
         """
-        self._reset()
-        self._parser = httptools.HttpResponseParser(self)
-        self._is_head = is_head
-        self._future = asyncio.get_running_loop().create_future()
-        self._transport.write(data)
         try:
-            return await self._future
-        except asyncio.CancelledError:
+            return await future
+        except BaseException:
             self.abort()
             raise
         finally:
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -22,6 +22,7 @@
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.calls import CallLinks
+from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import (
     HANDSHAKE_S,
     PING_INTERVAL_S,
@@ -240,6 +241,7 @@
     def __init__(self, *, hello: Hello, clock: Clock) -> None:
         self._hello = hello
         self._clock = clock
+        self._deadlines = Deadlines(clock)
         self._links: dict[str, _CalledLink] = {}
         self._connecting: dict[str, asyncio.Task[_CalledLink]] = {}
         self._ticker: asyncio.Task | None = None
@@ -304,7 +306,7 @@
             if stream is not None:
                 stream.close()
             raise
-        link = _CalledLink(stream, self._clock, self.counts)
+        link = _CalledLink(stream, self._clock, self._deadlines, self.counts)
         self._links[address] = link
         stream.forward(link.take, lambda error: self._end(address, link, error))
         return link
@@ -337,11 +339,18 @@
 
 
 class _CalledLink:
-    def __init__(self, stream: FrameStream, clock: Clock, counts: Counter[str]) -> None:
+    def __init__(
+        self,
+        stream: FrameStream,
+        clock: Clock,
+        deadlines: Deadlines,
+        counts: Counter[str],
+    ) -> None:
         self.stream = stream
         self.used_at = clock.monotonic()
         self.pending: dict[int, asyncio.Future[CallReply]] = {}
         self._clock = clock
+        self._deadlines = deadlines
         self._counts = counts
         self._call_ids = itertools.count(1)
         self._lost = False
@@ -349,19 +358,20 @@
     async def call(self, request: CallRequest | ClaimQuery) -> CallReply:
         sent = False
         call_id = next(self._call_ids)
-        now = self._clock.monotonic()
+        deadline = request.deadline + REPLY_GRACE_S
         if not self.pending:
             self.stream.watch()
         future = asyncio.get_running_loop().create_future()
         self.pending[call_id] = future
         try:
-            async with asyncio.timeout(request.deadline + REPLY_GRACE_S - now):
-                if not self.stream.is_writable:
+            if not self.stream.is_writable:
+                async with asyncio.timeout(deadline - self._clock.monotonic()):
                     await self.stream.wait_writable()
-                self._check_open()
-                self.stream.send(msgspec.structs.replace(request, call_id=call_id))
-                sent = True
-                return await future
+            self._check_open()
+            self.stream.send(msgspec.structs.replace(request, call_id=call_id))
+            sent = True
+            self._deadlines.add(future, deadline)
+            return await future
         except (ConnectionError, TimeoutError) as error:
             raise self._make_error(sent, str(error)) from error
         except AlmondError as error:
@@ -369,7 +379,9 @@
         finally:
             self.used_at = self._clock.monotonic()
             self.pending.pop(call_id, None)
-            self._end_call(call_id, future, sent)
+            self._deadlines.discard(future)
+            if sent and not self._lost and not has_result(future):
+                self.stream.send(Cancel(call_id))
 
     def fail(self, reason: str) -> None:
         self._lost = True
@@ -378,12 +390,6 @@
             if not future.done():
                 future.set_exception(ConnectionResetError(f"link lost: {reason}"))
 
-    def _end_call(self, call_id: int, future: asyncio.Future, sent: bool) -> None:
-        if future.done() and not future.cancelled():
-            future.exception()  # Marks it as seen if the call ended otherwise.
-        elif sent and not self._lost:
-            self.stream.send(Cancel(call_id))
-
     def _check_open(self) -> None:
         if self._lost:
             raise ConnectionResetError("link lost")
@@ -404,6 +410,13 @@
         future.set_result(frame)
 
 
+def has_result(future: asyncio.Future) -> bool:
+    """Return whether a future ended with a result; marks an error as seen."""
+    if not future.done() or future.cancelled():
+        return False
+    return future.exception() is None
+
+
 async def tick_forever(tick: Callable[[], None]) -> None:
     """Call ``tick`` every `PING_INTERVAL_S` seconds."""
     while True:
--- a/tests/test_coordination_calls.py
+++ b/tests/test_coordination_calls.py
@@ -292,6 +292,20 @@
         self.assert_response(await self.write(), 502, UNKNOWN, "key_claimed")
         self.assertEqual(1, self.count_runs())
 
+    async def test_query_for_another_claim_is_unknown(self):
+        """Guards against a run without a claim that answers for an older one."""
+        self.fleet.claims.held = asyncio.Event()
+        task = self.write()
+        await wait_until(lambda: self.fleet.admissions["h1"].in_use)
+        deadline = self.clock.monotonic() + 1
+        query = ClaimQuery(1, make_key(self.clock), "older", deadline)
+        asking = asyncio.create_task(self.fleet.services["h1"].handle_link(query))
+        await asyncio.sleep(0)
+        self.fleet.claims.available = False
+        self.fleet.claims.held.set()
+        self.assert_response(await task, 503, NOT_RUN, "claim_unavailable")
+        self.assertEqual(UNKNOWN, (await asking).outcome)
+
     async def test_forgotten_run_is_not_repeated(self):
         """Guards against a second run under an own claim whose run is forgotten."""
         self.fleet.services["h1"]._once._memory._max_bytes = 10
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -19,6 +19,7 @@
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 SHED = b"HTTP/1.1 503 x\r\nAlmond-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+SHED_200 = SHED.replace(b"503", b"200")
 
 
 class BackendClientTest(unittest.IsolatedAsyncioTestCase):
@@ -76,6 +77,7 @@
             ),
             ("after an interim one", INTERIM + OK, False, b"body"),
             ("followed by another", OK + OK, False, b"body"),
+            ("marked not run but answered", SHED_200, False, b""),
         ]
     )
     async def test_whole_response(self, _, data, close, body):
