--- a/packages/almondrouter/src/almondrouter/coordination/retries.py
+++ b/packages/almondrouter/src/almondrouter/coordination/retries.py
@@ -25,8 +25,14 @@
         self._limit = max(FLOOR_RETRIES, ratio * MAX_SAVED_CALLS)
         self._balances: dict[str, float] = {}
 
-    def record_call(self, name: str) -> None:
-        """Count a first attempt, which earns a share of a retry."""
+    def record_call(self, name: str, *, caller_retries: bool = False) -> None:
+        """Count a first attempt, which earns a share of a retry.
+
+        A call whose caller retries earns nothing, since it may not be retried
+        here; at depth 20 its earnings would let retries grow at each level.
+        """
+        if caller_retries:
+            return
         balance = self._balances.get(name, FLOOR_RETRIES)
         self._balances[name] = min(self._limit, balance + self._ratio)
 
