Make the load bench repeat exactly

Sets of futures iterate in the order of their addresses, so that calls cut by a kill were retried in another order in each process.

--- a/bench/load_crash.py
+++ b/bench/load_crash.py
@@ -36,7 +36,7 @@
         self.quarantine = Quarantine(host=f"host-{number}", clock=clock)
         self.budget = RetryBudget()
         self.up_at = 0.0
-        self.running: set[asyncio.Future[None]] = set()
+        self.running: dict[asyncio.Future[None], None] = {}
 
 
 class _CrashFleet:
@@ -84,7 +84,7 @@
         host.quarantine.begin("b", fingerprint)
         loop = asyncio.get_running_loop()
         done = loop.create_future()
-        host.running.add(done)
+        host.running[done] = None
         if fingerprint == POISON:
             timer = loop.call_later(RUN_SECONDS, self._crash, host)
         else:
@@ -96,7 +96,7 @@
             self.result.innocent_cut += fingerprint != POISON
             return False
         finally:
-            host.running.discard(done)
+            host.running.pop(done, None)
         for message in host.quarantine.end("b", fingerprint, completed=True):
             self._spread(message)
         return True
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -98,7 +98,8 @@
         self.slowness = 1.0
         self.cold_since = -COLD_SECONDS
         self.died_at = 0.0
-        self._active: set[asyncio.Future[None]] = set()
+        # A dict keeps the order of starts, so that runs repeat exactly.
+        self._active: dict[asyncio.Future[None], None] = {}
 
     @abstractmethod
     async def serve(self, work: WorkClass, seconds: float, deadline: float) -> Reply:
@@ -126,14 +127,14 @@
         timer = asyncio.get_running_loop().call_later(
             seconds * self.slowness * cold, done.set_result, None
         )
-        self._active.add(done)
+        self._active[done] = None
         try:
             await done
         except ConnectionError:
             timer.cancel()
             return Reply(Outcome.UNKNOWN)
         finally:
-            self._active.discard(done)
+            self._active.pop(done, None)
         return Reply(Outcome.COMPLETE)
 
 
