Let a newcomer wait for its data centre before it watches the store

Cause: a daemon that has just started knows only itself, so it ranked itself first and opened the store; in a fleet of 28, all 28 called the store at the start and kept the HTTP client in memory. Ruled out: a longer random delay, since the seeds may answer late.

--- a/packages/almondrouter/src/almondrouter/coordination/distribution.py
+++ b/packages/almondrouter/src/almondrouter/coordination/distribution.py
@@ -40,6 +40,8 @@
 # the copy across regions to the other for this long.
 CROSS_REGION_DELAY_S = 0.5
 RECONCILE_INTERVAL_S = 1.0
+# Seeds may be down, and a data centre of one host has nobody to wait for.
+MEMBERS_PATIENCE_S = 3.0
 # Joins membership changes that arrive together into one choice of watchers.
 RECONCILE_PAUSE_S = 0.1
 RESTART_DELAY_S = 1.0
@@ -178,7 +180,6 @@
         self._membership.add_resume_listener(self._resume)
         self._spawn(self._puller.run)
         self._spawn(self._manage_watch)
-        self._spawn(self._seeds.run)
         self._catching_up = self._spawn(self._catch_up.run)
 
     async def close(self) -> None:
@@ -265,8 +266,8 @@
             self._alarms.clear(Alarm.VERSION_DIVERGED)
 
     async def _manage_watch(self) -> None:
-        # A newcomer that knows no peers yet would take itself for a delegate.
-        await asyncio.sleep(self._random.uniform(START_SPREAD_S, 2 * START_SPREAD_S))
+        await self._wait_for_members()
+        self._spawn(self._seeds.run)
         while True:
             self._forget_heads()
             self._judge_divergence()
@@ -276,6 +277,18 @@
                 await asyncio.wait_for(self._changed.wait(), RECONCILE_INTERVAL_S)
             self._changed.clear()
 
+    async def _wait_for_members(self) -> None:
+        """Wait until the data centre is known, for a few seconds at most.
+
+        A newcomer that knows nobody yet would take itself for a delegate, and a
+        herd of them would all open the store.
+        """
+        await asyncio.sleep(self._random.uniform(START_SPREAD_S, 2 * START_SPREAD_S))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MEMBERS_PATIENCE_S):
+                while not self._membership.settled:
+                    await asyncio.sleep(RECONCILE_PAUSE_S)
+
     def _is_to_watch(self) -> bool:
         if self._record.host in self._choice.choose(self._list_unreachable()):
             return True
--- a/packages/almondrouter/src/almondrouter/coordination/fleet.py
+++ b/packages/almondrouter/src/almondrouter/coordination/fleet.py
@@ -15,6 +15,10 @@
 class Fleet(Protocol):
     """The part of membership that configuration distribution uses."""
 
+    @property
+    def settled(self) -> bool:
+        """Whether a member of the own data centre is known or none can be."""
+
     def push_targets(self) -> tuple[HostRecord, ...]:
         """Return the overlay neighbours that are told of news."""
 
--- a/packages/almondrouter/src/almondrouter/coordination/joining.py
+++ b/packages/almondrouter/src/almondrouter/coordination/joining.py
@@ -52,6 +52,11 @@
         """Whether another daemon is known, or there is none to join through."""
         return len(self._registry) > 1 or self._tried
 
+    @property
+    def settled(self) -> bool:
+        """Whether a member of the own data centre is known or none can be."""
+        return bool(self._members()) or self._tried
+
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Join through more addresses, such as those kept in the store."""
         known = {*self._seeds, self._record.control_address}
--- a/packages/almondrouter/src/almondrouter/coordination/membership.py
+++ b/packages/almondrouter/src/almondrouter/coordination/membership.py
@@ -131,6 +131,11 @@
         """Whether another daemon is known, or there is none to join through."""
         return self._joining.joined
 
+    @property
+    def settled(self) -> bool:
+        """Whether a member of the own data centre is known or none can be."""
+        return self._joining.settled
+
     async def start(self) -> None:
         """Begin to answer and to join through the seeds."""
         self._endpoint.set_handler(Heartbeat, self._answer_heartbeat)
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -120,6 +120,8 @@
 
     # What distribution uses of membership.
 
+    settled = True
+
     def add_change_listener(self, listener):
         self.change_listeners.append(listener)
 
