--- a/bench/hop_daemon.py
+++ b/bench/hop_daemon.py
@@ -6,110 +6,33 @@
 import asyncio
 import json
 from types import MappingProxyType
-from typing import Any
 
 import uvloop
 
 from almondrouter.clock import SystemClock
 from almondrouter.coordination.calls import CallService
-from almondrouter.coordination.claims import ClaimService
-from almondrouter.coordination.limits import LimitService
-from almondrouter.protocol.calls import Hello, Load
+from almondrouter.protocol.calls import Hello
 from almondrouter.protocol.codec import PROTOCOL_VERSION
-from almondrouter.protocol.control import Claim
 from almondrouter.state.snapshot import Destination, Route, Snapshot
 from almondrouter.state.targets import Priority
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.links import CallLinkPool, CallLinkServer
+from almondrouter_standins.collaborators import (
+    ClaimStore,
+    FirstChoice,
+    FixedBudget,
+    FixedQuarantine,
+    HostClaims,
+    OpenLimits,
+    SlotAdmission,
+)
 
 BACKEND = "bench-backend"
 CLASS = "bench"
 CLOCK = SystemClock()
 
 
-class FirstDestination:
-    """Chooses the first destination that is not excluded."""
-
-    def choose(
-        self, destinations: tuple[Destination, ...], *, now: float, excluded: set[str]
-    ) -> Destination | None:
-        """Return the first destination left."""
-        return next((d for d in destinations if d.backend not in excluded), None)
-
-    def started(self, destination: Destination) -> None:
-        """Take no note."""
-
-    def finished(self, destination: Destination, **result: Any) -> None:
-        """Take no note."""
-
-
-class OpenAdmission:
-    """Admits every call at once."""
-
-    async def acquire(self, *, priority: Priority, deadline: float) -> int:
-        """Return a slot."""
-        return 0
-
-    def release(self, slot: int, *, failed: bool) -> None:
-        """Take no note."""
-
-    def load(self) -> Load:
-        """Return a constant load."""
-        return Load(9, 0, 0, 0.001)
-
-
-class NoRetries:
-    """Allows no retries."""
-
-    def record_call(self, name: str) -> None:
-        """Take no note."""
-
-    def try_spend(self, name: str) -> bool:
-        """Return False."""
-        return False
-
-
-class NoSuspects:
-    """Suspects no request."""
-
-    def check(self, fingerprint: str) -> None:
-        """Allow the request."""
-
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Return False."""
-        return False
-
-    def begin(self, backend: str, fingerprint: str) -> None:
-        """Take no note."""
-
-    def end(self, backend: str, fingerprint: str, *, completed: bool) -> None:
-        """Take no note."""
-
-
-class NoLimits(LimitService):
-    """Admits every call."""
-
-    def admit(self, limit_names: tuple[str, ...]) -> None:
-        """Admit the call."""
-
-
-class NoClaims(ClaimService):
-    """Is not used, as the bench's class may be repeated."""
-
-    async def claim(self, key: str, **options: Any) -> Claim:
-        """Fail."""
-        raise NotImplementedError
-
-    def owns(self, claim: Claim) -> bool:
-        """Return False."""
-        return False
-
-    async def release(self, claim: Claim) -> None:
-        """Fail."""
-        raise NotImplementedError
-
-
 def make_snapshot(host: str, peer_address: str) -> Snapshot:
     """Return a snapshot with one route to one backend server."""
     destination = Destination(BACKEND, host, "dc", "region", peer_address, 1, 9, False)
@@ -131,13 +54,13 @@
     service = CallService(
         snapshot=lambda: snapshot,
         links=links,
-        choice=FirstDestination(),
-        retries=NoRetries(),
-        admissions={name: OpenAdmission() for name in backends},
+        choice=FirstChoice(),
+        retries=FixedBudget(0),
+        admissions={name: SlotAdmission(CLOCK, slots=1000) for name in backends},
         backends=backends,
-        claims=NoClaims(),
-        limits=NoLimits(),
-        quarantine=NoSuspects(),
+        claims=HostClaims(ClaimStore(), arguments.host),
+        limits=OpenLimits(),
+        quarantine=FixedQuarantine(),
         clock=CLOCK,
         host=arguments.host,
     )
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/transport/called_link.py
@@ -0,0 +1,120 @@
+"""The calling end of a call link."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import Counter
+
+import msgspec
+
+from almondrouter.clock import Clock
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.calls import (
+    CallFrame,
+    CallReply,
+    CallRequest,
+    Cancel,
+    ClaimQuery,
+)
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport.deadlines import Deadlines
+from almondrouter.transport.frames import FrameStream
+
+REPLY_GRACE_S = 0.1
+"""Seconds after the deadline in which a definite reply may still arrive."""
+
+
+class CalledLink:
+    """Sends calls over one connection and matches their replies.
+
+    Parameters
+    ----------
+    stream
+        Connection whose greeting is finished.
+    clock, deadlines
+        Time, and the deadlines of all calls.
+    counts
+        Events by name.
+    """
+
+    def __init__(
+        self,
+        stream: FrameStream,
+        clock: Clock,
+        deadlines: Deadlines,
+        counts: Counter[str],
+    ) -> None:
+        self.stream = stream
+        self.used_at = clock.monotonic()
+        self.pending: dict[int, asyncio.Future[CallReply]] = {}
+        self._clock = clock
+        self._deadlines = deadlines
+        self._counts = counts
+        self._call_ids = itertools.count(1)
+        self._lost = False
+
+    async def call(self, request: CallRequest | ClaimQuery) -> CallReply:
+        """Send a call and return its reply; see `CallLinks.call`."""
+        sent = False
+        call_id = next(self._call_ids)
+        deadline = request.deadline + REPLY_GRACE_S
+        if not self.pending:
+            self.stream.watch()
+        future = asyncio.get_running_loop().create_future()
+        self.pending[call_id] = future
+        try:
+            if not self.stream.is_writable:
+                async with asyncio.timeout(deadline - self._clock.monotonic()):
+                    await self.stream.wait_writable()
+            self._check_open()
+            self.stream.send(msgspec.structs.replace(request, call_id=call_id))
+            sent = True
+            self._deadlines.add(future, deadline)
+            return await future
+        except (ConnectionError, TimeoutError) as error:
+            raise self._make_error(sent, str(error)) from error
+        except AlmondError as error:
+            raise CallError(error.code, error.message) from error
+        finally:
+            self.used_at = self._clock.monotonic()
+            self.pending.pop(call_id, None)
+            self._deadlines.discard(future)
+            if sent and not self._lost and not has_result(future):
+                self.stream.send(Cancel(call_id))
+
+    def fail(self, reason: str) -> None:
+        """Drop the connection; calls in it fail."""
+        self._lost = True
+        self.stream.close()
+        for future in self.pending.values():
+            if not future.done():
+                future.set_exception(ConnectionResetError(f"link lost: {reason}"))
+
+    def _check_open(self) -> None:
+        if self._lost:
+            raise ConnectionResetError("link lost")
+
+    def _make_error(self, sent: bool, reason: str) -> CallError:
+        if not sent:
+            return CallError(ErrorCode.PEER_UNAVAILABLE, reason)
+        message = reason or "no reply in time"
+        return CallError(ErrorCode.PEER_TIMEOUT, message, outcome=Outcome.UNKNOWN)
+
+    def take(self, frame: CallFrame) -> None:
+        """Give a reply to its call; a reply to no call is counted as late."""
+        if not isinstance(frame, CallReply):
+            raise AlmondError(ErrorCode.FRAME_MALFORMED, "unexpected frame")
+        future = self.pending.get(frame.call_id)
+        if future is None or future.done():
+            self._counts["late"] += 1
+            return
+        future.set_result(frame)
+
+
+def has_result(future: asyncio.Future) -> bool:
+    """Return whether a future ended with a result; marks an error as seen."""
+    if not future.done() or future.cancelled():
+        return False
+    return future.exception() is None
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 
@@ -21,6 +20,7 @@
 )
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport.called_link import CalledLink
 from almondrouter.transport.calls import CallLinks
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import (
@@ -32,8 +32,6 @@
 
 CONNECT_S = 1.0
 """Seconds for connecting and greeting; far regions take 20 ms a round trip."""
-REPLY_GRACE_S = 0.1
-"""Seconds after the deadline in which a definite reply may still arrive."""
 MAX_IDLE_S = 60.0
 """Seconds after which a link without calls is closed."""
 MAX_OPEN_CALLS = 10_000
@@ -242,8 +240,8 @@
         self._hello = hello
         self._clock = clock
         self._deadlines = Deadlines(clock)
-        self._links: dict[str, _CalledLink] = {}
-        self._connecting: dict[str, asyncio.Task[_CalledLink]] = {}
+        self._links: dict[str, CalledLink] = {}
+        self._connecting: dict[str, asyncio.Task[CalledLink]] = {}
         self._ticker: asyncio.Task | None = None
         self.counts: Counter[str] = Counter()
 
@@ -281,7 +279,7 @@
             elif now - link.used_at > MAX_IDLE_S:
                 self._drop(address, link, "idle")
 
-    async def _connect(self, address: str, deadline: float) -> _CalledLink:
+    async def _connect(self, address: str, deadline: float) -> CalledLink:
         task = self._connecting.get(address)
         if task is None:
             task = asyncio.create_task(self._open(address))
@@ -294,7 +292,7 @@
             message = f"no link to {address}: {error}"
             raise CallError(ErrorCode.PEER_UNAVAILABLE, message) from error
 
-    async def _open(self, address: str) -> _CalledLink:
+    async def _open(self, address: str) -> CalledLink:
         stream = None
         try:
             async with asyncio.timeout(CONNECT_S):
@@ -306,17 +304,17 @@
             if stream is not None:
                 stream.close()
             raise
-        link = _CalledLink(stream, self._clock, self._deadlines, self.counts)
+        link = CalledLink(stream, self._clock, self._deadlines, self.counts)
         self._links[address] = link
         stream.forward(link.take, lambda error: self._end(address, link, error))
         return link
 
-    def _end(self, address: str, link: _CalledLink, error: Exception) -> None:
+    def _end(self, address: str, link: CalledLink, error: Exception) -> None:
         if isinstance(error, AlmondError):
             self.counts[error.code.value] += 1
         self._drop(address, link, str(error))
 
-    def _drop(self, address: str, link: _CalledLink, reason: str) -> None:
+    def _drop(self, address: str, link: CalledLink, reason: str) -> None:
         if self._links.get(address) is link:
             del self._links[address]
         link.fail(reason)
@@ -338,85 +336,6 @@
                 task.cancel()
 
 
-class _CalledLink:
-    def __init__(
-        self,
-        stream: FrameStream,
-        clock: Clock,
-        deadlines: Deadlines,
-        counts: Counter[str],
-    ) -> None:
-        self.stream = stream
-        self.used_at = clock.monotonic()
-        self.pending: dict[int, asyncio.Future[CallReply]] = {}
-        self._clock = clock
-        self._deadlines = deadlines
-        self._counts = counts
-        self._call_ids = itertools.count(1)
-        self._lost = False
-
-    async def call(self, request: CallRequest | ClaimQuery) -> CallReply:
-        sent = False
-        call_id = next(self._call_ids)
-        deadline = request.deadline + REPLY_GRACE_S
-        if not self.pending:
-            self.stream.watch()
-        future = asyncio.get_running_loop().create_future()
-        self.pending[call_id] = future
-        try:
-            if not self.stream.is_writable:
-                async with asyncio.timeout(deadline - self._clock.monotonic()):
-                    await self.stream.wait_writable()
-            self._check_open()
-            self.stream.send(msgspec.structs.replace(request, call_id=call_id))
-            sent = True
-            self._deadlines.add(future, deadline)
-            return await future
-        except (ConnectionError, TimeoutError) as error:
-            raise self._make_error(sent, str(error)) from error
-        except AlmondError as error:
-            raise CallError(error.code, error.message) from error
-        finally:
-            self.used_at = self._clock.monotonic()
-            self.pending.pop(call_id, None)
-            self._deadlines.discard(future)
-            if sent and not self._lost and not has_result(future):
-                self.stream.send(Cancel(call_id))
-
-    def fail(self, reason: str) -> None:
-        self._lost = True
-        self.stream.close()
-        for future in self.pending.values():
-            if not future.done():
-                future.set_exception(ConnectionResetError(f"link lost: {reason}"))
-
-    def _check_open(self) -> None:
-        if self._lost:
-            raise ConnectionResetError("link lost")
-
-    def _make_error(self, sent: bool, reason: str) -> CallError:
-        if not sent:
-            return CallError(ErrorCode.PEER_UNAVAILABLE, reason)
-        message = reason or "no reply in time"
-        return CallError(ErrorCode.PEER_TIMEOUT, message, outcome=Outcome.UNKNOWN)
-
-    def take(self, frame: CallFrame) -> None:
-        if not isinstance(frame, CallReply):
-            raise AlmondError(ErrorCode.FRAME_MALFORMED, "unexpected frame")
-        future = self.pending.get(frame.call_id)
-        if future is None or future.done():
-            self._counts["late"] += 1
-            return
-        future.set_result(frame)
-
-
-def has_result(future: asyncio.Future) -> bool:
-    """Return whether a future ended with a result; marks an error as seen."""
-    if not future.done() or future.cancelled():
-        return False
-    return future.exception() is None
-
-
 async def tick_forever(tick: Callable[[], None]) -> None:
     """Call ``tick`` every `PING_INTERVAL_S` seconds."""
     while True:
--- a/tests/test_coordination_calls.py
+++ b/tests/test_coordination_calls.py
@@ -16,6 +16,7 @@
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.state.snapshot import EMPTY_SNAPSHOT
 from almondrouter.transport.calls import CallerRequest
+from almondrouter_standins.collaborators import HOLD
 from calls_support import Fleet, make_request, wait_until
 
 NOT_RUN, UNKNOWN, COMPLETE = Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.COMPLETE
@@ -65,9 +66,8 @@
 
     def end_runs(self, ending=None):
         for backend in self.fleet.backends.values():
-            for future in backend.endings.values():
-                if not future.done():
-                    future.set_result(ending)
+            for future in backend.list_held():
+                future.set_result(ending)
 
     async def test_complete_response(self):
         """Guards against lost headers and against headers that leak through."""
@@ -242,14 +242,14 @@
 
     async def test_claim_that_could_not_be_released_is_taken_over(self):
         """Guards against a store outage that blocks a key which was not run."""
-        self.fleet.claims.release_works = False
+        self.fleet.claims.releases = False
         self.fleet.backends["h1"].ending = failure(ErrorCode.BACKEND_REFUSED, NOT_RUN)
         self.assert_response(await self.write(), 200, COMPLETE)
         self.assertEqual("h2", next(iter(self.fleet.claims.by_key.values())).host)
 
     async def test_same_key_joins_and_replays(self):
         """Guards against a second run, here or by way of another host."""
-        self.fleet.backends["h1"].ending = "hold"
+        self.fleet.backends["h1"].ending = HOLD
         first, second = self.write(), self.write()
         await wait_until(lambda: self.count_runs())
         third = self.write(host="h2")
@@ -321,7 +321,7 @@
 
     async def test_last_caller_that_goes_cancels_the_run(self):
         """Guards against slots held for nobody, and runs cut while one waits."""
-        self.fleet.backends["h1"].ending = "hold"
+        self.fleet.backends["h1"].ending = HOLD
         first, second = self.write(), self.write()
         await wait_until(lambda: self.count_runs())
         first.cancel()
@@ -348,7 +348,7 @@
         """Guards against a crash with two suspects, which condemns neither."""
         for host in ("h1", "h2", "h3"):
             self.fleet.quarantines[host].suspect = True
-            self.fleet.backends[host].ending = "hold"
+            self.fleet.backends[host].ending = HOLD
         tasks = [self.begin(body=b"%d" % i) for i in range(4)]
         await wait_until(lambda: any(task.done() for task in tasks))
         self.assertEqual(3, self.count_runs())
--- a/tests/test_coordination_calls_stateful.py
+++ b/tests/test_coordination_calls_stateful.py
@@ -14,6 +14,7 @@
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.calls import CallerRequest
+from almondrouter_standins.collaborators import HOLD
 from calls_support import Fleet
 from test_coordination_calls import make_key
 
@@ -127,7 +128,7 @@
     async def set_up(self):
         self.fleet = UnreliableFleet(self.clock, HOSTS)
         for backend in self.fleet.backends.values():
-            backend.ending = "hold"
+            backend.ending = HOLD
 
     def run(self, coroutine):
         async def settle():
@@ -186,12 +187,8 @@
             self.run(self.do(future.set_result, ending))
 
     def list_held(self):
-        return [
-            future
-            for backend in self.fleet.backends.values()
-            for future in backend.endings.values()
-            if not future.done()
-        ]
+        backends = self.fleet.backends.values()
+        return [future for backend in backends for future in backend.list_held()]
 
     @rule(seconds=st.sampled_from([0.1, 0.5, 4.0, LATEST_DEADLINE_S]))
     def advance(self, seconds):
@@ -224,7 +221,7 @@
         claims = self.fleet.claims
         claims.available = fault != "down"
         claims.answer_lost = fault == "lost"
-        claims.release_works = fault != "unreleased"
+        claims.releases = fault != "unreleased"
         if fault == "slow" and claims.held is None:
             claims.held = asyncio.Event()
 
@@ -232,7 +229,7 @@
     def recover_store(self):
         """Have the store answer, also what it was asked before."""
         claims = self.fleet.claims
-        claims.available = claims.release_works = True
+        claims.available = claims.releases = True
         claims.answer_lost = False
         held, claims.held = claims.held, None
         if held is not None:
@@ -241,7 +238,7 @@
     @rule(host=HOST)
     def recover_host(self, host):
         """Take work again, and deliver what was held back, however late it is."""
-        self.fleet.backends[host].ending = "hold"
+        self.fleet.backends[host].ending = HOLD
         self.fleet.admissions[host].refusal = None
         held = self.fleet.frozen.pop(host, [])
         self.run(self.do(lambda: [self.fleet.deliver(host, *item) for item in held]))
