--- a/bench/hop.py
+++ b/bench/hop.py
@@ -15,7 +15,6 @@
 import subprocess
 import sys
 from collections.abc import Iterator
-from pathlib import Path
 
 import psutil
 import uvloop
@@ -23,7 +22,7 @@
 from almondrouter_standins.load import Result, Target, run_load
 
 TARGET_ADDED_P99_MS = 0.94
-DAEMON = str(Path(__file__).with_name("hop_daemon.py"))
+DAEMON = ["-m", "almondrouter_standins.call_daemon"]
 BACKEND = ["-m", "almondrouter_standins.backend", "--name", "b", "--service", "bench"]
 WARM_UP_S = 2.0
 
@@ -70,7 +69,7 @@
     seconds: float,
 ) -> None:
     """Run the load at one rate and print its figures."""
-    headers = {"Almond-Class": "bench"}
+    headers = {"Almond-Class": "read"}
     targets = [Target(name, url, headers, b"x" * 200) for name, url in urls.items()]
     asyncio.run(run_load(targets, rate=rate, seconds=WARM_UP_S, seed=1))
     before = {name: find_cpu_s(process) for name, process in daemons.items()}
@@ -101,11 +100,11 @@
     with contextlib.ExitStack() as stack:
         _, backend = stack.enter_context(start(*BACKEND, "--slots", "1000"))
         egress, line = stack.enter_context(
-            start(DAEMON, "--host", "egress", "--backend", backend)
+            start(*DAEMON, "--host", "egress", "--backend", backend)
         )
         peer = json.loads(line)["peer"]
         ingress, line = stack.enter_context(
-            start(DAEMON, "--host", "ingress", "--peer", peer)
+            start(*DAEMON, "--host", "ingress", "--peer", peer)
         )
         callers = json.loads(line)["callers"]
         urls = {"direct": f"http://{backend}/x", "routed": f"http://{callers}/x"}
--- a/packages/almondrouter-standins/src/almondrouter_standins/backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/backend.py
@@ -142,6 +142,8 @@
     def _make_app(self) -> Sanic:
         app = Sanic(f"standin-{id(self):x}", configure_logging=False)
         app.config.MOTD = False
+        # Rewrites its classes, which fails for a second app in a process.
+        app.config.TOUCHUP = False
         app.config.KEEP_ALIVE_TIMEOUT = 300
         app.config.RESPONSE_TIMEOUT = 3600
         app.config.REQUEST_MAX_SIZE = 16_000_000
--- a/tests/calls_support.py
+++ b/tests/calls_support.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 
+from almondrouter.clock import SystemClock
 from almondrouter.protocol.calls import CallReply, CallRequest, Hello
 from almondrouter.protocol.codec import PROTOCOL_VERSION
 from almondrouter.protocol.headers import Outcome
@@ -28,6 +30,13 @@
     return CallReply(0, Outcome.COMPLETE, 200, (), body, "", None)
 
 
+def make_key(clock=None, *, age=0.0, number=0):
+    """Return a UUIDv7 of a given age in seconds."""
+    milliseconds = int(((clock or SystemClock()).wall() - age) * 1000)
+    text = f"{milliseconds:012x}7000{0x8000000000000000 + number:016x}"
+    return str(uuid.UUID(text))
+
+
 async def wait_until(condition):
     """Wait for a condition that other tasks bring about."""
     async with asyncio.timeout(TIMEOUT_S):
--- a/tests/test_coordination_calls.py
+++ b/tests/test_coordination_calls.py
@@ -12,25 +12,17 @@
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import ClaimQuery
 from almondrouter.protocol.headers import Outcome
-from almondrouter.protocol.keys import check_idempotency_key
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.state.snapshot import EMPTY_SNAPSHOT
 from almondrouter.transport.calls import CallerRequest
 from almondrouter_standins.calls import Fleet
 from almondrouter_standins.collaborators import HOLD
-from calls_support import make_request, wait_until
+from calls_support import make_key, make_request, wait_until
 
 WRITE = {"class_name": "write"}
 NOT_RUN, UNKNOWN, COMPLETE = Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.COMPLETE
 
 
-def make_key(clock, *, age=0.0, number=0):
-    """Return a UUIDv7 of a given age in seconds."""
-    milliseconds = int((clock.wall() - age) * 1000)
-    value = f"{milliseconds:012x}7000{0x8000000000000000 + number:016x}"
-    return check_idempotency_key(value, now=clock.wall() - age)
-
-
 def failure(code, outcome=UNKNOWN):
     """Return an error of a call."""
     return CallError(code, "failed", outcome=outcome)
--- a/tests/test_coordination_calls_stateful.py
+++ b/tests/test_coordination_calls_stateful.py
@@ -16,7 +16,7 @@
 from almondrouter.transport.calls import CallerRequest
 from almondrouter_standins.calls import ManualLoop, UnreliableFleet
 from almondrouter_standins.collaborators import HOLD
-from test_coordination_calls import make_key
+from calls_support import make_key
 
 HOSTS = ("h1", "h2", "h3")
 HOST = st.sampled_from(HOSTS)
