--- a/tests/test_coordination_calls.py
+++ b/tests/test_coordination_calls.py
@@ -12,22 +12,17 @@
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import ClaimQuery
 from almondrouter.protocol.headers import Outcome
-from almondrouter.protocol.keys import check_idempotency_key
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.state.snapshot import EMPTY_SNAPSHOT
 from almondrouter.transport.calls import CallerRequest
-from calls_support import Fleet, make_request, wait_until
+from almondrouter_standins.calls import Fleet
+from almondrouter_standins.collaborators import HOLD
+from calls_support import make_key, make_request, wait_until
 
+WRITE = {"class_name": "write"}
 NOT_RUN, UNKNOWN, COMPLETE = Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.COMPLETE
 
 
-def make_key(clock, *, age=0.0, number=0):
-    """Return a UUIDv7 of a given age in seconds."""
-    milliseconds = int((clock.wall() - age) * 1000)
-    value = f"{milliseconds:012x}7000{0x8000000000000000 + number:016x}"
-    return check_idempotency_key(value, now=clock.wall() - age)
-
-
 def failure(code, outcome=UNKNOWN):
     """Return an error of a call."""
     return CallError(code, "failed", outcome=outcome)
@@ -65,9 +60,8 @@
 
     def end_runs(self, ending=None):
         for backend in self.fleet.backends.values():
-            for future in backend.endings.values():
-                if not future.done():
-                    future.set_result(ending)
+            for future in backend.list_held():
+                future.set_result(ending)
 
     async def test_complete_response(self):
         """Guards against lost headers and against headers that leak through."""
@@ -83,30 +77,22 @@
 
     @parameterized.expand(
         [
-            ("no class", {"class_name": ""}, 400, "header_invalid"),
+            ("no class", {"class_name": ""}),
             ("class", {"class_name": "x"}, 404, "class_unknown"),
             ("service", {"almond_service": "x"}, 404, "service_unknown"),
             ("no key", {"class_name": "write"}, 400, "key_missing"),
-            (
-                "bad key",
-                {"class_name": "write", "idempotency_key": "x" * 36},
-                400,
-                "key_invalid",
-            ),
-            (
-                "long key",
-                {"class_name": "write", "idempotency_key": "x" * 9999},
-                400,
-                "header_invalid",
-            ),
+            ("bad key", {**WRITE, "idempotency_key": "x" * 36}, 400, "key_invalid"),
+            ("long key", {**WRITE, "idempotency_key": "x" * 9999}),
             ("past", {"almond_timeout_ms": "0"}, 503, "deadline_exceeded"),
-            ("negative", {"almond_timeout_ms": "-5"}, 400, "header_invalid"),
-            ("far", {"almond_timeout_ms": "9" * 200}, 400, "header_invalid"),
-            ("digits", {"almond_timeout_ms": "\u0665"}, 400, "header_invalid"),
-            ("attempt", {"almond_attempt": "x"}, 400, "header_invalid"),
+            ("negative", {"almond_timeout_ms": "-5"}),
+            ("far", {"almond_timeout_ms": "9" * 200}),
+            ("digits", {"almond_timeout_ms": "\u0665"}),
+            ("attempt", {"almond_attempt": "x"}),
         ]
     )
-    async def test_bad_headers_are_refused(self, _, options, status, code):
+    async def test_bad_headers_are_refused(
+        self, _, options, status=400, code="header_invalid"
+    ):
         """Guards against bad input that runs or has no clear code."""
         response = await self.call(**options)
         self.assert_response(response, status, NOT_RUN, code)
@@ -139,17 +125,13 @@
         self.assertIn(("Almond-Code", "not_ready"), response.headers)
 
     @parameterized.expand(
-        [
-            ("busy", ErrorCode.OVERLOADED, 503, 3),
-            ("gone", ErrorCode.NO_BACKEND, 503, 3),
-            ("too late", ErrorCode.DEADLINE_EXCEEDED, 503, 1),
-        ]
+        [("overloaded", 3), ("no_backend", 3), ("deadline_exceeded", 1)]
     )
-    async def test_not_run_is_placed_elsewhere(self, _, code, status, choices):
+    async def test_not_run_is_placed_elsewhere(self, code, choices):
         """Guards against one busy host that fails a call, and against search."""
         for host in ("h1", "h2", "h3"):
-            self.fleet.admissions[host].refusal = code
-        self.assert_response(await self.call(), status, NOT_RUN, code)
+            self.fleet.admissions[host].refusal = ErrorCode(code)
+        self.assert_response(await self.call(), 503, NOT_RUN, code)
         self.assertEqual(choices, len(self.fleet.choice.outcomes))
         self.fleet.admissions["h3"].refusal = None
         if choices > 1:
@@ -162,22 +144,17 @@
         self.assert_response(await self.call(), 200, COMPLETE)
         self.assertEqual(1, len(self.fleet.backends["h3"].runs))
 
-    @parameterized.expand(
-        [
-            ("repeatable", {}, 10, 2, 200, COMPLETE),
-            ("caller above retries", {"almond_attempt": "2"}, 10, 1, 502, UNKNOWN),
-            ("no budget", {}, 0, 1, 502, UNKNOWN),
-        ]
-    )
-    async def test_retry(self, _, headers, budget, runs, status, outcome):
+    @parameterized.expand([("1", 10, 2), ("2", 10, 1), ("1", 0, 1)])
+    async def test_retry(self, attempt, budget, runs):
         """Guards against retries that multiply over the depth of calls."""
         self.fleet.budget.left = budget
         self.fleet.backends["h1"].ending = failure(ErrorCode.BACKEND_FAILED)
-        response = await self.call(**headers)
-        code = "" if outcome is COMPLETE else "backend_failed"
-        self.assert_response(response, status, outcome, code)
+        response = await self.call(almond_attempt=attempt)
         self.assertEqual(runs, self.count_runs())
-        if runs == 2:
+        if runs == 1:
+            self.assert_response(response, 502, UNKNOWN, "backend_failed")
+        else:
+            self.assert_response(response, 200, COMPLETE)
             _, headers = self.fleet.backends["h2"].runs[0]
             self.assertEqual("2", headers["almond-attempt"])
 
@@ -197,13 +174,13 @@
 
     @parameterized.expand(
         [
-            ("condemned", "condemned", 409),
-            ("limited", "limited", 429),
-            ("limit_unavailable", "limit_unavailable", 503),
-            ("claim_unavailable", "claim_unavailable", 503),
+            ("condemned", 409),
+            ("limited", 429),
+            ("limit_unavailable", 503),
+            ("claim_unavailable", 503),
         ]
     )
-    async def test_refusals_before_the_hand_over(self, _, code, status):
+    async def test_refusals_before_the_hand_over(self, code, status):
         """Guards against calls that pass a check which refuses them."""
         if code == "condemned":
             self.fleet.quarantines["h1"].condemned = True
@@ -242,14 +219,14 @@
 
     async def test_claim_that_could_not_be_released_is_taken_over(self):
         """Guards against a store outage that blocks a key which was not run."""
-        self.fleet.claims.release_works = False
+        self.fleet.claims.releases = False
         self.fleet.backends["h1"].ending = failure(ErrorCode.BACKEND_REFUSED, NOT_RUN)
         self.assert_response(await self.write(), 200, COMPLETE)
         self.assertEqual("h2", next(iter(self.fleet.claims.by_key.values())).host)
 
     async def test_same_key_joins_and_replays(self):
         """Guards against a second run, here or by way of another host."""
-        self.fleet.backends["h1"].ending = "hold"
+        self.fleet.backends["h1"].ending = HOLD
         first, second = self.write(), self.write()
         await wait_until(lambda: self.count_runs())
         third = self.write(host="h2")
@@ -321,7 +298,7 @@
 
     async def test_last_caller_that_goes_cancels_the_run(self):
         """Guards against slots held for nobody, and runs cut while one waits."""
-        self.fleet.backends["h1"].ending = "hold"
+        self.fleet.backends["h1"].ending = HOLD
         first, second = self.write(), self.write()
         await wait_until(lambda: self.count_runs())
         first.cancel()
@@ -348,15 +325,12 @@
         """Guards against a crash with two suspects, which condemns neither."""
         for host in ("h1", "h2", "h3"):
             self.fleet.quarantines[host].suspect = True
-            self.fleet.backends[host].ending = "hold"
+            self.fleet.backends[host].ending = HOLD
         tasks = [self.begin(body=b"%d" % i) for i in range(4)]
         await wait_until(lambda: any(task.done() for task in tasks))
         self.assertEqual(3, self.count_runs())
-        refused = next(task for task in tasks if task.done())
-        self.assert_refused_as_overloaded(await refused)
-        self.end_runs()
-        await asyncio.gather(*tasks)
-
-    def assert_refused_as_overloaded(self, response):
+        response = await next(task for task in tasks if task.done())
         self.assertIn(("Almond-Outcome", "not-run"), response.headers)
         self.assertIn(("Almond-Code", "overloaded"), response.headers)
+        self.end_runs()
+        await asyncio.gather(*tasks)
