Forget the service time of a slow server later than its queue

With one half-life of 1 s for both, each daemon tried a slow server with calls again every three seconds. The service time now has 3 s.

--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -11,7 +11,11 @@
 from almondrouter.coordination.outliers import Standing
 from almondrouter.protocol.calls import Load
 from almondrouter.protocol.headers import Outcome
-from almondrouter.state.occupancy import MAX_ENTRIES, OccupancyTable
+from almondrouter.state.occupancy import (
+    MAX_ENTRIES,
+    SERVICE_TIME_HALF_LIFE_SECONDS,
+    OccupancyTable,
+)
 from almondrouter.state.snapshot import Destination
 
 REGION_ROUND_TRIP_SECONDS = 0.001
@@ -261,7 +265,7 @@
         if entry is None:
             return (0.0, 0.0)
         slots = entry.slots or destination.slots
-        weight = entry.weight(now)
+        weight = entry.weight(now, half_life=SERVICE_TIME_HALF_LIFE_SECONDS)
         service_time = usual + weight * (entry.service_time - usual)
         calls = entry.calls(now)
         wait = max(0.0, calls + 1 - slots) * service_time / slots
--- a/packages/almondrouter/src/almondrouter/state/occupancy.py
+++ b/packages/almondrouter/src/almondrouter/state/occupancy.py
@@ -7,6 +7,9 @@
 # A report loses half of its weight in this time. Queues hold about two service
 # times, so a backlog that was reported a second ago has mostly been served.
 HALF_LIFE_SECONDS = 1.0
+# A slow server stays slow for longer than a queue stays long. With the half-life
+# of the queue, each daemon tried it with calls every three seconds.
+SERVICE_TIME_HALF_LIFE_SECONDS = 3.0
 MAX_ENTRIES = 1024
 
 
@@ -34,9 +37,9 @@
     in_flight: int = 0
     since_report: int = 0
 
-    def weight(self, now: float) -> float:
+    def weight(self, now: float, *, half_life: float = HALF_LIFE_SECONDS) -> float:
         """Return the weight of the report by its age, 1 when new."""
-        return 0.5 ** (max(0.0, now - self.reported_at) / HALF_LIFE_SECONDS)
+        return 0.5 ** (max(0.0, now - self.reported_at) / half_life)
 
     def calls(self, now: float) -> float:
         """Return the calls expected to be running or waiting there."""
