Wait for the crash report before a call is repeated

An ingress that repeats a call at once, after a crash has cut it, meets daemons that have not heard of the suspects.

--- a/bench/load_crash.py
+++ b/bench/load_crash.py
@@ -7,7 +7,11 @@
 from dataclasses import dataclass
 
 from almondrouter.clock import ManualClock
-from almondrouter.coordination.quarantine import Quarantine, QuarantineMessage
+from almondrouter.coordination.quarantine import (
+    RETRY_DELAY_SECONDS,
+    Quarantine,
+    QuarantineMessage,
+)
 from almondrouter.coordination.retries import RetryBudget
 from almondrouter.errors import AlmondError
 from almondrouter_standins.virtual_time import run_virtual
@@ -61,8 +65,10 @@
                 continue
             if await self._run(host, fingerprint):
                 return True
-            if self.ours and not entry.budget.try_spend("class"):
-                return False
+            if self.ours:
+                if not entry.budget.try_spend("class"):
+                    return False
+                await asyncio.sleep(RETRY_DELAY_SECONDS)
         return False
 
     def _choose(self) -> _Host | None:
--- a/packages/almondrouter/src/almondrouter/coordination/quarantine.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quarantine.py
@@ -14,6 +14,9 @@
 from almondrouter.protocol.control import CrashReport, SuspicionCleared
 
 MAX_ENTRIES = 1000
+# How long an ingress waits before it repeats a call that a crash has cut. A
+# sooner attempt meets daemons that have not heard of the suspects.
+RETRY_DELAY_SECONDS = 0.25
 # Ids of reports that were dropped for room; a late copy must not revive them.
 MAX_DROPPED_IDS = 4000
 
