Let a class that was slow once be admitted again

On a busy server a class is measured only if it gets through the queue. One that was never measured, or was measured while the server was slow, could be refused for its service time for ever. The service time of a class now starts at 0 and loses half of its weight in 10 s without a measurement; the test failed for both cases before.

--- a/packages/almondrouter/src/almondrouter/coordination/admission.py
+++ b/packages/almondrouter/src/almondrouter/coordination/admission.py
@@ -21,6 +21,9 @@
 MAX_QUEUED_PER_SLOT = 2
 # Weight of the newest service time; about 20 calls dominate the average.
 SERVICE_TIME_WEIGHT = 0.1
+# A class that is refused for its service time is not measured any more, so the
+# time must be forgotten, or the class would be refused for ever.
+CLASS_TIME_HALF_LIFE_SECONDS = 10.0
 # Running calls are on average one service time old if service times are
 # exponentially distributed; twice that seldom happens by chance.
 USUAL_AGES = 2.0
@@ -182,7 +185,7 @@
         place = bisect.bisect(self._queue, waiter.order(), key=_Waiter.order)
         # A turn passes when a slot is released, on average once in this time.
         turn = self._expected_service_time(now) / self._usable_slots(now)
-        needed = (place + 1) * turn + self._class_time(waiter.class_name)
+        needed = (place + 1) * turn + self._class_time(waiter.class_name, now)
         if now + needed > waiter.deadline:
             raise _refusal(
                 ErrorCode.DEADLINE_EXCEEDED, f"an answer would take {needed:.3f} s"
@@ -193,7 +196,7 @@
             self._refuse(self._queue[-1], ErrorCode.OVERLOADED, "shed from the queue")
         self._queue.insert(place, waiter)
         loop = asyncio.get_running_loop()
-        spare = waiter.deadline - self._class_time(waiter.class_name) - now
+        spare = waiter.deadline - self._class_time(waiter.class_name, now) - now
         waiter.expiry = loop.call_later(
             spare * PATIENCE_SHARE,
             self._refuse,
@@ -221,7 +224,7 @@
         usable = self._usable_slots(now)
         while self._queue and len(self._running) < usable:
             waiter = self._queue[0]
-            if now + self._class_time(waiter.class_name) > waiter.deadline:
+            if now + self._class_time(waiter.class_name, now) > waiter.deadline:
                 self._refuse(
                     waiter, ErrorCode.DEADLINE_EXCEEDED, "too little time is left"
                 )
@@ -270,9 +273,13 @@
         age = now - sum(slot.started_at for slot in self._running) / len(self._running)
         return max(self._service_time.value, age / USUAL_AGES)
 
-    def _class_time(self, class_name: str) -> float:
+    def _class_time(self, class_name: str, now: float) -> float:
+        """Return the smoothed service time of a class, 0 if not measured lately."""
         average = self._class_times.get(class_name)
-        return average.value if average else self._service_time.value
+        if average is None:
+            return 0.0
+        age = now - average.updated_at
+        return average.value * 0.5 ** (age / CLASS_TIME_HALF_LIFE_SECONDS)
 
     def _record_service_time(self, slot: Slot, seconds: float, *, failed: bool) -> None:
         averages = (
@@ -281,7 +288,7 @@
         )
         for average in averages:
             if not failed or seconds > average.value > 0:
-                average.add(seconds)
+                average.add(seconds, slot.started_at + seconds)
 
 
 class _Average:
@@ -289,11 +296,13 @@
 
     def __init__(self) -> None:
         self.value = 0.0
+        self.updated_at = 0.0
         self._empty = True
 
-    def add(self, value: float) -> None:
+    def add(self, value: float, now: float) -> None:
         weight = 1.0 if self._empty else SERVICE_TIME_WEIGHT
         self._empty = False
+        self.updated_at = now
         self.value += weight * (value - self.value)
 
 
--- a/tests/test_coordination_admission.py
+++ b/tests/test_coordination_admission.py
@@ -168,6 +168,31 @@
 
         run_warm(scenario)
 
+    @parameterized.expand([("measured slow once", True), ("never measured", False)])
+    def test_class_is_not_refused_for_ever(self, _name, measured):
+        # On a busy server only calls that wait can show how long they take now.
+        async def scenario(admission, clock):
+            call = {"priority": CRITICAL, "class_name": "quotes"}
+            if measured:
+                slot = await admission.acquire(deadline=clock.monotonic() + 1, **call)
+                clock.advance(1.0)
+                admission.release(slot, failed=False)
+            slots = await fill(admission, clock, service_time=0.5)
+            refused = 0
+            while True:
+                waiting = asyncio.ensure_future(
+                    admission.acquire(deadline=clock.monotonic() + 0.4, **call)
+                )
+                await asyncio.sleep(0.05)
+                admission.release(slots.pop(0), failed=True)
+                if await find_code(waiting) is None:
+                    break
+                refused += 1
+                self.assertLess(refused, 1000)
+                slots.append(await take(admission, clock))
+
+        run_warm(scenario)
+
     def test_slot_granted_to_a_cancelled_call_is_returned(self):
         async def scenario(admission, clock):
             slots = await fill(admission, clock)
