Join crash reports, tracing and service times with the path of a call

A failed connection is examined while its request still counts as in flight, because a report made later would name nobody. Each hop opens a span that the next hop continues.

--- a/packages/almondrouter-standins/src/almondrouter_standins/collaborators.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/collaborators.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Set
 from typing import Any
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.claims import ClaimService
+from almondrouter.coordination.crashes import CrashGuard
 from almondrouter.coordination.limits import LimitService
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol.calls import HeaderList, Load
@@ -73,7 +75,9 @@
         self.failed: list[bool] = []
         self.refusal: ErrorCode | None = None
 
-    async def acquire(self, *, priority: Priority, deadline: float) -> Any:
+    async def acquire(
+        self, *, priority: Priority, deadline: float, class_name: str = ""
+    ) -> Any:
         """Return a slot when there is one; deadlines are seen in `wake`."""
         if self.refusal is not None:
             raise CallError(self.refusal, "refused")
@@ -115,7 +119,7 @@
             raise AlmondError(self.refusal, "refused")
 
 
-class FixedQuarantine:
+class FixedQuarantine(CrashGuard):
     """Condemns or suspects all requests if told so; counts what is open."""
 
     def __init__(self) -> None:
@@ -123,26 +127,35 @@
         self.suspect = False
         self.open = 0
         self.ended: list[bool] = []
+        self.examined: list[str] = []
+        self._running: Counter[str] = Counter()
 
     def check(self, fingerprint: str) -> None:
         """Raise ``condemned`` if told so."""
         if self.condemned:
             raise AlmondError(ErrorCode.CONDEMNED, "condemned")
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Return whether requests are suspects."""
-        return self.suspect
+    def may_run_now(self, backend: str, fingerprint: str) -> bool:
+        """Return whether no other suspect is in flight."""
+        return not (self.suspect and self._running[backend])
 
     def begin(self, backend: str, fingerprint: str) -> None:
         """Count a request that is handed over."""
         self.open += 1
+        self._running[backend] += 1
 
     def end(self, backend: str, fingerprint: str, *, completed: bool) -> None:
         """Count a request that has ended."""
         self.open -= 1
+        self._running[backend] -= 1
         if not completed:
             self.ended.append(completed)
 
+    async def examine(self, backend: str) -> None:
+        """Take note of a backend server whose connection failed."""
+        assert self._running[backend], "the request is no longer in flight"
+        self.examined.append(backend)
+
 
 class ClaimStore:
     """Claims of all hosts as the store has them, and its faults.
--- a/packages/almondrouter/src/almondrouter/coordination/calls.py
+++ b/packages/almondrouter/src/almondrouter/coordination/calls.py
@@ -12,8 +12,8 @@
     Admitter,
     Choice,
     Retries,
-    Suspects,
 )
+from almondrouter.coordination.crashes import CrashGuard
 from almondrouter.coordination.egress import Egress
 from almondrouter.coordination.ingress import Ingress, make_error_reply
 from almondrouter.coordination.limits import LimitService
@@ -22,6 +22,7 @@
 from almondrouter.protocol.calls import CallReply, CallRequest, ClaimQuery
 from almondrouter.protocol.control import Claim
 from almondrouter.state.snapshot import Snapshot
+from almondrouter.tracing import PassTracer, Tracer
 from almondrouter.transport.calls import (
     BackendSender,
     CallerRequest,
@@ -50,6 +51,8 @@
     find_peer
         Returns the peer address of a claim's holder or None; without it, only
         holders that the snapshot routes to are found.
+    tracer
+        Starts a span for each hop; none by default.
     """
 
     def __init__(
@@ -63,11 +66,13 @@
         backends: Mapping[str, BackendSender],
         claims: ClaimService,
         limits: LimitService,
-        quarantine: Suspects,
+        quarantine: CrashGuard,
         clock: Clock,
         host: str,
         find_peer: Callable[[Claim], str | None] | None = None,
+        tracer: Tracer | None = None,
     ) -> None:
+        tracer = tracer or PassTracer()
         self._snapshot = snapshot
         self._admissions = admissions
         self._ingress = Ingress(
@@ -78,6 +83,7 @@
             egress=self.handle_link,
             clock=clock,
             host=host,
+            tracer=tracer,
         )
         self._egress = Egress(
             snapshot=snapshot,
@@ -86,6 +92,7 @@
             limits=limits,
             quarantine=quarantine,
             clock=clock,
+            tracer=tracer,
         )
         self._once = OnceRunner(
             egress=self._egress,
--- a/packages/almondrouter/src/almondrouter/coordination/collaborators.py
+++ b/packages/almondrouter/src/almondrouter/coordination/collaborators.py
@@ -1,4 +1,4 @@
-"""What the path of a call needs of admission, routing, retries and quarantine."""
+"""What the path of a call needs of admission, routing and retries."""
 
 from __future__ import annotations
 
@@ -36,7 +36,9 @@
 class Admitter(Protocol):
     """Admits calls to one backend server; see `coordination.admission.Admission`."""
 
-    async def acquire(self, *, priority: Priority, deadline: float) -> Any:
+    async def acquire(
+        self, *, priority: Priority, deadline: float, class_name: str = ""
+    ) -> Any:
         """Return a slot or raise an error that means not run."""
 
     def release(self, slot: Any, *, failed: bool) -> None:
@@ -54,19 +56,3 @@
 
     def try_spend(self, name: str) -> bool:
         """Take one retry from the budget if there is one."""
-
-
-class Suspects(Protocol):
-    """Requests that crash; see `coordination.quarantine.Quarantine`."""
-
-    def check(self, fingerprint: str) -> None:
-        """Raise ``condemned`` if the request may not run."""
-
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Return whether the request may have crashed a backend server."""
-
-    def begin(self, backend: str, fingerprint: str) -> None:
-        """Take note that a request is handed over."""
-
-    def end(self, backend: str, fingerprint: str, *, completed: bool) -> None:
-        """Take note that a request has ended."""
--- a/packages/almondrouter/src/almondrouter/coordination/egress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/egress.py
@@ -4,17 +4,18 @@
 
 from collections.abc import Callable, Mapping
 
-import xxhash
-
 from almondrouter.clock import Clock
-from almondrouter.coordination.collaborators import Admitter, Suspects
+from almondrouter.coordination.collaborators import Admitter
+from almondrouter.coordination.crashes import CrashGuard
 from almondrouter.coordination.limits import LimitService
+from almondrouter.coordination.quarantine import compute_fingerprint
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol import headers as names
 from almondrouter.protocol.calls import CallReply, CallRequest, HeaderList
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.state.snapshot import Route, Snapshot
+from almondrouter.tracing import Tracer
 from almondrouter.transport.calls import BackendSender
 
 _DROPPED_FROM_RESPONSE = frozenset(
@@ -33,12 +34,9 @@
 
 def make_fingerprint(request: CallRequest) -> str:
     """Return a digest of a request's content, whatever its key."""
-    digest = xxhash.xxh3_128()
-    for part in (request.class_name, request.method, request.target):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(request.body)
-    return digest.hexdigest()
+    return compute_fingerprint(
+        request.class_name, request.method, request.target, request.body
+    )
 
 
 class Egress:
@@ -54,6 +52,8 @@
         Rate limits, and requests that may crash backend servers.
     clock
         Source of monotonic time.
+    tracer
+        Starts a span for each hand-over.
     """
 
     def __init__(
@@ -63,8 +63,9 @@
         admissions: Mapping[str, Admitter],
         backends: Mapping[str, BackendSender],
         limits: LimitService,
-        quarantine: Suspects,
+        quarantine: CrashGuard,
         clock: Clock,
+        tracer: Tracer,
     ) -> None:
         self._snapshot = snapshot
         self._admissions = admissions
@@ -72,7 +73,7 @@
         self._limits = limits
         self._quarantine = quarantine
         self._clock = clock
-        self._running_suspects: set[str] = set()
+        self._tracer = tracer
 
     def find_admission(self, request: CallRequest) -> Admitter:
         """Return the admission of the call's backend server.
@@ -123,7 +124,9 @@
         route = self.check(request, fingerprint)
         admission = self.find_admission(request)
         slot = await admission.acquire(
-            priority=route.priority, deadline=request.deadline
+            priority=route.priority,
+            deadline=request.deadline,
+            class_name=route.class_name,
         )
         failed = False
         try:
@@ -142,42 +145,44 @@
         CallError
             With the outcome; see `BackendSender.send`.
         """
-        suspect = self._quarantine.is_suspect(fingerprint)
-        if suspect and request.backend in self._running_suspects:
+        if not self._quarantine.may_run_now(request.backend, fingerprint):
             message = "another suspected request is in flight here"
             raise CallError(ErrorCode.OVERLOADED, message)
         self.check_deadline(request)
-        if suspect:
-            self._running_suspects.add(request.backend)
         completed = False
         self._quarantine.begin(request.backend, fingerprint)
         try:
             reply = await self._send(request)
             completed = True
+        except CallError as error:
+            if error.code is ErrorCode.BACKEND_FAILED:
+                await self._quarantine.examine(request.backend)
+            raise
         finally:
             self._quarantine.end(request.backend, fingerprint, completed=completed)
-            if suspect:
-                self._running_suspects.discard(request.backend)
         return reply
 
     async def _send(self, request: CallRequest) -> CallReply:
         backend = self._backends.get(request.backend)
         if backend is None:
             raise CallError(ErrorCode.NO_BACKEND, "the backend server has gone")
-        response = await backend.send(
-            request.method,
-            request.target,
-            self._make_headers(request),
-            request.body,
-            deadline=request.deadline,
-        )
+        with self._tracer.span("egress", request.traceparent) as span:
+            span.annotate(backend=request.backend, **{"class": request.class_name})
+            response = await backend.send(
+                request.method,
+                request.target,
+                self._make_headers(request, span.traceparent),
+                request.body,
+                deadline=request.deadline,
+            )
+            span.annotate(status=response.status)
         headers = tuple(
             item for item in response.headers if item[0] not in _DROPPED_FROM_RESPONSE
         )
         status = response.status
         return CallReply(0, Outcome.COMPLETE, status, headers, response.body, "", None)
 
-    def _make_headers(self, request: CallRequest) -> HeaderList:
+    def _make_headers(self, request: CallRequest, traceparent: str) -> HeaderList:
         left = request.deadline - self._clock.monotonic()
         headers = [
             *request.headers,
@@ -186,8 +191,8 @@
         ]
         if request.key:
             headers.append((names.IDEMPOTENCY_KEY.lower(), request.key))
-        if request.traceparent:
-            headers.append((names.TRACEPARENT, request.traceparent))
+        if traceparent:
+            headers.append((names.TRACEPARENT, traceparent))
         return tuple(headers)
 
 
--- a/packages/almondrouter/src/almondrouter/coordination/ingress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/ingress.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.collaborators import Choice, Retries
+from almondrouter.coordination.quarantine import RETRY_DELAY_SECONDS
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol import headers as names
 from almondrouter.protocol.calls import CallReply, CallRequest, HeaderList
@@ -17,6 +19,7 @@
 from almondrouter.protocol.keys import check_idempotency_key
 from almondrouter.protocol.outcomes import CallError, choose_status
 from almondrouter.state.snapshot import Destination, Route, Snapshot
+from almondrouter.tracing import Tracer
 from almondrouter.transport.calls import CallerRequest, CallerResponse, CallLinks
 
 MAX_FURTHER_CHOICES = 2
@@ -102,6 +105,8 @@
         Runs a call on this host.
     clock, host
         Time, and name of this host.
+    tracer
+        Starts a span for each call.
     """
 
     def __init__(
@@ -114,7 +119,9 @@
         egress: Egress,
         clock: Clock,
         host: str,
+        tracer: Tracer,
     ) -> None:
+        self._tracer = tracer
         self._snapshot = snapshot
         self._links = links
         self._choice = choice
@@ -128,11 +135,23 @@
         snapshot = self._snapshot()
         try:
             call = read_call(request, snapshot, self._clock)
-            reply = await self._place(call)
+            reply = await self._trace(call)
         except AlmondError as error:
             reply = make_error_reply(error)
         return make_response(reply, snapshot.version)
 
+    async def _trace(self, call: Call) -> CallReply:
+        with self._tracer.span("ingress", call.request.traceparent) as span:
+            span.annotate(host=self._host, **{"class": call.route.class_name})
+            if span.traceparent != call.request.traceparent:
+                traced = msgspec.structs.replace(
+                    call.request, traceparent=span.traceparent
+                )
+                call = replace(call, request=traced)
+            reply = await self._place(call)
+            span.annotate(outcome=reply.outcome.value, code=reply.code)
+            return reply
+
     async def _place(self, call: Call) -> CallReply:
         """Try destinations until one has run the call or may have run it.
 
@@ -157,6 +176,7 @@
                 further -= 1
             elif unknown is None and self._may_retry(call):
                 unknown = reply
+                await self._wait_for_reports(call, reply)
             else:
                 return reply
         if unknown is not None:
@@ -184,6 +204,13 @@
             and self._retries.try_spend(call.route.class_name)
         )
 
+    async def _wait_for_reports(self, call: Call, reply: CallReply) -> None:
+        """Let the report of a crash spread before the call is repeated."""
+        now = self._clock.monotonic()
+        crashed = reply.code == ErrorCode.BACKEND_FAILED.value
+        if crashed and now + RETRY_DELAY_SECONDS < call.request.deadline:
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+
     async def _send(
         self, destination: Destination, call: Call, *, retried: bool
     ) -> CallReply:
--- a/packages/almondrouter/src/almondrouter/coordination/once.py
+++ b/packages/almondrouter/src/almondrouter/coordination/once.py
@@ -136,7 +136,9 @@
         claiming = asyncio.create_task(self._claim(request))
         try:
             slot = await admission.acquire(
-                priority=route.priority, deadline=request.deadline
+                priority=route.priority,
+                deadline=request.deadline,
+                class_name=route.class_name,
             )
         except BaseException:
             await self._abandon(claiming)
--- a/packages/almondrouterd/src/almondrouterd/backendmonitor.py
+++ b/packages/almondrouterd/src/almondrouterd/backendmonitor.py
@@ -9,13 +9,13 @@
 from typing import Literal
 
 import msgspec
-from almondrouter.coordination.admission import Admission
-from almondrouter.transport.backends import BackendClient
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.admission import Admission
 from almondrouter.errors import ErrorCode, Finding, FindingsError
 from almondrouter.settings import parse_address, parse_name, split_address
 from almondrouter.state.registry import BackendRecord, BackendState
+from almondrouter.transport.backends import BackendClient
 from almondrouterd.logs import StateLogger
 
 ANNOUNCEMENT_INTERVAL_S = 1.0
@@ -119,12 +119,6 @@
             for name in self._list_silent(SILENCE_LIMIT_S):
                 self._remove(name, reason="silent")
 
-    def report_failure(self, name: str) -> None:
-        """Probe a backend server whose connection failed during a call."""
-        task = asyncio.create_task(self.probe(name))
-        self._probes.add(task)
-        task.add_done_callback(self._probes.discard)
-
     async def probe(self, name: str) -> bool:
         """Return whether a backend server accepts connections; else remove it."""
         backend = self._backends.get(name)
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -10,6 +10,7 @@
 from almondrouter.coordination.activation import Activation
 from almondrouter.coordination.broadcast import Broadcast
 from almondrouter.coordination.calls import CallService
+from almondrouter.coordination.crashes import CrashReporter
 from almondrouter.coordination.delegates import rank_hosts
 from almondrouter.coordination.distribution import Distribution
 from almondrouter.coordination.fleetstatus import FleetStatus
@@ -212,6 +213,11 @@
             on_change=self._update_backends,
             on_crash=self._report_crash,
         )
+        self.crashes = CrashReporter(
+            quarantine=self.quarantine,
+            probe=self.backends.probe,
+            publish=self.broadcast.publish,
+        )
         self.occupancy = OccupancyTable()
         hello = Hello(
             cluster=settings["cluster"],
@@ -235,10 +241,11 @@
             backends=self.backends.clients,
             claims=self.claims,
             limits=self.limits,
-            quarantine=self.quarantine,
+            quarantine=self.crashes,
             clock=self.clock,
             host=self.host,
             find_peer=self._find_peer,
+            tracer=self._tracer,
         )
         self.link_server = CallLinkServer(
             address=settings["peer-address"],
@@ -294,10 +301,8 @@
         self.membership.update_backends(records)
 
     def _report_crash(self, backend: str) -> None:
-        report = self.quarantine.record_crash(backend)
+        report = self.crashes.record_crash(backend)
         _log.warning("backend server crashed", name=backend, report=report.report_id)
-        if report.fingerprints:
-            self.broadcast.publish(report)
 
     def _list_push_addresses(self) -> list[str]:
         return [record.control_address for record in self.membership.push_targets()]
