--- a/packages/almondrouter-standins/src/almondrouter_standins/processes.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/processes.py
@@ -114,10 +114,11 @@
         cluster: str = "demo",
         options: tuple[str, ...] = (),
     ) -> None:
-        self._directory = directory
+        self.directory = directory
         self._fixed = base_port is not None
         self._next_port = base_port or _choose_first_port()
         self._options = options
+        self.store_options: tuple[str, ...] = ()
         self.daemon_command = ("-m", "almondrouterd.main")
         self.cluster = cluster
         self.store_address = self.take_address()
@@ -175,6 +176,7 @@
             "almondrouter_standins.store",
             "--address",
             self.store_address,
+            *self.store_options,
         )
         await self.wait_for_port(self.store_address, self.store)
 
@@ -270,7 +272,7 @@
             await program.kill()
 
     async def _start(self, name: str, *arguments: str) -> Program:
-        log = self._directory / f"{name}.log"
+        log = self.directory / f"{name}.log"
         with log.open("ab") as output:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, *arguments, stdout=output, stderr=output
--- a/packages/almondrouter/src/almondrouter/coordination/once.py
+++ b/packages/almondrouter/src/almondrouter/coordination/once.py
@@ -22,6 +22,12 @@
 MAX_HOLDERS_ASKED = 3
 """Holders that a call asks in turn before its outcome counts as unknown."""
 
+CLAIM_SHARE = 0.5
+"""Share of the time left in which the store has to confirm a claim.
+
+The rest lets the refusal reach the caller, who else hears only of a timeout.
+"""
+
 JOIN_GRACE_S = 0.05
 """Seconds after the deadline in which the run itself may still say how it ended."""
 
@@ -171,10 +177,12 @@
 
     async def _claim(self, request: CallRequest) -> Claim | CallReply:
         """Return an own, unused claim, or the reply of the run that has it."""
+        now = self._clock.monotonic()
+        deadline = now + CLAIM_SHARE * (request.deadline - now)
         replaces: str | None = None
         for _ in range(MAX_HOLDERS_ASKED):
             claim = await self._claims.claim(
-                request.key, deadline=request.deadline, replaces=replaces
+                request.key, deadline=deadline, replaces=replaces
             )
             if self._claims.owns(claim) and self._memory.use_claim(claim.claim_id):
                 return claim
--- a/packages/almondrouterd/src/almondrouterd/backendmonitor.py
+++ b/packages/almondrouterd/src/almondrouterd/backendmonitor.py
@@ -22,6 +22,8 @@
 MAX_MISSED_ANNOUNCEMENTS = 3
 SILENCE_LIMIT_S = 10.0
 PROBE_TIMEOUT_S = 1.0
+PROBE_ATTEMPTS = 4
+PROBE_HOLD_S = 0.05
 MAX_SLOTS = 10_000
 
 _log = StateLogger("backend")
@@ -120,20 +122,23 @@
                 self._remove(name, reason="silent")
 
     async def probe(self, name: str) -> bool:
-        """Return whether a backend server accepts connections; else remove it."""
+        """Return whether a backend server serves connections; else remove it.
+
+        A process that is dying may still accept a connection and reset it, so
+        a connection counts only once it has stayed open for a moment.
+        """
         backend = self._backends.get(name)
         if backend is None:
             return False
-        host, port = split_address(backend.announcement.address)
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, port)
-        except ConnectionRefusedError:
-            self._crash(name)
-            return False
-        except (OSError, TimeoutError):
-            return True
-        writer.close()
+        for _ in range(PROBE_ATTEMPTS):
+            try:
+                if await _stays_open(backend.announcement.address):
+                    return True
+            except ConnectionRefusedError:
+                self._crash(name)
+                return False
+            except (OSError, TimeoutError):
+                continue
         return True
 
     async def wait_until_idle(self) -> None:
@@ -204,6 +209,26 @@
         return [n for n, item in self._backends.items() if item.heard_at < oldest]
 
 
+async def _stays_open(address: str) -> bool:
+    """Return whether a connection is accepted and not closed at once.
+
+    Raises
+    ------
+    OSError, TimeoutError
+        If there is no connection.
+    """
+    async with asyncio.timeout(PROBE_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(*split_address(address))
+    try:
+        async with asyncio.timeout(PROBE_HOLD_S):
+            await reader.read(1)
+    except TimeoutError:
+        return True
+    finally:
+        writer.close()
+    return False
+
+
 def _check_announcement(announcement: BackendAnnouncement) -> None:
     findings = []
     for field, parse in (
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -10,6 +10,8 @@
 from almondrouter.coordination.activation import Activation
 from almondrouter.coordination.broadcast import Broadcast
 from almondrouter.coordination.calls import CallService
+from almondrouter.coordination.claimbatches import ClaimBatcher
+from almondrouter.coordination.claims import StoreClaims
 from almondrouter.coordination.crashes import CrashReporter
 from almondrouter.coordination.delegates import rank_hosts
 from almondrouter.coordination.distribution import Distribution
@@ -121,6 +123,8 @@
             self.caller_server,
             self.link_server,
             self.links,
+            self.claims,
+            self.batcher,
             self.distribution,
             self.membership,
             self.backends,
@@ -196,11 +200,17 @@
 
     def _build_calls(self) -> None:
         settings = self._settings
-        from almondrouterd.scratch import ScratchClaims, ScratchLimits
+        from almondrouterd.scratch import ScratchLimits
 
-        self.claims, self.limits = (
-            ScratchClaims(self.host, self.incarnation),
-            ScratchLimits(),
+        self.limits = ScratchLimits()
+        self.batcher = ClaimBatcher(self.store, self.keys, clock=self.clock)
+        self.claims = StoreClaims(
+            host=self.host,
+            incarnation=self.incarnation,
+            endpoint=self.endpoint,
+            batcher=self.batcher,
+            delegate=self._find_delegate,
+            clock=self.clock,
         )
         self.quarantine = Quarantine(host=self.host, clock=self.clock)
         self.broadcast = Broadcast(
