Add rate limits by slices and loans

A data centre's delegate takes slices of a limit under its lease and lends whole calls a second to its daemons. A loan ends one counting window before the lease, counts from before its request was sent, and stays in the lender's books until it has run out, whatever its holder is granted later; so no second holds the calls of two holders of the same share. Each daemon's tokens return one second after they were taken: a burst with a steady refill would either exceed the loan in some second or leave part of it unused.

Delegates write their demand beside the slices, so that a limit follows the calls between data centres. Shares are whole calls, as slices that do not add up to one would lie idle at several delegates: with a limit of 1 and two data centres nothing was admitted at all before that.

LoanRequest carries the incarnation: a restarted daemon does not know what its predecessor has just admitted.

--- a/packages/almondrouter/src/almondrouter/protocol/control.py
+++ b/packages/almondrouter/src/almondrouter/protocol/control.py
@@ -174,11 +174,15 @@
         Name of the limit.
     demand
         Calls a second that the daemon would admit.
+    incarnation
+        Incarnation of the host; a restarted daemon does not know what its
+        predecessor admitted, so it gets loans of its own.
     """
 
     host: str
     limit: str
     demand: float
+    incarnation: int = 0
 
 
 class LoanReply(msgspec.Struct, frozen=True, array_like=True, tag="lr"):
--- /dev/null
+++ b/tests/test_coordination_limits.py
@@ -0,0 +1,323 @@
+"""Tests of rate limits: the fleet never admits more than the limit in a second."""
+
+import asyncio
+import unittest
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.limits import LoanedLimits
+from almondrouter.coordination.slices import SliceHolder, share_units
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.keys import StoreKeys
+from almondrouter_standins.keyspace import Keyspace
+from almondrouter_standins.memory import CallFault, MemoryStore
+from network import Network
+
+KEYS = StoreKeys("test")
+F = CallFault
+NAME = "services.accounts"
+
+
+class _Fleet:
+    """Two data centres, x and y, each with a delegate that also admits calls."""
+
+    def __init__(self, rate, hold=None):
+        self.rate = rate
+        self.clock = ManualClock()
+        self.keyspace = Keyspace(clock=self.clock)
+        self.network = Network(hold) if hold else Network()
+        self.hold = hold
+        self.holders, self.stores, self.limits = {}, {}, {}
+        self.incarnation = 0
+        self.admitted = []
+        for host in ("x1", "y1", "x2", "y2"):
+            self.start(host)
+
+    def start(self, host):
+        """Start a daemon, or restart it without any memory."""
+        self.incarnation += 1
+        store = MemoryStore(self.keyspace, clock=self.clock, choose_fault=self.hold)
+        holder = SliceHolder(
+            store, KEYS, host=host, rate_of=lambda _: self.rate, clock=self.clock
+        )
+        first = f"{host[0]}1"
+        self.limits[host] = LoanedLimits(
+            host=host,
+            incarnation=self.incarnation,
+            endpoint=self.network.connect(host),
+            slices=holder,
+            delegate=lambda: None if host == first else first,
+            clock=self.clock,
+        )
+        self.holders[host], self.stores[host] = holder, store
+
+    def admit(self, host, count):
+        """Return how many of the calls were admitted, and the last refusal."""
+        admitted, code = 0, None
+        for _ in range(count):
+            try:
+                self.limits[host].admit((NAME,))
+            except AlmondError as error:
+                code = error.code
+            else:
+                admitted += 1
+                self.admitted.append(self.clock.monotonic())
+        return admitted, code
+
+    async def settle(self, load, rounds=12):
+        """Let calls come at a steady rate until loans and slices follow it."""
+        for _ in range(rounds):
+            for host, count in load.items():
+                self.admit(host, count)
+                if NAME in self.limits[host]._buckets:
+                    await self.limits[host].renew(NAME)
+            for delegate in ("x1", "y1"):
+                await self.holders[delegate].step()
+            self.clock.advance(1.01)
+
+    def check(self):
+        times = self.admitted
+        window = max(1.0, 1 / self.rate)
+        for end in range(len(times)):
+            start = times[end] - window
+            count = sum(start < t <= times[end] for t in times[: end + 1])
+            if count > max(1.0, self.rate):
+                raise AssertionError(f"{count} calls in {window} s of {self.rate}/s")
+
+
+class LimitsTest(unittest.IsolatedAsyncioTestCase):
+    """The sum of what all daemons admit must stay within the limit."""
+
+    @parameterized.expand(
+        [
+            ("fewer calls than slices", 10, {"x1": 9, "x2": 9, "y1": 9, "y2": 9}),
+            ("one call a second", 1, {"x1": 5, "y2": 5}),
+            ("less than a call a second", 0.5, {"x1": 5, "y2": 5}),
+            ("many calls", 640, {"x1": 500, "x2": 100, "y1": 50, "y2": 500}),
+            ("not a whole number", 50.5, {"x1": 90, "y1": 90}),
+        ]
+    )
+    async def test_saturated_limit(self, _name, rate, load):
+        fleet = _Fleet(rate)
+        await fleet.settle(load)
+        fleet.check()
+        start = fleet.clock.monotonic()
+        await fleet.settle(load, rounds=4)
+        used = sum(t >= start for t in fleet.admitted) / (4 * 1.01)
+        self.assertGreaterEqual(used, 0.4 * rate, "most of the limit is idle")
+
+    async def test_loans_follow_demand(self):
+        """A limit must not stay where the calls were yesterday."""
+        fleet = _Fleet(64)
+        await fleet.settle({"x1": 60, "x2": 60})
+        await fleet.settle({"y2": 60}, rounds=20)
+        self.assertEqual(fleet.admit("y2", 60)[0], 60)
+        fleet.check()
+
+    async def test_lapsed_loan_admits_nothing(self):
+        """A holder that was frozen must not go on with an old loan."""
+        fleet = _Fleet(100)
+        await fleet.settle({"x2": 10})
+        self.assertGreater(fleet.admit("x2", 1)[0], 0)
+        fleet.clock.advance(4)
+        self.assertEqual(fleet.admit("x2", 1), (0, ErrorCode.LIMIT_UNAVAILABLE))
+
+    async def test_reply_that_was_delayed_counts_from_the_request(self):
+        fleet = _Fleet(100)
+        await fleet.settle({"x2": 10})
+
+        async def delay(_message):
+            fleet.clock.advance(10)
+            return F.NONE
+
+        fleet.network.choose_fault = delay
+        await fleet.limits["x2"].renew(NAME)
+        self.assertEqual(fleet.admit("x2", 1), (0, ErrorCode.LIMIT_UNAVAILABLE))
+
+    async def test_store_outage_stops_limited_calls_before_the_lease_ends(self):
+        """Another delegate may take the slices once the lease has lapsed."""
+        fleet = _Fleet(100)
+        await fleet.settle({"x2": 10})
+
+        async def refuse(_kind):
+            return F.REFUSED
+
+        fleet.stores["x1"].choose_fault = refuse
+        await fleet.settle({"x2": 10}, rounds=14)
+        self.assertEqual(fleet.admit("x2", 1), (0, ErrorCode.LIMIT_UNAVAILABLE))
+        await fleet.settle({"y2": 100}, rounds=6)
+        fleet.check()
+
+    async def test_restarted_daemon_has_no_share_of_its_predecessor(self):
+        """It does not know which calls its predecessor has just admitted."""
+        fleet = _Fleet(10)
+        await fleet.settle({"x2": 10})
+        self.assertEqual(fleet.admit("x2", 10)[0], 10)
+        fleet.start("x2")
+        fleet.admit("x2", 10)
+        await fleet.limits["x2"].renew(NAME)
+        self.assertEqual(fleet.admit("x2", 10)[0], 0)
+
+    async def test_several_limits_take_from_all_or_none(self):
+        fleet = _Fleet(100)
+        await fleet.settle({"x1": 5})
+        limits = fleet.limits["x1"]
+        with self.assertRaises(AlmondError):
+            limits.admit((NAME, "classes.other"))
+        self.assertEqual(len(limits._buckets[NAME].taken), 0)
+
+    async def test_store_calls_do_not_grow_with_calls(self):
+        fleet = _Fleet(1000)
+        await fleet.settle({"x1": 100, "x2": 100}, rounds=10)
+        few = dict(fleet.stores["x1"].calls)
+        await fleet.settle({"x1": 100, "x2": 100}, rounds=10)
+        calls = {kind: n - few[kind] for kind, n in fleet.stores["x1"].calls.items()}
+        self.assertLessEqual(calls["range"], 10)
+        self.assertLessEqual(calls.get("txn", 0) + calls["keepalive"], 5)
+
+    def test_shares_whole_units_from_the_smallest_demand_up(self):
+        shares = share_units({"a": 1.0, "b": 9.0, "c": 9.0}, 9, turn=0)
+        self.assertEqual((shares["a"], sum(shares.values())), (1, 9))
+        turns = [share_units({"a": 1.0, "b": 1.0}, 1, turn=t)["a"] for t in range(20)]
+        self.assertEqual(set(turns), {0, 1})
+
+
+class LimitsMachine(RuleBasedStateMachine):
+    """Daemons restart, freeze and are cut off while all of them want every call.
+
+    The oracle counts the calls that all daemons together admit in any second.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.held, self.steps, self.renewals = [], {}, {}
+
+    @initialize(rate=st.sampled_from([0.5, 1, 3, 10, 64]))
+    def start(self, rate):
+        async def build():
+            return _Fleet(rate, self.hold)
+
+        self.fleet = self.loop.run_until_complete(build())
+
+    async def hold(self, _what):
+        future = self.loop.create_future()
+        self.held.append(future)
+        return await future
+
+    def turn(self):
+        async def spin():
+            for _ in range(10):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(spin())
+        self.held = [future for future in self.held if not future.done()]
+        for task in (*self.steps.values(), *self.renewals.values()):
+            if task.done() and not task.cancelled():
+                task.result()
+
+    def answer_all(self):
+        for _ in range(6):
+            for future in self.held:
+                future.set_result(F.NONE)
+            self.turn()
+
+    @rule(host=st.sampled_from(["x1", "x2", "y1", "y2"]), count=st.integers(1, 70))
+    def admit(self, host, count):
+        self.fleet.admit(host, count)
+
+    @rule(host=st.sampled_from(["x1", "x2", "y1", "y2"]))
+    def renew(self, host):
+        task = self.renewals.get(host)
+        limits = self.fleet.limits[host]
+        if (task is None or task.done()) and NAME in limits._buckets:
+            self.renewals[host] = self.loop.create_task(limits.renew(NAME))
+            self.turn()
+
+    @rule(host=st.sampled_from(["x1", "y1"]))
+    def step(self, host):
+        task = self.steps.get(host)
+        if task is None or task.done():
+            holder = self.fleet.holders[host]
+            self.steps[host] = self.loop.create_task(holder.step())
+            self.turn()
+
+    @rule(rounds=st.integers(1, 3))
+    def run_smoothly(self, rounds):
+        for _ in range(rounds):
+            for host in ("x1", "x2", "y1", "y2"):
+                self.fleet.admit(host, 20)
+                self.renew(host)
+            self.step("x1")
+            self.step("y1")
+            self.answer_all()
+            self.fleet.clock.advance(0.4)
+
+    @precondition(lambda self: self.held)
+    @rule(index=st.integers(0, 9), fault=st.sampled_from([*F, F.NONE, F.NONE]))
+    def answer(self, index, fault):
+        self.held.pop(index % len(self.held)).set_result(fault)
+        self.turn()
+
+    def late(self):
+        clients = [self.fleet.network, *self.fleet.stores.values()]
+        return [client for client in clients if client.late]
+
+    @precondition(lambda self: self.late())
+    @rule(index=st.integers(0, 9))
+    def deliver_late(self, index):
+        async def deliver():
+            late = self.late()
+            late[index % len(late)].deliver_late()
+
+        self.loop.run_until_complete(deliver())
+        self.turn()
+
+    @rule(host=st.sampled_from(["x1", "x2", "y1", "y2"]))
+    def restart(self, host):
+        for tasks in (self.steps, self.renewals):
+            if host in tasks:
+                tasks.pop(host).cancel()
+        self.turn()
+        self.loop.run_until_complete(self.restart_daemon(host))
+
+    async def restart_daemon(self, host):
+        self.fleet.start(host)
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.01, 2.5, 16.0]))
+    def pass_time(self, seconds):
+        self.fleet.clock.advance(seconds)
+
+    @invariant()
+    def stays_within_the_limit(self):
+        if hasattr(self, "fleet"):
+            self.fleet.check()
+            now = self.fleet.clock.monotonic()
+            self.fleet.admitted = [t for t in self.fleet.admitted if t > now - 4]
+
+    def teardown(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.turn()
+        self.loop.close()
+
+
+LimitsMachineTest = LimitsMachine.TestCase
+LimitsMachineTest.settings = settings(
+    max_examples=100,
+    stateful_step_count=50,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
