--- a/packages/almondrouter/src/almondrouter/coordination/distribution.py
+++ b/packages/almondrouter/src/almondrouter/coordination/distribution.py
@@ -273,7 +273,8 @@
             await self._switch_watch(self._is_to_watch())
             await asyncio.sleep(RECONCILE_PAUSE_S)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), RECONCILE_INTERVAL_S)
+                async with asyncio.timeout(RECONCILE_INTERVAL_S):
+                    await self._changed.wait()
             self._changed.clear()
 
     def _is_to_watch(self) -> bool:
--- a/packages/almondrouter/src/almondrouter/coordination/pulls.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pulls.py
@@ -18,7 +18,10 @@
 
 # A silent link costs this long before the next source is asked.
 PULL_TIMEOUT_S = 1.0
-SILENT_REST_S = 1.0
+# A lost message is repeated soon; a source that stays silent is dropped until
+# its next heartbeat.
+SILENT_REST_S = 0.3
+MAX_SILENT_PULLS = 3
 # Heartbeats offer a source every second; asking for a bad document each time
 # would cost its whole size.
 REFUSED_REST_S = 30.0
@@ -31,6 +34,7 @@
     record: HostRecord
     head: Head
     not_before: float
+    silent_pulls: int = 0
 
 
 class ConfigurationPuller:
@@ -80,9 +84,11 @@
         now = self._clock.monotonic()
         not_before = max(now + delay, self._resting.get(record.host, 0.0))
         known = self._sources.get(record.host)
+        silent_pulls = 0
         if known is not None:
             not_before = min(not_before, max(known.not_before, now))
-        self._sources[record.host] = _Source(record, head, not_before)
+            silent_pulls = known.silent_pulls
+        self._sources[record.host] = _Source(record, head, not_before, silent_pulls)
         self._wake.set()
 
     async def run(self) -> None:
@@ -99,10 +105,14 @@
         reply = await self.ask(source.record)
         # A peer that has restarted may have less than it announced before.
         self._sources.pop(host, None)
-        if reply is not None and not self._is_behind(reply.head):
-            return
-        rest = SILENT_REST_S if reply is None else REFUSED_REST_S
-        self._resting[host] = self._clock.monotonic() + rest
+        now = self._clock.monotonic()
+        silent_pulls = source.silent_pulls + 1
+        if reply is None and silent_pulls < MAX_SILENT_PULLS:
+            self._sources[host] = _Source(
+                source.record, source.head, now + SILENT_REST_S, silent_pulls
+            )
+        elif reply is not None and self._is_behind(reply.head):
+            self._resting[host] = now + REFUSED_REST_S
 
     async def ask(
         self, record: HostRecord, *, with_members: bool = False
@@ -197,8 +207,10 @@
 
 
 async def _wait(event: asyncio.Event, seconds: float) -> bool:
+    # In Python 3.11 wait_for loses a cancellation that meets its result.
     try:
-        await asyncio.wait_for(event.wait(), seconds)
+        async with asyncio.timeout(seconds):
+            await event.wait()
     except TimeoutError:
         return False
     return True
--- a/tests/test_coordination_catchup.py
+++ b/tests/test_coordination_catchup.py
@@ -5,6 +5,7 @@
 
 from parameterized import parameterized
 
+from almondrouter.protocol.control import ConfigurationRequest
 from almondrouter.state.changes import Change
 from almondrouter.state.targets import ServiceTarget
 from simulation.fleet import SimulatedFleet
@@ -84,10 +85,13 @@
             for host in ahead:
                 fleet.hosts[host].activation.activate(after, digest=after.digest())
             await restart(fleet, "n-1-0")
-            # The members that cannot be asked are still on the peers' lists.
+            # The members that cannot be asked are on the peers' lists only.
+            for host in ahead:
+                newcomer.registry.remove(host)
             await asyncio.sleep(3.5)
             self.assertFalse(newcomer.distribution.ready)
             self.assertIn("2 of 5 members", newcomer.distribution.not_ready_reason)
+            newcomer.merge([host.record for host in fleet.hosts.values()])
             fleet.network.cuts.clear()
             await asyncio.sleep(SETTLED_S)
             self.assertTrue(newcomer.distribution.ready)
@@ -146,10 +150,36 @@
             await asyncio.sleep(3)
             self.assertFalse(host.distribution.ready)
             self.assertIn("frozen", host.distribution.not_ready_reason)
+            handlers = [peer.endpoint.handlers for peer in fleet.hosts.values()]
+            answers = [kept.pop(ConfigurationRequest) for kept in handlers]
             fleet.network.cuts.clear()
+            await asyncio.sleep(5)
+            self.assertFalse(host.distribution.ready)
+            self.assertIn("version 3", host.distribution.not_ready_reason)
+            for kept, answer in zip(handlers, answers, strict=True):
+                kept[ConfigurationRequest] = answer
             await fleet.wait_until(lambda: host.distribution.ready, SETTLED_S)
             self.assertTrue(host.distribution.ready)
             self.assertEqual(host.activation.head().version, 3)
             await fleet.close()
 
         run_virtual(work)
+
+    def test_store_read_from_before_the_freeze_confirms_nothing(self):
+        async def work():
+            fleet = await start_fleet({"n-1": 1})
+            host = fleet.hosts["n-1-0"]
+            fleet.store.down = True
+            host.pause()
+            before = fleet.clock.monotonic()
+            await asyncio.sleep(8)
+            host.wake()
+            await asyncio.sleep(1)
+            host.distribution._catch_up.confirm_by_store(before)
+            self.assertFalse(host.distribution.ready)
+            fleet.store.down = False
+            await asyncio.sleep(SETTLED_S)
+            self.assertTrue(host.distribution.ready)
+            await fleet.close()
+
+        run_virtual(work)
--- a/tests/test_coordination_pulls.py
+++ b/tests/test_coordination_pulls.py
@@ -13,7 +13,7 @@
     ConfigurationRequest,
     Head,
 )
-from almondrouter.state.changes import Change
+from almondrouter.state.changes import Change, ChangeRecord
 from almondrouter.state.targets import ServiceTarget
 from simulation.fleet import SimulatedFleet
 from simulation.loop import run_virtual
@@ -118,6 +118,21 @@
 
         run_virtual(work)
 
+    def test_document_follows_if_a_record_is_bad(self):
+        async def work():
+            fleet = await start_fleet({"n-1": 2})
+            one, other = fleet.hosts.values()
+            other.store.reachable = one.store.reachable = False
+            after = fleet.store.accept(CHANGE)
+            record = ChangeRecord(2, "c2", "ann", "", 0, CHANGE, "0" * 32)
+            digest = after.digest()
+            one.activation.activate(after, digest=digest, records=[record])
+            await asyncio.sleep(3)
+            self.assertEqual(other.activation.head().version, 2)
+            await fleet.close()
+
+        run_virtual(work)
+
     def test_divergence_is_an_alarm_as_long_as_it_lasts(self):
         async def work():
             fleet = await start_fleet({"n-1": 2})
--- a/tests/test_coordination_storewatch.py
+++ b/tests/test_coordination_storewatch.py
@@ -109,6 +109,38 @@
 
         run_virtual(work)
 
+    def test_silent_watch_is_replaced(self):
+        """Guards against waiting for the head check from then on."""
+
+        async def work():
+            fleet, host = await start_one()
+            fleet.store.silent_watches = True
+            fleet.store.accept(CHANGE)
+            await asyncio.sleep(0.1)
+            self.assertEqual(host.activation.head().version, 2)
+            fleet.store.silent_watches = False
+            await asyncio.sleep(HEAD_INTERVAL_S + 0.5)
+            fleet.store.accept(CHANGE)
+            await asyncio.sleep(0.1)
+            self.assertEqual(host.activation.head().version, 4)
+            await fleet.close()
+
+        run_virtual(work)
+
+    def test_bad_record_makes_it_read_the_document_at_once(self):
+        async def work():
+            fleet, host = await start_one()
+            put = fleet.store.put_now
+            fleet.store.put_now = lambda k, v: put(k, v if "hist" not in k else v[:9])
+            await asyncio.sleep(0.1)
+            fleet.store.accept(CHANGE)
+            await asyncio.sleep(0.1)
+            self.assertEqual(host.activation.head().version, 3)
+            self.assertIn(Alarm.STORE_RECORD_INVALID, host.distribution.alarms)
+            await fleet.close()
+
+        run_virtual(work)
+
     @parameterized.expand([("good", None), ("bad document", _put_foreign_document)])
     def test_idle_watch_reads_no_values(self, _name, spoil):
         """Guards against reading the whole document again at each check."""
