Report waiting calls by priority and route by those ahead

An ingress counted every waiting call, though an urgent one overtakes those of lower priority. Urgent calls thus avoided servers whose queue would have let them by, met full queues elsewhere and were refused, while deferrable calls ran. Load has a new last field, queued_by_rank, and choose() an optional priority; without it, all waiting calls count as before.

--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -141,10 +141,14 @@
 class AdmittingServer(Server):
     """A backend server behind the product's admission."""
 
-    admission_type: type[Admission] = Admission
-
-    def __init__(self, destination: Destination, clock: ManualClock) -> None:
+    def __init__(
+        self,
+        destination: Destination,
+        clock: ManualClock,
+        admission_type: Callable[..., Admission] = Admission,
+    ) -> None:
         super().__init__(destination, clock)
+        self._admission_type = admission_type
         self.admission = self._open(warm=True)
 
     def restart_cold(self) -> None:  # noqa: D102
@@ -173,7 +177,7 @@
             self.destination.backend, "service", self.destination.slots
         )
         clock = _ShiftedClock(self.clock) if warm else self.clock
-        return self.admission_type(record, clock=clock)
+        return self._admission_type(record, clock=clock)
 
 
 class _ShiftedClock(ManualClock):
@@ -220,18 +224,32 @@
         Whether the product's policies run, or the baseline's.
     seed
         Seed of the random choices.
+    admission_type
+        Makes the admission of each server, if the product's policies run.
     """
 
     def __init__(
-        self, service: Service, clock: ManualClock, *, ours: bool, seed: int
+        self,
+        service: Service,
+        clock: ManualClock,
+        *,
+        ours: bool,
+        seed: int,
+        admission_type: Callable[..., Admission] = Admission,
     ) -> None:
         self.service = service
         self.clock = clock
         self.ours = ours
         self.tally = Tally()
-        kind = AdmittingServer if ours else FifoServer
         places = [_place(n, service) for n in range(service.servers)]
-        self.servers = {place.backend: kind(place, clock) for place in places}
+        self.servers: dict[str, Server] = {
+            place.backend: (
+                AdmittingServer(place, clock, admission_type)
+                if ours
+                else FifoServer(place, clock)
+            )
+            for place in places
+        }
         self.ingresses = [
             _Ingress(place, self._policy(place, seed)) for place in places
         ]
@@ -295,7 +313,10 @@
         further = FURTHER_CHOICES
         while self.clock.monotonic() < deadline:
             target = entry.policy.choose(
-                self.destinations(), now=self.clock.monotonic(), excluded=tried
+                self.destinations(),
+                now=self.clock.monotonic(),
+                excluded=tried,
+                priority=work.priority,
             )
             if target is None:
                 return reply
@@ -362,6 +383,7 @@
     seconds: float = 10.0,
     warm_up: float = 5.0,
     fault: Fault | None = None,
+    admission_type: Callable[..., Admission] = Admission,
 ) -> Tally:
     """Offer ``load`` times the capacity; tally the calls after the warm-up.
 
@@ -371,11 +393,15 @@
         Measured time, and time before it, in seconds.
     fault
         Strikes at the end of the warm-up.
+    admission_type
+        Makes the admission of each server.
     """
     clock = ManualClock()
 
     async def offer() -> Tally:
-        fleet = Fleet(service, clock, ours=ours, seed=seed)
+        fleet = Fleet(
+            service, clock, ours=ours, seed=seed, admission_type=admission_type
+        )
         chance = random.Random(seed)
         end = clock.monotonic() + warm_up + seconds
         measured_from = clock.monotonic() + warm_up
--- a/packages/almondrouter/src/almondrouter/coordination/admission.py
+++ b/packages/almondrouter/src/almondrouter/coordination/admission.py
@@ -153,11 +153,13 @@
     def load(self) -> Load:
         """Return the exact load."""
         now = self._clock.monotonic()
+        ranks = [waiter.rank for waiter in self._queue]
         return Load(
             slots=self._usable_slots(now),
             in_use=len(self._running),
             queued=len(self._queue),
             service_time=self._expected_service_time(now),
+            queued_by_rank=tuple(ranks.count(priority.rank) for priority in Priority),
         )
 
     def start_draining(self) -> None:
@@ -191,9 +193,7 @@
                 ErrorCode.DEADLINE_EXCEEDED, f"an answer would take {needed:.3f} s"
             )
         if len(self._queue) >= MAX_QUEUED_PER_SLOT * self.backend.slots:
-            if waiter.rank >= self._queue[-1].rank:
-                raise _refusal(ErrorCode.OVERLOADED, "the queue is full")
-            self._refuse(self._queue[-1], ErrorCode.OVERLOADED, "shed from the queue")
+            self._make_room(waiter)
         self._queue.insert(place, waiter)
         loop = asyncio.get_running_loop()
         spare = waiter.deadline - self._class_time(waiter.class_name, now) - now
@@ -206,6 +206,17 @@
         )
         self._schedule_ramp(now)
 
+    def _make_room(self, waiter: _Waiter) -> None:
+        """Shed the lowest priority: a call that waits, or the new one."""
+        last = self._queue[-1]
+        if waiter.rank >= last.rank:
+            raise _refusal(ErrorCode.OVERLOADED, "the queue is full")
+        self._refuse(last, ErrorCode.OVERLOADED, "shed from the queue")
+
+    def _find_next(self) -> _Waiter:
+        """Return the waiting call that gets the next slot."""
+        return self._queue[0]
+
     async def _wait(self, waiter: _Waiter) -> Slot:
         try:
             return await waiter.granted
@@ -223,7 +234,7 @@
     def _admit_waiting(self, now: float) -> None:
         usable = self._usable_slots(now)
         while self._queue and len(self._running) < usable:
-            waiter = self._queue[0]
+            waiter = self._find_next()
             if now + self._class_time(waiter.class_name, now) > waiter.deadline:
                 self._refuse(
                     waiter, ErrorCode.DEADLINE_EXCEEDED, "too little time is left"
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -17,6 +17,7 @@
     OccupancyTable,
 )
 from almondrouter.state.snapshot import Destination
+from almondrouter.state.targets import Priority
 
 REGION_ROUND_TRIP_SECONDS = 0.001
 REMOTE_ROUND_TRIP_SECONDS = 0.020
@@ -36,6 +37,7 @@
         *,
         now: float,
         excluded: Collection[str] = (),
+        priority: Priority | None = None,
     ) -> Destination | None:
         """Return where to send a call, or None if nothing is left.
 
@@ -47,6 +49,8 @@
             Monotonic seconds.
         excluded
             Names of backend servers already tried for this call.
+        priority
+            Priority of the call; it overtakes those that wait with a lower one.
         """
 
     @abstractmethod
@@ -90,6 +94,7 @@
         *,
         now: float,
         excluded: Collection[str] = (),
+        priority: Priority | None = None,
     ) -> Destination | None:
         usable = [d for d in destinations if d.backend not in excluded]
         if not usable:
@@ -154,9 +159,11 @@
         *,
         now: float,
         excluded: Collection[str] = (),
+        priority: Priority | None = None,
     ) -> Destination | None:
         usable = self._find_usable(destinations, now, excluded)
         usual = self._usual_service_time(destinations)
+        rank = None if priority is None else priority.rank
         tiers: dict[float, list[Destination]] = {}
         for destination in usable:
             tiers.setdefault(self._extra_round_trip(destination), []).append(
@@ -165,7 +172,7 @@
         best, best_cost = None, (0.0, 0.0)
         for extra, members in sorted(tiers.items()):
             for candidate in self._draw(members):
-                wait, share = self._expected(candidate, usual, now)
+                wait, share = self._expected(candidate, usual, now, rank)
                 cost = (wait + extra, share)
                 if best is None or cost < best_cost:
                     best, best_cost = candidate, cost
@@ -193,6 +200,7 @@
                 queued=load.queued,
                 service_time=load.service_time,
                 now=now,
+                queued_by_rank=load.queued_by_rank,
             )
         unavailable = outcome is Outcome.NOT_RUN and load is None
         if failed or unavailable or outcome is Outcome.UNKNOWN:
@@ -258,7 +266,7 @@
         return median_low(times) if times else 0.0
 
     def _expected(
-        self, destination: Destination, usual: float, now: float
+        self, destination: Destination, usual: float, now: float, rank: int | None
     ) -> tuple[float, float]:
         """Return the expected wait in seconds and the share of slots in use."""
         entry = self._occupancy.find(destination.backend)
@@ -267,7 +275,7 @@
         slots = entry.slots or destination.slots
         weight = entry.weight(now, half_life=SERVICE_TIME_HALF_LIFE_SECONDS)
         service_time = usual + weight * (entry.service_time - usual)
-        calls = entry.calls(now)
+        calls = entry.calls(now, rank=rank)
         wait = max(0.0, calls + 1 - slots) * service_time / slots
         if service_time > SLOW_FACTOR * usual:
             wait += service_time - usual
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -90,12 +90,15 @@
         Slots usable now, slots in use, calls that wait.
     service_time
         Smoothed seconds that a call holds a slot.
+    queued_by_rank
+        Calls that wait by the rank of their priority; their sum is ``queued``.
     """
 
     slots: int
     in_use: int
     queued: int
     service_time: float
+    queued_by_rank: tuple[int, ...] = ()
 
 
 class CallReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/almondrouter/src/almondrouter/state/occupancy.py
+++ b/packages/almondrouter/src/almondrouter/state/occupancy.py
@@ -19,7 +19,7 @@
 
     Parameters
     ----------
-    slots, in_use, queued, service_time
+    slots, in_use, queued, service_time, queued_by_rank
         As last reported; ``slots`` is 0 before the first report.
     reported_at
         Monotonic seconds of the report.
@@ -33,6 +33,7 @@
     in_use: int = 0
     queued: int = 0
     service_time: float = 0.0
+    queued_by_rank: tuple[int, ...] = ()
     reported_at: float = 0.0
     in_flight: int = 0
     since_report: int = 0
@@ -41,9 +42,19 @@
         """Return the weight of the report by its age, 1 when new."""
         return 0.5 ** (max(0.0, now - self.reported_at) / half_life)
 
-    def calls(self, now: float) -> float:
-        """Return the calls expected to be running or waiting there."""
-        reported = (self.in_use + self.queued) * self.weight(now)
+    def calls(self, now: float, *, rank: int | None = None) -> float:
+        """Return the calls expected to be running or waiting there.
+
+        Parameters
+        ----------
+        rank
+            Rank of the priority of a call that overtakes those behind it; with
+            None it overtakes none.
+        """
+        queued = self.queued
+        if rank is not None and self.queued_by_rank:
+            queued = sum(self.queued_by_rank[: rank + 1])
+        reported = (self.in_use + queued) * self.weight(now)
         return max(reported + self.since_report, float(self.in_flight))
 
 
@@ -85,6 +96,7 @@
         queued: int,
         service_time: float,
         now: float,
+        queued_by_rank: tuple[int, ...] = (),
     ) -> None:
         """Take over the load that the backend server's own host reports."""
         entry = self._entries.get(backend)
@@ -93,6 +105,7 @@
             entry = self._entries[backend] = Occupancy()
         entry.slots, entry.in_use, entry.queued = slots, in_use, queued
         entry.service_time = service_time
+        entry.queued_by_rank = queued_by_rank
         entry.reported_at = now
         entry.since_report = 0
 
--- a/tests/test_coordination_admission.py
+++ b/tests/test_coordination_admission.py
@@ -143,6 +143,17 @@
 
         run_warm(scenario)
 
+    def test_load_tells_who_waits(self):
+        async def scenario(admission, clock):
+            await fill(admission, clock)
+            for priority in (DEFERRABLE, CRITICAL, DEFERRABLE):
+                queue(admission, clock, priority=priority)
+            await asyncio.sleep(0)
+            load = admission.load()
+            self.assertEqual((load.queued, load.queued_by_rank), (3, (1, 0, 2)))
+
+        run_warm(scenario)
+
     def test_draining_refuses_waiting_calls_and_lets_running_ones_end(self):
         async def scenario(admission, clock):
             slots = await fill(admission, clock)
--- a/tests/test_coordination_routing.py
+++ b/tests/test_coordination_routing.py
@@ -12,6 +12,7 @@
 from almondrouter.protocol.headers import Outcome
 from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.snapshot import Destination
+from almondrouter.state.targets import Priority
 
 COMPLETE, NOT_RUN, UNKNOWN = Outcome
 IDLE = Load(slots=4, in_use=0, queued=0, service_time=0.1)
@@ -86,6 +87,15 @@
         self.report(FAR, in_use=0, service_time=seconds)
         self.assertEqual(self.count([local, NEAR, FAR]), {expected: 200})
 
+    @parameterized.expand(
+        [(Priority.CRITICAL, "a"), (Priority.DEFERRABLE, "b"), (None, "b")]
+    )
+    def test_call_overtakes_those_of_lower_priority(self, priority, expected):
+        # Without this, urgent calls avoid servers whose queue would let them by.
+        self.report(LOCAL[0], in_use=4, queued=8, queued_by_rank=(0, 0, 8))
+        self.report(LOCAL[1], in_use=4, queued=4, queued_by_rank=(4, 0, 0))
+        self.assertEqual(self.count(LOCAL, priority=priority), {expected: 200})
+
     def test_counts_own_calls_between_reports(self):
         for _ in range(8):
             now = self.clock.monotonic()
--- a/tests/test_state_occupancy.py
+++ b/tests/test_state_occupancy.py
@@ -7,10 +7,16 @@
 from almondrouter.state.occupancy import MAX_ENTRIES, OccupancyTable
 
 
-def report(table, *, backend="a-1", in_use=4, queued=2, now=100.0):
+def report(table, *, backend="a-1", in_use=4, queued=2, now=100.0, **options):
     """Record one report of a backend server with 4 slots."""
     table.report(
-        backend, slots=4, in_use=in_use, queued=queued, service_time=0.1, now=now
+        backend,
+        slots=4,
+        in_use=in_use,
+        queued=queued,
+        service_time=0.1,
+        now=now,
+        **options,
     )
 
 
@@ -23,6 +29,13 @@
         report(table)
         self.assertAlmostEqual(table.find("a-1").calls(now), calls)
 
+    @parameterized.expand([(0, 5.0), (1, 8.0), (2, 14.0), (None, 14.0)])
+    def test_calls_behind_do_not_count(self, rank, calls):
+        table = OccupancyTable()
+        ranks = (1, 3, 6)
+        report(table, in_use=4, queued=10, queued_by_rank=ranks)
+        self.assertEqual(table.find("a-1").calls(100.0, rank=rank), calls)
+
     def test_own_calls_count_once(self):
         table = OccupancyTable()
         table.start("a-1")
