Join rate limits with the daemon; keep shares while nothing is called

Cause: a share was asked for only after a first call had been refused, so the first burst on a limited class was refused as limit_unavailable. Now half of each limit is spread evenly over the hosts that answer the class, and a refused call tries another daemon, whose share may have calls left.

--- a/packages/almondrouter/src/almondrouter/coordination/ingress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/ingress.py
@@ -23,7 +23,11 @@
 from almondrouter.transport.calls import CallerRequest, CallerResponse, CallLinks
 
 MAX_FURTHER_CHOICES = 2
-"""Choices after the first one when backend servers say that they are busy."""
+"""Choices after the first one when calls are refused as not run.
+
+Shares of a rate limit follow demand with a delay, so another daemon may have
+calls left.
+"""
 MAX_HEADER_VALUE = 256
 """Characters of the header values that the router reads."""
 
@@ -31,6 +35,8 @@
     code.value
     for code in (
         ErrorCode.OVERLOADED,
+        ErrorCode.LIMITED,
+        ErrorCode.LIMIT_UNAVAILABLE,
         ErrorCode.NO_BACKEND,
         ErrorCode.BACKEND_REFUSED,
         ErrorCode.STOPPING,
--- a/packages/almondrouter/src/almondrouter/coordination/limits.py
+++ b/packages/almondrouter/src/almondrouter/coordination/limits.py
@@ -7,7 +7,7 @@
 import math
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from almondrouter.clock import Clock
@@ -114,6 +114,7 @@
         self._delegate = delegate
         self._clock = clock
         self._buckets: dict[str, _Bucket] = {}
+        self._prepared: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         endpoint.set_handler(LoanRequest, self._handle_request)
@@ -128,6 +129,21 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def prepare(self, demands: Mapping[str, float]) -> None:
+        """Keep shares of limits while nothing is called, so that bursts find some.
+
+        Parameters
+        ----------
+        demands
+            Calls a second to ask for at least, by limit; limits that were named
+            before and are not now are dropped.
+        """
+        if not demands.keys() <= self._buckets.keys():
+            self._wake.set()
+        self._prepared = dict(demands)
+        for name in demands:
+            self._buckets.setdefault(name, _Bucket())
+
     def admit(self, limit_names: tuple[str, ...]) -> None:  # noqa: D102
         now = self._clock.monotonic()
         buckets = [self._buckets.setdefault(n, _Bucket()) for n in limit_names]
@@ -150,6 +166,7 @@
         """Ask for a loan by the demand since the last time."""
         bucket = self._buckets[name]
         demand = bucket.measure_demand()
+        demand = max(demand, self._prepared.get(name, 0.0))
         now = self._clock.monotonic()
         if demand <= 0 and now >= bucket.deadline:
             start = now - find_window(max(bucket.rate, LEAST_DEMAND))
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -16,10 +16,12 @@
 from almondrouter.coordination.delegates import rank_hosts
 from almondrouter.coordination.distribution import Distribution
 from almondrouter.coordination.fleetstatus import FleetStatus
+from almondrouter.coordination.limits import LoanedLimits
 from almondrouter.coordination.membership import Membership
 from almondrouter.coordination.quarantine import Quarantine
 from almondrouter.coordination.retries import RetryBudget
 from almondrouter.coordination.routing import LeastOccupied
+from almondrouter.coordination.slices import SliceHolder
 from almondrouter.coordination.watchers import Spread
 from almondrouter.errors import AlmondError
 from almondrouter.protocol import headers
@@ -50,6 +52,12 @@
 LEAVE_NOTICE_S = 1.0
 """Time in which peers learn that this host is leaving, before links close."""
 
+IDLE_LIMIT_SHARE = 0.5
+"""Part of a rate limit that is spread evenly while nothing is called.
+
+The other part goes where demand is at once.
+"""
+
 _log = StateLogger("daemon")
 
 
@@ -96,6 +104,8 @@
         await self.links.start()
         await self.membership.start()
         await self.distribution.start()
+        self.slices.start()
+        self.limits.start()
         self._tasks.append(asyncio.create_task(self.backends.run()))
         await self._bind("caller-address", self.caller_server)
         _log.info("started", host=self.host, incarnation=self.incarnation)
@@ -125,6 +135,8 @@
             self.links,
             self.claims,
             self.batcher,
+            self.limits,
+            self.slices,
             self.distribution,
             self.membership,
             self.backends,
@@ -200,9 +212,6 @@
 
     def _build_calls(self) -> None:
         settings = self._settings
-        from almondrouterd.scratch import ScratchLimits
-
-        self.limits = ScratchLimits()
         self.batcher = ClaimBatcher(self.store, self.keys, clock=self.clock)
         self.claims = StoreClaims(
             host=self.host,
@@ -212,6 +221,21 @@
             delegate=self._find_delegate,
             clock=self.clock,
         )
+        self.slices = SliceHolder(
+            self.store,
+            self.keys,
+            host=self.host,
+            rate_of=lambda name: self.activation.snapshot.limits.get(name),
+            clock=self.clock,
+        )
+        self.limits = LoanedLimits(
+            host=self.host,
+            incarnation=self.incarnation,
+            endpoint=self.endpoint,
+            slices=self.slices,
+            delegate=self._find_delegate,
+            clock=self.clock,
+        )
         self.quarantine = Quarantine(host=self.host, clock=self.clock)
         self.broadcast = Broadcast(
             endpoint=self.endpoint,
@@ -305,10 +329,24 @@
 
     def _record_version(self, snapshot: Snapshot) -> None:
         self.version_at = self.clock.wall()
+        self._prepare_limits()
         _log.info("configuration in force", version=snapshot.version)
 
     def _update_backends(self, records: tuple[BackendRecord, ...]) -> None:
         self.membership.update_backends(records)
+        self._prepare_limits()
+
+    def _prepare_limits(self) -> None:
+        """Ask for shares of the limits of what this host's backend server does."""
+        services = {r.service for r in self.membership.record.backends}
+        snapshot = self.activation.snapshot
+        demands = {
+            name: IDLE_LIMIT_SHARE * snapshot.limits[name] / len(route.destinations)
+            for route in snapshot.routes.values()
+            if route.service in services and route.destinations
+            for name in route.limit_names
+        }
+        self.limits.prepare(demands)
 
     def _report_crash(self, backend: str) -> None:
         report = self.crashes.record_crash(backend)
