--- a/tests/test_coordination_limits.py
+++ b/tests/test_coordination_limits.py
@@ -28,6 +28,19 @@
 NAME = "services.accounts"
 
 
+async def _refuse(_kind):
+    return F.REFUSED
+
+
+async def _deliver(_kind):
+    return F.NONE
+
+
+def _read_slices(store, prefix):
+    names = [key.removeprefix(prefix) for key in store.snapshot(prefix)]
+    return [name for name in names if name.isdigit()]
+
+
 class _Fleet:
     """Two data centres, x and y, each with a delegate that also admits calls."""
 
@@ -148,16 +161,74 @@
         """Another delegate may take the slices once the lease has lapsed."""
         fleet = _Fleet(100)
         await fleet.settle({"x2": 10})
-
-        async def refuse(_kind):
-            return F.REFUSED
-
-        fleet.stores["x1"].choose_fault = refuse
+        fleet.stores["x1"].choose_fault = _refuse
         await fleet.settle({"x2": 10}, rounds=14)
         self.assertEqual(fleet.admit("x2", 1), (0, ErrorCode.LIMIT_UNAVAILABLE))
         await fleet.settle({"y2": 100}, rounds=6)
         fleet.check()
 
+    async def test_expired_loan_is_not_lent_again_within_its_second(self):
+        """Its holder may have used it up right before it expired."""
+        fleet = _Fleet(10)
+        await fleet.settle({"x2": 10})
+        bucket = fleet.limits["x2"]._buckets[NAME]
+        fleet.clock.advance(bucket.deadline - fleet.clock.monotonic() - 0.01)
+        self.assertEqual(fleet.admit("x2", 10)[0], 10)
+        for _ in range(30):
+            fleet.clock.advance(0.1)
+            fleet.admit("x1", 10)
+            await fleet.limits["x1"].renew(NAME)
+        fleet.check()
+        self.assertEqual(fleet.limits["x1"]._buckets[NAME].rate, 10)
+
+    async def test_lapsed_lease_is_not_taken_within_the_second_of_its_loans(self):
+        """Another delegate may take the slices the moment the lease has lapsed."""
+        fleet = _Fleet(10)
+        await fleet.settle({"x2": 10})
+        fleet.stores["x1"].choose_fault = _refuse
+        end = fleet.holders["x1"]._lease.deadline
+        bucket = fleet.limits["x2"]._buckets[NAME]
+        while fleet.clock.monotonic() < end + 2:
+            bucket.attempts += 10
+            await fleet.limits["x2"].renew(NAME)
+            if fleet.clock.monotonic() > bucket.deadline - 0.12:
+                fleet.admit("x2", 10)
+            fleet.admit("y1", 10)
+            await fleet.limits["y1"].renew(NAME)
+            await fleet.holders["y1"].step()
+            fleet.clock.advance(0.11)
+        self.assertEqual(fleet.limits["y1"]._buckets[NAME].rate, 10)
+        fleet.check()
+
+    async def test_delegate_that_was_paused_holds_no_slices(self):
+        """Its lease has lapsed, and another delegate has taken them."""
+        fleet = _Fleet(10)
+        await fleet.settle({"x2": 10})
+        fleet.clock.advance(16)
+        await fleet.settle({"y1": 10}, rounds=4)
+        await fleet.settle({"x1": 10, "y1": 10}, rounds=4)
+        fleet.check()
+
+    async def test_late_return_does_not_remove_a_later_holding(self):
+        """The slice would be free for others while it is lent."""
+        fleet = _Fleet(64)
+        await fleet.settle({"x1": 60})
+
+        async def delay(kind):
+            return F.LATE if kind == "txn" else F.NONE
+
+        holder, store = fleet.holders["x1"], fleet.stores["x1"]
+        store.choose_fault = delay
+        await fleet.settle({"x1": 0}, rounds=6)
+        store.choose_fault = _deliver
+        await fleet.settle({"x1": 60}, rounds=12)
+        while store.late:
+            store.deliver_late()
+        prefix = KEYS.limit_prefix(NAME)
+        kept = {int(k) for k in _read_slices(store, prefix)}
+        self.assertGreater(len(holder._limits[NAME].held), 32)
+        self.assertLessEqual(holder._limits[NAME].held, kept)
+
     async def test_restarted_daemon_has_no_share_of_its_predecessor(self):
         """It does not know which calls its predecessor has just admitted."""
         fleet = _Fleet(10)
@@ -185,6 +256,18 @@
         self.assertLessEqual(calls["range"], 10)
         self.assertLessEqual(calls.get("txn", 0) + calls["keepalive"], 5)
 
+    async def test_first_refused_call_brings_a_loan(self):
+        """The tasks that renew loans and slices must wake for it."""
+        fleet = _Fleet(100)
+        tasks = [fleet.holders["x1"], fleet.limits["x2"]]
+        for task in tasks:
+            task.start()
+            self.addAsyncCleanup(task.close)
+        self.assertEqual(fleet.admit("x2", 1), (0, ErrorCode.LIMIT_UNAVAILABLE))
+        async with asyncio.timeout(20):
+            while fleet.admit("x2", 1)[0] == 0:
+                await asyncio.sleep(0.01)
+
     def test_shares_whole_units_from_the_smallest_demand_up(self):
         shares = share_units({"a": 1.0, "b": 9.0, "c": 9.0}, 9, turn=0)
         self.assertEqual((shares["a"], sum(shares.values())), (1, 9))
@@ -236,6 +319,11 @@
     def admit(self, host, count):
         self.fleet.admit(host, count)
 
+    @rule()
+    def admit_everywhere(self):
+        for host in ("x1", "x2", "y1", "y2"):
+            self.fleet.admit(host, 70)
+
     @rule(host=st.sampled_from(["x1", "x2", "y1", "y2"]))
     def renew(self, host):
         task = self.renewals.get(host)
