Spread changed records in one copy per arc, and accusations without records

A host that gets a record over a link of some distance passes it on only within the arc of that length, and to its successor; before, it took every link. Suspect and dead statuses travel as numbers only and still take every link. Delegates ask the remote delegate of their own rank first.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -109,6 +109,7 @@
 
     async def _measure_idle(self) -> None:
         before, frames = self._count(), self.fleet.network.frames
+        crossed = self._count_between_regions()
         started = time.process_time()
         await asyncio.sleep(IDLE_SECONDS)
         used = time.process_time() - started
@@ -119,12 +120,8 @@
         self._add("idle bytes, worst", max(rates), "B/s sent and received")
         self._add("idle messages", frames / IDLE_SECONDS / daemons, "1/s sent")
         self._add("idle CPU", 100 * used / IDLE_SECONDS / daemons, "% of a core")
-        crossing = self._count_between_regions() / self.clock_seconds()
-        self._add("bytes between regions since start", crossing, "B/s sent, whole")
-
-    def clock_seconds(self) -> float:
-        """Return the seconds since the simulation began."""
-        return self.fleet.clock.monotonic() - 1000.0
+        crossed = (self._count_between_regions() - crossed) / IDLE_SECONDS
+        self._add("idle bytes between regions", crossed, "B/s sent, whole fleet")
 
     async def _measure_change(self) -> None:
         seconds = 5.0
--- a/packages/almondrouter/src/almondrouter/coordination/delegates.py
+++ b/packages/almondrouter/src/almondrouter/coordination/delegates.py
@@ -93,6 +93,10 @@
         """Data centres that the host links to as a delegate."""
         return tuple(self._links().linked)
 
+    def distance_from(self, host: str) -> int | None:
+        """Return how far this host follows another on the ring; None off it."""
+        return self._links().distances.get(host)
+
     def ranks(self, data_centre: str) -> list[HostRecord]:
         """Return `rank_hosts` for a data centre."""
         return self._links().ranks.get(data_centre, [])
@@ -140,6 +144,11 @@
         steps = range(len(successors).bit_length())
         return tuple(successors[2**step - 1] for step in steps)
 
+    @cached_property
+    def distances(self) -> dict[str, int]:
+        size = len(self._successors)
+        return {r.host: size - index for index, r in enumerate(self._successors)}
+
     @cached_property
     def monitored(self) -> tuple[HostRecord, ...]:
         found: list[HostRecord] = []
--- a/packages/almondrouter/src/almondrouter/coordination/dissemination.py
+++ b/packages/almondrouter/src/almondrouter/coordination/dissemination.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
+import msgspec
+
 from almondrouter.clock import Clock
 from almondrouter.coordination.delegates import Overlay
 from almondrouter.errors import AlmondError
@@ -91,30 +93,52 @@
         """Push what is queued now."""
         self._queued.clear()
         queue, self._queue = self._queue, {}
-        targets = list(self._overlay.ring_neighbours)
-        if self._overlay.rank == 0:
-            names = self._overlay.linked_data_centres
-            targets += [self._overlay.ranks(name)[0] for name in names]
-        for target in targets:
-            records = tuple(
+        for index, target in enumerate(self._overlay.ring_neighbours):
+            records = (
                 record
                 for record, source in queue.values()
-                if source != target.host and self._concerns(record, target)
+                if self._goes_on(record, source, 2**index)
             )
-            if records:
-                self._endpoint.send(target.control_address, Records(records))
+            self._push(target, records)
+        if self._overlay.rank == 0:
+            for name in self._overlay.linked_data_centres:
+                target = self._overlay.ranks(name)[0]
+                records = (
+                    record
+                    for record, source in queue.values()
+                    if source != target.host and self._brings(record, target)
+                )
+                self._push(target, records)
 
-    def _concerns(self, record: HostRecord, target: HostRecord) -> bool:
-        """Return whether a record is to be pushed to a target.
+    def _push(self, target: HostRecord, records: Iterable[HostRecord]) -> None:
+        records = [
+            record
+            for record in records
+            if record.host != target.host or record.status >= HostStatus.SUSPECT
+        ]
+        if records:
+            self._endpoint.send(target.control_address, _pack(records))
+
+    def _goes_on(self, record: HostRecord, source: str, distance: int) -> bool:
+        """Return whether a record goes on to the successor at a distance.
+
+        A host that got a record over a link of some distance covers the arc of
+        that length, so that each host gets one copy, and one more from its
+        predecessor. Accusations are small and spread while hosts are missing:
+        they take every link.
+        """
+        arc = self._overlay.distance_from(source)
+        if arc is None or distance == 1 or record.status in _ACCUSED:
+            return True
+        return distance < arc
+
+    def _brings(self, record: HostRecord, target: HostRecord) -> bool:
+        """Return whether this data centre brings a record to another one.
 
         A data centre brings its own records to its region, and the region's
         first one exchanges those of whole regions. No record takes two ways.
         """
         own = self._record
-        if record.host == target.host and record.status < HostStatus.SUSPECT:
-            return False
-        if target.data_centre == own.data_centre:
-            return True
         if target.region != own.region:
             return record.region == own.region
         if record.region != own.region:
@@ -148,6 +172,19 @@
             return known[2] < HostStatus.DEAD
         return record.order() < order_numbers(*known)
 
+    def unpack(self, message: Records, own: HostRecord) -> list[HostRecord]:
+        """Return the records of a message, with those of its accusations.
+
+        An accusation of a record that is not known here is left to repair.
+        """
+        records = list(message.records)
+        for host, incarnation, sequence, status in message.accusations:
+            known = own if host == own.host else self._registry.find(host)
+            numbers = (incarnation, sequence)
+            if known is not None and (known.incarnation, known.sequence) == numbers:
+                records.append(msgspec.structs.replace(known, status=status))
+        return records
+
     def compare(self, neighbour: HostRecord, digests: dict[str, int]) -> list[str]:
         """Return the data centres to pull from a neighbour with these digests."""
         now = self._clock.monotonic()
@@ -240,3 +277,16 @@
         return (
             waited >= PULL_GRACE_SECONDS and settled
         ) or waited >= MAX_PULL_GRACE_SECONDS
+
+
+def _pack(records: list[HostRecord]) -> Records:
+    accused = [r for r in records if r.status in _ACCUSED]
+    return Records(
+        tuple(r for r in records if r.status not in _ACCUSED),
+        accusations=tuple(
+            (r.host, r.incarnation, r.sequence, r.status) for r in accused
+        ),
+    )
+
+
+_ACCUSED = (HostStatus.SUSPECT, HostStatus.DEAD)
--- a/packages/almondrouter/src/almondrouter/coordination/membership.py
+++ b/packages/almondrouter/src/almondrouter/coordination/membership.py
@@ -251,7 +251,7 @@
 
     async def _check_data_centre(self, name: str) -> None:
         """Send a heartbeat to a host of another data centre."""
-        record = self._reachability.choose_host(self.overlay.ranks(name), name)
+        record = self._reachability.choose_host(self.overlay, name)
         if record is not None:
             heard = await self._exchange_heartbeat(record, DELEGATE_HEARTBEAT_SECONDS)
             self._reachability.record(name, heard=heard)
@@ -306,7 +306,7 @@
     # Records
 
     async def _take_records(self, message: Records, host: str) -> ControlMessage | None:
-        self._merge(message.records, host)
+        self._merge(self._dissemination.unpack(message, self.record), host)
         return Accepted()
 
     async def _serve_records(
--- a/packages/almondrouter/src/almondrouter/coordination/reachability.py
+++ b/packages/almondrouter/src/almondrouter/coordination/reachability.py
@@ -56,11 +56,15 @@
             del self._contacts[name]
         return linked
 
-    def choose_host(self, ranks: list[HostRecord], name: str) -> HostRecord | None:
-        """Return the host of a data centre to ask; another one after each miss."""
+    def choose_host(self, overlay: Overlay, name: str) -> HostRecord | None:
+        """Return the host of a data centre to ask; another one after each miss.
+
+        Delegates ask those of their own rank first, so that both share the load.
+        """
+        ranks = overlay.ranks(name)
         contact = self._contacts.get(name)
-        misses = contact.misses if contact is not None else 0
-        return ranks[misses % min(len(ranks), CANDIDATES)] if ranks else None
+        index = (overlay.rank or 0) + (contact.misses if contact is not None else 0)
+        return ranks[index % min(len(ranks), CANDIDATES)] if ranks else None
 
     def record(self, name: str, *, heard: bool) -> None:
         """Take note whether a heartbeat to a data centre was answered."""
--- a/packages/almondrouter/src/almondrouter/protocol/control.py
+++ b/packages/almondrouter/src/almondrouter/protocol/control.py
@@ -6,7 +6,7 @@
 
 from almondrouter.protocol.codec import MAX_CONTROL_FRAME_BYTES, Codec
 from almondrouter.state.changes import ChangeRecord
-from almondrouter.state.registry import HostRecord
+from almondrouter.state.registry import HostRecord, HostStatus
 
 
 class Head(msgspec.Struct, frozen=True, array_like=True):
@@ -55,10 +55,14 @@
     wanted
         In the reply to a pull, hosts whose records the asker has newer; it
         pushes them, so that one exchange repairs both sides.
+    accusations
+        ``(host, incarnation, sequence, status)`` of suspect and dead hosts whose
+        records are known but for the status; a fifth of the bytes of a record.
     """
 
     records: tuple[HostRecord, ...]
     wanted: tuple[str, ...] = ()
+    accusations: tuple[tuple[str, int, int, HostStatus], ...] = ()
 
 
 class RecordsRequest(msgspec.Struct, frozen=True, array_like=True, tag="rq"):
