--- a/packages/almondrouter/src/almondrouter/transport/zeromq.py
+++ b/packages/almondrouter/src/almondrouter/transport/zeromq.py
@@ -136,6 +136,8 @@
             link.requests -= 1
 
     def _transmit(self, address: str, frame: bytes) -> bool:
+        if self._context is None:
+            return False
         link = self._open_link(address)
         link.last_used = self._clock.monotonic()
         return _offer(link.socket, [frame])
--- a/tests/test_coordination_membership.py
+++ b/tests/test_coordination_membership.py
@@ -6,12 +6,20 @@
 
 from parameterized import parameterized
 
+from almondrouter.clock import SystemClock
 from almondrouter.coordination import membership
 from almondrouter.coordination.delegates import rank_hosts
+from almondrouter.coordination.membership import Membership
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.codec import MAX_CONTROL_FRAME_BYTES
-from almondrouter.protocol.control import Heartbeat, HeartbeatReply, Records
-from almondrouter.state.registry import BackendRecord, HostRecord, HostStatus
+from almondrouter.protocol.control import Head, Heartbeat, HeartbeatReply, Records
+from almondrouter.state.registry import (
+    BackendRecord,
+    HostRecord,
+    HostStatus,
+    Registry,
+)
+from almondrouter.transport.zeromq import ZmqControlEndpoint
 from almondrouter_standins.fleet import SimulatedFleet, lay_out
 from almondrouter_standins.network import LinkFaults
 from almondrouter_standins.simulation import run_simulated
@@ -280,6 +288,7 @@
             fleet.freeze(watched)
             while watcher.registry.find(watched).status < HostStatus.SUSPECT:
                 await asyncio.sleep(0.01)
+            await asyncio.sleep(1.5)
             fleet.freeze(FIRST[0])
             # The refutation is lost on its way to the frozen host.
             fleet.network.cut(NAMES, FIRST[:1], two_way=False)
@@ -380,6 +389,50 @@
         self.assertIsNotNone(agreed)
 
 
+class ZmqMembershipTest(unittest.IsolatedAsyncioTestCase):
+    """Real links must carry what the simulated network carries."""
+
+    async def test_daemons_join_through_a_seed_and_leave(self):
+        clock, members = SystemClock(), []
+        for number in range(4):
+            host, registry = f"h{number}", Registry()
+            endpoint = ZmqControlEndpoint(
+                cluster="c",
+                host=host,
+                incarnation=1,
+                address="127.0.0.1:0",
+                clock=clock,
+            )
+            await endpoint.start()
+            self.addAsyncCleanup(endpoint.close)
+            place = f"d{number % 2}"
+            record = HostRecord(host, place, "r", endpoint.address, "p", 1)
+            member = Membership(
+                record=record,
+                endpoint=endpoint,
+                registry=registry,
+                clock=clock,
+                seeds=[m.record.control_address for m, _ in members[:1]],
+                head=lambda: Head(0, ""),
+            )
+            await member.start()
+            self.addAsyncCleanup(member.close)
+            members.append((member, registry))
+        await self.wait_until(lambda: all(len(r) == 4 for _, r in members))
+        leaver, _ = members.pop()
+        await leaver.leave()
+        await leaver.close()
+        left = HostStatus.LEFT
+        await self.wait_until(
+            lambda: all(r.find("h3").status is left for _, r in members)
+        )
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(60):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+
 def _collect(daemons, status):
     """Return a set that takes the hosts that daemons come to hold so or worse."""
     hosts = set()
