Watch past silent hosts at once, not only past suspect ones

A run of dead neighbours on the ring was found three at a time, each group after three missed heartbeats.

--- a/packages/almondrouter/src/almondrouter/coordination/delegates.py
+++ b/packages/almondrouter/src/almondrouter/coordination/delegates.py
@@ -11,8 +11,8 @@
 
 DELEGATES_PER_DATA_CENTRE = 2
 MONITORED_HOSTS = 3
-# Suspect hosts are watched on top of the three, so that a run of dead
-# neighbours is found in rounds of 3 s; the bound limits the heartbeats.
+# Silent and suspect hosts are watched on top of the three, so that a run of dead
+# neighbours is found together; the bound limits the heartbeats.
 MAX_MONITORED_HOSTS = 9
 
 
@@ -66,7 +66,21 @@
     @property
     def monitored(self) -> tuple[HostRecord, ...]:
         """The three next successors, and the suspect ones among and before them."""
-        return self._links().monitored
+        return self.select_monitored(lambda _: False)
+
+    def select_monitored(
+        self, is_silent: Callable[[str], bool]
+    ) -> tuple[HostRecord, ...]:
+        """Return `monitored` with hosts that do not answer on top of the three."""
+        found: list[HostRecord] = []
+        sound = 0
+        for record in self._links().successors[:MAX_MONITORED_HOSTS]:
+            found.append(record)
+            suspect = record.status is HostStatus.SUSPECT
+            sound += not (suspect or is_silent(record.host))
+            if sound == MONITORED_HOSTS:
+                break
+        return tuple(found)
 
     @property
     def delegate_links(self) -> tuple[HostRecord, ...]:
@@ -123,7 +137,7 @@
         self._unreachable = unreachable
 
     @cached_property
-    def _successors(self) -> list[HostRecord]:
+    def successors(self) -> list[HostRecord]:
         ring = sorted(
             (
                 record
@@ -140,25 +154,14 @@
 
     @cached_property
     def ring_neighbours(self) -> tuple[HostRecord, ...]:
-        successors = self._successors
+        successors = self.successors
         steps = range(len(successors).bit_length())
         return tuple(successors[2**step - 1] for step in steps)
 
     @cached_property
     def distances(self) -> dict[str, int]:
-        size = len(self._successors)
-        return {r.host: size - index for index, r in enumerate(self._successors)}
-
-    @cached_property
-    def monitored(self) -> tuple[HostRecord, ...]:
-        found: list[HostRecord] = []
-        sound = 0
-        for record in self._successors[:MAX_MONITORED_HOSTS]:
-            found.append(record)
-            sound += record.status is not HostStatus.SUSPECT
-            if sound == MONITORED_HOSTS:
-                break
-        return tuple(found)
+        size = len(self.successors)
+        return {r.host: size - index for index, r in enumerate(self.successors)}
 
     @cached_property
     def ranks(self) -> dict[str, list[HostRecord]]:
--- a/packages/almondrouter/src/almondrouter/coordination/liveness.py
+++ b/packages/almondrouter/src/almondrouter/coordination/liveness.py
@@ -64,6 +64,11 @@
         """Whether no other daemon has been heard for a while."""
         return self._clock.monotonic() - self._heard_at > ISOLATED_AFTER_SECONDS
 
+    def is_silent(self, host: str) -> bool:
+        """Return whether the last heartbeat to a host was not answered."""
+        watch = self._watches.get(host)
+        return watch is not None and watch.misses > 0
+
     def reset(self) -> None:
         """Forget what was missed, because this process itself stood still."""
         self._watches.clear()
--- a/packages/almondrouter/src/almondrouter/coordination/membership.py
+++ b/packages/almondrouter/src/almondrouter/coordination/membership.py
@@ -207,8 +207,9 @@
 
     def _tick(self) -> None:
         now = self._clock.monotonic()
-        self._spread(self._detector.judge(self.overlay.monitored))
-        for record in self.overlay.monitored:
+        monitored = self.overlay.select_monitored(self._detector.is_silent)
+        self._spread(self._detector.judge(monitored))
+        for record in self.overlay.select_monitored(self._detector.is_silent):
             self._start_task(self._check(record))
         if now >= self._next_delegate_heartbeat:
             self._next_delegate_heartbeat = now + DELEGATE_HEARTBEAT_SECONDS
--- a/tests/test_coordination_delegates.py
+++ b/tests/test_coordination_delegates.py
@@ -80,6 +80,9 @@
             registry.merge([_with_status(suspect, HostStatus.SUSPECT)])
         overlay = Overlay(registry, records[0])
         self.assertEqual(len(overlay.monitored), 5)
+        silent = overlay.monitored[2].host
+        monitored = overlay.select_monitored(lambda host: host == silent)
+        self.assertEqual(len(monitored), 6)
         registry.merge([_with_status(r, HostStatus.SUSPECT) for r in records[1:]])
         self.assertEqual(len(overlay.monitored), MAX_MONITORED_HOSTS)
 
