--- a/tests/test_coordination_membership.py
+++ b/tests/test_coordination_membership.py
@@ -220,6 +220,19 @@
         self.assertEqual([r.backends for r in heard], [(BACKEND,)])
         self.assertEqual(heard[0].sequence, before.sequence + 1)
 
+    def test_change_crosses_a_large_ring_in_few_hops(self):
+        hosts = lay_out(data_centres=1, regions=1, hosts_each=33)
+
+        async def scenario(fleet):
+            owner = fleet.daemons[FIRST[3]]
+            owner.membership.update_backends((BACKEND,))
+            # Six hops of at most 0.1 s; one after the other would take 2 s or more.
+            await asyncio.sleep(0.7)
+            return {d.registry.find(FIRST[3]) for d in fleet.daemons.values()}
+
+        (record,) = _simulate(scenario, hosts)
+        self.assertEqual(record.backends, (BACKEND,))
+
     def test_leaving_host_is_known_before_it_has_left(self):
         async def scenario(fleet):
             host = rank_hosts(fleet.daemons[FIRST[0]].registry, "dc0")[0].host
