--- a/packages/almondrouter/src/almondrouter/coordination/membership.py
+++ b/packages/almondrouter/src/almondrouter/coordination/membership.py
@@ -217,8 +217,9 @@
 
     def _tick(self) -> None:
         now = self._clock.monotonic()
-        self._spread(self._detector.judge(self.overlay.monitored))
-        for record in self.overlay.monitored:
+        monitored = self.overlay.select_monitored(self._detector.is_silent)
+        self._spread(self._detector.judge(monitored))
+        for record in self.overlay.select_monitored(self._detector.is_silent):
             self._start_task(self._check(record))
         if now >= self._next_delegate_heartbeat:
             self._next_delegate_heartbeat = now + DELEGATE_HEARTBEAT_SECONDS
@@ -261,7 +262,7 @@
 
     async def _check_data_centre(self, name: str) -> None:
         """Send a heartbeat to a host of another data centre."""
-        record = self._reachability.choose_host(self.overlay.ranks(name), name)
+        record = self._reachability.choose_host(self.overlay, name)
         if record is not None:
             heard = await self._exchange_heartbeat(record, DELEGATE_HEARTBEAT_SECONDS)
             self._reachability.record(name, heard=heard)
@@ -316,7 +317,7 @@
     # Records
 
     async def _take_records(self, message: Records, host: str) -> ControlMessage | None:
-        self._merge(message.records, host)
+        self._merge(self._dissemination.unpack(message, self.record), host)
         return Accepted()
 
     async def _serve_records(
