Let the fuzzer isolate ends, alter values and restore old documents

Without these, the fuzzer did not notice the loss of the check for older versions, of heartbeat repair or of the head check: healing wrote another change that repaired everything, cuts rarely isolated anybody, and every bad value was refused by the decoder already. Now a change is written while healing only if the document in the store is bad.

The digest is compared with the one that the compilation computes anyway.

--- a/packages/almondrouter/src/almondrouter/coordination/activation.py
+++ b/packages/almondrouter/src/almondrouter/coordination/activation.py
@@ -192,11 +192,11 @@
 
     def _compile(self, configuration: Configuration, digest: str) -> _InForce:
         check_configuration(configuration)
-        if configuration.digest() != digest:
-            message = f"version {configuration.version} has another digest than named"
-            raise AlmondError(ErrorCode.DIGEST_MISMATCH, message)
         generation = self._registry.generation
         snapshot = compile_snapshot(configuration, self._registry)
+        if snapshot.digest != digest:
+            message = f"version {configuration.version} has another digest than named"
+            raise AlmondError(ErrorCode.DIGEST_MISMATCH, message)
         head = Head(configuration.version, digest)
         return _InForce(configuration, head, snapshot, generation)
 
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -114,6 +114,10 @@
         self.store.running.set()
         self.fleet.change_view()
 
+    @property
+    def data_centre(self):
+        return self.record.data_centre
+
     @property
     def running(self):
         return self.endpoint.up and self.endpoint.running.is_set()
@@ -217,7 +221,7 @@
 class SimulatedFleet:
     """All daemons, the network and the store."""
 
-    def __init__(self, sizes, *, spread=Spread.ECONOMICAL, seed=1, with_backends=True):
+    def __init__(self, sizes, *, spread=Spread.ECONOMICAL, seed=1, services=SERVICES):
         self.loop = asyncio.get_running_loop()
         self.random = Random(seed)
         self.clock = LoopClock(self.loop)
@@ -227,15 +231,16 @@
         self.data_centres = tuple(sizes)
         self.activations = []
         self.faults = []
+        self.view_due = 0.0
         self.hosts = {}
         for name, size in sizes.items():
             for index in range(size):
-                record = self._make_record(name, index, with_backends)
+                record = self._make_record(name, index, services)
                 self.hosts[record.host] = SimulatedHost(self, record)
 
-    def _make_record(self, data_centre, index, with_backends):
+    def _make_record(self, data_centre, index, services):
         host = f"{data_centre}-{index}"
-        service = SERVICES[index % len(SERVICES)]
+        service = services[len(self.hosts) % len(services)]
         backends = (BackendRecord(f"{service}-{host}", service, 9),)
         return HostRecord(
             host,
@@ -244,7 +249,7 @@
             f"{host}:1",
             f"{host}:2",
             1,
-            backends=backends if with_backends else (),
+            backends=backends,
         )
 
     async def start(self):
@@ -314,7 +319,10 @@
 
     def change_view(self):
         """Let membership notice who is reachable now."""
-        self.loop.call_later(VIEW_DELAY_S, self.refresh_views)
+        due = self.loop.time() + VIEW_DELAY_S
+        if due > self.view_due:
+            self.view_due = due
+            self.loop.call_at(due, self.refresh_views)
 
     def refresh_views(self):
         """Give every running daemon the records that it would have by now."""
@@ -322,22 +330,20 @@
         for host in running:
             host.refute()
         for host in running:
-            heard = [peer for peer in running if self._hears(host, peer)]
-            centres = {peer.record.data_centre for peer in heard}
+            heard = {p.record.host: p for p in running if self._hears(host, p)}
+            centres = {peer.record.data_centre for peer in heard.values()}
             host.unreachable = frozenset(self.data_centres) - centres
             gone = [
                 msgspec.structs.replace(peer.record, status=HostStatus.DEAD)
                 for peer in self.hosts.values()
-                if self._is_judged_dead(host, peer, heard)
+                if peer.record.host not in heard
+                and peer.data_centre in centres
+                and (peer.data_centre == host.data_centre or not peer.running)
             ]
-            host.merge([peer.record for peer in heard] + gone)
+            host.merge([peer.record for peer in heard.values()] + gone)
 
     def _hears(self, host, peer):
+        if not self.network.cuts:
+            return True
         there = self.network.reaches(host.record, peer.record)
         return there and self.network.reaches(peer.record, host.record)
-
-    def _is_judged_dead(self, host, peer, heard):
-        if peer.record.data_centre == host.record.data_centre:
-            return peer not in heard
-        judges = {judge.record.data_centre for judge in heard}
-        return peer.record.data_centre in judges and not peer.running
--- a/tests/simulation/store.py
+++ b/tests/simulation/store.py
@@ -139,8 +139,6 @@
         position = 0
         silent = False
         while True:
-            # A watch that has gone silent stays so after the fault.
-            silent = silent or memory.silent_watches
             found = [
                 event
                 for event in memory.log[position:]
@@ -153,6 +151,8 @@
             await self.running.wait()
             if memory.down or not self.reachable:
                 raise StoreUnavailableError("connection reset")
+            # A watch that has gone silent stays so after the fault.
+            silent = silent or memory.silent_watches
             if found and not silent:
                 for event in found:
                     yield WatchBatch((event,), event.mod_revision)
--- a/tests/test_coordination_distribution_fuzz.py
+++ b/tests/test_coordination_distribution_fuzz.py
@@ -9,6 +9,7 @@
 
 from almondrouter.coordination.watchers import Spread
 from almondrouter.state.changes import Change
+from almondrouter.state.stored import StoredConfiguration, encode_stored
 from almondrouter.state.targets import ClassTarget, ServiceTarget
 from simulation.fleet import SERVICES, SimulatedFleet
 from simulation.loop import VirtualLoop
@@ -16,9 +17,11 @@
 
 SIZES = {"n-1": 3, "n-2": 2, "s-1": 2, "s-2": 2}
 HOSTS = [f"{name}-{index}" for name, size in SIZES.items() for index in range(size)]
+REST = tuple(HOSTS)
 ENDS = st.sampled_from([*SIZES, "n", "s", *HOSTS])
 # Suspicion, taking over and the start rule come one after another.
 HEALED_S = 40
+TIMES = st.sampled_from([0.01, 0.3, 2.0, 7.0])
 SHARES = st.sampled_from([0.0, 0.5])
 
 
@@ -31,6 +34,7 @@
 
     def __init__(self):
         super().__init__()
+        self.document_is_bad = False
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         self.fleet = self.loop.run_until_complete(self.make_fleet())
@@ -46,33 +50,58 @@
     def pass_time(self, seconds):
         self.loop.run_until_complete(asyncio.sleep(seconds))
 
-    @rule(number=st.integers(0, 3), service=st.sampled_from(SERVICES))
-    def accept(self, number, service):
+    @rule(number=st.integers(0, 3), service=st.sampled_from(SERVICES), seconds=TIMES)
+    def accept(self, number, service, seconds):
         target = ClassTarget(service, 250)
+        self.document_is_bad = False
         self.fleet.store.accept(Change(set_classes={f"class-{number}": target}))
+        self.pass_time(seconds)
 
-    @rule(key=st.sampled_from(["record", "document"]), length=st.integers(0, 60))
-    def accept_with_bad_value(self, key, length):
+    @rule(record=st.booleans(), document=st.booleans(), length=st.integers(0, 60))
+    def accept_with_bad_value(self, record, document, length):
+        """Truncate what is written, or change a value so that it stays valid."""
         store = self.fleet.store
-        prefix = KEYS.history if key == "record" else KEYS.configuration
         put = store.put_now
-        store.put_now = lambda k, v: put(k, v[:length] if k.startswith(prefix) else v)
-        store.accept(Change(set_classes={"last": ClassTarget("accounts", 1 + length)}))
+
+        def put_bad(key, value):
+            if record if key.startswith(KEYS.history) else document:
+                changed = value.replace(b":250", b":999")
+                value = value[:length] if length % 2 else changed
+            put(key, value)
+
+        self.document_is_bad = document
+        store.put_now = put_bad
+        store.accept(Change(set_classes={"last": ClassTarget("accounts", 250)}))
         store.put_now = put
 
+    @rule(back=st.integers(1, 3))
+    def restore_old_document(self, back):
+        """Replace the document by an older one, as a restored backup does."""
+        store = self.fleet.store
+        old = store.history.get(store.accepted.version - back)
+        if old is not None and old.version:
+            stored = StoredConfiguration("old", old.digest(), old)
+            store.put(KEYS.configuration, encode_stored(stored))
+            self.document_is_bad = True
+
     @rule(version=st.integers(1, 9))
     def put_foreign_record(self, version):
         version += self.fleet.store.accepted.version
         self.fleet.store.put(KEYS.history_record(version), b'{"kind": "Pod"}')
 
-    @rule(seconds=st.sampled_from([0.01, 0.3, 2.0, 7.0]))
+    @rule(seconds=TIMES)
     def wait(self, seconds):
         self.pass_time(seconds)
 
-    @rule(one=ENDS, other=ENDS, both=st.booleans())
-    def cut(self, one, other, both):
-        pairs = {(one, other), (other, one)} if both else {(one, other)}
-        self.fleet.network.cuts |= pairs
+    @rule(one=ENDS, others=st.one_of(st.just(REST), st.sets(ENDS)), both=st.booleans())
+    def cut(self, one, others, both):
+        """Cut one end from some others or from all that are not part of it."""
+        for other in others:
+            if others is REST and other.startswith(one):
+                continue
+            self.fleet.network.cuts.add((one, other))
+            if both:
+                self.fleet.network.cuts.add((other, one))
         self.fleet.change_view()
 
     @rule(loss=st.sampled_from([0.0, 0.3]), repeated=st.sampled_from([0.0, 0.5]))
@@ -152,8 +181,9 @@
             elif not host.running:
                 host.wake()
         fleet.change_view()
-        # A document that was truncated is replaced by the next change.
-        fleet.store.accept(Change(set_classes={"end": ClassTarget("accounts", 9)}))
+        if self.document_is_bad:
+            # The next change replaces it; nothing else could.
+            fleet.store.accept(Change(set_classes={"end": ClassTarget("accounts", 9)}))
         healed = lambda: not fleet.list_behind() + fleet.list_unready()  # noqa: E731
         await fleet.wait_until(healed, HEALED_S)
         assert not fleet.list_behind(), fleet.list_behind()
@@ -164,8 +194,8 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=40,
-    stateful_step_count=25,
+    max_examples=120,
+    stateful_step_count=30,
     suppress_health_check=list(HealthCheck),
 )
 
