--- a/packages/almondrouter/src/almondrouter/coordination/admission.py
+++ b/packages/almondrouter/src/almondrouter/coordination/admission.py
@@ -16,9 +16,9 @@
 
 RAMP_SECONDS = 10.0
 RAMP_START_SHARE = 0.25
-# Two service times of backlog at most; a longer queue only adds calls that are
+# Four service times of backlog at most; longer queues mostly hold calls that are
 # refused later.
-MAX_QUEUED_PER_SLOT = 2
+MAX_QUEUED_PER_SLOT = 4
 # Weight of the newest service time; about 20 calls dominate the average.
 SERVICE_TIME_WEIGHT = 0.1
 # A class that is refused for its service time is not measured any more, so the
