--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -31,6 +31,9 @@
 REMOTE_ROUND_TRIP = 0.020
 DEAD_AFTER_SECONDS = 6.0
 COLD_SECONDS = 10.0
+# Load goes on after the measured time, or calls that wait then would all be
+# answered in the calm that follows.
+TAIL_SECONDS = 5.0
 COLD_FACTOR = 4.0
 LIE_SECONDS = 0.005
 FURTHER_CHOICES = 2
@@ -380,12 +383,12 @@
     ours: bool,
     load: float,
     seed: int = 1,
-    seconds: float = 10.0,
-    warm_up: float = 5.0,
+    seconds: float = 6.0,
+    warm_up: float = 4.0,
     fault: Fault | None = None,
     admission_type: Callable[..., Admission] = Admission,
 ) -> Tally:
-    """Offer ``load`` times the capacity; tally the calls after the warm-up.
+    """Offer ``load`` times the capacity; tally calls that arrive while measured.
 
     Parameters
     ----------
@@ -403,26 +406,30 @@
             service, clock, ours=ours, seed=seed, admission_type=admission_type
         )
         chance = random.Random(seed)
-        end = clock.monotonic() + warm_up + seconds
-        measured_from = clock.monotonic() + warm_up
-        tasks = set()
+        tasks: set[asyncio.Task[None]] = set()
+
+        async def arrive(length: float) -> Tally:
+            end = clock.monotonic() + length
+            fleet.tally = Tally()
+            while clock.monotonic() < end:
+                await asyncio.sleep(chance.expovariate(load * service.capacity()))
+                work = chance.choices(service.classes, weights)[0]
+                seconds = chance.expovariate(1 / work.mean)
+                ingress = chance.randrange(len(fleet.ingresses))
+                task = asyncio.ensure_future(fleet.call(work, seconds, ingress))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+            return fleet.tally
+
         weights = [item.part for item in service.classes]
-        while clock.monotonic() < end:
-            await asyncio.sleep(chance.expovariate(load * service.capacity()))
-            if measured_from and clock.monotonic() >= measured_from:
-                measured_from = 0.0
-                fleet.tally = Tally()
-                if fault is not None:
-                    fault(fleet)
-            work = chance.choices(service.classes, weights)[0]
-            length = chance.expovariate(1 / work.mean)
-            ingress = chance.randrange(len(fleet.ingresses))
-            task = asyncio.ensure_future(fleet.call(work, length, ingress))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
+        await arrive(warm_up)
+        if fault is not None:
+            fault(fleet)
+        measured = await arrive(seconds)
+        await arrive(TAIL_SECONDS)
         while tasks:
             await asyncio.wait(tasks)
-        return fleet.tally
+        return measured
 
     return run_virtual(offer(), clock)
 
