--- a/bench/load.py
+++ b/bench/load.py
@@ -18,7 +18,8 @@
 from almondrouter.coordination.retries import RetryBudget
 from almondrouter.state.targets import Priority
 from load_crash import SENDS, run_crash
-from load_model import Fault, Fleet, Service, WorkClass, run_load
+from load_model import Fault, Fleet, run_load
+from load_servers import Service, WorkClass
 
 WORKERS = 4
 LOADS = (1.0, 1.5, 2.0, 4.0)
--- a/bench/reservation.py
+++ b/bench/reservation.py
@@ -18,7 +18,8 @@
 from almondrouter.coordination.admission import MAX_QUEUED_PER_SLOT, Admission, _Waiter
 from almondrouter.state.targets import Priority
 from load import WORKERS, make_classes
-from load_model import Service, WorkClass, run_load
+from load_model import run_load
+from load_servers import Service, WorkClass
 
 RESERVED = (0, 1, 2)
 LOADS = (1.5, 2.0, 4.0)
