Take calls that callers give up as no evidence in routing

A caller that goes away ends its call without an outcome. Counted as not run without a load, it would have excluded a healthy backend server at once.

--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -62,7 +62,7 @@
         self,
         destination: Destination,
         *,
-        outcome: Outcome,
+        outcome: Outcome | None,
         load: Load | None,
         elapsed: float,
         failed: bool = False,
@@ -72,9 +72,11 @@
         Parameters
         ----------
         outcome
-            What became of the call.
+            What became of the call; None if its caller gave it up, which says
+            nothing about the backend server.
         load
             Load in the reply; None if there was no reply or the server is gone.
+            ``NOT_RUN`` without load means that the server cannot be reached.
         elapsed
             Seconds since `started`.
         failed
@@ -109,7 +111,7 @@
         self,
         destination: Destination,
         *,
-        outcome: Outcome,
+        outcome: Outcome | None,
         load: Load | None,
         elapsed: float,
         failed: bool = False,
@@ -185,7 +187,7 @@
         self,
         destination: Destination,
         *,
-        outcome: Outcome,
+        outcome: Outcome | None,
         load: Load | None,
         elapsed: float,
         failed: bool = False,
@@ -202,6 +204,8 @@
                 now=now,
                 queued_by_rank=load.queued_by_rank,
             )
+        if outcome is None:
+            return
         unavailable = outcome is Outcome.NOT_RUN and load is None
         if failed or unavailable or outcome is Outcome.UNKNOWN:
             self._find_standing(destination.backend).record_failure(
--- a/tests/test_coordination_routing.py
+++ b/tests/test_coordination_routing.py
@@ -131,9 +131,10 @@
         self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
         self.assertEqual(self.count(LOCAL), {"b": 200})
 
-    def test_busy_reply_is_no_failure(self):
+    @parameterized.expand([("busy", NOT_RUN, IDLE), ("given up", None, None)])
+    def test_is_no_failure(self, _name, outcome, load):
         for _ in range(20):
-            self.finish(LOCAL[0], outcome=NOT_RUN)
+            self.finish(LOCAL[0], outcome=outcome, load=load)
         self.assertIn("a", self.count(LOCAL))
 
     def test_readmission_is_exponential(self):
