--- a/tests/test_coordination_routing.py
+++ b/tests/test_coordination_routing.py
@@ -117,10 +117,7 @@
         self.assertEqual(self.count([*LOCAL, NEAR]), {"b": 200})
 
     @parameterized.expand(
-        [
-            ("errors", COMPLETE, IDLE, True),
-            ("timeouts", UNKNOWN, None, False),
-        ]
+        [("errors", COMPLETE, IDLE, True), ("timeouts", UNKNOWN, None, False)]
     )
     def test_server_that_lies_about_health_is_outvoted(
         self, _name, outcome, load, failed
@@ -134,9 +131,10 @@
         self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
         self.assertEqual(self.count(LOCAL), {"b": 200})
 
-    def test_busy_reply_is_no_failure(self):
+    @parameterized.expand([("busy", NOT_RUN, IDLE), ("given up", None, None)])
+    def test_is_no_failure(self, _name, outcome, load):
         for _ in range(20):
-            self.finish(LOCAL[0], outcome=NOT_RUN)
+            self.finish(LOCAL[0], outcome=outcome, load=load)
         self.assertIn("a", self.count(LOCAL))
 
     def test_readmission_is_exponential(self):
