Run the commands of the operators' guide

The guide's commands did not work as written: almondctl was never told where the store and the daemons are.

A test runs every line of the guide's shell blocks in order against a store and two daemons, with the guide's own variables, and checks the exit codes; a comment names one that is not 0. A list of commands in the test was ruled out, as it would not notice a change of the guide.

--- /dev/null
+++ b/tests/test_docs_commands.py
@@ -0,0 +1,92 @@
+"""Runs the commands of the operators' guide as they are written."""
+
+import asyncio
+import os
+import re
+import shlex
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from almondrouter_standins.processes import Cluster, wait_until
+
+ROOT = Path(__file__).resolve().parent.parent
+GUIDE = ROOT / "docs" / "operators.md"
+MODULES = {"almondctl": "almondctl.main", "almondrouterd": "almondrouterd.main"}
+UNKNOWN_FINGERPRINT = "0123456789abcdef" * 2
+
+
+def read_lines():
+    """Return the lines of the guide's shell blocks, continued ones joined."""
+    blocks = re.findall(r"^```sh\n(.*?)^```$", GUIDE.read_text(), re.M | re.S)
+    return "".join(blocks).replace("\\\n", "").splitlines()
+
+
+async def run(words, environment):
+    """Run a command of the guide; return exit code, output and errors."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", MODULES[words[0]]),
+        *words[1:],
+        cwd=ROOT,
+        env={**os.environ, **environment},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, errors = await process.communicate()
+    return process.returncode, output.decode(), errors.decode()
+
+
+class GuideTest(unittest.IsolatedAsyncioTestCase):
+    """A command that does not work as written stops its reader at once.
+
+    A comment ``# exit code N`` names an exit code other than 0.
+    """
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.cluster = Cluster(Path(directory.name), cluster="main")
+        self.addAsyncCleanup(self.cluster.close)
+
+    async def start_cluster(self):
+        """Start two hosts that serve the services of the guide."""
+        for name, service in (("h1", "accounts"), ("h2", "manuscripts")):
+            self.cluster.plan_host(
+                name, data_centre="north-1", region="north", service=service
+            )
+        await self.cluster.start_all()
+
+        async def ready():
+            found = [await self.cluster.read_admin(n) for n in self.cluster.hosts]
+            return all(status["ready"] for status in found)
+
+        await wait_until(ready, "both daemons are ready")
+
+    async def test_every_command_ends_as_the_guide_says(self):
+        await self.start_cluster()
+        admin = ",".join(plan.daemon.admin for plan in self.cluster.hosts.values())
+        addresses = {
+            "ALMONDROUTER_STORE": self.cluster.store_address,
+            "ALMONDROUTER_DAEMON": admin,
+        }
+        environment = {}
+        change = "VERSION:CHANGE-ID"
+        ran = 0
+        for line in read_lines():
+            text = line.replace("VERSION:CHANGE-ID", change)
+            words = shlex.split(text.replace("FINGERPRINT", UNKNOWN_FINGERPRINT), True)
+            if words[0] == "export":
+                for name, value in (word.split("=", 1) for word in words[1:]):
+                    environment[name] = addresses.get(name, value)
+                continue
+            if words[0] == "almondrouterd":
+                words.append("--check")
+            expected = re.search(r"# exit code (\d)", line)
+            code, output, errors = await run(words, environment)
+            with self.subTest(line):
+                report = f"{output}{errors}"
+                self.assertEqual(code, int(expected[1]) if expected else 0, report)
+            change = next(iter(re.findall(r"change (\d+:\S+)", output)), change)
+            ran += 1
+        self.assertGreater(ran, 15)
