Write the configuration in the form that daemons read

Cause: the writer stored the bare configuration, while the reader expects it with change id and digest. Daemons that watched while a change was accepted took it from its history record, so only those that started later refused the store's document (store_record_invalid) and were never ready. Ruled out: a lost watch event; the log of the daemons named the unknown field. Before: in one of about ten cluster starts no daemon was ready after 20 s. After: the new test, which failed before, passes.

--- a/packages/almondctl/src/almondctl/changes.py
+++ b/packages/almondctl/src/almondctl/changes.py
@@ -6,12 +6,12 @@
 from typing import Any
 
 import msgspec
-from almondrouter.coordination.acceptance import Acceptance
 
 from almondctl.connections import Connections
 from almondctl.exits import ExitCode
 from almondctl.files import convert_document, read_target_file
 from almondctl.output import Result, describe_findings
+from almondrouter.coordination.acceptance import Acceptance
 from almondrouter.errors import AlmondError, ErrorCode, Finding, FindingsError
 from almondrouter.state.changes import (
     Change,
--- a/packages/almondrouter/src/almondrouter/coordination/acceptance.py
+++ b/packages/almondrouter/src/almondrouter/coordination/acceptance.py
@@ -23,10 +23,8 @@
 )
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.state.changes import Change, ChangeRecord, apply_change
-from almondrouter.state.targets import (
-    Configuration,
-    encode_configuration,
-)
+from almondrouter.state.stored import StoredConfiguration, encode_stored
+from almondrouter.state.targets import Configuration
 from almondrouter.transport.store import (
     MAX_VALUE_BYTES,
     Compare,
@@ -261,7 +259,9 @@
     def _make_transaction(
         self, result: Configuration, record: ChangeRecord, revision: int
     ) -> Transaction:
-        document = encode_configuration(result)
+        document = encode_stored(
+            StoredConfiguration(record.change_id, record.digest, result)
+        )
         encoded = msgspec.json.encode(record)
         _check_size("configuration", document)
         _check_size("change", encoded)
--- a/packages/almondrouter/src/almondrouter/coordination/history.py
+++ b/packages/almondrouter/src/almondrouter/coordination/history.py
@@ -9,7 +9,8 @@
 from almondrouter.errors import FindingsError, StoreOutcomeUnknownError
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.state.changes import ChangeRecord
-from almondrouter.state.targets import Configuration, decode_configuration
+from almondrouter.state.stored import decode_stored
+from almondrouter.state.targets import Configuration
 from almondrouter.transport.store import CommitResult, Get, KeyValue, Store, Transaction
 
 HISTORY_PAGE = 100
@@ -95,4 +96,4 @@
 ) -> tuple[Configuration, int]:
     if not items:
         return Configuration(), 0
-    return decode_configuration(items[0].value), items[0].mod_revision
+    return decode_stored(items[0].value).configuration, items[0].mod_revision
--- a/packages/almondrouterd/src/almondrouterd/explanations.py
+++ b/packages/almondrouterd/src/almondrouterd/explanations.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from almondrouter.coordination.quarantine import Quarantine
-from almondrouter.state.occupancy import OccupancyTable
-
 from almondrouter.clock import Clock
+from almondrouter.coordination.quarantine import Quarantine
 from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.snapshot import Destination, Snapshot
 
 Explanation = dict[str, Any]
--- a/tests/test_almondrouterd_process.py
+++ b/tests/test_almondrouterd_process.py
@@ -168,3 +168,19 @@
             self.assertEqual(response.headers[headers.OUTCOME], "not-run")
             self.assertEqual(response.headers[headers.CODE], "not_ready")
         self.assertTrue(program.running)
+
+    async def test_starts_from_the_store_after_a_change_was_accepted(self):
+        """Guards against a document that its reader does not understand.
+
+        Daemons that watch while a change is accepted see its record only.
+        """
+        await self.cluster.start_store()
+        self.cluster.plan_host("h1", data_centre="dc-1", region="r1")
+        code, _, errors = await self.cluster.run_almondctl(
+            "declare", "service", "accounts"
+        )
+        self.assertEqual(code, 0, errors)
+        await self.cluster.start_daemon("h1")
+        await self.wait_until_ready("h1")
+        status = await self.cluster.read_admin("h1")
+        self.assertEqual((status["version"], status["alarms"]), (1, {}))
--- a/tests/test_coordination_acceptance.py
+++ b/tests/test_coordination_acceptance.py
@@ -20,11 +20,11 @@
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.state.changes import Change, ChangeRecord, apply_record
+from almondrouter.state.stored import decode_stored
 from almondrouter.state.targets import (
     ClassTarget,
     Configuration,
     ServiceTarget,
-    decode_configuration,
 )
 from almondrouter.transport.store import Delete, Transaction
 from almondrouter_standins.keyspace import Keyspace
@@ -369,7 +369,7 @@
             built = apply_record(built, record)
         stored = self.probe.snapshot(KEYS.configuration).get(KEYS.configuration)
         if stored is not None:
-            assert decode_configuration(stored) == built
+            assert decode_stored(stored).configuration == built
 
     def check_told(self, records):
         by_id = {record.change_id: record for record in records}
