--- a/bench/hop.py
+++ b/bench/hop.py
@@ -25,6 +25,7 @@
 DAEMON = ["-m", "almondrouter_standins.call_daemon"]
 BACKEND = ["-m", "almondrouter_standins.backend", "--name", "b", "--service", "bench"]
 WARM_UP_S = 2.0
+DEPTH_S = 4.0
 
 
 @contextlib.contextmanager
@@ -84,6 +85,23 @@
         report(f"{name}_failed", failed, rate=rate, outcomes=dict(result.outcomes))
 
 
+def measure_depth(urls: dict[str, str], *, depth: int, rate: float) -> None:
+    """Print what routing adds to calls whose backend servers call further."""
+    targets = []
+    for name, url in urls.items():
+        headers = {"Almond-Class": "read", "x-standin-call": url}
+        headers["x-standin-depth"] = str(depth)
+        targets.append(Target(name, url, headers, b"x" * 200))
+    results = asyncio.run(run_load(targets, rate=rate, seconds=DEPTH_S, seed=depth))
+    for percentile in (50, 99):
+        found = {name: result.find_ms(percentile) for name, result in results.items()}
+        added = found["routed"] - found["direct"]
+        context = {"depth": depth, "rate": rate, **found}
+        report(f"added_p{percentile}_ms_per_level", added / depth, **context)
+    failed = sum(map(calls_failed, results.values()))
+    report("depth_failed", failed, depth=depth)
+
+
 def calls_failed(result: Result) -> int:
     """Return how many calls had no complete response."""
     good = result.outcomes["complete"] + result.outcomes["200"]
@@ -95,6 +113,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rates", type=float, nargs="+", default=[68.0, 500.0])
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--depths", type=int, nargs="*", default=[1, 5, 20])
+    parser.add_argument("--depth-rate", type=float, default=5.0)
     arguments = parser.parse_args()
     uvloop.install()
     with contextlib.ExitStack() as stack:
@@ -111,6 +131,8 @@
         daemons = {"ingress": ingress, "egress": egress}
         for rate in arguments.rates:
             measure(urls, daemons, rate=rate, seconds=arguments.seconds)
+        for depth in arguments.depths:
+            measure_depth(urls, depth=depth, rate=arguments.depth_rate)
 
 
 if __name__ == "__main__":
--- a/packages/almondrouter-standins/src/almondrouter_standins/backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/backend.py
@@ -23,6 +23,8 @@
 MARK_HEADER = "x-standin-mark"
 WORK_HEADER = "x-standin-work-ms"
 BYTES_HEADER = "x-standin-bytes"
+DEPTH_HEADER = "x-standin-depth"
+CALL_HEADER = "x-standin-call"
 
 
 class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -104,6 +106,7 @@
         self._loads: list[tuple[float, int]] = []
         self._tasks: list[asyncio.Task] = []
         self._server: Any = None
+        self._session: aiohttp.ClientSession | None = None
         self.app = self._make_app()
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
@@ -133,6 +136,8 @@
         """Stop at once."""
         for task in self._tasks:
             task.cancel()
+        if self._session is not None:
+            await self._session.close()
         self._server.close()
         for connection in tuple(self._server.connections):
             connection.transport.abort()
@@ -173,6 +178,7 @@
         self._change_load(1)
         try:
             await asyncio.sleep(self._find_work(request))
+            await self._call_deeper(request)
             run["result"] = "complete"
         except asyncio.CancelledError:
             run["result"] = "cancelled"
@@ -205,6 +211,23 @@
         headers = {MARK_HEADER: mark} if mark else {}
         return raw(body, headers=headers)
 
+    async def _call_deeper(self, request: Request) -> None:
+        """Make the call that the request asks for, with a depth less by one."""
+        depth = int(request.headers.get(DEPTH_HEADER, 1))
+        if depth <= 1:
+            return
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        url = request.headers[CALL_HEADER]
+        names = ("almond-class", CALL_HEADER)
+        headers = {name: request.headers[name] for name in names}
+        headers[DEPTH_HEADER] = str(depth - 1)
+        async with self._session.post(
+            url, data=request.body, headers=headers
+        ) as response:
+            response.raise_for_status()
+            await response.read()
+
     async def _truncate(self, request: Request, body: bytes) -> None:
         head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (len(body) + 2)
         request.transport.write(head + body[: len(body) // 2])
