--- a/packages/almondrouter/src/almondrouter/transport/called_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/called_link.py
@@ -68,7 +68,7 @@
             if not self.stream.is_writable:
                 async with asyncio.timeout(deadline - self._clock.monotonic()):
                     await self.stream.wait_writable()
-            self._check_open()
+            self._check_sendable(request.deadline)
             self.stream.send(msgspec.structs.replace(request, call_id=call_id))
             sent = True
             self._deadlines.add(future, deadline)
@@ -92,9 +92,12 @@
             if not future.done():
                 future.set_exception(ConnectionResetError(f"link lost: {reason}"))
 
-    def _check_open(self) -> None:
+    def _check_sendable(self, deadline: float) -> None:
         if self._lost:
             raise ConnectionResetError("link lost")
+        if self._clock.monotonic() >= deadline:
+            message = "the deadline passed before the call was sent"
+            raise CallError(ErrorCode.DEADLINE_EXCEEDED, message)
 
     def _make_error(self, sent: bool, reason: str) -> CallError:
         if not sent:
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -30,6 +30,8 @@
 
 Closing at once would reset the connection, which can destroy the refusal.
 """
+FLUSH_CHECK_S = 0.01
+"""Seconds between looks at responses that callers are still reading."""
 MAX_HEADER_BYTES = 32_768
 MAX_PIPELINED = 16
 MAX_CONNECTIONS = 4_096
@@ -117,6 +119,11 @@
             self._server.close()
         for connection in tuple(self.connections):
             connection.close_if_idle()
+        expires_at = self.clock.monotonic() + WRITE_S
+        while any(connection.is_writing for connection in self.connections):
+            if self.clock.monotonic() >= expires_at:
+                break
+            await asyncio.sleep(FLUSH_CHECK_S)
 
     async def close(self) -> None:
         """Stop at once; requests in flight are cancelled."""
@@ -235,6 +242,11 @@
             self._server.counts["pipeline_refused"] += 1
             self.abort()
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a part of a response was not sent yet."""
+        return self._transport.get_write_buffer_size() > 0
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is read or served."""
         if self.task is None and not self._reading:
--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -157,12 +157,18 @@
     def send(self, frame: CallFrame) -> None:
         """Write a frame without waiting; see `wait_writable`.
 
+        Notes
+        -----
+        A frame for a connection that has ended is dropped.
+
         Raises
         ------
         AlmondError
             ``frame_too_large``; nothing was written.
         """
         data = CALL_CODEC.encode(frame)
+        if self._transport.is_closing():
+            return
         self._transport.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
 
     @property
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -284,7 +284,7 @@
         if task is None:
             task = asyncio.create_task(self._open(address))
             self._connecting[address] = task
-            task.add_done_callback(lambda _: self._connecting.pop(address, None))
+            task.add_done_callback(lambda done: self._connected(address, done))
         try:
             async with asyncio.timeout(deadline - self._clock.monotonic()):
                 return await asyncio.shield(task)
@@ -292,6 +292,11 @@
             message = f"no link to {address}: {error}"
             raise CallError(ErrorCode.PEER_UNAVAILABLE, message) from error
 
+    def _connected(self, address: str, task: asyncio.Task) -> None:
+        self._connecting.pop(address, None)
+        if not task.cancelled():
+            task.exception()  # Marks it as seen if no call waits any more.
+
     async def _open(self, address: str) -> CalledLink:
         stream = None
         try:
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -25,6 +25,7 @@
 POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"258\r\n%s\r\n" % (b"x" * 600)
+BIG = 30_000_000
 TOO_LARGE = "body_too_large"
 
 
@@ -56,6 +57,8 @@
             raise
         if request.target == "/fail":
             raise RuntimeError
+        if request.target == "/big":
+            return CallerResponse(200, (), bytes(BIG))
         headers = (("Almond-Outcome", "complete"),)
         return CallerResponse(200, headers, request.target.encode() + request.body)
 
@@ -182,3 +185,14 @@
         await draining
         with self.assertRaises(ConnectionError):
             await self.open(GET)
+
+    async def test_drain_waits_for_slow_readers(self):
+        """Guards against a stop that cuts a response which was not read yet."""
+        reader, _ = await self.open(GET.replace(b"/a?b", b"/big"))
+        await wait_until(lambda: any(c.is_writing for c in self.server.connections))
+        draining = asyncio.create_task(self.server.drain())
+        await asyncio.sleep(0)
+        self.assertFalse(draining.done())
+        _, _, body = await self.read_response(reader)
+        self.assertEqual(BIG, len(body))
+        await draining
