--- a/tests/calls_support.py
+++ b/tests/calls_support.py
@@ -9,10 +9,22 @@
 from almondrouter.protocol.calls import CallReply, CallRequest, Hello
 from almondrouter.protocol.codec import PROTOCOL_VERSION
 from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
 
 TIMEOUT_S = 20.0
 
 
+class CallAssertions:
+    """What test cases of calls compare."""
+
+    async def assert_fails(self, sending, code, outcome):
+        """Check the error of a call."""
+        with self.assertRaises(CallError) as caught:
+            await sending
+        error = caught.exception
+        self.assertEqual((code, outcome), (error.code, error.outcome))
+
+
 def make_hello(host, *, cluster="test", version=PROTOCOL_VERSION):
     """Return the greeting of a host."""
     return Hello(cluster, version, host, 1, 0.0)
