Give the slot back when the claim on the key is late

A call held its slot for as long as the store took to answer. A slow store would have kept all slots of a backend server idle, and repeatable classes with them. Claiming first and waiting for the slot afterwards was ruled out: it adds the time of the claim to every call that may not be repeated.

--- a/packages/almondrouter/src/almondrouter/coordination/once.py
+++ b/packages/almondrouter/src/almondrouter/coordination/once.py
@@ -9,6 +9,7 @@
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.claims import ClaimService
+from almondrouter.coordination.collaborators import Admitter
 from almondrouter.coordination.egress import Egress, make_fingerprint
 from almondrouter.coordination.ingress import make_error_reply
 from almondrouter.coordination.replays import ReplayMemory, Run
@@ -17,8 +18,15 @@
 from almondrouter.protocol.control import Claim
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
+from almondrouter.state.snapshot import Route
 from almondrouter.transport.calls import CallLinks
 
+MAX_IDLE_SLOT_S = 0.05
+"""Seconds that a call keeps a slot while its claim is made.
+
+Claims take some 15 ms and are made while the call waits for its slot. With a
+slow store the slots would be held idle, and repeatable classes with them.
+"""
 MAX_HOLDERS_ASKED = 3
 """Holders that a call asks in turn before its outcome counts as unknown."""
 
@@ -135,24 +143,55 @@
         admission = self._egress.find_admission(request)
         claiming = asyncio.create_task(self._claim(request))
         try:
-            slot = await admission.acquire(
-                priority=route.priority, deadline=request.deadline
-            )
+            slot = await self._acquire(admission, route, request, claiming)
         except BaseException:
             await self._abandon(claiming)
             raise
+        held = claiming.result()
+        if isinstance(held, CallReply):
+            if slot is not None:
+                admission.release(slot, failed=False)
+            return held
+        run.claim_id = held.claim_id
         failed = False
         try:
-            held = await self._wait_for_claim(claiming)
-            if isinstance(held, CallReply):
-                return held
-            run.claim_id = held.claim_id
             reply = await self._run_claimed(run, request, held)
             failed = reply.outcome is Outcome.UNKNOWN
             return reply
         finally:
             admission.release(slot, failed=failed)
 
+    async def _acquire(
+        self,
+        admission: Admitter,
+        route: Route,
+        request: CallRequest,
+        claiming: asyncio.Task[Claim | CallReply],
+    ) -> Any:
+        """Wait for a slot and for the claim; return the slot.
+
+        Returns
+        -------
+        Any
+            The slot; None if the key's run is elsewhere and no slot is held.
+        """
+        options = {"priority": route.priority, "deadline": request.deadline}
+        slot = await admission.acquire(**options)
+        try:
+            await asyncio.wait([claiming], timeout=MAX_IDLE_SLOT_S)
+            if not claiming.done():
+                admission.release(slot, failed=False)
+                slot = None
+                await asyncio.wait([claiming])
+            held = claiming.result()
+            if slot is None and isinstance(held, Claim):
+                slot = await admission.acquire(**options)
+        except BaseException:
+            if slot is not None:
+                admission.release(slot, failed=False)
+            raise
+        return slot
+
     async def _run_claimed(
         self, run: Run, request: CallRequest, claim: Claim
     ) -> CallReply:
@@ -197,13 +236,6 @@
         except CallError as error:
             raise _make_unknown(ErrorCode.KEY_CLAIMED, error.message) from error
 
-    async def _wait_for_claim(self, claiming: asyncio.Task[Any]) -> Any:
-        try:
-            return await asyncio.shield(claiming)
-        except asyncio.CancelledError:
-            await self._abandon(claiming)
-            raise
-
     async def _abandon(self, claiming: asyncio.Task[Any]) -> None:
         """Wait for a claim that is no longer wanted, and give it up."""
         with contextlib.suppress(AlmondError):
--- a/tests/test_coordination_calls.py
+++ b/tests/test_coordination_calls.py
@@ -203,6 +203,15 @@
         self.fleet.claims.available = False
         self.assert_response(await self.call(), 200, COMPLETE)
 
+    async def test_slow_store_holds_no_slots(self):
+        """Guards against a slow store that starves repeatable classes of slots."""
+        task = await self.begin_held_claim()
+        await wait_until(lambda: not self.fleet.admissions["h1"].in_use)
+        self.assertFalse(task.done())
+        self.fleet.claims.held.set()
+        self.assert_response(await task, 200, COMPLETE)
+        self.assertEqual(0, self.fleet.admissions["h1"].in_use)
+
     async def test_deadline_is_checked_right_before_the_hand_over(self):
         """Guards against a frozen daemon that runs a request after it wakes."""
         task = await self.begin_held_claim()
@@ -312,7 +321,8 @@
         task.cancel()
         await asyncio.wait([task])
         self.fleet.claims.held.set()
-        await wait_until(lambda: not self.fleet.admissions["h1"].in_use)
+        memory = self.fleet.services["h1"]._once._memory
+        await wait_until(lambda: not memory.list_in_flight())
         self.assertEqual({}, self.fleet.claims.by_key)
         self.assert_response(await self.write(), 200, COMPLETE)
 
