Share the stepping of stateful tests, refuse on unreadable records

The three stateful tests of coordination had the same loop that holds calls until they are answered; it and the links without sockets are stand-ins now, for the tests of other modules too.

A change record that cannot be decoded refuses a change with a finding instead of ending it with a decoder's exception.

--- a/packages/almondrouter/src/almondrouter/coordination/history.py
+++ b/packages/almondrouter/src/almondrouter/coordination/history.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from almondrouter.errors import FindingsError, StoreOutcomeUnknownError
+from almondrouter.errors import (
+    ErrorCode,
+    Finding,
+    FindingsError,
+    StoreOutcomeUnknownError,
+)
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.state.changes import ChangeRecord
 from almondrouter.state.targets import Configuration, decode_configuration
@@ -81,13 +86,17 @@
             own = _decode_record(records[0]).change_id == change_id
             return Verdict.ACCEPTED if own else Verdict.SUPERSEDED
         latest, _ = _decode_configuration_item(configuration)
-    except (msgspec.DecodeError, FindingsError) as error:
+    except FindingsError as error:
         raise StoreOutcomeUnknownError(f"version {version}: {error}") from error
     return Verdict.PRUNED if latest.version >= version else Verdict.ABSENT
 
 
 def _decode_record(item: KeyValue) -> ChangeRecord:
-    return msgspec.json.decode(item.value, type=ChangeRecord)
+    try:
+        return msgspec.json.decode(item.value, type=ChangeRecord)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        code = ErrorCode.STORE_RESPONSE_INVALID
+        raise FindingsError([Finding(item.key, code, str(error))]) from error
 
 
 def _decode_configuration_item(
--- /dev/null
+++ b/tests/machine.py
@@ -0,0 +1,59 @@
+"""Rules that the stateful tests of coordination share."""
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from almondrouter.clock import ManualClock
+from almondrouter_standins.keyspace import Keyspace
+from almondrouter_standins.memory import CallFault
+from almondrouter_standins.schedule import Schedule
+
+INDEXES = st.integers(0, 9)
+FAULTS = st.sampled_from([*CallFault, *[CallFault.NONE] * 2])
+
+
+def make_settings(*, examples, steps):
+    """Return settings that give the same verdict each run."""
+    return settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+class FaultMachine(RuleBasedStateMachine):
+    """Decides call by call what fails, what is lost and what arrives late."""
+
+    def __init__(self):
+        super().__init__()
+        self.schedule = Schedule()
+        self.clock = ManualClock()
+        self.keyspace = Keyspace(clock=self.clock)
+
+    def collect(self):
+        """Take up the results of tasks that have ended."""
+
+    @precondition(lambda self: self.schedule.held)
+    @rule(index=INDEXES, fault=FAULTS)
+    def answer(self, index, fault):
+        self.schedule.answer(index, fault)
+        self.collect()
+
+    @precondition(lambda self: self.schedule.held)
+    @rule()
+    def answer_all(self):
+        self.schedule.answer_all()
+        self.collect()
+
+    @precondition(lambda self: self.schedule.find_late())
+    @rule(index=INDEXES)
+    def deliver_late(self, index):
+        self.schedule.deliver_late(index)
+        self.collect()
+
+    def teardown(self):
+        self.schedule.close()
--- a/tests/test_coordination_acceptance.py
+++ b/tests/test_coordination_acceptance.py
@@ -4,15 +4,8 @@
 import unittest
 
 import msgspec
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import initialize, invariant, precondition, rule
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
@@ -26,9 +19,10 @@
     ServiceTarget,
     decode_configuration,
 )
-from almondrouter.transport.store import Delete, Transaction
+from almondrouter.transport.store import Delete, Put, Transaction
 from almondrouter_standins.keyspace import Keyspace
 from almondrouter_standins.memory import CallFault, MemoryStore
+from machine import INDEXES, FaultMachine, make_settings
 
 KEYS = StoreKeys("test")
 F = CallFault
@@ -231,6 +225,18 @@
         self.assertEqual(result.findings[0].code, ErrorCode.CONFIGURATION_TOO_LARGE)
         self.assertEqual((await writer.read())[0].version, 0)
 
+    async def test_unreadable_record_refuses_instead_of_overwriting(self):
+        """Whether the target was touched meanwhile cannot be told."""
+        store, writer = self.make_writer()
+        for seen in (0, 1):
+            await self.submit(writer, _set_service("a"), expect_version=seen)
+        record = Put(KEYS.history_record(2), b"{}")
+        await store.commit(Transaction(success=(record,)))
+        result = await self.submit(writer, _set_service("a"), expect_version=1)
+        self.assertEqual(result.status, REFUSED)
+        code = result.findings[0].code
+        self.assertEqual(code, ErrorCode.STORE_RESPONSE_INVALID)
+
     async def test_findings_are_reported_together(self):
         _, writer = self.make_writer()
         change = Change(
@@ -252,7 +258,7 @@
         self.assertEqual(versions, list(range(205, 2, -1)))
 
 
-class AcceptanceMachine(RuleBasedStateMachine):
+class AcceptanceMachine(FaultMachine):
     """Racing writers whose every store call may wait, get lost or arrive late.
 
     The oracle is the history: what was accepted stays, in its order, and each
@@ -261,36 +267,21 @@
 
     def __init__(self):
         super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.clock = ManualClock()
-        self.keyspace = Keyspace(clock=self.clock)
         self.probe = MemoryStore(self.keyspace, clock=self.clock)
-        self.stores, self.waiting, self.running = [], [], []
-        self.told, self.options, self.seen = [], {}, {}
+        self.running, self.told, self.seen = {}, [], {}
 
     @initialize(count=st.integers(2, 4))
     def start(self, count):
-        for _ in range(count):
-            store = MemoryStore(
-                self.keyspace, clock=self.clock, choose_fault=self.hold_call
+        self.schedule.clients = [
+            MemoryStore(
+                self.keyspace, clock=self.clock, choose_fault=self.schedule.hold
             )
-            self.stores.append(store)
-
-    async def hold_call(self, _kind):
-        future = self.loop.create_future()
-        self.waiting.append(future)
-        return await future
-
-    def turn(self):
-        async def spin():
-            for _ in range(20):
-                await asyncio.sleep(0)
+            for _ in range(count)
+        ]
 
-        self.loop.run_until_complete(spin())
-        self.waiting = [future for future in self.waiting if not future.done()]
+    def collect(self):
         for task in [task for task in self.running if task.done()]:
-            self.running.remove(task)
-            self.told.append((task.result(), self.options.pop(task)))
+            self.told.append((task.result(), self.running.pop(task)))
 
     @rule(
         who=st.integers(0, 3),
@@ -310,42 +301,29 @@
         change = _set_service(name, float(limit))
         if mode == "remove":
             change = Change(removed_services=(name,))
+        stores = self.schedule.clients
         writer = ChangeWriter(
-            self.stores[who % len(self.stores)],
+            stores[who % len(stores)],
             KEYS,
             clock=self.clock,
             sleep=lambda _: asyncio.sleep(0),
         )
         deadline = self.clock.monotonic() + 60
-        task = self.loop.create_task(
+        task = self.schedule.start(
             writer.submit(change, author="x", reason="y", deadline=deadline, **options)
         )
-        self.options[task] = options
-        self.running.append(task)
-        self.turn()
-
-    @precondition(lambda self: self.waiting)
-    @rule(index=st.integers(0, 9), fault=st.sampled_from([*F, F.NONE, F.NONE]))
-    def answer(self, index, fault):
-        self.waiting.pop(index % len(self.waiting)).set_result(fault)
-        self.turn()
-
-    @precondition(lambda self: self.waiting)
-    @rule(index=st.integers(0, 9))
+        self.running[task] = options
+        self.collect()
+
+    @precondition(lambda self: self.schedule.held)
+    @rule(index=INDEXES)
     def read_back_before_a_late_write(self, index):
         """Is rare among single steps: the write arrives between its retries."""
         self.answer(index, F.LATE)
-        if self.waiting:
-            self.answer(len(self.waiting) - 1, F.NONE)
+        if self.schedule.held:
+            self.answer(len(self.schedule.held) - 1, F.NONE)
         self.deliver_late(index)
 
-    @precondition(lambda self: any(store.late for store in self.stores))
-    @rule(index=st.integers(0, 9))
-    def deliver_late(self, index):
-        late = [store for store in self.stores if store.late]
-        late[index % len(late)].deliver_late()
-        self.turn()
-
     @precondition(lambda self: self.running)
     @rule()
     def pass_deadlines(self):
@@ -401,23 +379,19 @@
         # Every call is answered and every late write arrives, then what the
         # operators were told is compared once more.
         self.clock.advance(61)
-        while self.waiting or any(store.late for store in self.stores):
-            for future in self.waiting[:]:
-                self.waiting.remove(future)
-                future.set_result(F.NONE)
-            for store in self.stores:
-                while store.late:
-                    store.deliver_late()
-            self.turn()
+        while self.schedule.held or self.schedule.find_late():
+            self.answer_all()
+            while self.schedule.find_late():
+                self.deliver_late(0)
         self.history_is_kept_and_true()
         for acceptance, _ in self.told:
             if acceptance.status is UNKNOWN:
                 self.check_resolved(acceptance)
-        self.loop.close()
+        super().teardown()
 
     def check_resolved(self, acceptance):
         writer = ChangeWriter(self.probe, KEYS, clock=self.clock)
-        resolved = self.loop.run_until_complete(
+        resolved = self.schedule.loop.run_until_complete(
             writer.resolve(acceptance.version, acceptance.change_id)
         )
         in_force = acceptance.change_id in self.seen.values()
@@ -425,11 +399,4 @@
 
 
 AcceptanceMachineTest = AcceptanceMachine.TestCase
-AcceptanceMachineTest.settings = settings(
-    max_examples=150,
-    stateful_step_count=40,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
+AcceptanceMachineTest.settings = make_settings(examples=150, steps=40)
--- a/tests/test_coordination_claims.py
+++ b/tests/test_coordination_claims.py
@@ -4,15 +4,8 @@
 import unittest
 import uuid
 
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import initialize, invariant, precondition, rule
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
@@ -22,7 +15,8 @@
 from almondrouter.protocol.keys import CLAIM_RETENTION_S, StoreKeys
 from almondrouter_standins.keyspace import Keyspace
 from almondrouter_standins.memory import CallFault, MemoryStore
-from network import Network
+from almondrouter_standins.network import Network
+from machine import INDEXES, FaultMachine, make_settings
 
 KEYS = StoreKeys("test")
 F = CallFault
@@ -222,7 +216,7 @@
         self.assertEqual(caught.exception.code, ErrorCode.KEY_EXPIRED)
 
 
-class ClaimsMachine(RuleBasedStateMachine):
+class ClaimsMachine(FaultMachine):
     """Daemons race for keys while messages and writes wait, get lost or are late.
 
     The oracle counts how often the request of each key is handed over.
@@ -230,18 +224,16 @@
 
     def __init__(self):
         super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.clock = ManualClock()
-        self.keyspace = Keyspace(clock=self.clock)
-        self.network = Network(self.hold)
-        self.held, self.running, self.owned, self.holders = [], [], [], []
+        self.network = Network(self.schedule.hold)
+        self.running, self.owned, self.holders = [], [], []
         self.handed_over = {}
-        self.next_key = 0
 
     @initialize()
     def start(self):
         self.delegate = "a"
         self.daemons = {host: self.make(host) for host in "abc"}
+        stores = [daemon.store for daemon in self.daemons.values()]
+        self.schedule.clients = [self.network, *stores]
 
     def make(self, host):
         return _Daemon(
@@ -250,34 +242,18 @@
             self.clock,
             host,
             lambda: None if self.delegate == host else self.delegate,
-            choose_fault=self.hold,
+            choose_fault=self.schedule.hold,
         )
 
-    async def hold(self, _what):
-        future = self.loop.create_future()
-        self.held.append(future)
-        return await future
-
-    def turn(self):
-        async def spin():
-            for _ in range(25):
-                await asyncio.sleep(0)
-
-        self.loop.run_until_complete(spin())
-        self.held = [future for future in self.held if not future.done()]
-        for item in [item for item in self.running if item[1].done()]:
-            self.running.remove(item)
-            self.collect(*item)
-
-    def collect(self, host, task):
-        if task.exception() is not None:
-            assert isinstance(task.exception(), AlmondError)
-            return
-        claim = task.result()
-        if self.daemons[host].claims.owns(claim):
-            self.owned.append((host, claim))
-        else:
-            self.holders.append(claim)
+    def collect(self):
+        for host, task in [item for item in self.running if item[1].done()]:
+            self.running.remove((host, task))
+            if task.exception() is not None:
+                assert isinstance(task.exception(), AlmondError)
+            elif self.daemons[host].claims.owns(task.result()):
+                self.owned.append((host, task.result()))
+            else:
+                self.holders.append(task.result())
 
     @rule(host=st.sampled_from("abc"), number=st.integers(0, 1), join=st.booleans())
     def claim(self, host, number, join):
@@ -292,42 +268,14 @@
             deadline=self.clock.monotonic() + 30,
             replaces=replaces,
         )
-        self.running.append((host, self.loop.create_task(coroutine)))
-        self.turn()
+        self.running.append((host, self.schedule.start(coroutine)))
+        self.collect()
 
     def key(self, number):
         return _make_key(1.7e9, number)
 
-    @precondition(lambda self: self.held)
-    @rule(index=st.integers(0, 9), fault=st.sampled_from([*F, F.NONE, F.NONE, F.NONE]))
-    def answer(self, index, fault):
-        self.held.pop(index % len(self.held)).set_result(fault)
-        self.turn()
-
-    @precondition(lambda self: self.held)
-    @rule()
-    def answer_all(self):
-        for future in self.held:
-            future.set_result(F.NONE)
-        self.turn()
-
-    def late(self):
-        stores = [daemon.store for daemon in self.daemons.values()]
-        return [item for item in (self.network, *stores) if item.late]
-
-    @precondition(lambda self: self.late())
-    @rule(index=st.integers(0, 9))
-    def deliver_late(self, index):
-        late = self.late()
-
-        async def deliver():
-            late[index % len(late)].deliver_late()
-
-        self.loop.run_until_complete(deliver())
-        self.turn()
-
     @precondition(lambda self: self.owned)
-    @rule(index=st.integers(0, 9), run=st.booleans())
+    @rule(index=INDEXES, run=st.booleans())
     def use(self, index, run):
         host, claim = self.owned.pop(index % len(self.owned))
         claims = self.daemons[host].claims
@@ -335,9 +283,8 @@
             assert claims.owns(claim)
             self.handed_over[claim.key] = self.handed_over.get(claim.key, 0) + 1
         else:
-            self.running_release = self.loop.create_task(claims.release(claim))
+            self.schedule.start(claims.release(claim))
             self.holders.append(claim)
-            self.turn()
 
     @rule(delegate=st.sampled_from("ab"))
     def change_delegate(self, delegate):
@@ -352,20 +299,6 @@
         for key, count in self.handed_over.items():
             assert count <= 1, f"{key} was handed over {count} times"
 
-    def teardown(self):
-        self.running.clear()
-        for task in asyncio.all_tasks(self.loop):
-            task.cancel()
-        self.turn()
-        self.loop.close()
-
 
 ClaimsMachineTest = ClaimsMachine.TestCase
-ClaimsMachineTest.settings = settings(
-    max_examples=150,
-    stateful_step_count=50,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
+ClaimsMachineTest.settings = make_settings(examples=150, steps=50)
--- a/tests/test_coordination_limits.py
+++ b/tests/test_coordination_limits.py
@@ -3,15 +3,8 @@
 import asyncio
 import unittest
 
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import initialize, invariant, rule
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
@@ -21,7 +14,8 @@
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter_standins.keyspace import Keyspace
 from almondrouter_standins.memory import CallFault, MemoryStore
-from network import Network
+from almondrouter_standins.network import Network
+from machine import FaultMachine, make_settings
 
 KEYS = StoreKeys("test")
 F = CallFault
@@ -48,7 +42,7 @@
         self.rate = rate
         self.clock = ManualClock()
         self.keyspace = Keyspace(clock=self.clock)
-        self.network = Network(hold) if hold else Network()
+        self.network = Network(hold)
         self.hold = hold
         self.holders, self.stores, self.limits = {}, {}, {}
         self.incarnation = 0
@@ -275,7 +269,7 @@
         self.assertEqual(set(turns), {0, 1})
 
 
-class LimitsMachine(RuleBasedStateMachine):
+class LimitsMachine(FaultMachine):
     """Daemons restart, freeze and are cut off while all of them want every call.
 
     The oracle counts the calls that all daemons together admit in any second.
@@ -283,38 +277,19 @@
 
     def __init__(self):
         super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.held, self.steps, self.renewals = [], {}, {}
+        self.steps, self.renewals = {}, {}
 
     @initialize(rate=st.sampled_from([0.5, 1, 3, 10, 64]))
     def start(self, rate):
-        async def build():
-            return _Fleet(rate, self.hold)
+        self.fleet = _Fleet(rate, self.schedule.hold)
+        self.clock = self.fleet.clock
+        self.schedule.clients = [self.fleet.network, *self.fleet.stores.values()]
 
-        self.fleet = self.loop.run_until_complete(build())
-
-    async def hold(self, _what):
-        future = self.loop.create_future()
-        self.held.append(future)
-        return await future
-
-    def turn(self):
-        async def spin():
-            for _ in range(10):
-                await asyncio.sleep(0)
-
-        self.loop.run_until_complete(spin())
-        self.held = [future for future in self.held if not future.done()]
+    def collect(self):
         for task in (*self.steps.values(), *self.renewals.values()):
             if task.done() and not task.cancelled():
                 task.result()
 
-    def answer_all(self):
-        for _ in range(6):
-            for future in self.held:
-                future.set_result(F.NONE)
-            self.turn()
-
     @rule(host=st.sampled_from(["x1", "x2", "y1", "y2"]), count=st.integers(1, 70))
     def admit(self, host, count):
         self.fleet.admit(host, count)
@@ -329,16 +304,14 @@
         task = self.renewals.get(host)
         limits = self.fleet.limits[host]
         if (task is None or task.done()) and NAME in limits._buckets:
-            self.renewals[host] = self.loop.create_task(limits.renew(NAME))
-            self.turn()
+            self.renewals[host] = self.schedule.start(limits.renew(NAME))
 
     @rule(host=st.sampled_from(["x1", "y1"]))
     def step(self, host):
         task = self.steps.get(host)
         if task is None or task.done():
-            holder = self.fleet.holders[host]
-            self.steps[host] = self.loop.create_task(holder.step())
-            self.turn()
+            step = self.fleet.holders[host].step()
+            self.steps[host] = self.schedule.start(step)
 
     @rule(rounds=st.integers(1, 3))
     def run_smoothly(self, rounds):
@@ -348,43 +321,22 @@
                 self.renew(host)
             self.step("x1")
             self.step("y1")
-            self.answer_all()
-            self.fleet.clock.advance(0.4)
-
-    @precondition(lambda self: self.held)
-    @rule(index=st.integers(0, 9), fault=st.sampled_from([*F, F.NONE, F.NONE]))
-    def answer(self, index, fault):
-        self.held.pop(index % len(self.held)).set_result(fault)
-        self.turn()
-
-    def late(self):
-        clients = [self.fleet.network, *self.fleet.stores.values()]
-        return [client for client in clients if client.late]
-
-    @precondition(lambda self: self.late())
-    @rule(index=st.integers(0, 9))
-    def deliver_late(self, index):
-        async def deliver():
-            late = self.late()
-            late[index % len(late)].deliver_late()
-
-        self.loop.run_until_complete(deliver())
-        self.turn()
+            for _ in range(6):
+                self.answer_all()
+            self.clock.advance(0.4)
 
     @rule(host=st.sampled_from(["x1", "x2", "y1", "y2"]))
     def restart(self, host):
         for tasks in (self.steps, self.renewals):
             if host in tasks:
                 tasks.pop(host).cancel()
-        self.turn()
-        self.loop.run_until_complete(self.restart_daemon(host))
-
-    async def restart_daemon(self, host):
+        self.schedule.turn()
         self.fleet.start(host)
+        self.schedule.clients.append(self.fleet.stores[host])
 
     @rule(seconds=st.sampled_from([0.1, 0.5, 1.01, 2.5, 16.0]))
     def pass_time(self, seconds):
-        self.fleet.clock.advance(seconds)
+        self.clock.advance(seconds)
 
     @invariant()
     def stays_within_the_limit(self):
@@ -393,19 +345,6 @@
             now = self.fleet.clock.monotonic()
             self.fleet.admitted = [t for t in self.fleet.admitted if t > now - 4]
 
-    def teardown(self):
-        for task in asyncio.all_tasks(self.loop):
-            task.cancel()
-        self.turn()
-        self.loop.close()
-
 
 LimitsMachineTest = LimitsMachine.TestCase
-LimitsMachineTest.settings = settings(
-    max_examples=100,
-    stateful_step_count=50,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
+LimitsMachineTest.settings = make_settings(examples=100, steps=50)
