State when claims expire and what lapsed leases raise

Callers of the two interfaces need to know both: a claim can end with key_expired, and owns() is about the one call that made a claim, not about the daemon.

--- a/packages/almondrouter/src/almondrouter/coordination/claims.py
+++ b/packages/almondrouter/src/almondrouter/coordination/claims.py
@@ -61,13 +61,18 @@
         Raises
         ------
         AlmondError
-            ``claim_unavailable`` if the store did not answer in time. The claim
-            may still come into being; it is then released or stays unused.
+            ``claim_unavailable`` if the store did not answer in time, and
+            ``key_expired`` if the key became too old meanwhile. The claim may
+            still come into being; it is then released or stays unused.
         """
 
     @abstractmethod
     def owns(self, claim: Claim) -> bool:
-        """Return whether this daemon made the claim and has not released it."""
+        """Return whether the call that returned this claim made it.
+
+        False for a claim that was released, and for one that another call on
+        this daemon made.
+        """
 
     @abstractmethod
     async def release(self, claim: Claim) -> None:
--- a/packages/almondrouter/src/almondrouter/transport/store.py
+++ b/packages/almondrouter/src/almondrouter/transport/store.py
@@ -153,7 +153,11 @@
 
     @abstractmethod
     async def commit(self, transaction: Transaction) -> CommitResult:
-        """Do a transaction."""
+        """Do a transaction.
+
+        Raises ``AlmondError`` ``lease_expired``, without any effect, if a put names
+        a lease that lapsed.
+        """
 
     @abstractmethod
     async def grant_lease(self, ttl: int) -> Lease:
