--- a/tests/test_coordination_routing.py
+++ b/tests/test_coordination_routing.py
@@ -137,6 +137,14 @@
             self.finish(LOCAL[0], outcome=outcome, load=load)
         self.assertIn("a", self.count(LOCAL))
 
+    def test_given_up_calls_readmit_nobody(self):
+        self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
+        self.clock.advance(1.0)
+        for _ in range(8):
+            self.finish(LOCAL[0], outcome=None, load=None)
+        self.policy.started(LOCAL[0])
+        self.assertEqual(self.count(LOCAL), {"b": 200})
+
     def test_readmission_is_exponential(self):
         waits = []
         self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
