--- a/tests/test_coordination_routing.py
+++ b/tests/test_coordination_routing.py
@@ -142,7 +142,8 @@
         self.clock.advance(1.0)
         for _ in range(8):
             self.finish(LOCAL[0], outcome=None, load=None)
-        self.policy.started(LOCAL[0])
+        for destination in (LOCAL[0], LOCAL[1], LOCAL[1]):
+            self.policy.started(destination)
         self.assertEqual(self.count(LOCAL), {"b": 200})
 
     def test_readmission_is_exponential(self):
