--- a/tests/test_coordination_routing.py
+++ b/tests/test_coordination_routing.py
@@ -117,10 +117,7 @@
         self.assertEqual(self.count([*LOCAL, NEAR]), {"b": 200})
 
     @parameterized.expand(
-        [
-            ("errors", COMPLETE, IDLE, True),
-            ("timeouts", UNKNOWN, None, False),
-        ]
+        [("errors", COMPLETE, IDLE, True), ("timeouts", UNKNOWN, None, False)]
     )
     def test_server_that_lies_about_health_is_outvoted(
         self, _name, outcome, load, failed
@@ -134,11 +131,21 @@
         self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
         self.assertEqual(self.count(LOCAL), {"b": 200})
 
-    def test_busy_reply_is_no_failure(self):
+    @parameterized.expand([("busy", NOT_RUN, IDLE), ("given up", None, None)])
+    def test_is_no_failure(self, _name, outcome, load):
         for _ in range(20):
-            self.finish(LOCAL[0], outcome=NOT_RUN)
+            self.finish(LOCAL[0], outcome=outcome, load=load)
         self.assertIn("a", self.count(LOCAL))
 
+    def test_given_up_calls_readmit_nobody(self):
+        self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
+        self.clock.advance(1.0)
+        for _ in range(8):
+            self.finish(LOCAL[0], outcome=None, load=None)
+        for destination in (LOCAL[0], LOCAL[1], LOCAL[1]):
+            self.policy.started(destination)
+        self.assertEqual(self.count(LOCAL), {"b": 200})
+
     def test_readmission_is_exponential(self):
         waits = []
         self.finish(LOCAL[0], outcome=NOT_RUN, load=None)
