Mark every attempt, route by priority and by results, read seeds from the store

Cause: the ingress did not pass on what routing and the retry budget can use. A test of the headers and one of retries now expect the mark on first attempts; they are stricter than before.

A claim whose answer was lost can be taken over: its holder says that it never runs under it. Daemons whose configured seeds have all been replaced join through the addresses in the store, and do not replace them at once.

--- a/packages/almondrouter-standins/src/almondrouter_standins/collaborators.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/collaborators.py
@@ -29,10 +29,15 @@
 
     def __init__(self) -> None:
         self.open = 0
-        self.outcomes: list[tuple[str, Outcome]] = []
+        self.outcomes: list[tuple[str, Outcome | None]] = []
 
     def choose(
-        self, destinations: tuple[Destination, ...], *, now: float, excluded: Set[str]
+        self,
+        destinations: tuple[Destination, ...],
+        *,
+        now: float,
+        excluded: Set[str],
+        priority: Priority | None = None,
     ) -> Destination | None:
         """Return the first destination that is not excluded, or None."""
         return next((d for d in destinations if d.backend not in excluded), None)
@@ -42,7 +47,7 @@
         self.open += 1
 
     def finished(
-        self, destination: Destination, *, outcome: Outcome, **measured: Any
+        self, destination: Destination, *, outcome: Outcome | None, **measured: Any
     ) -> None:
         """Count a call that ends."""
         self.open -= 1
@@ -55,7 +60,7 @@
     def __init__(self, left: int = 10) -> None:
         self.left = left
 
-    def record_call(self, name: str) -> None:
+    def record_call(self, name: str, *, caller_retries: bool = False) -> None:
         """Take no note."""
 
     def try_spend(self, name: str) -> bool:
--- a/packages/almondrouter/src/almondrouter/coordination/claims.py
+++ b/packages/almondrouter/src/almondrouter/coordination/claims.py
@@ -78,6 +78,13 @@
     async def release(self, claim: Claim) -> None:
         """Give up an own claim whose request was not run and never will be."""
 
+    def gives_up(self, claim_id: str) -> bool:
+        """Return whether this daemon never runs under a claim that it asked for.
+
+        A claim that is still being asked for is given up by this.
+        """
+        return False
+
 
 class _OwnClaim(Claim, frozen=True, array_like=True, weakref=True):
     """A claim that one call on this daemon made, told from a copy by its type."""
@@ -163,19 +170,12 @@
         self._give_up(claim.claim_id)
         await self._release(claim)
 
-    def give_up(self, claim: Claim) -> bool:
-        """Return whether this daemon never runs the request of a claim.
-
-        Answers another daemon that wants to take the claim over. A claim that
-        is still being asked for is given up by this; one that is owned, or that
-        is not remembered, may have run.
-        """
-        if (claim.host, claim.incarnation) != (self._host, self._incarnation):
-            return False
-        if claim.claim_id in self._pending:
-            self._pending.discard(claim.claim_id)
-            self._give_up(claim.claim_id)
-        return claim.claim_id in self._given_up
+    def gives_up(self, claim_id: str) -> bool:  # noqa: D102
+        # A claim that is owned, or that is not remembered, may have run.
+        if claim_id in self._pending:
+            self._pending.discard(claim_id)
+            self._give_up(claim_id)
+        return claim_id in self._given_up
 
     async def close(self) -> None:
         """Stop the releases that are under way."""
--- a/packages/almondrouter/src/almondrouter/coordination/collaborators.py
+++ b/packages/almondrouter/src/almondrouter/coordination/collaborators.py
@@ -15,7 +15,12 @@
     """Chooses a destination; see `coordination.routing.ChoicePolicy`."""
 
     def choose(
-        self, destinations: tuple[Destination, ...], *, now: float, excluded: Set[str]
+        self,
+        destinations: tuple[Destination, ...],
+        *,
+        now: float,
+        excluded: Set[str],
+        priority: Priority | None = None,
     ) -> Destination | None:
         """Return a destination whose backend is not excluded, or None."""
 
@@ -26,9 +31,10 @@
         self,
         destination: Destination,
         *,
-        outcome: Outcome,
+        outcome: Outcome | None,
         load: Load | None,
         elapsed: float,
+        failed: bool = False,
     ) -> None:
         """Take note of how a call ended."""
 
@@ -51,7 +57,7 @@
 class Retries(Protocol):
     """Budget of retries; see `coordination.retries.RetryBudget`."""
 
-    def record_call(self, name: str) -> None:
+    def record_call(self, name: str, *, caller_retries: bool = False) -> None:
         """Count a first sending."""
 
     def try_spend(self, name: str) -> bool:
--- a/packages/almondrouter/src/almondrouter/coordination/distribution.py
+++ b/packages/almondrouter/src/almondrouter/coordination/distribution.py
@@ -131,6 +131,7 @@
             choice=self._choice,
             store=store,
             keys=keys,
+            join=membership.add_seeds,
         )
 
     @property
@@ -180,6 +181,7 @@
         self._membership.add_resume_listener(self._resume)
         self._spawn(self._puller.run)
         self._spawn(self._manage_watch)
+        self._spawn(self._keep_seeds)
         self._catching_up = self._spawn(self._catch_up.run)
 
     async def close(self) -> None:
@@ -267,7 +269,6 @@
 
     async def _manage_watch(self) -> None:
         await self._wait_for_members()
-        self._spawn(self._seeds.run)
         while True:
             self._forget_heads()
             self._judge_divergence()
@@ -278,6 +279,10 @@
                     await self._changed.wait()
             self._changed.clear()
 
+    async def _keep_seeds(self) -> None:
+        await self._wait_for_members()
+        await self._seeds.run()
+
     async def _wait_for_members(self) -> None:
         """Wait until the data centre is known, for a few seconds at most.
 
--- a/packages/almondrouter/src/almondrouter/coordination/fleet.py
+++ b/packages/almondrouter/src/almondrouter/coordination/fleet.py
@@ -19,6 +19,9 @@
     def settled(self) -> bool:
         """Whether a member of the own data centre is known or none can be."""
 
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Join through more addresses, such as those kept in the store."""
+
     def push_targets(self) -> tuple[HostRecord, ...]:
         """Return the overlay neighbours that are told of news."""
 
--- a/packages/almondrouter/src/almondrouter/coordination/ingress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/ingress.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from http import HTTPStatus
 
 import msgspec
 
@@ -90,7 +91,8 @@
         What is sent to the daemon beside the backend server, but for the
         backend server's name and the call id.
     attempt
-        1, or more if a caller above is retrying.
+        Number of the attempt of a caller above that retries the call itself; 0
+        if there is none.
     """
 
     route: Route
@@ -166,7 +168,9 @@
         Once a sending may have run, a later refusal does not mean that the
         request was not run.
         """
-        self._retries.record_call(call.route.class_name)
+        self._retries.record_call(
+            call.route.class_name, caller_retries=call.attempt > 0
+        )
         excluded: set[str] = set()
         further = MAX_FURTHER_CHOICES
         unknown: CallReply | None = None
@@ -179,7 +183,8 @@
             if reply.outcome is Outcome.NOT_RUN:
                 if reply.code not in _FURTHER_CHOICE_CODES or not further:
                     break
-                further -= 1
+                # A link that was refused at once cost the call no time.
+                further -= reply.code != ErrorCode.PEER_UNAVAILABLE.value
             elif unknown is None and self._may_retry(call):
                 unknown = reply
                 await self._wait_for_reports(call, reply)
@@ -200,12 +205,14 @@
             message = "the deadline has passed"
             raise CallError(ErrorCode.DEADLINE_EXCEEDED, message)
         destinations = call.route.destinations
-        return self._choice.choose(destinations, now=now, excluded=excluded)
+        return self._choice.choose(
+            destinations, now=now, excluded=excluded, priority=call.route.priority
+        )
 
     def _may_retry(self, call: Call) -> bool:
         return (
             call.route.repeatable
-            and call.attempt == 1
+            and call.attempt == 0
             and self._clock.monotonic() < call.request.deadline
             and self._retries.try_spend(call.route.class_name)
         )
@@ -222,7 +229,8 @@
     ) -> CallReply:
         request = _address(call, destination.backend, retried=retried)
         started = self._clock.monotonic()
-        outcome, load = Outcome.UNKNOWN, None
+        outcome: Outcome | None = None
+        load, failed = None, False
         self._choice.started(destination)
         try:
             if destination.host == self._host:
@@ -230,6 +238,9 @@
             else:
                 reply = await self._links.call(destination.peer_address, request)
             outcome, load = reply.outcome, reply.load
+            failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR and (
+                outcome is Outcome.COMPLETE
+            )
         except CallError as error:
             outcome = error.outcome
             reply = make_error_reply(error)
@@ -239,6 +250,7 @@
                 outcome=outcome,
                 load=load,
                 elapsed=self._clock.monotonic() - started,
+                failed=failed,
             )
         return reply
 
@@ -260,7 +272,7 @@
     route = _find_route(own, snapshot)
     key = _read_key(own, route, clock.wall())
     traceparent = own.get("traceparent", "")
-    attempt = _read_number(own, names.ATTEMPT, 1)
+    attempt = _read_number(own, names.ATTEMPT, 0)
     call_request = CallRequest(
         call_id=0,
         class_name=route.class_name,
@@ -297,9 +309,16 @@
 
 
 def _address(call: Call, backend: str, *, retried: bool) -> CallRequest:
-    attempt = call.attempt + 1 if retried else call.attempt
+    """Return the request for one backend server.
+
+    Each attempt of a call that is retried here is marked, the first one too:
+    the calls that it leads to further down must not be retried again.
+    """
+    attempt = call.attempt
+    if call.route.repeatable:
+        attempt = max(attempt, 1) + retried
     headers = call.request.headers
-    if attempt > 1:
+    if attempt:
         headers = (*headers, (names.ATTEMPT.lower(), str(attempt)))
     return msgspec.structs.replace(call.request, backend=backend, headers=headers)
 
--- a/packages/almondrouter/src/almondrouter/coordination/once.py
+++ b/packages/almondrouter/src/almondrouter/coordination/once.py
@@ -99,7 +99,8 @@
             reply = await self._join(run, query.deadline)
             if run.claim_id == query.claim_id:
                 return reply
-        if self._memory.is_given_up(query.claim_id):
+        given_up = self._memory.is_given_up(query.claim_id)
+        if given_up or self._claims.gives_up(query.claim_id):
             error = CallError(ErrorCode.CALL_CANCELLED, "the claim was given up")
             return make_error_reply(error)
         message = "nothing is known of the request's run"
--- a/packages/almondrouter/src/almondrouter/coordination/seeds.py
+++ b/packages/almondrouter/src/almondrouter/coordination/seeds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -26,6 +27,11 @@
     The value is a JSON list of control addresses. It is written only when
     fewer than half of its addresses belong to live hosts, so that the daily
     replacement of hosts costs few writes.
+
+    Parameters
+    ----------
+    join
+        Takes the addresses that were found in the store.
     """
 
     def __init__(
@@ -36,12 +42,14 @@
         choice: WatcherChoice,
         store: Store,
         keys: StoreKeys,
+        join: Callable[[list[str]], None],
     ) -> None:
         self._record = record
         self._registry = registry
         self._choice = choice
         self._store = store
         self._key = keys.seeds(record.data_centre)
+        self._join = join
         self._known: list[str] | None = None
 
     async def run(self) -> None:
@@ -68,8 +76,10 @@
         return bool(able) and able[0].host == self._record.host
 
     async def _refresh(self) -> None:
+        first_read = self._known is None
         if self._known is None:
             self._known = await self._read()
+            self._join(self._known)
         live = [
             record.control_address
             for record in self._registry.list_data_centre(self._record.data_centre)
@@ -77,6 +87,10 @@
         ]
         if len(set(live) & set(self._known)) >= min(MIN_LIVE_SEEDS, len(live)):
             return
+        if first_read and self._known and len(live) == 1:
+            # A newcomer whose configured seeds have all been replaced knows only
+            # itself; it joins through these before it may replace them.
+            return
         seeds = live[:SEEDS]
         put = Put(self._key, msgspec.json.encode(seeds))
         await self._store.commit(Transaction(success=(put,)))
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -58,6 +58,10 @@
 The other part goes where demand is at once.
 """
 
+STORE_TIMEOUT_S = 5.0
+"""Longest call of the store; a slow store is not down. Users of the store with
+less time set their own limits."""
+
 _log = StateLogger("daemon")
 
 
@@ -304,7 +308,7 @@
         from almondrouter.transport.etcd import EtcdStore
 
         endpoints = tuple(f"http://{address}" for address in self._settings["store"])
-        return EtcdStore(endpoints, clock=self.clock)
+        return EtcdStore(endpoints, clock=self.clock, timeout=STORE_TIMEOUT_S)
 
     def _find_snapshot(self) -> Snapshot:
         """Return the snapshot in force; an empty one refuses all calls."""
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -126,6 +126,9 @@
 
     settled = True
 
+    def add_seeds(self, addresses):
+        self.seeds = list(addresses)
+
     def add_change_listener(self, listener):
         self.change_listeners.append(listener)
 
--- a/tests/test_almondrouterd_process.py
+++ b/tests/test_almondrouterd_process.py
@@ -1,6 +1,7 @@
 """Tests of the daemon as a separate process."""
 
 import asyncio
+import contextlib
 import os
 import sys
 import tempfile
@@ -64,6 +65,16 @@
     ]
 
 
+def list_opened(process):
+    """Return what the file descriptors of a process refer to."""
+    opened = []
+    for path in (process / "fd").iterdir():
+        # One that was closed meanwhile is no ring: a loop keeps its ring open.
+        with contextlib.suppress(FileNotFoundError):
+            opened.append(os.readlink(path))
+    return opened
+
+
 class SettingsProcessTest(unittest.IsolatedAsyncioTestCase):
     """Wrong settings must end the daemon at once, and say everything wrong."""
 
@@ -141,7 +152,7 @@
         await self.cluster.start_backend("h1")
         await self.wait_until_ready("h1")
         process = Path(f"/proc/{program.pid}")
-        opened = [os.readlink(path) for path in (process / "fd").iterdir()]
+        opened = list_opened(process)
         self.assertFalse([name for name in opened if "io_uring" in name])
         maps = (process / "maps").read_text()
         self.assertNotIn("/dev/shm", maps)
--- a/tests/test_coordination_calls.py
+++ b/tests/test_coordination_calls.py
@@ -80,7 +80,9 @@
         self.assertIn(("x", "y"), response.headers)
         _, headers = self.fleet.backends["h1"].runs[0]
         self.assertEqual("10000", headers.pop("almond-deadline-ms"))
-        self.assertEqual({"cookie": "c", "almond-class": "read"}, headers)
+        self.assertEqual(
+            {"cookie": "c", "almond-attempt": "1", "almond-class": "read"}, headers
+        )
 
     @parameterized.expand(
         [
@@ -150,12 +152,19 @@
         self.assert_response(await self.call(), 200, COMPLETE)
         self.assertEqual(1, len(self.fleet.backends["h3"].runs))
 
-    @parameterized.expand([("1", 10, 2), ("2", 10, 1), ("1", 0, 1)])
+    @parameterized.expand([("", 10, 2), ("1", 10, 1), ("2", 10, 1), ("", 0, 1)])
     async def test_retry(self, attempt, budget, runs):
-        """Guards against retries that multiply over the depth of calls."""
+        """Guards against retries that multiply over the depth of calls.
+
+        A first attempt is marked too, since a call further down fails before
+        the one above does.
+        """
         self.fleet.budget.left = budget
         self.fleet.backends["h1"].ending = failure(ErrorCode.BACKEND_FAILED)
-        response = await self.call(almond_attempt=attempt)
+        marked = {"almond_attempt": attempt} if attempt else {}
+        response = await self.call(**marked)
+        _, first = self.fleet.backends["h1"].runs[0]
+        self.assertEqual(attempt or "1", first["almond-attempt"])
         self.assertEqual(runs, self.count_runs())
         if runs == 1:
             self.assert_response(response, 502, UNKNOWN, "backend_failed")
--- a/tests/test_coordination_claims.py
+++ b/tests/test_coordination_claims.py
@@ -112,8 +112,8 @@
     async def test_release_deletes_only_the_own_claim(self):
         first, second = self.daemons
         mine = await self.claim(first)
-        self.assertFalse(second.claims.give_up(mine))
-        self.assertFalse(first.claims.give_up(mine), "it may have run")
+        self.assertFalse(second.claims.gives_up(mine.claim_id))
+        self.assertFalse(first.claims.gives_up(mine.claim_id), "it may have run")
         await first.claims.release(mine)
         self.assertFalse(first.claims.owns(mine))
         self.assertEqual(self.held(), {})
@@ -154,7 +154,7 @@
         await asyncio.sleep(0)
         (claim_id,) = first.claims._pending
         pending = type(mine)(self.key, claim_id, "a", 1)
-        self.assertTrue(first.claims.give_up(pending))
+        self.assertTrue(first.claims.gives_up(pending.claim_id))
         gate.set()
         with self.assertRaises(AlmondError) as caught:
             await task
@@ -261,7 +261,7 @@
         found = [c for c in self.holders if c.key == self.key(number)]
         if join and found:
             holder = found[-1]
-            if self.daemons[holder.host].claims.give_up(holder):
+            if self.daemons[holder.host].claims.gives_up(holder.claim_id):
                 replaces = holder.claim_id
         coroutine = self.daemons[host].claims.claim(
             self.key(number),
--- a/tests/test_coordination_seeds.py
+++ b/tests/test_coordination_seeds.py
@@ -49,3 +49,23 @@
             await fleet.close()
 
         run_virtual(work)
+
+    def test_newcomer_that_knows_nobody_joins_through_the_store(self):
+        """Guards against the loss of good seeds to a lone newcomer."""
+
+        async def work():
+            fleet = SimulatedFleet({"n-1": 1})
+            key = KEYS.seeds("n-1")
+            known = ["10.0.0.1:1", "10.0.0.2:1"]
+            fleet.store.put(key, json.dumps(known).encode())
+            await fleet.start()
+            await asyncio.sleep(20)
+            newcomer = fleet.hosts["n-1-0"]
+            self.assertEqual(newcomer.seeds, known)
+            self.assertEqual(json.loads(fleet.store.items[key].value), known)
+            await asyncio.sleep(60)
+            alone = [newcomer.record.control_address]
+            self.assertEqual(json.loads(fleet.store.items[key].value), alone)
+            await fleet.close()
+
+        run_virtual(work)
