--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,35 @@
+"""Runs every bench one after another; each prints one JSON line per figure."""
+
+from __future__ import annotations
+
+import argparse
+import subprocess
+import sys
+from pathlib import Path
+
+BENCHES = {
+    "hop": ("hop.py",),
+    "load": ("load.py",),
+    "reservation": ("reservation.py",),
+    "membership": ("membership.py",),
+    "distribution": ("distribution.py",),
+    "fleet": ("fleet.py",),
+}
+
+
+def main() -> int:
+    """Run the benches that the arguments name, or all; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*", choices=[*BENCHES, []], metavar="NAME")
+    names = parser.parse_args().names or list(BENCHES)
+    failed = 0
+    for name in names:
+        script, *arguments = BENCHES[name]
+        path = Path(__file__).with_name(script)
+        print(f"# {name}", file=sys.stderr, flush=True)
+        failed |= subprocess.run([sys.executable, str(path), *arguments]).returncode
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
