Exchange crash reports with newcomers; show whether targets are met

Reports are now exchanged with a neighbour at the start and every 30 s; the others are corrected. The share answered in time stands in metrics and in `almondctl explain class`.

--- a/packages/almondctl/src/almondctl/settings.py
+++ b/packages/almondctl/src/almondctl/settings.py
@@ -8,7 +8,7 @@
     Setting,
     parse_addresses,
     parse_choice,
-    parse_name,
+    parse_cluster,
     parse_seconds,
 )
 
@@ -21,7 +21,7 @@
 
 
 SETTINGS = (
-    Setting("cluster", parse_name, "Name of the cluster", default="main"),
+    Setting("cluster", parse_cluster, "Name of the cluster", default="main"),
     Setting(
         "store", parse_addresses, "IP:PORT list of the key-value service", default=""
     ),
--- a/packages/almondrouter/src/almondrouter/coordination/broadcast.py
+++ b/packages/almondrouter/src/almondrouter/coordination/broadcast.py
@@ -1,51 +1,98 @@
-"""Messages that every daemon is to see, passed on along the overlay."""
+"""Reports of crashes that every daemon is to see, spread along the overlay."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
 
+from almondrouter.clock import Clock
+from almondrouter.coordination.quarantine import Quarantine, QuarantineMessage
+from almondrouter.errors import AlmondError
 from almondrouter.protocol.control import (
     ControlMessage,
     CrashReport,
+    QuarantineReply,
+    QuarantineRequest,
     SuspicionCleared,
 )
 from almondrouter.transport.control import ControlEndpoint
 
-BroadcastMessage = CrashReport | SuspicionCleared
+EXCHANGE_INTERVAL_S = 30.0
+FIRST_EXCHANGE_S = 2.0
+REQUEST_TIMEOUT_S = 2.0
 
 
 class Broadcast:
-    """Passes each message on to the overlay neighbours while it is news.
+    """Passes reports on while they are news, and asks neighbours for missed ones.
+
+    A report that was lost, or that is older than this daemon, arrives with the
+    next exchange.
 
     Parameters
     ----------
     endpoint
         Control endpoint that sends and receives.
+    quarantine
+        Takes the reports, and tells which are news.
     push_addresses
         Returns the control addresses of the overlay neighbours.
-    merge
-        Takes over a message of another daemon; returns whether it was news.
+    clock, random
+        Time of the exchanges and choice of the neighbour.
     """
 
     def __init__(
         self,
         *,
         endpoint: ControlEndpoint,
-        push_addresses: Callable[[], Iterable[str]],
-        merge: Callable[[BroadcastMessage], bool],
+        quarantine: Quarantine,
+        push_addresses: Callable[[], Sequence[str]],
+        clock: Clock,
+        random: Random,
     ) -> None:
         self._endpoint = endpoint
+        self._quarantine = quarantine
         self._push_addresses = push_addresses
-        self._merge = merge
+        self._clock = clock
+        self._random = random
         for message_type in (CrashReport, SuspicionCleared):
             endpoint.set_handler(message_type, self._receive)
+        endpoint.set_handler(QuarantineRequest, self._reply)
 
-    def publish(self, *messages: BroadcastMessage) -> None:
+    def publish(self, *messages: QuarantineMessage) -> None:
         """Send own messages to the neighbours."""
         for message in messages:
             for address in self._push_addresses():
                 self._endpoint.send(address, message)
 
+    async def run(self) -> None:
+        """Exchange reports with a neighbour now and then until cancelled."""
+        delay = FIRST_EXCHANGE_S
+        while True:
+            await asyncio.sleep(delay * (0.5 + self._random.random()))
+            delay = EXCHANGE_INTERVAL_S
+            await self.exchange()
+
+    async def exchange(self) -> None:
+        """Take over what a random neighbour knows."""
+        addresses = self._push_addresses()
+        if not addresses:
+            return
+        address = self._random.choice(addresses)
+        deadline = self._clock.monotonic() + REQUEST_TIMEOUT_S
+        try:
+            reply = await self._endpoint.request(
+                address, QuarantineRequest(), deadline=deadline
+            )
+        except AlmondError:
+            return
+        if isinstance(reply, QuarantineReply):
+            for message in reply.messages:
+                self._quarantine.merge(message)
+
     async def _receive(self, message: ControlMessage, sender: str) -> None:
-        if self._merge(message):
+        if self._quarantine.merge(message):
             self.publish(message)
+
+    async def _reply(self, message: ControlMessage, sender: str) -> QuarantineReply:
+        return QuarantineReply(self._quarantine.list_messages())
--- a/packages/almondrouter/src/almondrouter/protocol/control.py
+++ b/packages/almondrouter/src/almondrouter/protocol/control.py
@@ -302,6 +302,16 @@
     silent: tuple[str, ...]
 
 
+class QuarantineRequest(msgspec.Struct, frozen=True, array_like=True, tag="uq"):
+    """Asks a neighbour for all that it knows of crashes."""
+
+
+class QuarantineReply(msgspec.Struct, frozen=True, array_like=True, tag="ur"):
+    """Messages that tell all that the sender knows of crashes."""
+
+    messages: tuple[CrashReport | SuspicionCleared, ...]
+
+
 ControlMessage = (
     Heartbeat
     | HeartbeatReply
@@ -323,6 +333,8 @@
     | Refused
     | FleetRequest
     | FleetReply
+    | QuarantineRequest
+    | QuarantineReply
 )
 
 CONTROL_CODEC: Codec[ControlMessage] = Codec(
--- a/packages/almondrouter/src/almondrouter/settings.py
+++ b/packages/almondrouter/src/almondrouter/settings.py
@@ -10,6 +10,7 @@
 from typing import Any, NoReturn
 
 from almondrouter.errors import AlmondError, ErrorCode, Finding, FindingsError
+from almondrouter.protocol.keys import StoreKeys
 
 ENVIRONMENT_PREFIX = "ALMONDROUTER_"
 _NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
@@ -145,6 +146,16 @@
     return text
 
 
+def parse_cluster(text: str) -> str:
+    """Return a cluster name, which is part of the keys in the store."""
+    try:
+        return StoreKeys(text).cluster
+    except AlmondError as error:
+        raise ValueError(
+            "must be 1 to 63 of a-z, 0-9 and '-', from a letter"
+        ) from error
+
+
 def parse_address(text: str) -> str:
     """Return an ``ip:port`` address; IPv6 numbers stand in brackets."""
     host, separator, port = text.rpartition(":")
@@ -164,6 +175,14 @@
     )
 
 
+def parse_some_addresses(text: str) -> tuple[str, ...]:
+    """Return the addresses of a comma-separated list with at least one."""
+    addresses = parse_addresses(text)
+    if not addresses:
+        raise ValueError("must name at least one IP:PORT")
+    return addresses
+
+
 def parse_share(text: str) -> float:
     """Return a number from 0 to 1."""
     value = float(text)
--- a/packages/almondrouter/src/almondrouter/state/snapshot.py
+++ b/packages/almondrouter/src/almondrouter/state/snapshot.py
@@ -34,6 +34,8 @@
         What is called.
     answer_within
         Seconds within which a call is to be answered.
+    share
+        Share of calls to be answered in that time.
     repeatable, priority
         As in the class's target.
     limit_names
@@ -49,6 +51,7 @@
     priority: Priority
     limit_names: tuple[str, ...]
     destinations: tuple[Destination, ...]
+    share: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +136,7 @@
         priority=target.priority,
         limit_names=tuple(limits),
         destinations=destinations,
+        share=target.share,
     )
 
 
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/attainment.py
@@ -0,0 +1,76 @@
+"""How far the classes' targets are met by the calls that this daemon served."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from almondrouter.clock import Clock
+
+WINDOW_S = 300.0
+
+
+@dataclass(slots=True)
+class _Window:
+    ends_at: float
+    calls: Counter[str] = field(default_factory=Counter)
+    in_time: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(frozen=True, slots=True)
+class ClassAttainment:
+    """Calls of a class in the last minutes.
+
+    Parameters
+    ----------
+    calls
+        Calls that ended.
+    in_time
+        Calls that were answered completely within the class's time.
+    """
+
+    calls: int
+    in_time: int
+
+    @property
+    def share(self) -> float:
+        """Return the share answered in time; 1 without calls."""
+        return self.in_time / self.calls if self.calls else 1.0
+
+
+class Attainment:
+    """Counts calls in two windows of 5 minutes, the current and the last one.
+
+    Parameters
+    ----------
+    clock
+        Ends the windows.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._last = _Window(0.0)
+        self._current = _Window(clock.monotonic() + WINDOW_S)
+
+    def record(self, class_name: str, *, in_time: bool) -> None:
+        """Count a call that ended."""
+        self._turn()
+        self._current.calls[class_name] += 1
+        self._current.in_time[class_name] += in_time
+
+    def find(self, class_name: str) -> ClassAttainment:
+        """Return the counts of a class over the last 5 to 10 minutes."""
+        self._turn()
+        windows = (self._last, self._current)
+        return ClassAttainment(
+            calls=sum(window.calls[class_name] for window in windows),
+            in_time=sum(window.in_time[class_name] for window in windows),
+        )
+
+    def _turn(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._current.ends_at:
+            return
+        recent = now < self._current.ends_at + WINDOW_S
+        self._last = self._current if recent else _Window(0.0)
+        self._current = _Window(now + WINDOW_S)
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -23,7 +23,7 @@
 from almondrouter.coordination.routing import LeastOccupied
 from almondrouter.coordination.slices import SliceHolder
 from almondrouter.coordination.watchers import Spread
-from almondrouter.errors import AlmondError
+from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol import headers
 from almondrouter.protocol.calls import Hello
 from almondrouter.protocol.codec import PROTOCOL_VERSION
@@ -42,6 +42,7 @@
 from almondrouter.transport.store import Store
 from almondrouter.transport.zeromq import ZmqControlEndpoint
 from almondrouterd.admin import AdminServer
+from almondrouterd.attainment import Attainment
 from almondrouterd.backendmonitor import BackendMonitor
 from almondrouterd.explanations import Explanations
 from almondrouterd.figures import register_figures
@@ -80,6 +81,7 @@
         self.clock = SystemClock()
         self.incarnation = int(self.clock.wall() * 1000)
         self.metrics = DaemonMetrics()
+        self.attainment = Attainment(clock=self.clock)
         self.stopping = False
         self.version_at = 0.0
         """Wall time at which the version in force was put in force."""
@@ -110,7 +112,8 @@
         await self.distribution.start()
         self.slices.start()
         self.limits.start()
-        self._tasks.append(asyncio.create_task(self.backends.run()))
+        for part in (self.backends, self.broadcast):
+            self._tasks.append(asyncio.create_task(part.run()))
         await self._bind("caller-address", self.caller_server)
         _log.info("started", host=self.host, incarnation=self.incarnation)
 
@@ -166,8 +169,18 @@
         return self.distribution.ready and not self.stopping
 
     def lift(self, fingerprint: str) -> None:
-        """Let a condemned request run again, everywhere."""
-        self.broadcast.publish(*self.quarantine.lift(fingerprint))
+        """Let a condemned request run again, everywhere.
+
+        Raises
+        ------
+        AlmondError
+            ``target_unknown`` if nothing is held against the request here.
+        """
+        messages = self.quarantine.lift(fingerprint)
+        if not messages:
+            message = f"nothing is held against request {fingerprint}"
+            raise AlmondError(ErrorCode.TARGET_UNKNOWN, message)
+        self.broadcast.publish(*messages)
 
     def _build_control(self) -> None:
         settings = self._settings
@@ -243,8 +256,10 @@
         self.quarantine = Quarantine(host=self.host, clock=self.clock)
         self.broadcast = Broadcast(
             endpoint=self.endpoint,
+            quarantine=self.quarantine,
             push_addresses=self._list_push_addresses,
-            merge=self.quarantine.merge,
+            clock=self.clock,
+            random=random.Random(),
         )
         self.backends = BackendMonitor(
             clock=self.clock,
@@ -295,11 +310,13 @@
             address=settings["caller-address"],
             handler=self._serve_caller,
             max_body_bytes=settings["max-body-bytes"],
+            version=lambda: self._find_snapshot().version,
         )
         self.explanations = Explanations(
             snapshot=lambda: self.activation.snapshot,
             occupancy=self.occupancy,
             quarantine=self.quarantine,
+            attainment=self.attainment,
             clock=self.clock,
             describe_version=self._describe_version,
         )
@@ -325,10 +342,15 @@
     ) -> None:
         own = dict(response.headers)
         class_name = dict(request.headers).get(headers.CLASS.lower(), "")
-        if class_name not in self.activation.snapshot.routes:
+        outcome = Outcome(own[headers.OUTCOME])
+        route = self.activation.snapshot.routes.get(class_name)
+        if route is None:
             # A name that callers make up must not become a label.
             class_name = "unknown"
-        outcome = Outcome(own[headers.OUTCOME])
+        else:
+            complete = outcome is Outcome.COMPLETE
+            in_time = complete and seconds <= route.answer_within
+            self.attainment.record(class_name, in_time=in_time)
         self.metrics.record_call(class_name, outcome, own[headers.CODE], seconds)
 
     def _record_version(self, snapshot: Snapshot) -> None:
@@ -367,10 +389,9 @@
         return ranked[0].control_address
 
     def _find_peer(self, claim: Claim) -> str | None:
+        # A daemon that has restarted since says that it knows nothing of the run.
         record = self.registry.find(claim.host)
-        if record is None or record.incarnation != claim.incarnation:
-            return None
-        return record.peer_address
+        return record.peer_address if record is not None else None
 
     def _describe_version(self) -> list[str]:
         head = self.activation.head()
--- a/packages/almondrouterd/src/almondrouterd/explanations.py
+++ b/packages/almondrouterd/src/almondrouterd/explanations.py
@@ -10,6 +10,7 @@
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.snapshot import Destination, Snapshot
+from almondrouterd.attainment import Attainment
 
 Explanation = dict[str, Any]
 
@@ -21,8 +22,8 @@
     ----------
     snapshot
         Returns the snapshot in force.
-    occupancy, quarantine
-        Reported loads, and requests that crash.
+    occupancy, quarantine, attainment
+        Reported loads, requests that crash, and calls answered in time.
     describe_version
         Returns the lines that say why this version is in force.
     """
@@ -33,12 +34,14 @@
         snapshot: Callable[[], Snapshot],
         occupancy: OccupancyTable,
         quarantine: Quarantine,
+        attainment: Attainment,
         clock: Clock,
         describe_version: Callable[[], list[str]],
     ) -> None:
         self._snapshot = snapshot
         self._occupancy = occupancy
         self._quarantine = quarantine
+        self._attainment = attainment
         self._clock = clock
         self._describe_version = describe_version
 
@@ -78,6 +81,12 @@
             f"priority {route.priority.value}, "
             f"{'repeatable' if route.repeatable else 'at most once'}",
         ]
+        found = self._attainment.find(name)
+        verdict = "met" if found.share >= route.share else "missed"
+        lines.append(
+            f"target {verdict}: {found.in_time} of {found.calls} calls through this "
+            f"daemon in time in the last minutes, {route.share:.1%} are wanted"
+        )
         lines += [f"limit {n}: {snapshot.limits[n]:g}/s" for n in route.limit_names]
         if not route.destinations:
             lines.append("no backend server is known: calls are refused (no_backend)")
--- a/packages/almondrouterd/src/almondrouterd/figures.py
+++ b/packages/almondrouterd/src/almondrouterd/figures.py
@@ -32,6 +32,11 @@
         "1 for each alarm that stands",
         lambda: [({"alarm": name}, 1) for name in daemon.distribution.alarms],
     )
+    metrics.add_gauge(
+        "almond_target_share",
+        "Share of calls answered in time in the last minutes, by class",
+        lambda: _read_attainment(daemon),
+    )
     metrics.add_gauge(
         "almond_backend_load",
         "Slots, calls in flight and calls in the queue, by backend server",
@@ -47,6 +52,11 @@
         "Calls to the store by kind",
         lambda: [({"kind": k}, n) for k, n in daemon.store.calls.items()],
     )
+    metrics.add_counter(
+        "almond_refused_total",
+        "What was refused or dropped, by link and code",
+        lambda: _read_refusals(daemon),
+    )
     metrics.add_counter(
         "almond_backend_crashes_total",
         "Crashes of the backend server on this host",
@@ -59,6 +69,14 @@
     return [({"status": status}, count) for status, count in counts.items()]
 
 
+def _read_attainment(daemon: Daemon) -> Samples:
+    for name, route in daemon.activation.snapshot.routes.items():
+        found = daemon.attainment.find(name)
+        if found.calls:
+            yield {"class": name, "figure": "answered"}, found.share
+            yield {"class": name, "figure": "wanted"}, route.share
+
+
 def _read_loads(daemon: Daemon) -> Samples:
     for name, admission in daemon.backends.admissions.items():
         load = admission.load()
@@ -71,3 +89,17 @@
     for direction, counts in (("sent", sent), ("received", received)):
         for scope, value in counts.items():
             yield {"direction": direction, "scope": scope}, value
+
+
+def _read_refusals(daemon: Daemon) -> Samples:
+    counters = {
+        "control": daemon.endpoint.refused,
+        "call_served": daemon.link_server.counts,
+        "call_sent": daemon.links.counts,
+        "caller": daemon.caller_server.counts,
+        "configuration": daemon.activation.refusals,
+    }
+    for link, counts in counters.items():
+        for code, value in counts.items():
+            yield {"link": link, "code": str(getattr(code, "value", code))}, value
+    yield {"link": "control", "code": "dropped"}, daemon.endpoint.dropped
--- a/packages/almondrouterd/src/almondrouterd/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/settings.py
@@ -8,13 +8,15 @@
     parse_addresses,
     parse_bytes,
     parse_choice,
+    parse_cluster,
     parse_name,
     parse_seconds,
     parse_share,
+    parse_some_addresses,
 )
 
 SETTINGS = (
-    Setting("cluster", parse_name, "Name of the cluster; others are refused"),
+    Setting("cluster", parse_cluster, "Name of the cluster; others are refused"),
     Setting("host", parse_name, "Name of this host, unique in the cluster"),
     Setting("data-centre", parse_name, "Data centre of this host"),
     Setting("region", parse_name, "Region of the data centre"),
@@ -26,7 +28,7 @@
         parse_address,
         "IP:PORT for operators, metrics and this host's backend server (HTTP)",
     ),
-    Setting("store", parse_addresses, "IP:PORT list of the key-value service"),
+    Setting("store", parse_some_addresses, "IP:PORT list of the key-value service"),
     Setting(
         "seeds",
         parse_addresses,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -287,6 +287,20 @@
         code, output, _ = await self.cluster.run_almondctl("quarantine")
         self.assertEqual(code, 0)
         self.assertIn("crashed", output)
+        fingerprint = output.splitlines()[1].split()[0]
+        code, _, errors = await self.cluster.run_almondctl(
+            "quarantine", "--lift", fingerprint
+        )
+        self.assertEqual(code, 0, errors)
+
+        async def lifted():
+            found = [
+                await self.cluster.read_admin(name, "/quarantine")
+                for name in self.cluster.hosts
+            ]
+            return not any(item["condemned"] for item in found)
+
+        await wait_until(lifted, "no daemon condemns the request")
 
     async def test_kill_of_a_third_during_a_change(self):
         """Guards against a change that survivors or newcomers never get."""
