Split the daemon's assembly into control plane and calls

ControlPlane builds what uses control links and the store; Daemon builds the path of a call and starts and stops everything.

--- a/packages/almondrouterd/src/almondrouterd/admin.py
+++ b/packages/almondrouterd/src/almondrouterd/admin.py
@@ -100,7 +100,7 @@
     ) -> CallerResponse:
         condemned = [
             {"fingerprint": item.fingerprint, "reason": item.reason}
-            for item in self._daemon.quarantine.list_condemned()
+            for item in self._daemon.control.quarantine.list_condemned()
         ]
         return _respond({"condemned": condemned})
 
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/controlplane.py
@@ -0,0 +1,209 @@
+"""What a daemon does over control links and with the store."""
+
+from __future__ import annotations
+
+import random
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.activation import Activation
+from almondrouter.coordination.broadcast import Broadcast
+from almondrouter.coordination.claimbatches import ClaimBatcher
+from almondrouter.coordination.claims import StoreClaims
+from almondrouter.coordination.delegates import rank_hosts
+from almondrouter.coordination.distribution import Distribution
+from almondrouter.coordination.limits import LoanedLimits
+from almondrouter.coordination.membership import Membership
+from almondrouter.coordination.quarantine import Quarantine
+from almondrouter.coordination.slices import SliceHolder
+from almondrouter.coordination.watchers import Spread
+from almondrouter.protocol.control import Claim
+from almondrouter.protocol.keys import StoreKeys
+from almondrouter.settings import SettingValues
+from almondrouter.state.registry import HostRecord, Registry
+from almondrouter.transport.lazystore import LazyStore
+from almondrouter.transport.store import Store
+from almondrouter.transport.zeromq import ZmqControlEndpoint
+
+IDLE_LIMIT_SHARE = 0.5
+"""Part of a rate limit that is spread evenly while nothing is called.
+
+The other part goes where demand is at once.
+"""
+
+STORE_TIMEOUT_S = 5.0
+"""Longest call of the store; a slow store is not down. Users of the store with
+less time set their own limits."""
+
+
+class ControlPlane:
+    """Membership, configuration, claims, limits and crash reports of a daemon.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    clock
+        Clock of the daemon.
+    incarnation
+        Run of the daemon.
+    """
+
+    def __init__(
+        self, settings: SettingValues, *, clock: Clock, incarnation: int
+    ) -> None:
+        self._settings = settings
+        self.host: str = settings["host"]
+        self.clock = clock
+        self.incarnation = incarnation
+        self._build_configuration()
+        self._build_shares()
+        self.quarantine = Quarantine(host=self.host, clock=self.clock)
+        self.broadcast = Broadcast(
+            endpoint=self.endpoint,
+            quarantine=self.quarantine,
+            push_addresses=self._list_push_addresses,
+            clock=self.clock,
+            random=random.Random(),
+        )
+
+    async def start(self) -> None:
+        """Start every part; the endpoint is already bound."""
+        await self.membership.start()
+        await self.distribution.start()
+        self.slices.start()
+        self.limits.start()
+
+    async def close(self) -> None:
+        """Close every part, what uses others first."""
+        for part in (
+            self.claims,
+            self.batcher,
+            self.limits,
+            self.slices,
+            self.distribution,
+            self.membership,
+            self.endpoint,
+            self.store,
+        ):
+            await part.close()
+
+    def prepare_limits(self) -> None:
+        """Ask for shares of the limits of what this host's backend server does."""
+        services = {r.service for r in self.membership.record.backends}
+        snapshot = self.activation.snapshot
+        demands = {
+            name: IDLE_LIMIT_SHARE * snapshot.limits[name] / len(route.destinations)
+            for route in snapshot.routes.values()
+            if route.service in services and route.destinations
+            for name in route.limit_names
+        }
+        self.limits.prepare(demands)
+
+    def _list_push_addresses(self) -> list[str]:
+        return [record.control_address for record in self.membership.push_targets()]
+
+    def find_delegate(self) -> str | None:
+        """Return the control address of this data centre's first delegate."""
+        ranked = self.membership.overlay.ranks(self._settings["data-centre"])
+        if not ranked or ranked[0].host == self.host:
+            return None
+        return ranked[0].control_address
+
+    def find_peer(self, claim: Claim) -> str | None:
+        """Return the peer address of a claim's holder, or None."""
+        # A daemon that has restarted since says that it knows nothing of the run.
+        record = self.registry.find(claim.host)
+        return record.peer_address if record is not None else None
+
+    def describe_version(self) -> list[str]:
+        """Return the lines that say why the version in force is in force."""
+        head = self.activation.head()
+        lines = [f"version {head.version}, digest {head.digest}"]
+        if not self.distribution.ready:
+            lines.append(f"not ready: {self.distribution.not_ready_reason}")
+        alarms = self.distribution.alarms
+        lines += [f"alarm {name}: {text}" for name, text in alarms.items()]
+        lines += [
+            f"data centre {name} is not heard from"
+            for name in sorted(self.membership.unreachable_data_centres())
+        ]
+        return lines
+
+    def _make_record(self) -> HostRecord:
+        settings = self._settings
+        return HostRecord(
+            host=self.host,
+            data_centre=settings["data-centre"],
+            region=settings["region"],
+            control_address=settings["control-address"],
+            peer_address=settings["peer-address"],
+            incarnation=self.incarnation,
+        )
+
+    def _build_configuration(self) -> None:
+        settings = self._settings
+        self._record = self._make_record()
+        self.registry = Registry()
+        self.activation = Activation(registry=self.registry)
+        self.keys = StoreKeys(settings["cluster"])
+        self.store = LazyStore(self._open_store)
+        self.endpoint = ZmqControlEndpoint(
+            cluster=settings["cluster"],
+            host=self.host,
+            incarnation=self.incarnation,
+            address=settings["control-address"],
+            clock=self.clock,
+        )
+        self.membership = Membership(
+            record=self._record,
+            endpoint=self.endpoint,
+            registry=self.registry,
+            clock=self.clock,
+            seeds=settings["seeds"],
+            head=self.activation.head,
+        )
+        self.distribution = Distribution(
+            record=self._record,
+            registry=self.registry,
+            activation=self.activation,
+            membership=self.membership,
+            endpoint=self.endpoint,
+            store=self.store,
+            keys=self.keys,
+            clock=self.clock,
+            spread=Spread(settings["spread"]),
+            rank=rank_hosts,
+            random=random.Random(),
+        )
+
+    def _build_shares(self) -> None:
+        self.batcher = ClaimBatcher(self.store, self.keys, clock=self.clock)
+        self.claims = StoreClaims(
+            host=self.host,
+            incarnation=self.incarnation,
+            endpoint=self.endpoint,
+            batcher=self.batcher,
+            delegate=self.find_delegate,
+            clock=self.clock,
+        )
+        self.slices = SliceHolder(
+            self.store,
+            self.keys,
+            host=self.host,
+            rate_of=lambda name: self.activation.snapshot.limits.get(name),
+            clock=self.clock,
+        )
+        self.limits = LoanedLimits(
+            host=self.host,
+            incarnation=self.incarnation,
+            endpoint=self.endpoint,
+            slices=self.slices,
+            delegate=self.find_delegate,
+            clock=self.clock,
+        )
+
+    def _open_store(self) -> Store:
+        from almondrouter.transport.etcd import EtcdStore
+
+        endpoints = tuple(f"http://{address}" for address in self._settings["store"])
+        return EtcdStore(endpoints, clock=self.clock, timeout=STORE_TIMEOUT_S)
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -7,43 +7,29 @@
 from typing import Any
 
 from almondrouter.clock import SystemClock
-from almondrouter.coordination.activation import Activation
-from almondrouter.coordination.broadcast import Broadcast
 from almondrouter.coordination.calls import CallService
-from almondrouter.coordination.claimbatches import ClaimBatcher
-from almondrouter.coordination.claims import StoreClaims
 from almondrouter.coordination.crashes import CrashReporter
-from almondrouter.coordination.delegates import rank_hosts
-from almondrouter.coordination.distribution import Distribution
 from almondrouter.coordination.fleetstatus import FleetStatus
-from almondrouter.coordination.limits import LoanedLimits
-from almondrouter.coordination.membership import Membership
-from almondrouter.coordination.quarantine import Quarantine
 from almondrouter.coordination.retries import RetryBudget
 from almondrouter.coordination.routing import LeastOccupied
-from almondrouter.coordination.slices import SliceHolder
-from almondrouter.coordination.watchers import Spread
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol import headers
 from almondrouter.protocol.calls import Hello
 from almondrouter.protocol.codec import PROTOCOL_VERSION
-from almondrouter.protocol.control import Claim, StatusReply
+from almondrouter.protocol.control import StatusReply
 from almondrouter.protocol.headers import Outcome
-from almondrouter.protocol.keys import StoreKeys
 from almondrouter.settings import SettingValues, explain_bind_error
 from almondrouter.state.occupancy import OccupancyTable
-from almondrouter.state.registry import BackendRecord, HostRecord, Registry
+from almondrouter.state.registry import BackendRecord
 from almondrouter.state.snapshot import EMPTY_SNAPSHOT, Snapshot
 from almondrouter.tracing import PassTracer, Tracer
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import CallerRequest, CallerResponse
-from almondrouter.transport.lazystore import LazyStore
 from almondrouter.transport.links import CallLinkPool, CallLinkServer
-from almondrouter.transport.store import Store
-from almondrouter.transport.zeromq import ZmqControlEndpoint
 from almondrouterd.admin import AdminServer
 from almondrouterd.attainment import Attainment
 from almondrouterd.backendmonitor import BackendMonitor
+from almondrouterd.controlplane import ControlPlane
 from almondrouterd.explanations import Explanations
 from almondrouterd.figures import register_figures
 from almondrouterd.logs import StateLogger
@@ -53,15 +39,6 @@
 LEAVE_NOTICE_S = 1.0
 """Time in which peers learn that this host is leaving, before links close."""
 
-IDLE_LIMIT_SHARE = 0.5
-"""Part of a rate limit that is spread evenly while nothing is called.
-
-The other part goes where demand is at once.
-"""
-
-STORE_TIMEOUT_S = 5.0
-"""Longest call of the store; a slow store is not down. Users of the store with
-less time set their own limits."""
 
 _log = StateLogger("daemon")
 
@@ -87,7 +64,18 @@
         """Wall time at which the version in force was put in force."""
         self._tracer = _make_tracer(settings)
         self._tasks: list[asyncio.Task[None]] = []
-        self._build_control()
+        self.control = ControlPlane(
+            settings, clock=self.clock, incarnation=self.incarnation
+        )
+        self.control.activation.add_listener(self._record_version)
+        self.fleet = FleetStatus(
+            host=self.host,
+            data_centre=settings["data-centre"],
+            registry=self.control.registry,
+            endpoint=self.control.endpoint,
+            clock=self.clock,
+            status=self._describe_own_status,
+        )
         self._build_calls()
         self.status = StatusReports(self)
         register_figures(self)
@@ -102,17 +90,14 @@
             ``address_in_use`` if an address cannot be bound.
         """
         for place, part in (
-            ("control-address", self.endpoint),
+            ("control-address", self.control.endpoint),
             ("peer-address", self.link_server),
             ("admin-address", self.admin),
         ):
             await self._bind(place, part)
         await self.links.start()
-        await self.membership.start()
-        await self.distribution.start()
-        self.slices.start()
-        self.limits.start()
-        for part in (self.backends, self.broadcast):
+        await self.control.start()
+        for part in (self.backends, self.control.broadcast):
             self._tasks.append(asyncio.create_task(part.run()))
         await self._bind("caller-address", self.caller_server)
         _log.info("started", host=self.host, incarnation=self.incarnation)
@@ -123,7 +108,7 @@
         _log.info("stopping", host=self.host)
         try:
             async with asyncio.timeout(self._settings["drain-timeout"]):
-                await self.membership.leave()
+                await self.control.membership.leave()
                 await asyncio.sleep(LEAVE_NOTICE_S)
                 await self.caller_server.drain()
                 await self.link_server.drain()
@@ -140,33 +125,17 @@
             self.caller_server,
             self.link_server,
             self.links,
-            self.claims,
-            self.batcher,
-            self.limits,
-            self.slices,
-            self.distribution,
-            self.membership,
             self.backends,
             self.admin,
-            self.endpoint,
-            self.store,
+            self.control,
         ):
             await part.close()
         self._tracer.close()
 
-    def describe_own_status(self) -> StatusReply:
-        """Return what this daemon tells others of its version."""
-        return StatusReply(
-            host=self.host,
-            incarnation=self.incarnation,
-            head=self.activation.head(),
-            ready=self.ready,
-        )
-
     @property
     def ready(self) -> bool:
         """Return whether the daemon takes calls."""
-        return self.distribution.ready and not self.stopping
+        return self.control.distribution.ready and not self.stopping
 
     def lift(self, fingerprint: str) -> None:
         """Let a condemned request run again, everywhere.
@@ -176,100 +145,23 @@
         AlmondError
             ``target_unknown`` if nothing is held against the request here.
         """
-        messages = self.quarantine.lift(fingerprint)
+        messages = self.control.quarantine.lift(fingerprint)
         if not messages:
             message = f"nothing is held against request {fingerprint}"
             raise AlmondError(ErrorCode.TARGET_UNKNOWN, message)
-        self.broadcast.publish(*messages)
-
-    def _build_control(self) -> None:
-        settings = self._settings
-        self._record = self._make_record()
-        self.registry = Registry()
-        self.activation = Activation(registry=self.registry)
-        self.activation.add_listener(self._record_version)
-        self.keys = StoreKeys(settings["cluster"])
-        self.store = LazyStore(self._open_store)
-        self.endpoint = ZmqControlEndpoint(
-            cluster=settings["cluster"],
-            host=self.host,
-            incarnation=self.incarnation,
-            address=settings["control-address"],
-            clock=self.clock,
-        )
-        self.membership = Membership(
-            record=self._record,
-            endpoint=self.endpoint,
-            registry=self.registry,
-            clock=self.clock,
-            seeds=settings["seeds"],
-            head=self.activation.head,
-        )
-        self.distribution = Distribution(
-            record=self._record,
-            registry=self.registry,
-            activation=self.activation,
-            membership=self.membership,
-            endpoint=self.endpoint,
-            store=self.store,
-            keys=self.keys,
-            clock=self.clock,
-            spread=Spread(settings["spread"]),
-            rank=rank_hosts,
-            random=random.Random(),
-        )
-        self.fleet = FleetStatus(
-            host=self.host,
-            data_centre=settings["data-centre"],
-            registry=self.registry,
-            endpoint=self.endpoint,
-            clock=self.clock,
-            status=self.describe_own_status,
-        )
+        self.control.broadcast.publish(*messages)
 
     def _build_calls(self) -> None:
         settings = self._settings
-        self.batcher = ClaimBatcher(self.store, self.keys, clock=self.clock)
-        self.claims = StoreClaims(
-            host=self.host,
-            incarnation=self.incarnation,
-            endpoint=self.endpoint,
-            batcher=self.batcher,
-            delegate=self._find_delegate,
-            clock=self.clock,
-        )
-        self.slices = SliceHolder(
-            self.store,
-            self.keys,
-            host=self.host,
-            rate_of=lambda name: self.activation.snapshot.limits.get(name),
-            clock=self.clock,
-        )
-        self.limits = LoanedLimits(
-            host=self.host,
-            incarnation=self.incarnation,
-            endpoint=self.endpoint,
-            slices=self.slices,
-            delegate=self._find_delegate,
-            clock=self.clock,
-        )
-        self.quarantine = Quarantine(host=self.host, clock=self.clock)
-        self.broadcast = Broadcast(
-            endpoint=self.endpoint,
-            quarantine=self.quarantine,
-            push_addresses=self._list_push_addresses,
-            clock=self.clock,
-            random=random.Random(),
-        )
         self.backends = BackendMonitor(
             clock=self.clock,
             on_change=self._update_backends,
             on_crash=self._report_crash,
         )
         self.crashes = CrashReporter(
-            quarantine=self.quarantine,
+            quarantine=self.control.quarantine,
             probe=self.backends.probe,
-            publish=self.broadcast.publish,
+            publish=self.control.broadcast.publish,
         )
         self.occupancy = OccupancyTable()
         hello = Hello(
@@ -292,12 +184,12 @@
             retries=RetryBudget(),
             admissions=self.backends.admissions,
             backends=self.backends.clients,
-            claims=self.claims,
-            limits=self.limits,
+            claims=self.control.claims,
+            limits=self.control.limits,
             quarantine=self.crashes,
             clock=self.clock,
             host=self.host,
-            find_peer=self._find_peer,
+            find_peer=self.control.find_peer,
             tracer=self._tracer,
         )
         self.link_server = CallLinkServer(
@@ -313,23 +205,30 @@
             version=lambda: self._find_snapshot().version,
         )
         self.explanations = Explanations(
-            snapshot=lambda: self.activation.snapshot,
+            snapshot=lambda: self.control.activation.snapshot,
             occupancy=self.occupancy,
-            quarantine=self.quarantine,
+            quarantine=self.control.quarantine,
             attainment=self.attainment,
             clock=self.clock,
-            describe_version=self._describe_version,
+            describe_version=self.control.describe_version,
         )
 
-    def _open_store(self) -> Store:
-        from almondrouter.transport.etcd import EtcdStore
-
-        endpoints = tuple(f"http://{address}" for address in self._settings["store"])
-        return EtcdStore(endpoints, clock=self.clock, timeout=STORE_TIMEOUT_S)
-
     def _find_snapshot(self) -> Snapshot:
         """Return the snapshot in force; an empty one refuses all calls."""
-        return self.activation.snapshot if self.distribution.ready else EMPTY_SNAPSHOT
+        return (
+            self.control.activation.snapshot
+            if self.control.distribution.ready
+            else EMPTY_SNAPSHOT
+        )
+
+    def _describe_own_status(self) -> StatusReply:
+        """Return what this daemon tells others of its version."""
+        return StatusReply(
+            host=self.host,
+            incarnation=self.incarnation,
+            head=self.control.activation.head(),
+            ready=self.ready,
+        )
 
     async def _serve_caller(self, request: CallerRequest) -> CallerResponse:
         started = self.clock.monotonic()
@@ -343,7 +242,7 @@
         own = dict(response.headers)
         class_name = dict(request.headers).get(headers.CLASS.lower(), "")
         outcome = Outcome(own[headers.OUTCOME])
-        route = self.activation.snapshot.routes.get(class_name)
+        route = self.control.activation.snapshot.routes.get(class_name)
         if route is None:
             # A name that callers make up must not become a label.
             class_name = "unknown"
@@ -355,68 +254,17 @@
 
     def _record_version(self, snapshot: Snapshot) -> None:
         self.version_at = self.clock.wall()
-        self._prepare_limits()
+        self.control.prepare_limits()
         _log.info("configuration in force", version=snapshot.version)
 
     def _update_backends(self, records: tuple[BackendRecord, ...]) -> None:
-        self.membership.update_backends(records)
-        self._prepare_limits()
-
-    def _prepare_limits(self) -> None:
-        """Ask for shares of the limits of what this host's backend server does."""
-        services = {r.service for r in self.membership.record.backends}
-        snapshot = self.activation.snapshot
-        demands = {
-            name: IDLE_LIMIT_SHARE * snapshot.limits[name] / len(route.destinations)
-            for route in snapshot.routes.values()
-            if route.service in services and route.destinations
-            for name in route.limit_names
-        }
-        self.limits.prepare(demands)
+        self.control.membership.update_backends(records)
+        self.control.prepare_limits()
 
     def _report_crash(self, backend: str) -> None:
         report = self.crashes.record_crash(backend)
         _log.warning("backend server crashed", name=backend, report=report.report_id)
 
-    def _list_push_addresses(self) -> list[str]:
-        return [record.control_address for record in self.membership.push_targets()]
-
-    def _find_delegate(self) -> str | None:
-        """Return the control address of this data centre's first delegate."""
-        ranked = self.membership.overlay.ranks(self._settings["data-centre"])
-        if not ranked or ranked[0].host == self.host:
-            return None
-        return ranked[0].control_address
-
-    def _find_peer(self, claim: Claim) -> str | None:
-        # A daemon that has restarted since says that it knows nothing of the run.
-        record = self.registry.find(claim.host)
-        return record.peer_address if record is not None else None
-
-    def _describe_version(self) -> list[str]:
-        head = self.activation.head()
-        lines = [f"version {head.version}, digest {head.digest}"]
-        if not self.distribution.ready:
-            lines.append(f"not ready: {self.distribution.not_ready_reason}")
-        alarms = self.distribution.alarms
-        lines += [f"alarm {name}: {text}" for name, text in alarms.items()]
-        lines += [
-            f"data centre {name} is not heard from"
-            for name in sorted(self.membership.unreachable_data_centres())
-        ]
-        return lines
-
-    def _make_record(self) -> HostRecord:
-        settings = self._settings
-        return HostRecord(
-            host=self.host,
-            data_centre=settings["data-centre"],
-            region=settings["region"],
-            control_address=settings["control-address"],
-            peer_address=settings["peer-address"],
-            incarnation=self.incarnation,
-        )
-
     async def _bind(self, place: str, part: Any) -> None:
         try:
             await part.start()
--- a/packages/almondrouterd/src/almondrouterd/figures.py
+++ b/packages/almondrouterd/src/almondrouterd/figures.py
@@ -17,7 +17,7 @@
     metrics.add_gauge(
         "almond_configuration_version",
         "Configuration version in force",
-        lambda: single(daemon.activation.head().version),
+        lambda: single(daemon.control.activation.head().version),
     )
     metrics.add_gauge(
         "almond_ready", "1 if the daemon takes calls", lambda: single(daemon.ready)
@@ -30,7 +30,7 @@
     metrics.add_gauge(
         "almond_alarms",
         "1 for each alarm that stands",
-        lambda: [({"alarm": name}, 1) for name in daemon.distribution.alarms],
+        lambda: [({"alarm": name}, 1) for name in daemon.control.distribution.alarms],
     )
     metrics.add_gauge(
         "almond_target_share",
@@ -50,7 +50,7 @@
     metrics.add_counter(
         "almond_store_calls_total",
         "Calls to the store by kind",
-        lambda: [({"kind": k}, n) for k, n in daemon.store.calls.items()],
+        lambda: [({"kind": k}, n) for k, n in daemon.control.store.calls.items()],
     )
     metrics.add_counter(
         "almond_refused_total",
@@ -65,12 +65,12 @@
 
 
 def _count_hosts(daemon: Daemon) -> Samples:
-    counts = Counter(record.status.name.lower() for record in daemon.registry)
+    counts = Counter(record.status.name.lower() for record in daemon.control.registry)
     return [({"status": status}, count) for status, count in counts.items()]
 
 
 def _read_attainment(daemon: Daemon) -> Samples:
-    for name, route in daemon.activation.snapshot.routes.items():
+    for name, route in daemon.control.activation.snapshot.routes.items():
         found = daemon.attainment.find(name)
         if found.calls:
             yield {"class": name, "figure": "answered"}, found.share
@@ -93,13 +93,13 @@
 
 def _read_refusals(daemon: Daemon) -> Samples:
     counters = {
-        "control": daemon.endpoint.refused,
+        "control": daemon.control.endpoint.refused,
         "call_served": daemon.link_server.counts,
         "call_sent": daemon.links.counts,
         "caller": daemon.caller_server.counts,
-        "configuration": daemon.activation.refusals,
+        "configuration": daemon.control.activation.refusals,
     }
     for link, counts in counters.items():
         for code, value in counts.items():
             yield {"link": link, "code": str(getattr(code, "value", code))}, value
-    yield {"link": "control", "code": "dropped"}, daemon.endpoint.dropped
+    yield {"link": "control", "code": "dropped"}, daemon.control.endpoint.dropped
--- a/packages/almondrouterd/src/almondrouterd/status.py
+++ b/packages/almondrouterd/src/almondrouterd/status.py
@@ -28,28 +28,28 @@
     def describe_daemon(self) -> dict[str, Any]:
         """Return the daemon's own status."""
         daemon = self._daemon
-        head = daemon.activation.head()
-        snapshot = daemon.activation.snapshot
+        head = daemon.control.activation.head()
+        snapshot = daemon.control.activation.snapshot
         sent, received = self.count_control_bytes()
         return {
             "host": daemon.host,
             "incarnation": daemon.incarnation,
             "ready": daemon.ready,
-            "reason": daemon.distribution.not_ready_reason or "",
+            "reason": daemon.control.distribution.not_ready_reason or "",
             "stopping": daemon.stopping,
             "version": head.version,
             "digest": head.digest,
-            "hosts": len(daemon.registry),
+            "hosts": len(daemon.control.registry),
             "routes": {n: len(r.destinations) for n, r in snapshot.routes.items()},
-            "alarms": dict(daemon.distribution.alarms),
-            "unreachable": sorted(daemon.membership.unreachable_data_centres()),
+            "alarms": dict(daemon.control.distribution.alarms),
+            "unreachable": sorted(daemon.control.membership.unreachable_data_centres()),
             "backends": sorted(daemon.backends.admissions),
             "started_at": daemon.incarnation / 1000,
             "version_at": daemon.version_at,
             "other_region_bytes_sent": sent["other_region"],
             "control_bytes_sent": sum(sent.values()),
             "control_bytes_received": sum(received.values()),
-            "store_calls": dict(daemon.store.calls),
+            "store_calls": dict(daemon.control.store.calls),
         }
 
     async def describe_fleet(self, version: int | None) -> dict[str, Any]:
@@ -67,7 +67,7 @@
         return {
             "version": wanted,
             "hosts": sum(len(dc.replies) + len(dc.silent) for dc in collected),
-            "alarms": dict(self._daemon.distribution.alarms),
+            "alarms": dict(self._daemon.control.distribution.alarms),
             "data_centres": [describe_data_centre(dc, wanted) for dc in collected],
         }
 
@@ -77,11 +77,11 @@
         The scopes are ``data_centre``, ``region`` and ``other_region``; an
         address that no host record names counts as ``unknown``.
         """
-        own = self._daemon.registry.find(self._daemon.host)
-        by_address = {r.control_address: r for r in self._daemon.registry}
+        own = self._daemon.control.registry.find(self._daemon.host)
+        by_address = {r.control_address: r for r in self._daemon.control.registry}
         sent: Counter[str] = Counter()
         received: Counter[str] = Counter()
-        for address, count in self._daemon.endpoint.count_bytes().items():
+        for address, count in self._daemon.control.endpoint.count_bytes().items():
             record = by_address.get(address)
             if record is None or own is None:
                 scope = "unknown"
