Ask again soon while a share of a limit is missing

Ruled out: a slow store; the stand-in answers in under a millisecond. Now the interval begins at 0.1 s and doubles to 1 s while a share is missing. Before: the new test finds no share 1.5 s after the limit is known.

--- a/packages/almondrouter/src/almondrouter/coordination/limits.py
+++ b/packages/almondrouter/src/almondrouter/coordination/limits.py
@@ -115,6 +115,7 @@
         self._clock = clock
         self._buckets: dict[str, _Bucket] = {}
         self._prepared: dict[str, float] = {}
+        self._missing = False
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         endpoint.set_handler(LoanRequest, self._handle_request)
@@ -198,13 +199,32 @@
             return None
 
     async def _run(self) -> None:
+        delay = RENEW_INTERVAL_S
         while True:
             self._wake.clear()
             await asyncio.gather(*(self.renew(name) for name in list(self._buckets)))
+            delay = self._find_delay(delay)
             await asyncio.sleep(MIN_RENEW_INTERVAL_S)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RENEW_INTERVAL_S - MIN_RENEW_INTERVAL_S):
+                async with asyncio.timeout(delay - MIN_RENEW_INTERVAL_S):
                     await self._wake.wait()
 
+    def _find_delay(self, last: float) -> float:
+        """Return the seconds until loans are asked for again.
+
+        While a loan is missing they double from the shortest interval on, so
+        that a new limit is soon in use and an outage of the store costs no more
+        than a loan does.
+        """
+        now = self._clock.monotonic()
+        missing = any(
+            name in self._prepared and (bucket.rate <= 0 or now >= bucket.deadline)
+            for name, bucket in self._buckets.items()
+        )
+        was_missing, self._missing = self._missing, missing
+        if not missing:
+            return RENEW_INTERVAL_S
+        return min(RENEW_INTERVAL_S, 2 * last if was_missing else MIN_RENEW_INTERVAL_S)
+
     async def _handle_request(self, message: LoanRequest, _sender: str) -> LoanReply:
         return self._slices.lend(message)
--- a/tests/test_coordination_limits.py
+++ b/tests/test_coordination_limits.py
@@ -15,6 +15,7 @@
 from almondrouter_standins.exchange import Network
 from almondrouter_standins.keyspace import Keyspace
 from almondrouter_standins.memory import CallFault, MemoryStore
+from almondrouter_standins.virtual_time import run_virtual
 from machine import FaultMachine, make_settings
 
 KEYS = StoreKeys("test")
@@ -102,6 +103,29 @@
                 raise AssertionError(f"{count} calls in {window} s of {self.rate}/s")
 
 
+class PreparedLimitTest(unittest.TestCase):
+    """A limit that was just declared must not refuse its first calls for long."""
+
+    def test_share_is_held_soon_after_the_delegate_knows_the_limit(self):
+        fleet = _Fleet(None)
+
+        async def declare():
+            for host in ("x1", "x2"):
+                fleet.holders[host].start()
+                fleet.limits[host].start()
+            fleet.limits["x2"].prepare({NAME: 20.0})
+            await asyncio.sleep(0.5)
+            fleet.rate = 100.0
+            await asyncio.sleep(1.5)
+            admitted, code = fleet.admit("x2", 5)
+            for host in ("x1", "x2"):
+                await fleet.limits[host].close()
+                await fleet.holders[host].close()
+            return admitted, code
+
+        self.assertEqual(run_virtual(declare(), fleet.clock), (5, None))
+
+
 class LimitsTest(unittest.IsolatedAsyncioTestCase):
     """The sum of what all daemons admit must stay within the limit."""
 
