Announce a backend server once its daemon is ready; repeat queries of a holder

A query of a claim's holder that failed once was not repeated, though it changes nothing; it is now repeated twice.

--- a/packages/almondrouter/src/almondrouter/coordination/once.py
+++ b/packages/almondrouter/src/almondrouter/coordination/once.py
@@ -36,6 +36,9 @@
 The rest lets the refusal reach the caller, who else hears only of a timeout.
 """
 
+QUERY_DELAYS_S = (0.02, 0.1)
+"""Seconds before each repeated query of a claim's holder."""
+
 JOIN_GRACE_S = 0.05
 """Seconds after the deadline in which the run itself may still say how it ended."""
 
@@ -244,10 +247,20 @@
             message = f"the key is claimed by {claim.host!r}, which cannot be asked"
             raise _make_unknown(ErrorCode.KEY_CLAIMED, message)
         query = ClaimQuery(0, request.key, claim.claim_id, request.deadline)
-        try:
-            return await self._links.call(address, query)
-        except CallError as error:
-            raise _make_unknown(ErrorCode.KEY_CLAIMED, error.message) from error
+        return await self._query(address, query)
+
+    async def _query(self, address: str, query: ClaimQuery) -> CallReply:
+        """Ask a claim's holder; a query changes nothing, so it may be repeated."""
+        for delay in (*QUERY_DELAYS_S, None):
+            try:
+                return await self._links.call(address, query)
+            except CallError as error:
+                late = self._clock.monotonic() >= query.deadline
+                if delay is None or late:
+                    message = error.message
+                    raise _make_unknown(ErrorCode.KEY_CLAIMED, message) from error
+            await asyncio.sleep(delay)
+        raise AssertionError("the last attempt returns or raises")
 
     async def _abandon(self, claiming: asyncio.Task[Any]) -> None:
         """Wait for a claim that is no longer wanted, and give it up."""
--- a/packages/almondrouterd/src/almondrouterd/backendmonitor.py
+++ b/packages/almondrouterd/src/almondrouterd/backendmonitor.py
@@ -90,6 +90,11 @@
         self.clients: dict[str, BackendClient] = {}
         self.crashes = 0
 
+    @property
+    def records(self) -> tuple[BackendRecord, ...]:
+        """Return the records of all backend servers."""
+        return tuple(item.record for item in self._backends.values())
+
     def announce(self, announcement: BackendAnnouncement) -> None:
         """Take an announcement.
 
@@ -202,7 +207,7 @@
         self._publish()
 
     def _publish(self) -> None:
-        self._on_change(tuple(item.record for item in self._backends.values()))
+        self._on_change(self.records)
 
     def _list_silent(self, limit: float) -> list[str]:
         oldest = self._clock.monotonic() - limit
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -36,6 +36,7 @@
 from almondrouterd.metrics import DaemonMetrics
 from almondrouterd.status import StatusReports
 
+READY_CHECK_S = 0.05
 LEAVE_NOTICE_S = 1.0
 """Time in which peers learn that this host is leaving, before links close."""
 
@@ -60,6 +61,7 @@
         self.metrics = DaemonMetrics()
         self.attainment = Attainment(clock=self.clock)
         self.stopping = False
+        self._serving = False
         self.version_at = 0.0
         """Wall time at which the version in force was put in force."""
         self._tracer = _make_tracer(settings)
@@ -97,8 +99,12 @@
             await self._bind(place, part)
         await self.links.start()
         await self.control.start()
-        for part in (self.backends, self.control.broadcast):
-            self._tasks.append(asyncio.create_task(part.run()))
+        for work in (
+            self.backends.run(),
+            self.control.broadcast.run(),
+            self._begin_to_serve(),
+        ):
+            self._tasks.append(asyncio.create_task(work))
         await self._bind("caller-address", self.caller_server)
         _log.info("started", host=self.host, incarnation=self.incarnation)
 
@@ -258,8 +264,20 @@
         _log.info("configuration in force", version=snapshot.version)
 
     def _update_backends(self, records: tuple[BackendRecord, ...]) -> None:
-        self.control.membership.update_backends(records)
-        self.control.prepare_limits()
+        if self._serving:
+            self.control.membership.update_backends(records)
+            self.control.prepare_limits()
+
+    async def _begin_to_serve(self) -> None:
+        """Tell others of the backend server once its calls would be served here.
+
+        A daemon that restarts refuses calls until it has caught up; others must
+        not choose it before.
+        """
+        while not self.control.distribution.ready:
+            await asyncio.sleep(READY_CHECK_S)
+        self._serving = True
+        self._update_backends(self.backends.records)
 
     def _report_crash(self, backend: str) -> None:
         report = self.crashes.record_crash(backend)
--- a/packages/almondrouterd/src/almondrouterd/status.py
+++ b/packages/almondrouterd/src/almondrouterd/status.py
@@ -44,6 +44,7 @@
             "alarms": dict(daemon.control.distribution.alarms),
             "unreachable": sorted(daemon.control.membership.unreachable_data_centres()),
             "backends": sorted(daemon.backends.admissions),
+            "announced": [r.name for r in daemon.control.membership.record.backends],
             "started_at": daemon.incarnation / 1000,
             "version_at": daemon.version_at,
             "other_region_bytes_sent": sent["other_region"],
--- a/tests/test_almondrouterd_process.py
+++ b/tests/test_almondrouterd_process.py
@@ -195,3 +195,26 @@
         await self.wait_until_ready("h1")
         status = await self.cluster.read_admin("h1")
         self.assertEqual((status["version"], status["alarms"]), (1, {}))
+
+    async def test_backend_server_is_announced_once_the_daemon_is_ready(self):
+        """Guards against calls to a daemon that has restarted and refuses them."""
+        for number in (1, 2):
+            self.cluster.plan_host(
+                f"h{number}", data_centre="dc-1", region="r1", service="accounts"
+            )
+        await self.cluster.start_daemon("h1")
+        await self.cluster.start_backend("h1")
+
+        async def monitored():
+            return (await self.cluster.read_admin("h1"))["backends"] != []
+
+        await wait_until(monitored, "the daemon knows its backend server")
+        status = await self.cluster.read_admin("h1")
+        self.assertEqual((status["ready"], status["announced"]), (False, []))
+        await self.cluster.start_store()
+        await self.wait_until_ready("h1")
+
+        async def announced():
+            return (await self.cluster.read_admin("h1"))["announced"] != []
+
+        await wait_until(announced, "the backend server is announced")
--- a/tests/test_coordination_calls.py
+++ b/tests/test_coordination_calls.py
@@ -29,6 +29,20 @@
     return CallError(code, "failed", outcome=outcome)
 
 
+class _FailingLinks:
+    """Cuts the link to a host for a number of attempts."""
+
+    def __init__(self, host, *, times):
+        self._host = host
+        self._times = times
+
+    def __contains__(self, host):
+        if host != self._host or not self._times:
+            return False
+        self._times -= 1
+        return True
+
+
 class CallServiceTest(unittest.IsolatedAsyncioTestCase):
     """Calls of a fleet of three hosts, whose links are function calls."""
 
@@ -259,6 +273,18 @@
             self.assertEqual(b"answer body", response.body)
         self.assertEqual(1, self.count_runs())
 
+    async def test_query_of_the_holder_is_repeated(self):
+        """Guards against unknown for a resend when single link attempts fail."""
+        self.assert_response(await self.write(), 200, COMPLETE)
+        key, deadline = make_key(self.clock), self.clock.monotonic() + 5
+        request = make_request(
+            b"body", deadline=deadline, key=key, backend="b-h2", class_name="write"
+        )
+        self.fleet.cut = _FailingLinks("h1", times=2)
+        reply = await self.fleet.services["h2"].handle_link(request)
+        self.assertEqual((COMPLETE, b"answer body"), (reply.outcome, reply.body))
+        self.assertEqual(1, self.count_runs())
+
     async def test_other_host_asks_the_holder(self):
         """Guards against a second run where the first host is not chosen again."""
         self.assert_response(await self.write(), 200, COMPLETE)
