Share the listening server and the decoding of documents

The caller server and the call link server repeated 22 lines of listening, ticking and closing, two functions split addresses, and one of them kept the brackets of IPv6 numbers; two decoders repeated the size check. 171 tests of transport, state and settings pass.

--- a/packages/almondrouter/src/almondrouter/settings.py
+++ b/packages/almondrouter/src/almondrouter/settings.py
@@ -218,12 +218,6 @@
     return parse
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return IP number and port of an ``ip:port`` address."""
-    host, _, port = address.rpartition(":")
-    return host.removeprefix("[").removesuffix("]"), int(port)
-
-
 def explain_bind_error(error: Exception, *, place: str, address: str) -> AlmondError:
     """Return the error that says why an address could not be bound."""
     finding = Finding(
--- a/packages/almondrouter/src/almondrouter/state/stored.py
+++ b/packages/almondrouter/src/almondrouter/state/stored.py
@@ -6,9 +6,9 @@
 
 from almondrouter.errors import ErrorCode, Finding, FindingsError
 from almondrouter.state.targets import (
-    MAX_CONFIGURATION_BYTES,
     Configuration,
     check_configuration,
+    decode_document,
 )
 
 
@@ -44,17 +44,7 @@
         If the document is too large, malformed or contradictory, or if its
         digest does not match.
     """
-    if len(data) > MAX_CONFIGURATION_BYTES:
-        message = f"{len(data)} bytes, at most {MAX_CONFIGURATION_BYTES} are allowed"
-        raise FindingsError(
-            [Finding("configuration", ErrorCode.CONFIGURATION_TOO_LARGE, message)]
-        )
-    try:
-        stored = msgspec.json.decode(data, type=StoredConfiguration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise FindingsError(
-            [Finding("configuration", ErrorCode.CONFIGURATION_MALFORMED, str(error))]
-        ) from error
+    stored = decode_document(data, StoredConfiguration)
     check_configuration(stored.configuration)
     if stored.configuration.digest() != stored.digest:
         message = f"version {stored.configuration.version} does not match its digest"
--- a/packages/almondrouter/src/almondrouter/state/targets.py
+++ b/packages/almondrouter/src/almondrouter/state/targets.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterator
 from enum import StrEnum
+from typing import TypeVar
 
 import msgspec
 import xxhash
@@ -14,6 +15,7 @@
 MAX_CONFIGURATION_BYTES = 1_000_000
 MAX_ANSWER_WITHIN_MS = 600_000
 MAX_CALLS_PER_SECOND = 1_000_000.0
+T = TypeVar("T")
 _NAME = re.compile(r"[a-z][a-z0-9-]{0,62}")
 
 
@@ -111,19 +113,28 @@
     FindingsError
         If the document is too large, malformed or contradictory.
     """
+    configuration = decode_document(data, Configuration)
+    check_configuration(configuration)
+    return configuration
+
+
+def decode_document(data: bytes, document_type: type[T]) -> T:
+    """Decode a JSON document that is at most as large as a configuration.
+
+    Raises
+    ------
+    FindingsError
+        If the document is too large or malformed.
+    """
     if len(data) > MAX_CONFIGURATION_BYTES:
         message = f"{len(data)} bytes, at most {MAX_CONFIGURATION_BYTES} are allowed"
-        raise FindingsError(
-            [Finding("configuration", ErrorCode.CONFIGURATION_TOO_LARGE, message)]
-        )
+        code = ErrorCode.CONFIGURATION_TOO_LARGE
+        raise FindingsError([Finding("configuration", code, message)])
     try:
-        configuration = msgspec.json.decode(data, type=Configuration)
+        return msgspec.json.decode(data, type=document_type)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise FindingsError(
-            [Finding("configuration", ErrorCode.CONFIGURATION_MALFORMED, str(error))]
-        ) from error
-    check_configuration(configuration)
-    return configuration
+        code = ErrorCode.CONFIGURATION_MALFORMED
+        raise FindingsError([Finding("configuration", code, str(error))]) from error
 
 
 def check_configuration(configuration: Configuration) -> None:
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from almondrouter.addresses import split_address
 from almondrouter.clock import Clock
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import HeaderList
@@ -15,7 +16,6 @@
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.calls import BackendResponse, BackendSender
 from almondrouter.transport.deadlines import Deadlines
-from almondrouter.transport.frames import split_address
 
 CONNECT_S = 1.0
 MAX_IDLE_S = 30.0
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -10,12 +10,11 @@
 import httptools
 
 from almondrouter.clock import Clock, SystemClock
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.errors import ErrorCode
 from almondrouter.protocol.headers import CODE, OUTCOME, VERSION, Outcome
 from almondrouter.protocol.outcomes import choose_status
 from almondrouter.transport.calls import CallerRequest, CallerResponse
-from almondrouter.transport.frames import split_address
-from almondrouter.transport.links import tick_forever
+from almondrouter.transport.listeners import Listener
 
 READ_HEADERS_S = 10.0
 """Seconds in which the headers of a request must have arrived."""
@@ -45,7 +44,7 @@
 CallerHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 
 
-class CallerServer:
+class CallerServer(Listener):
     """Serves the requests of callers over HTTP/1.1.
 
     Parameters
@@ -71,9 +70,7 @@
         version: Callable[[], int] = lambda: 0,
         clock: Clock | None = None,
     ) -> None:
-        self._address = address
-        self._server: asyncio.Server | None = None
-        self._ticker: asyncio.Task | None = None
+        super().__init__(address)
         self.handler = handler
         self.max_body_bytes = max_body_bytes
         self.version = version
@@ -82,31 +79,8 @@
         self.draining = False
         self.counts: Counter[str] = Counter()
 
-    @property
-    def address(self) -> str:
-        """Return the address that the server listens on."""
-        if self._server is None or not self._server.sockets:
-            return self._address
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
-
-    async def start(self) -> None:
-        """Listen for callers.
-
-        Raises
-        ------
-        AlmondError
-            ``address_in_use`` if the address cannot be taken.
-        """
-        loop = asyncio.get_running_loop()
-        host, port = split_address(self._address)
-        try:
-            self._server = await loop.create_server(
-                lambda: CallerConnection(self), host, port
-            )
-        except OSError as error:
-            raise AlmondError(ErrorCode.ADDRESS_IN_USE, str(error)) from error
-        self._ticker = asyncio.create_task(tick_forever(self.tick))
+    def make_protocol(self) -> asyncio.BaseProtocol:  # noqa: D102
+        return CallerConnection(self)
 
     async def drain(self) -> None:
         """Refuse new requests and wait until those in flight are answered."""
@@ -115,8 +89,7 @@
             connection.close_if_idle()
         while tasks := [c.task for c in self.connections if c.task is not None]:
             await asyncio.wait(tasks)
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for connection in tuple(self.connections):
             connection.close_if_idle()
         expires_at = self.clock.monotonic() + WRITE_S
@@ -127,10 +100,8 @@
 
     async def close(self) -> None:
         """Stop at once; requests in flight are cancelled."""
-        if self._ticker is not None:
-            self._ticker.cancel()
-        if self._server is not None:
-            self._server.close()
+        self.stop_ticking()
+        self.stop_listening()
         tasks = [c.task for c in self.connections if c.task is not None]
         for connection in tuple(self.connections):
             connection.abort()
--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from almondrouter.addresses import split_address
 from almondrouter.clock import Clock
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol.calls import CALL_CODEC, CallFrame, Hello, Ping, Pong
@@ -315,12 +316,6 @@
             self.offset.add_sample(sent=pong.echoed, received=now, peer=pong.clock)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``ip:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def check_hello(frame: CallFrame, own: Hello) -> Hello:
     """Return the greeting if its sender belongs to the same cluster."""
     if not isinstance(frame, Hello):
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -25,10 +25,9 @@
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import (
     HANDSHAKE_S,
-    PING_INTERVAL_S,
     FrameStream,
-    split_address,
 )
+from almondrouter.transport.listeners import Listener, tick_forever
 
 CONNECT_S = 1.0
 """Seconds for connecting and greeting; far regions take 20 ms a round trip."""
@@ -47,7 +46,7 @@
     return CallReply(call_id, outcome, status, (), b"", code.value, None)
 
 
-class CallLinkServer:
+class CallLinkServer(Listener):
     """Serves the calls that other daemons send.
 
     Parameters
@@ -72,56 +71,30 @@
     def __init__(
         self, *, address: str, hello: Hello, handler: LinkHandler, clock: Clock
     ) -> None:
-        self._address = address
+        super().__init__(address)
         self._hello = hello
         self._handler = handler
         self._clock = clock
-        self._server: asyncio.Server | None = None
         self._links: set[_ServedLink] = set()
         self._tasks: set[asyncio.Task] = set()
-        self._ticker: asyncio.Task | None = None
         self.draining = False
         self.counts: Counter[str] = Counter()
 
-    @property
-    def address(self) -> str:
-        """Return the address that the server listens on."""
-        if self._server is None or not self._server.sockets:
-            return self._address
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
-
-    async def start(self) -> None:
-        """Listen for links.
-
-        Raises
-        ------
-        AlmondError
-            ``address_in_use`` if the address cannot be taken.
-        """
-        loop = asyncio.get_running_loop()
-        host, port = split_address(self._address)
-        try:
-            self._server = await loop.create_server(self._make_stream, host, port)
-        except OSError as error:
-            raise AlmondError(ErrorCode.ADDRESS_IN_USE, str(error)) from error
-        self._ticker = asyncio.create_task(tick_forever(self.tick))
+    def make_protocol(self) -> asyncio.BaseProtocol:  # noqa: D102
+        return self._make_stream()
 
     async def drain(self) -> None:
         """Refuse new calls and wait until those in flight are answered."""
         self.draining = True
         while self._tasks:
             await asyncio.wait(self._tasks)
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         await asyncio.gather(*(link.stream.close_gracefully() for link in self._links))
 
     async def close(self) -> None:
         """Stop at once; calls in flight are cancelled."""
-        if self._ticker is not None:
-            self._ticker.cancel()
-        if self._server is not None:
-            self._server.close()
+        self.stop_ticking()
+        self.stop_listening()
         for link in tuple(self._links):
             link.stream.close()
         for task in tuple(self._tasks):
@@ -339,10 +312,3 @@
         for task, key in tuple(self.open_calls.values()):
             if not key:
                 task.cancel()
-
-
-async def tick_forever(tick: Callable[[], None]) -> None:
-    """Call ``tick`` every `PING_INTERVAL_S` seconds."""
-    while True:
-        await asyncio.sleep(PING_INTERVAL_S)
-        tick()
--- a/packages/almondrouterd/src/almondrouterd/backendmonitor.py
+++ b/packages/almondrouterd/src/almondrouterd/backendmonitor.py
@@ -10,10 +10,11 @@
 
 import msgspec
 
+from almondrouter.addresses import split_address
 from almondrouter.clock import Clock
 from almondrouter.coordination.admission import Admission
 from almondrouter.errors import ErrorCode, Finding, FindingsError
-from almondrouter.settings import parse_address, parse_name, split_address
+from almondrouter.settings import parse_address, parse_name
 from almondrouter.state.registry import BackendRecord, BackendState
 from almondrouter.transport.backends import BackendClient
 from almondrouterd.logs import StateLogger
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -7,6 +7,7 @@
 
 from parameterized import parameterized
 
+from almondrouter.addresses import split_address
 from almondrouter.clock import ManualClock
 from almondrouter.transport.callers import (
     KEEP_ALIVE_S,
@@ -17,7 +18,6 @@
     CallerServer,
 )
 from almondrouter.transport.calls import CallerResponse
-from almondrouter.transport.frames import split_address
 from calls_support import TIMEOUT_S, wait_until
 
 MAX_BODY = 1000
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -8,11 +8,12 @@
 import msgspec
 from parameterized import parameterized
 
+from almondrouter.addresses import split_address
 from almondrouter.clock import ManualClock
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import CALL_CODEC, Cancel, Pong
 from almondrouter.protocol.headers import Outcome
-from almondrouter.transport.frames import ClockOffset, FrameStream, split_address
+from almondrouter.transport.frames import ClockOffset, FrameStream
 from almondrouter.transport.links import CallLinkPool, CallLinkServer
 from calls_support import (
     CallAssertions,
