--- a/packages/almondrouter/src/almondrouter/clock.py
+++ b/packages/almondrouter/src/almondrouter/clock.py
@@ -36,6 +36,19 @@
         return time.time()
 
 
+class SuspendAwareClock(SystemClock):
+    """The clocks of a host that may be suspended.
+
+    Notes
+    -----
+    The usual monotonic clock stands still while a host is suspended, so that
+    requests in its buffers would seem younger than they are.
+    """
+
+    def monotonic(self) -> float:  # noqa: D102
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to.
 
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
@@ -0,0 +1,69 @@
+"""The routes in force; versions only rise."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from almondrouter.coordination.storefeed import StoreSubscriber
+from almondrouter.errors import FindingsError
+from almondrouter.logs import StateLogger
+from almondrouter.state.routes import RouteTable
+from almondrouter.transport.store import KeyValue, WatchEvent
+
+_log = StateLogger("routes")
+
+
+class ActiveRoutes(StoreSubscriber):
+    """Brings each accepted configuration into force, whole.
+
+    Parameters
+    ----------
+    key
+        Key of the configuration in the store.
+    decode
+        Returns the routes of a stored configuration; raises ``FindingsError``.
+    """
+
+    def __init__(self, key: str, decode: Callable[[bytes], RouteTable]) -> None:
+        self._key = key
+        self._decode = decode
+        self.table: RouteTable | None = None
+
+    @property
+    def prefix(self) -> str:  # noqa: D102
+        return self._key
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 before the first."""
+        return self.table.version if self.table is not None else 0
+
+    def load(self, items: Sequence[KeyValue]) -> None:  # noqa: D102
+        for item in items:
+            if item.key == self._key:
+                self._take(item.value)
+
+    def apply(self, event: WatchEvent) -> None:  # noqa: D102
+        if event.key == self._key and event.value is not None:
+            self._take(event.value)
+
+    def _take(self, value: bytes) -> None:
+        try:
+            table = self._decode(value)
+        except FindingsError as error:
+            _log.error(
+                "configuration refused; the one in force stays",
+                in_force=self.version,
+                findings=[str(finding) for finding in error.findings],
+            )
+            return
+        if table.version <= self.version:
+            if table.version < self.version:
+                _log.warning(
+                    "older configuration ignored",
+                    in_force=self.version,
+                    offered=table.version,
+                )
+            return
+        before, self.table = self.version, table
+        _log.info("configuration in force", version=table.version, before=before)
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -0,0 +1,201 @@
+"""The backend server beside this daemon: its slots and what its answers mean."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from http import HTTPStatus
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.slots import Grant, SlotQueue
+from almondrouter.errors import ErrorCode
+from almondrouter.logs import StateLogger
+from almondrouter.protocol.calls import CallReply, CallRequest
+from almondrouter.protocol.dialect import Dialect
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.state.hosts import BackendEntry, ServingState
+from almondrouter.transport.calls import BackendResponse, BackendSender
+
+MAX_IDLE_ONCE_S = 0.5
+"""Seconds for which a connection may have been idle before a request that must
+run at most once; a connection that its peer forgot fails such a request."""
+
+_log = StateLogger("backend")
+
+
+class LocalBackend:
+    """Runs requests on the backend server of this host.
+
+    Parameters
+    ----------
+    sender
+        Client of the backend server.
+    dialect
+        Reads and writes headers.
+    clock
+        Source of monotonic time.
+    changed
+        Called when the announced state has changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        sender: BackendSender,
+        dialect: Dialect,
+        clock: Clock,
+        changed: Callable[[], None],
+    ) -> None:
+        self._sender = sender
+        self._dialect = dialect
+        self._clock = clock
+        self._changed = changed
+        self._runs: set[asyncio.Task[CallReply]] = set()
+        self.entry: BackendEntry | None = None
+        self.queue = SlotQueue(1, clock=clock)
+        self.counts: Counter[str] = Counter()
+
+    def announce(self, entry: BackendEntry) -> None:
+        """Take over what the backend server says of itself."""
+        known = self.entry
+        if known is not None and entry.started_ms < known.started_ms:
+            return
+        if known == entry:
+            return
+        restarted = known is None or (
+            (known.backend, known.started_ms) != (entry.backend, entry.started_ms)
+        )
+        if restarted:
+            self.queue.refuse_waiting(ErrorCode.NO_BACKEND, "the backend restarted")
+            self.queue = SlotQueue(entry.slots, clock=self._clock)
+        elif known is not None and known.state is ServingState.LEAVING:
+            # A leaving backend server does not come back under the same start.
+            return
+        self.entry = entry
+        _log.info(
+            "backend server announced",
+            backend=entry.backend,
+            service=entry.service,
+            state=entry.state.value,
+            started_ms=entry.started_ms,
+            slots=entry.slots,
+        )
+        self._changed()
+
+    def change_state(self, state: ServingState, *, reason: str) -> None:
+        """Change the state of the backend server that is known now."""
+        entry = self.entry
+        if entry is None or entry.state in (state, ServingState.LEAVING):
+            return
+        self.entry = BackendEntry(
+            entry.backend, entry.started_ms, entry.service, entry.slots, state
+        )
+        _log.info(
+            "backend server changed state",
+            backend=entry.backend,
+            state=state.value,
+            reason=reason,
+        )
+        self._changed()
+
+    async def run(self, request: CallRequest) -> CallReply:
+        """Run a request and return its result.
+
+        Raises
+        ------
+        CallError
+            With the outcome; ``NOT_RUN`` only if the request surely did not run
+            and never will.
+        """
+        self._check_serves(request)
+        queue = self.queue
+        grant = await queue.acquire(request)
+        try:
+            self._check_serves(request)
+        except CallError:
+            queue.release(grant, measured=False)
+            raise
+        run = asyncio.ensure_future(self._run_granted(request, queue, grant))
+        self._runs.add(run)
+        run.add_done_callback(self._forget_run)
+        if request.repeatable:
+            return await run
+        # A request that may run once only is finished even if its caller leaves:
+        # its effect must not be cut in half.
+        return await asyncio.shield(run)
+
+    @property
+    def runs_in_flight(self) -> int:
+        """Return how many requests the backend server runs now."""
+        return len(self._runs)
+
+    def _forget_run(self, run: asyncio.Task[CallReply]) -> None:
+        self._runs.discard(run)
+        if not run.cancelled():
+            run.exception()  # Marks it as seen if its caller has left.
+
+    def _check_serves(self, request: CallRequest) -> None:
+        entry = self.entry
+        if entry is None or entry.backend != request.backend:
+            message = f"backend server {request.backend!r} is not on this host"
+            raise CallError(ErrorCode.NO_BACKEND, message)
+        if entry.state is not ServingState.READY:
+            message = f"backend server {entry.backend!r} is {entry.state.value}"
+            raise CallError(ErrorCode.NO_BACKEND, message)
+
+    async def _run_granted(
+        self, request: CallRequest, queue: SlotQueue, grant: Grant
+    ) -> CallReply:
+        measured = False
+        try:
+            response = await self._send(request)
+            reply = self._read(request, response)
+            measured = response.status < HTTPStatus.INTERNAL_SERVER_ERROR
+            return reply
+        finally:
+            queue.release(grant, measured=measured)
+
+    async def _send(self, request: CallRequest) -> BackendResponse:
+        time_left = request.deadline - self._clock.monotonic()
+        if time_left <= 0:
+            raise CallError(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed")
+        try:
+            return await self._sender.send(
+                request.method,
+                request.target,
+                self._dialect.write_request(request, time_left=time_left),
+                request.body,
+                deadline=request.deadline,
+                matches=lambda headers: self._dialect.answers(request, headers),
+                max_idle=None if request.repeatable else MAX_IDLE_ONCE_S,
+            )
+        except CallError as error:
+            self.counts[error.code.value] += 1
+            if error.code is ErrorCode.NO_BACKEND:
+                self.change_state(ServingState.DOWN, reason=error.message)
+            raise
+
+    def _read(self, request: CallRequest, response: BackendResponse) -> CallReply:
+        answer = self._dialect.read_answer(response.status, response.headers)
+        if answer.misdirected:
+            self.counts["misdirected"] += 1
+            self.change_state(ServingState.DOWN, reason="another backend answers")
+            raise CallError(ErrorCode.NO_BACKEND, "another backend server answered")
+        if not answer.executed:
+            self.counts["shed"] += 1
+            raise CallError(ErrorCode.BACKEND_REFUSED, "the backend server is full")
+        if not answer.genuine and response.status < HTTPStatus.MULTIPLE_CHOICES:
+            self.counts["not_genuine"] += 1
+            message = "the response is not the backend server's own"
+            raise CallError(ErrorCode.BACKEND_FAILED, message, outcome=Outcome.UNKNOWN)
+        return CallReply(
+            0,
+            Outcome.COMPLETE,
+            response.status,
+            answer.headers,
+            response.body,
+            "",
+            None,
+        )
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/repeats.py
@@ -0,0 +1,108 @@
+"""Budget of repeated sendings that all daemons share.
+
+Load pattern: backend servers that fail part of their requests, or whose answers
+are lost, for several seconds; without a bound each failure multiplies the load.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from almondrouter.clock import Clock
+
+OWN_RATIO_SHARE = 0.6
+"""Share of the fleet-wide ratio that is spent; repeats of nested calls take some."""
+OWN_EXTRA_SHARE = 0.5
+"""Share of the fleet-wide extra that is spent, while hosts join and leave."""
+BUCKET_S = 0.5
+"""Seconds that are counted together; small against the window."""
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatLimits:
+    """Bounds for the whole fleet within any window.
+
+    Parameters
+    ----------
+    ratio
+        Repeats for each request.
+    extra
+        Repeats beyond the ratio.
+    window
+        Length of the window in seconds.
+    """
+
+    ratio: float
+    extra: float
+    window: float
+
+
+class RepeatBudget:
+    """Allows this daemon its part of the fleet's repeats, by service.
+
+    Parameters
+    ----------
+    limits
+        Bounds for the whole fleet.
+    count_hosts
+        Returns how many daemons share the extra repeats.
+    clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self, limits: RepeatLimits, *, count_hosts: Callable[[], int], clock: Clock
+    ) -> None:
+        self._limits = limits
+        self._count_hosts = count_hosts
+        self._clock = clock
+        self._requests: dict[str, _WindowCount] = {}
+        self._repeats: dict[str, _WindowCount] = {}
+        self.counts: Counter[str] = Counter()
+
+    def record_request(self, service: str) -> None:
+        """Count the first sending of a caller's request."""
+        self._find(self._requests, service).add(self._clock.monotonic())
+
+    def try_spend(self, service: str) -> bool:
+        """Take one repeat from the budget; return whether there was one."""
+        now = self._clock.monotonic()
+        repeats = self._find(self._repeats, service)
+        requests = self._find(self._requests, service).total(now)
+        extra = self._limits.extra * OWN_EXTRA_SHARE / max(1, self._count_hosts())
+        allowed = requests * self._limits.ratio * OWN_RATIO_SHARE + extra
+        if repeats.total(now) + 1 > allowed:
+            self.counts["denied"] += 1
+            return False
+        repeats.add(now)
+        self.counts["spent"] += 1
+        return True
+
+    def _find(self, counts: dict[str, _WindowCount], service: str) -> _WindowCount:
+        if service not in counts:
+            counts[service] = _WindowCount(self._limits.window)
+        return counts[service]
+
+
+class _WindowCount:
+    """Counts events within a sliding window, in buckets."""
+
+    def __init__(self, window: float) -> None:
+        self._window = window
+        self._buckets: deque[list[float]] = deque()
+        self._total = 0
+
+    def add(self, now: float) -> None:
+        bucket = now - now % BUCKET_S
+        if self._buckets and self._buckets[-1][0] >= bucket:
+            self._buckets[-1][1] += 1
+        else:
+            self._buckets.append([bucket, 1])
+        self._total += 1
+
+    def total(self, now: float) -> int:
+        while self._buckets and self._buckets[0][0] < now - self._window:
+            self._total -= int(self._buckets.popleft()[1])
+        return self._total
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -0,0 +1,221 @@
+"""Waiting for a slot of a backend server.
+
+Load pattern: arrivals beyond what the slots can run, in bursts of a few seconds,
+with several ranks of requests and with calls that running requests depend on.
+Requests that cannot be answered in time are refused on arrival, while their
+callers can still turn elsewhere; the others wait in order of rank.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import itertools
+from collections import Counter
+from dataclasses import dataclass
+
+from almondrouter.clock import Clock
+from almondrouter.errors import ErrorCode
+from almondrouter.protocol.calls import CallRequest, Load
+from almondrouter.protocol.outcomes import CallError
+
+SERVICE_TIME_WEIGHT = 0.1
+"""Weight of the newest service time; about 20 requests dominate the average."""
+ASSUMED_SERVICE_TIME_S = 0.05
+"""Seconds that a request is taken to run before any was measured."""
+NESTED_RESERVE_SHARE = 0.1
+"""Share of slots kept for nested requests while there are any."""
+NESTED_MEMORY_S = 3.0
+"""Seconds after a nested request in which slots are kept for others."""
+MAX_RANK = 9
+"""Lowest rank that is told apart in load reports."""
+
+
+@dataclass(slots=True, eq=False)
+class Grant:
+    """The right to run one request, since a monotonic time in seconds."""
+
+    class_name: str
+    started_at: float
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    order: tuple[int, float, int]
+    request: CallRequest
+    granted: asyncio.Future[Grant]
+    expiry: asyncio.TimerHandle | None = None
+
+
+class SlotQueue:
+    """Gives the slots of one backend server to requests.
+
+    Parameters
+    ----------
+    slots
+        Requests that the backend server runs at a time.
+    clock
+        Clock that the times of requests refer to.
+    """
+
+    def __init__(self, slots: int, *, clock: Clock) -> None:
+        self.slots = slots
+        self._clock = clock
+        self._running: set[Grant] = set()
+        self._queue: list[_Waiter] = []
+        self._sequence = itertools.count()
+        self._mean = _Average()
+        self._by_class: dict[str, _Average] = {}
+        self._nested_until = 0.0
+        self.counts: Counter[str] = Counter()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request runs or waits."""
+        return not self._running and not self._queue
+
+    async def acquire(self, request: CallRequest) -> Grant:
+        """Wait for a slot.
+
+        Raises
+        ------
+        CallError
+            ``overloaded`` if the request could not be answered while that is
+            useful, ``deadline_exceeded`` if its time is over. It was not run.
+        """
+        now = self._clock.monotonic()
+        if now >= request.deadline:
+            raise CallError(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed")
+        if request.nested:
+            self._nested_until = now + NESTED_MEMORY_S
+        if self._has_room(request, now) and not self._is_overtaken(request):
+            return self._start(request, now)
+        waiter = self._enqueue(request, now)
+        try:
+            return await waiter.granted
+        except asyncio.CancelledError:
+            self._remove(waiter)
+            granted = waiter.granted
+            # The slot may have been granted just before the cancellation.
+            if granted.done() and not granted.cancelled() and not granted.exception():
+                self.release(granted.result(), measured=False)
+            raise
+
+    def release(self, grant: Grant, *, measured: bool) -> None:
+        """Return a slot.
+
+        Parameters
+        ----------
+        measured
+            Whether the time since the grant tells how long requests run.
+        """
+        if grant not in self._running:
+            return
+        self._running.remove(grant)
+        now = self._clock.monotonic()
+        if measured:
+            seconds = now - grant.started_at
+            self._mean.add(seconds)
+            self._by_class.setdefault(grant.class_name, _Average()).add(seconds)
+        self._grant_waiting(now)
+
+    def load(self) -> Load:
+        """Return the exact load."""
+        ranks = Counter(min(w.request.rank, MAX_RANK) for w in self._queue)
+        depth = max(ranks, default=-1) + 1
+        return Load(
+            slots=self.slots,
+            in_use=len(self._running),
+            queued=len(self._queue),
+            service_time=self._mean.value,
+            queued_by_rank=tuple(ranks[rank] for rank in range(depth)),
+        )
+
+    def estimate_wait(self) -> float:
+        """Return the seconds after which a new request would get a slot."""
+        busy = len(self._running) + len(self._queue) + 1 - self.slots
+        return max(0.0, busy * self._turn())
+
+    def refuse_waiting(self, code: ErrorCode, message: str) -> None:
+        """Refuse all requests that wait."""
+        for waiter in tuple(self._queue):
+            self._refuse(waiter, code, message)
+
+    def expected_time(self, class_name: str) -> float:
+        """Return the seconds that a request of a class is expected to run."""
+        average = self._by_class.get(class_name, self._mean)
+        return average.value or ASSUMED_SERVICE_TIME_S
+
+    def _turn(self) -> float:
+        return (self._mean.value or ASSUMED_SERVICE_TIME_S) / self.slots
+
+    def _has_room(self, request: CallRequest, now: float) -> bool:
+        usable = self.slots
+        if not request.nested and now < self._nested_until:
+            usable -= max(1, int(self.slots * NESTED_RESERVE_SHARE))
+        return len(self._running) < max(1, usable)
+
+    def _is_overtaken(self, request: CallRequest) -> bool:
+        return bool(self._queue) and self._queue[0].order[0] <= make_rank(request)
+
+    def _start(self, request: CallRequest, now: float) -> Grant:
+        grant = Grant(request.class_name, now)
+        self._running.add(grant)
+        return grant
+
+    def _enqueue(self, request: CallRequest, now: float) -> _Waiter:
+        useful_until = request.useful_until or request.deadline
+        order = (make_rank(request), useful_until, next(self._sequence))
+        place = bisect.bisect(self._queue, order, key=lambda waiter: waiter.order)
+        run_time = self.expected_time(request.class_name)
+        if now + (place + 1) * self._turn() + run_time > useful_until:
+            self.counts["refused_on_arrival"] += 1
+            raise self._make_refusal("no answer in time can be expected")
+        loop = asyncio.get_running_loop()
+        waiter = _Waiter(order, request, loop.create_future())
+        self._queue.insert(place, waiter)
+        spare = max(0.0, useful_until - run_time - now)
+        waiter.expiry = loop.call_later(spare, self._expire, waiter)
+        return waiter
+
+    def _expire(self, waiter: _Waiter) -> None:
+        """Refuse a request that others have kept waiting for too long."""
+        self.counts["refused_waiting"] += 1
+        self._refuse(waiter, ErrorCode.OVERLOADED, "no slot came free in time")
+
+    def _grant_waiting(self, now: float) -> None:
+        while self._queue and self._has_room(self._queue[0].request, now):
+            waiter = self._queue[0]
+            self._remove(waiter)
+            if not waiter.granted.done():
+                waiter.granted.set_result(self._start(waiter.request, now))
+
+    def _refuse(self, waiter: _Waiter, code: ErrorCode, message: str) -> None:
+        self._remove(waiter)
+        if not waiter.granted.done():
+            waiter.granted.set_exception(CallError(code, message))
+
+    def _remove(self, waiter: _Waiter) -> None:
+        if waiter.expiry is not None:
+            waiter.expiry.cancel()
+        if waiter in self._queue:
+            self._queue.remove(waiter)
+
+    def _make_refusal(self, message: str) -> CallError:
+        return CallError(ErrorCode.OVERLOADED, message)
+
+
+class _Average:
+    """An exponentially weighted average that begins with its first value."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+
+    def add(self, value: float) -> None:
+        weight = SERVICE_TIME_WEIGHT if self.value else 1.0
+        self.value += weight * (value - self.value)
+
+
+def make_rank(request: CallRequest) -> int:
+    """Return the rank in the queue; requests that others depend on go first."""
+    return -1 if request.nested else request.rank
--- a/packages/almondrouter/src/almondrouter/errors.py
+++ b/packages/almondrouter/src/almondrouter/errors.py
@@ -34,6 +34,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
     STORE_RESPONSE_INVALID = "store_response_invalid"
+    HISTORY_COMPACTED = "history_compacted"
     LEASE_EXPIRED = "lease_expired"
 
     # Links between daemons
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -66,6 +66,17 @@
         W3C trace context; empty if the call is not traced.
     version
         Configuration version that the route came from.
+    rank
+        Rank of the route; 0 is served first.
+    repeatable
+        Whether the request is idempotent.
+    useful_until
+        Monotonic clock of the sender in seconds until which an answer is of
+        full use; 0 if that is not known.
+    nested
+        Whether a backend server makes the request while it serves another one.
+    caller_service
+        Service of the host that the request began on.
     """
 
     call_id: int
@@ -79,6 +90,11 @@
     key: str
     traceparent: str
     version: int
+    rank: int = 0
+    repeatable: bool = False
+    useful_until: float = 0.0
+    nested: bool = False
+    caller_service: str = ""
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -110,6 +126,10 @@
         Error code; empty for a complete answer.
     load
         Load of the backend server; None if it is gone.
+    version
+        Configuration version in force where the call ran; 0 if not told.
+    retry_after
+        Seconds after which a refused call has a chance; 0 if not told.
     """
 
     call_id: int
@@ -119,6 +139,8 @@
     body: bytes
     code: str
     load: Load | None
+    version: int = 0
+    retry_after: float = 0.0
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+import re
+from collections import Counter, deque
+from collections.abc import Callable
 from http import HTTPStatus
 
 import httptools
@@ -16,6 +18,7 @@
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.calls import BackendResponse, BackendSender
 from almondrouter.transport.deadlines import Deadlines
+from almondrouter.transport.listeners import set_user_timeout
 
 CONNECT_S = 1.0
 MAX_IDLE_S = 30.0
@@ -24,11 +27,19 @@
 A request on a connection that the backend server closes at that moment has an
 unknown outcome, so idle connections end here before they end there.
 """
+KEEP_ALIVE_MARGIN_S = 1.0
+"""Seconds before the announced idle timeout at which a connection is given up."""
+MAX_UNACKNOWLEDGED_S = 1.0
+"""Seconds after which a peer that acknowledges no bytes is taken as gone."""
 MAX_RESPONSE_BYTES = 7_500_000
 """Longest response; it has to fit into a frame with its headers."""
 MAX_HEADER_BYTES = 131_072
 
 _OUTCOME_HEADER = OUTCOME.lower()
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
+
+Matcher = Callable[[HeaderList], bool]
+"""Tells from its headers whether a response belongs to the request."""
 
 
 class BackendClient(BackendSender):
@@ -42,12 +53,28 @@
         Connections that the backend server allows.
     clock
         Source of monotonic time.
+    max_idle
+        Seconds after which an idle connection is not used again.
+    accept_unframed
+        Whether a response without a length that ends with its connection is
+        whole; it cannot be told from one that its sender broke off.
     """
 
-    def __init__(self, address: str, *, connections: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        connections: int,
+        clock: Clock,
+        max_idle: float = MAX_IDLE_S,
+        accept_unframed: bool = False,
+    ) -> None:
         self._address = address
         self._limit = connections
         self._clock = clock
+        self._max_idle = max_idle
+        self._accept_unframed = accept_unframed
+        self.counts: Counter[str] = Counter()
         self._deadlines = Deadlines(clock)
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
@@ -72,19 +99,22 @@
         body: bytes,
         *,
         deadline: float,
+        matches: Matcher | None = None,
+        max_idle: float | None = None,
     ) -> BackendResponse:
         data = encode_request(self._address, method, target, headers, body)
         sent = False
         connection = future = None
         try:
             self._check_deadline(deadline)
-            connection = self._take_idle()
+            limit = self._max_idle if max_idle is None else max_idle
+            connection = self._take_idle(limit)
             if connection is None:
                 async with asyncio.timeout(deadline - self._clock.monotonic()):
-                    connection = await self._acquire()
+                    connection = await self._acquire(limit)
                 self._check_deadline(deadline)
             sent = True
-            future = connection.start(data, is_head=method == "HEAD")
+            future = connection.start(data, is_head=method == "HEAD", matches=matches)
             self._deadlines.add(future, deadline)
             response = await connection.finish(future)
         except TimeoutError as error:
@@ -104,13 +134,17 @@
         if self._clock.monotonic() >= deadline:
             raise CallError(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed")
 
-    async def _acquire(self) -> _Connection:
+    async def _acquire(self, max_idle: float) -> _Connection:
         while True:
-            connection = self._take_idle()
+            connection = self._take_idle(max_idle)
             if connection is not None:
                 return connection
             if self.connections < self._limit:
                 return await self._connect()
+            if self._idle:
+                # Idle for too long for this request; makes room for a new one.
+                self._drop(self._idle.pop(0))
+                continue
             waiter = asyncio.get_running_loop().create_future()
             self._waiters.append(waiter)
             try:
@@ -120,23 +154,39 @@
                     self._wake_next()
                 raise
 
-    def _take_idle(self) -> _Connection | None:
-        horizon = self._clock.monotonic() - MAX_IDLE_S
+    def drop_idle(self) -> None:
+        """Close the idle connections, which may be as dead as one that failed."""
         while self._idle:
-            connection = self._idle.pop()
-            if connection.usable and connection.idle_since > horizon:
-                return connection
-            connection.abort()
-            self._open.discard(connection)
+            self._drop(self._idle.pop())
+
+    def _take_idle(self, max_idle: float) -> _Connection | None:
+        now = self._clock.monotonic()
+        while self._idle:
+            connection = self._idle[-1]
+            if not connection.usable or now >= connection.reusable_until:
+                self._drop(self._idle.pop())
+            elif connection.idle_since > now - max_idle:
+                return self._idle.pop()
+            else:
+                return None
         return None
 
+    def _drop(self, connection: _Connection) -> None:
+        connection.abort()
+        self._open.discard(connection)
+
     async def _connect(self) -> _Connection:
         loop = asyncio.get_running_loop()
         host, port = split_address(self._address)
         self._connecting += 1
         try:
             async with asyncio.timeout(CONNECT_S):
-                _, connection = await loop.create_connection(_Connection, host, port)
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(accept_unframed=self._accept_unframed),
+                    host,
+                    port,
+                )
+            self.counts["connections_opened"] += 1
         except (OSError, TimeoutError) as error:
             self._wake_next()
             message = f"the backend server cannot be connected: {error}"
@@ -150,12 +200,15 @@
         return connection
 
     def _give_back(self, connection: _Connection) -> None:
+        self.counts["stray_responses"] += connection.take_stray_count()
         if connection.usable:
-            connection.idle_since = self._clock.monotonic()
+            now = self._clock.monotonic()
+            connection.idle_since = now
+            usable_for = connection.announced_idle - KEEP_ALIVE_MARGIN_S
+            connection.reusable_until = now + min(self._max_idle, usable_for)
             self._idle.append(connection)
         else:
-            connection.abort()
-            self._open.discard(connection)
+            self._drop(connection)
         self._wake_next()
 
     def _wake_next(self) -> None:
@@ -169,20 +222,35 @@
 class _Connection(asyncio.Protocol):
     """One connection, with one request at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, accept_unframed: bool) -> None:
+        self._accept_unframed = accept_unframed
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._future: asyncio.Future[BackendResponse] | None = None
         self._is_head = False
+        self._matches: Matcher | None = None
+        self._stray_count = 0
         self.usable = True
         self.idle_since = 0.0
+        self.reusable_until = 0.0
+        self.announced_idle = float("inf")
         self._reset()
 
-    def start(self, data: bytes, *, is_head: bool) -> asyncio.Future[BackendResponse]:
-        """Send a request; the future gets its whole response."""
+    def start(
+        self, data: bytes, *, is_head: bool, matches: Matcher | None = None
+    ) -> asyncio.Future[BackendResponse]:
+        """Send a request; the future gets its whole response.
+
+        Parameters
+        ----------
+        matches
+            Responses that it rejects belong to an earlier request and are
+            discarded; the connection is closed after the right one.
+        """
         self._reset()
         self._parser = httptools.HttpResponseParser(self)
         self._is_head = is_head
+        self._matches = matches
         self._future = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         return self._future
@@ -208,8 +276,21 @@
         self.usable = False
         self._transport.abort()
 
+    def take_stray_count(self) -> int:
+        """Return how many responses were discarded since the last call."""
+        count, self._stray_count = self._stray_count, 0
+        return count
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
+        set_user_timeout(transport, MAX_UNACKNOWLEDGED_S)
+
+    def eof_received(self) -> None:
+        """Finish a response without a length, which ends with its connection."""
+        self.usable = False
+        ends_here = self._headers_done and not self._framed and not self._complete
+        if ends_here and self._accept_unframed and self._future is not None:
+            self._finish()
 
     def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
         self._fail("the backend server closed the connection")
@@ -235,10 +316,18 @@
         if self._parser.get_status_code() < HTTPStatus.OK:
             return
         self._headers_done = True
+        self._framed = any(
+            name in ("content-length", "transfer-encoding") for name, _ in self._headers
+        )
         if self._is_head:
             self.usable = False
             self._finish()
 
+    def on_message_begin(self) -> None:
+        """Give the connection up if a response comes that was not asked for."""
+        if self._complete:
+            self.usable = False
+
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
         self._body_size += len(body)
@@ -248,13 +337,7 @@
             self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Finish the response, unless it is an interim one.
-
-        Notes
-        -----
-        A response that ends with its connection is never complete: it cannot
-        be told from a truncated one.
-        """
+        """Finish the response, unless it is an interim one."""
         if not self._headers_done:
             self._headers = []
         elif not self._complete:
@@ -263,15 +346,28 @@
             self.usable = False
 
     def _finish(self) -> None:
+        if self._matches is not None and not self._matches(tuple(self._headers)):
+            self._stray_count += 1
+            self.usable = False
+            self._reset()
+            return
         self._complete = True
-        if not self._parser.should_keep_alive():
+        # A peer that answers before it has read the whole request reads on later.
+        unread = self._transport.get_write_buffer_size() > 0
+        if unread or not self._parser.should_keep_alive():
             self.usable = False
+        self._read_keep_alive()
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
         status = self._parser.get_status_code()
         if self._future is not None and not self._future.done():
             response = BackendResponse(status, tuple(self._headers), body)
             self._future.set_result(response)
 
+    def _read_keep_alive(self) -> None:
+        for name, value in self._headers:
+            if name == "keep-alive" and (found := _KEEP_ALIVE_TIMEOUT.search(value)):
+                self.announced_idle = float(found[1])
+
     def _fail(self, message: str) -> None:
         self.abort()
         if self._future is not None and not self._future.done():
@@ -287,6 +383,7 @@
         self._header_bytes = 0
         self._body_size = 0
         self._complete = False
+        self._framed = True
 
 
 def is_refusal(response: BackendResponse) -> bool:
--- a/packages/almondrouter/src/almondrouter/transport/calls.py
+++ b/packages/almondrouter/src/almondrouter/transport/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from almondrouter.protocol.calls import CallReply, CallRequest, ClaimQuery, HeaderList
@@ -17,12 +18,15 @@
     method, target, headers, body
         The HTTP request; ``target`` is path and query, header names are in
         lower case.
+    peer
+        IP number that the request came from; empty if it is not known.
     """
 
     method: str
     target: str
     headers: HeaderList
     body: bytes
+    peer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +84,8 @@
         body: bytes,
         *,
         deadline: float,
+        matches: Callable[[HeaderList], bool] | None = None,
+        max_idle: float | None = None,
     ) -> BackendResponse:
         """Send a request and return the whole response.
 
@@ -87,6 +93,11 @@
         ----------
         deadline
             Monotonic seconds until which the response is waited for.
+        matches
+            Tells from its headers whether a response belongs to the request.
+        max_idle
+            Seconds for which a connection may have been idle; a request that
+            must not be repeated takes a younger one.
 
         Raises
         ------
--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -13,6 +13,7 @@
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol.calls import CALL_CODEC, CallFrame, Hello, Ping, Pong
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES
+from almondrouter.transport.listeners import set_user_timeout
 
 HANDSHAKE_S = 3.0
 PING_INTERVAL_S = 1.0
@@ -81,6 +82,8 @@
         Source of monotonic time.
     connected
         Run as a task when the connection is open; for servers.
+    max_silence
+        Seconds without any byte after which the peer counts as silent.
 
     Notes
     -----
@@ -90,9 +93,14 @@
     """
 
     def __init__(
-        self, clock: Clock, *, connected: Callable[..., Coroutine] | None = None
+        self,
+        clock: Clock,
+        *,
+        connected: Callable[..., Coroutine] | None = None,
+        max_silence: float = MAX_SILENCE_S,
     ) -> None:
         self._clock = clock
+        self._max_silence = max_silence
         self._connected = connected
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -110,11 +118,15 @@
         self.offset = ClockOffset()
 
     @classmethod
-    async def connect(cls, address: str, clock: Clock) -> FrameStream:
+    async def connect(
+        cls, address: str, clock: Clock, *, max_silence: float = MAX_SILENCE_S
+    ) -> FrameStream:
         """Open a connection to ``ip:port``."""
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
-        _, stream = await loop.create_connection(lambda: cls(clock), host, port)
+        _, stream = await loop.create_connection(
+            lambda: cls(clock, max_silence=max_silence), host, port
+        )
         return stream
 
     def forward(
@@ -172,6 +184,11 @@
             return
         self._transport.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
 
+    @property
+    def heard_at(self) -> float:
+        """Return the monotonic time in seconds of the last bytes from the peer."""
+        return self._heard_at
+
     @property
     def is_writable(self) -> bool:
         """Whether the peer has read enough of what was written before."""
@@ -191,15 +208,14 @@
 
         Notes
         -----
-        To be called every `PING_INTERVAL_S` while something is expected. A
-        late call means that this process was frozen, which says nothing of
-        the peer.
+        To be called regularly while something is expected. A late call means
+        that this process was frozen, which says nothing of the peer.
         """
         now = self._clock.monotonic()
-        if self._checked_at is not None and now - self._checked_at > MAX_SILENCE_S:
+        if self._checked_at is not None and now - self._checked_at > self._max_silence:
             self._heard_at = now
         self._checked_at = now
-        if now - self._heard_at >= MAX_SILENCE_S:
+        if now - self._heard_at >= self._max_silence:
             return True
         self.send(Ping(now))
         return False
@@ -255,6 +271,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
+        set_user_timeout(transport, self._max_silence)
         if self._connected is not None:
             self._task = asyncio.create_task(self._connected(self))
 
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
 
 import msgspec
 
@@ -18,6 +19,7 @@
     ClaimQuery,
     Hello,
 )
+from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.called_link import CalledLink
@@ -25,6 +27,9 @@
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import (
     HANDSHAKE_S,
+    MAX_SILENCE_S,
+    PING_INTERVAL_S,
+    ClockOffset,
     FrameStream,
 )
 from almondrouter.transport.listeners import Listener, tick_forever
@@ -36,6 +41,32 @@
 MAX_OPEN_CALLS = 10_000
 """Calls of one link that a server holds at a time."""
 
+_BULK_SUFFIX = "#bulk"
+
+
+@dataclass(frozen=True, slots=True)
+class LinkPolicy:
+    """How links are shared, and how soon a silent peer is noticed, in seconds.
+
+    Parameters
+    ----------
+    ping_interval, max_silence
+        Time between pings, and time without any byte after which a link ends.
+    max_connect_wait
+        Time that a call waits for a link that is not open yet.
+    ping_idle
+        Whether links without open calls are watched too.
+    max_short_bytes
+        Longest body that shares a link with short requests.
+    """
+
+    ping_interval: float = PING_INTERVAL_S
+    max_silence: float = MAX_SILENCE_S
+    max_connect_wait: float = CONNECT_S
+    ping_idle: bool = False
+    max_short_bytes: int = MAX_CALL_FRAME_BYTES
+
+
 LinkHandler = Callable[[CallRequest | ClaimQuery], Awaitable[CallReply]]
 
 
@@ -60,6 +91,8 @@
         seconds. It is cancelled if the caller goes away.
     clock
         Source of monotonic time.
+    policy
+        How soon silence is noticed.
 
     Notes
     -----
@@ -69,9 +102,16 @@
     """
 
     def __init__(
-        self, *, address: str, hello: Hello, handler: LinkHandler, clock: Clock
+        self,
+        *,
+        address: str,
+        hello: Hello,
+        handler: LinkHandler,
+        clock: Clock,
+        policy: LinkPolicy | None = None,
     ) -> None:
-        super().__init__(address)
+        self._policy = policy or LinkPolicy()
+        super().__init__(address, tick_interval=self._policy.ping_interval)
         self._hello = hello
         self._handler = handler
         self._clock = clock
@@ -83,6 +123,11 @@
     def make_protocol(self) -> asyncio.BaseProtocol:  # noqa: D102
         return self._make_stream()
 
+    @property
+    def calls_in_flight(self) -> int:
+        """Return how many calls have no reply yet."""
+        return sum(len(link.open_calls) for link in self._links)
+
     async def drain(self) -> None:
         """Refuse new calls and wait until those in flight are answered."""
         self.draining = True
@@ -110,7 +155,9 @@
                 link.stream.close()
 
     def _make_stream(self) -> FrameStream:
-        return FrameStream(self._clock, connected=self._serve)
+        return FrameStream(
+            self._clock, connected=self._serve, max_silence=self._policy.max_silence
+        )
 
     async def _serve(self, stream: FrameStream) -> None:
         """Greet a peer, then have its frames served as they arrive."""
@@ -159,8 +206,7 @@
             return
         if not link.open_calls:
             link.stream.watch()
-        deadline = link.stream.offset.localize(frame.deadline)
-        request = msgspec.structs.replace(frame, deadline=deadline)
+        request = localize_deadlines(frame, link.stream.offset)
         task = self._start_task(self._answer(link, request))
         link.open_calls[frame.call_id] = (task, request.key)
 
@@ -198,8 +244,21 @@
             link.stream.send(make_reply(reply.call_id, Outcome.UNKNOWN, code))
 
 
+def localize_deadlines(
+    frame: CallRequest | ClaimQuery, offset: ClockOffset
+) -> CallRequest | ClaimQuery:
+    """Return a frame with its times in this host's monotonic seconds."""
+    deadline = offset.localize(frame.deadline)
+    if isinstance(frame, CallRequest) and frame.useful_until:
+        useful_until = offset.localize(frame.useful_until)
+        return msgspec.structs.replace(
+            frame, deadline=deadline, useful_until=useful_until
+        )
+    return msgspec.structs.replace(frame, deadline=deadline)
+
+
 class CallLinkPool(CallLinks):
-    """Keeps one link to each daemon that is called.
+    """Keeps links to each daemon that is called.
 
     Parameters
     ----------
@@ -207,9 +266,19 @@
         Greeting of this daemon; its clock is filled in.
     clock
         Source of monotonic time.
+    policy
+        How soon silence is noticed.
+
+    Notes
+    -----
+    Bodies longer than the policy's ``max_short_bytes`` have a link of their own,
+    so that short requests do not wait behind them on a narrow path.
     """
 
-    def __init__(self, *, hello: Hello, clock: Clock) -> None:
+    def __init__(
+        self, *, hello: Hello, clock: Clock, policy: LinkPolicy | None = None
+    ) -> None:
+        self._policy = policy or LinkPolicy()
         self._hello = hello
         self._clock = clock
         self._deadlines = Deadlines(clock)
@@ -220,7 +289,9 @@
 
     async def start(self) -> None:
         """Begin to watch the links for silence."""
-        self._ticker = asyncio.create_task(tick_forever(self.tick))
+        self._ticker = asyncio.create_task(
+            tick_forever(self.tick, self._policy.ping_interval)
+        )
 
     async def close(self) -> None:
         """Drop all links; calls in flight end as ``peer_timeout``."""
@@ -236,16 +307,35 @@
     async def call(  # noqa: D102
         self, peer_address: str, request: CallRequest | ClaimQuery
     ) -> CallReply:
-        link = self._links.get(peer_address)
+        name = peer_address
+        is_call = isinstance(request, CallRequest)
+        if is_call and len(request.body) > self._policy.max_short_bytes:
+            name += _BULK_SUFFIX
+        link = self._links.get(name)
         if link is None:
-            link = await self._connect(peer_address, request.deadline)
+            now = self._clock.monotonic()
+            patience = now + self._policy.max_connect_wait
+            link = await self._connect(name, min(request.deadline, patience))
         return await link.call(request)
 
+    def warm(self, peer_address: str) -> None:
+        """Open the link to a daemon before a call needs it."""
+        if peer_address not in self._links and peer_address not in self._connecting:
+            self._start_connecting(peer_address)
+
+    def is_alive(self, peer_address: str) -> bool:
+        """Return whether a daemon was heard on its link lately."""
+        link = self._links.get(peer_address)
+        if link is None:
+            return False
+        horizon = self._clock.monotonic() - self._policy.max_silence
+        return link.stream.heard_at > horizon
+
     def tick(self) -> None:
         """Ping the peers of open calls; drop silent links and idle ones."""
         now = self._clock.monotonic()
         for address, link in tuple(self._links.items()):
-            if link.pending:
+            if link.pending or self._policy.ping_idle:
                 if link.stream.check_silence():
                     self.counts["silent"] += 1
                     self._drop(address, link, "silent")
@@ -253,11 +343,7 @@
                 self._drop(address, link, "idle")
 
     async def _connect(self, address: str, deadline: float) -> CalledLink:
-        task = self._connecting.get(address)
-        if task is None:
-            task = asyncio.create_task(self._open(address))
-            self._connecting[address] = task
-            task.add_done_callback(lambda done: self._connected(address, done))
+        task = self._connecting.get(address) or self._start_connecting(address)
         try:
             async with asyncio.timeout(deadline - self._clock.monotonic()):
                 return await asyncio.shield(task)
@@ -265,6 +351,12 @@
             message = f"no link to {address}: {error}"
             raise CallError(ErrorCode.PEER_UNAVAILABLE, message) from error
 
+    def _start_connecting(self, address: str) -> asyncio.Task[CalledLink]:
+        task = asyncio.create_task(self._open(address))
+        self._connecting[address] = task
+        task.add_done_callback(lambda done: self._connected(address, done))
+        return task
+
     def _connected(self, address: str, task: asyncio.Task) -> None:
         self._connecting.pop(address, None)
         if not task.cancelled():
@@ -274,7 +366,11 @@
         stream = None
         try:
             async with asyncio.timeout(CONNECT_S):
-                stream = await FrameStream.connect(address, self._clock)
+                stream = await FrameStream.connect(
+                    address.removesuffix(_BULK_SUFFIX),
+                    self._clock,
+                    max_silence=self._policy.max_silence,
+                )
                 await stream.greet(self._hello)
         except BaseException as error:
             code = error.code.value if isinstance(error, AlmondError) else "unreachable"
--- a/packages/almondrouter/src/almondrouter/transport/listeners.py
+++ b/packages/almondrouter/src/almondrouter/transport/listeners.py
@@ -1,8 +1,9 @@
-"""TCP servers that look at their connections every second."""
+"""TCP servers that look at their connections regularly."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -13,16 +14,19 @@
 
 
 class Listener(ABC):
-    """A TCP server that looks at its connections every second.
+    """A TCP server that looks at its connections regularly.
 
     Parameters
     ----------
     address
         ``ip:port`` to listen on; port 0 takes a free one.
+    tick_interval
+        Seconds between looks at the connections.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, tick_interval: float = TICK_S) -> None:
         self._address = address
+        self._tick_interval = tick_interval
         self._server: asyncio.Server | None = None
         self._ticker: asyncio.Task | None = None
 
@@ -48,7 +52,7 @@
             self._server = await loop.create_server(self.make_protocol, host, port)
         except OSError as error:
             raise AlmondError(ErrorCode.ADDRESS_IN_USE, str(error)) from error
-        self._ticker = asyncio.create_task(tick_forever(self.tick))
+        self._ticker = asyncio.create_task(tick_forever(self.tick, self._tick_interval))
 
     @abstractmethod
     def make_protocol(self) -> asyncio.BaseProtocol:
@@ -69,8 +73,16 @@
             self._ticker.cancel()
 
 
-async def tick_forever(tick: Callable[[], None]) -> None:
-    """Call ``tick`` every second."""
+async def tick_forever(tick: Callable[[], None], interval: float = TICK_S) -> None:
+    """Call ``tick`` at an interval in seconds."""
     while True:
-        await asyncio.sleep(TICK_S)
+        await asyncio.sleep(interval)
         tick()
+
+
+def set_user_timeout(transport: asyncio.Transport, seconds: float) -> None:
+    """Drop a connection whose peer acknowledges nothing for some seconds."""
+    connected = transport.get_extra_info("socket")
+    if connected is not None:
+        milliseconds = int(seconds * 1000)
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
--- a/packages/almondrouterd/src/almondrouterd/backendmonitor.py
+++ b/packages/almondrouterd/src/almondrouterd/backendmonitor.py
@@ -14,10 +14,10 @@
 from almondrouter.clock import Clock
 from almondrouter.coordination.admission import Admission
 from almondrouter.errors import ErrorCode, Finding, FindingsError
+from almondrouter.logs import StateLogger
 from almondrouter.settings import parse_address, parse_name
 from almondrouter.state.registry import BackendRecord, BackendState
 from almondrouter.transport.backends import BackendClient
-from almondrouterd.logs import StateLogger
 
 ANNOUNCEMENT_INTERVAL_S = 1.0
 MAX_MISSED_ANNOUNCEMENTS = 3
--- a/packages/almondrouterd/src/almondrouterd/daemon.py
+++ b/packages/almondrouterd/src/almondrouterd/daemon.py
@@ -13,6 +13,7 @@
 from almondrouter.coordination.retries import RetryBudget
 from almondrouter.coordination.routing import LeastOccupied
 from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.logs import StateLogger
 from almondrouter.protocol import headers
 from almondrouter.protocol.calls import Hello
 from almondrouter.protocol.codec import PROTOCOL_VERSION
@@ -32,7 +33,6 @@
 from almondrouterd.controlplane import ControlPlane
 from almondrouterd.explanations import Explanations
 from almondrouterd.figures import register_figures
-from almondrouterd.logs import StateLogger
 from almondrouterd.metrics import DaemonMetrics
 from almondrouterd.status import StatusReports
 
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -0,0 +1,433 @@
+"""The daemon of a host whose platform keeps the records and the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random as random_module
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import msgspec
+
+from almondrouter.clock import SuspendAwareClock
+from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.forwarding import Forwarder, make_reply
+from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.registration import HostRecords, Registration
+from almondrouter.coordination.repeats import RepeatBudget
+from almondrouter.coordination.routing import LeastOccupied
+from almondrouter.coordination.storefeed import StoreFeed
+from almondrouter.coordination.weights import WeightedTurns
+from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.logs import LineWriter, StateLogger
+from almondrouter.protocol.calls import CallReply, CallRequest, ClaimQuery, Hello
+from almondrouter.protocol.codec import PROTOCOL_VERSION
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.state.hosts import HostEntry, ServingState
+from almondrouter.state.occupancy import OccupancyTable
+from almondrouter.state.routes import CallerLimits
+from almondrouter.transport.backends import BackendClient
+from almondrouter.transport.callers import CallerServer
+from almondrouter.transport.calls import CallerRequest, CallerResponse
+from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
+from almondrouterd.hostmetrics import register_call_figures, register_state_figures
+from almondrouterd.metrics import DaemonMetrics
+from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
+from almondrouterd.platform.headers import PlatformDialect
+from almondrouterd.platform.heartbeats import (
+    ACKNOWLEDGEMENT,
+    HEARTBEAT_PATH,
+    LEAVE_PATH,
+    READY_PATH,
+    decode_heartbeat,
+    decode_leaving,
+)
+from almondrouterd.platform.settings import HostSettings
+from almondrouterd.platform.store import PlatformStore
+
+LINK_POLICY = LinkPolicy(
+    ping_interval=0.3,
+    max_silence=1.0,
+    max_connect_wait=0.3,
+    ping_idle=True,
+    max_short_bytes=16_384,
+)
+"""A cut peer is noticed while most of its callers still have time for another."""
+MAX_SMALL_BODY = 65_536
+"""Longest body of a heartbeat or a readiness check, in bytes."""
+TIDY_S = 0.25
+"""Seconds between looks at records that were lost."""
+STORE_WAIT_S = 3.0
+"""Seconds for which a starting daemon is not ready while the store is silent."""
+QUIET_S = 0.3
+"""Seconds without a request after which a stopping daemon may end."""
+READY_CHECKS_MISSED_S = 2.3
+"""Seconds after which nobody sends new work to a daemon that is not ready."""
+KILL_MARGIN_S = 0.5
+"""Seconds before the kill signal at which a stopping daemon gives up waiting."""
+MAX_CONNECTIONS = 100
+"""Connections to the backend server; it accepts a few more from all callers."""
+
+_log = StateLogger("daemon")
+_JSON = (("content-type", "application/json"),)
+_PLAIN = (("content-type", "text/plain; version=0.0.4; charset=utf-8"),)
+METRICS_PATH = "/metrics"
+
+
+@dataclass(slots=True)
+class _Life:
+    """Times in the life of the daemon, in monotonic seconds."""
+
+    started_at: float
+    stopping_at: float | None = None
+    last_request_at: float = 0.0
+
+
+class HostDaemon:
+    """Puts the parts together for one host.
+
+    Parameters
+    ----------
+    settings
+        What the platform tells of the host.
+    log_writer
+        Tells how many log lines were dropped.
+    """
+
+    def __init__(self, settings: HostSettings, *, log_writer: LineWriter) -> None:
+        self.settings = settings
+        self._clock = SuspendAwareClock()
+        self._random = random_module.Random()
+        self._life = _Life(self._clock.monotonic())
+        self._incarnation = int(self._clock.wall() * 1000)
+        self._tasks: list[asyncio.Task] = []
+        self._dialect = PlatformDialect()
+        self._metrics = DaemonMetrics()
+        self._build_state()
+        self._build_calls()
+        self._build_servers()
+        self._build_metrics(log_writer)
+
+    def _build_state(self) -> None:
+        settings, clock = self.settings, self._clock
+        self._store = PlatformStore(settings.store_address, clock=clock)
+        hello = Hello(
+            "almondrouter", PROTOCOL_VERSION, settings.host, self._incarnation, 0.0
+        )
+        self._hello = hello
+        self.links = CallLinkPool(hello=hello, clock=clock, policy=LINK_POLICY)
+        self.directory = HostDirectory(clock=clock, is_alive=self.links.is_alive)
+        self.routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        self.registration = Registration(
+            self._store, make_entry=self._make_entry, clock=clock, random=self._random
+        )
+        records = HostRecords(
+            self.directory,
+            own_host=settings.host,
+            lost=self.registration.note_lost,
+            seen=self._warm_link,
+        )
+        self.feed = StoreFeed(
+            self._store, (self.routes, records), clock=clock, random=self._random
+        )
+
+    def _build_calls(self) -> None:
+        settings, clock = self.settings, self._clock
+        self.backend_client = BackendClient(
+            settings.backend_address,
+            connections=MAX_CONNECTIONS,
+            clock=clock,
+            accept_unframed=True,
+        )
+        self.backend = LocalBackend(
+            sender=self.backend_client,
+            dialect=self._dialect,
+            clock=clock,
+            changed=self._backend_changed,
+        )
+        self.repeats = RepeatBudget(
+            settings.repeat_limits,
+            count_hosts=lambda: len(self.directory),
+            clock=clock,
+        )
+        self._forwarder = Forwarder(
+            table=lambda: self.routes.table,
+            directory=self.directory,
+            choice=LeastOccupied(
+                data_centre=settings.data_centre,
+                region=settings.region,
+                occupancy=OccupancyTable(),
+                random=self._random,
+                clock=clock,
+            ),
+            turns=WeightedTurns(self._random),
+            repeats=self.repeats,
+            links=self.links,
+            run_here=self._run_call,
+            dialect=self._dialect,
+            clock=clock,
+            random=self._random,
+            host=settings.host,
+            own_service=settings.own_service,
+            own_address=settings.ip,
+            version_seen=self._version_seen,
+            finished=self._metrics.record_call,
+        )
+
+    def _build_servers(self) -> None:
+        settings, clock = self.settings, self._clock
+        self.callers = CallerServer(
+            address=settings.caller_address,
+            handler=self._handle_caller,
+            max_body_bytes=0,
+            version=lambda: self.routes.version,
+            clock=clock,
+            limits=self._get_caller_limits,
+        )
+        self.link_server = CallLinkServer(
+            address=settings.peer_address,
+            hello=self._hello,
+            handler=self._handle_link,
+            clock=clock,
+            policy=LINK_POLICY,
+        )
+        self._ready_server = self._make_small_server(
+            settings.ready_address, self._handle_ready
+        )
+        self._control_server = self._make_small_server(
+            settings.backend_control_address, self._handle_control
+        )
+
+    def _make_small_server(self, address: str, handler) -> CallerServer:  # noqa: ANN001
+        return CallerServer(
+            address=address,
+            handler=handler,
+            max_body_bytes=MAX_SMALL_BODY,
+            clock=self._clock,
+        )
+
+    def _build_metrics(self, log_writer: LineWriter) -> None:
+        register_state_figures(
+            self._metrics,
+            routes=self.routes,
+            directory=self.directory,
+            log_writer=log_writer,
+        )
+        register_call_figures(
+            self._metrics,
+            backend=self.backend,
+            repeats=self.repeats,
+            links=self.links,
+            store=self._store,
+        )
+        address = f"{self.settings.ip}:{self.settings.metrics_port}"
+        self._metrics_server = self._make_small_server(address, self._handle_metrics)
+
+    async def start(self) -> None:
+        """Listen and begin to follow the store."""
+        for server in self._servers():
+            await server.start()
+        await self.links.start()
+        for work in (self.feed.run(), self.registration.run(), self._tidy_forever()):
+            self._start_task(work)
+        _log.info(
+            "daemon started",
+            incarnation=self._incarnation,
+            service=self.settings.own_service,
+            data_centre=self.settings.data_centre,
+        )
+
+    async def drain(self) -> None:
+        """End what is in flight, send callers elsewhere, then stop listening.
+
+        Notes
+        -----
+        Callers learn from the readiness check that this daemon stops, so it goes
+        on serving until they have had time to notice.
+        """
+        now = self._clock.monotonic()
+        self._life.stopping_at = now
+        kill_at = now + self.settings.stop_within - KILL_MARGIN_S
+        _log.info("daemon stopping", in_flight=self.callers.requests_in_flight)
+        self.callers.wind_down()
+        self.backend.change_state(ServingState.LEAVING, reason="the daemon stops")
+        self.registration.update()
+        await self._wait_until_quiet(kill_at)
+        await self._close_gracefully(kill_at)
+        _log.info("daemon stopped", in_flight=self.callers.requests_in_flight)
+
+    async def close(self) -> None:
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        for server in self._servers():
+            await server.close()
+        await self.links.close()
+        await self.backend_client.close()
+        await self._store.close()
+
+    def reload(self) -> None:
+        """Note that the settings file has changed.
+
+        Notes
+        -----
+        Addresses and bounds are fixed for the life of the process, so nothing is
+        taken over before the next start.
+        """
+        _log.info("reload asked for", version=self.routes.version)
+
+    def count_in_flight(self) -> int:
+        """Return how many requests are served here in either direction."""
+        return (
+            self.callers.requests_in_flight
+            + self.link_server.calls_in_flight
+            + self.backend.runs_in_flight
+        )
+
+    def _servers(self) -> tuple[CallerServer | CallLinkServer, ...]:
+        return (
+            self.callers,
+            self.link_server,
+            self._ready_server,
+            self._control_server,
+            self._metrics_server,
+        )
+
+    async def _wait_until_quiet(self, kill_at: float) -> None:
+        leave_at = self._clock.monotonic() + READY_CHECKS_MISSED_S
+        while True:
+            now = self._clock.monotonic()
+            quiet = now - self._life.last_request_at > QUIET_S
+            if now >= kill_at or (now >= leave_at and quiet):
+                return
+            await asyncio.sleep(0.05)
+
+    async def _close_gracefully(self, kill_at: float) -> None:
+        left = max(0.0, kill_at - self._clock.monotonic())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left):
+                await self.callers.drain()
+                await self.link_server.drain()
+                while self.backend.runs_in_flight:
+                    await asyncio.sleep(0.02)
+                await self.registration.withdraw()
+
+    def _start_task(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._check_ended)
+        self._tasks.append(task)
+
+    def _check_ended(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            _log.error("background task failed", error=repr(error))
+
+    async def _tidy_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TIDY_S)
+            self.directory.expire()
+
+    def _get_caller_limits(self) -> CallerLimits:
+        table = self.routes.table
+        return table.limits if table is not None else CallerLimits()
+
+    def _make_entry(self) -> HostEntry:
+        settings = self.settings
+        return HostEntry(
+            settings.host,
+            self._incarnation,
+            settings.data_centre,
+            settings.region,
+            settings.peer_address,
+            self.backend.entry,
+        )
+
+    def _backend_changed(self) -> None:
+        self.directory.put(self._make_entry())
+        self.registration.update()
+
+    def _warm_link(self, entry: HostEntry) -> None:
+        if entry.host != self.settings.host:
+            self.links.warm(entry.peer_address)
+
+    def _version_seen(self, version: int) -> None:
+        if version > self.routes.version:
+            self.feed.request_reread()
+
+    async def _handle_caller(self, request: CallerRequest) -> CallerResponse:
+        self._life.last_request_at = self._clock.monotonic()
+        return await self._forwarder.handle(request)
+
+    async def _handle_link(self, request: CallRequest | ClaimQuery) -> CallReply:
+        if isinstance(request, ClaimQuery):
+            return make_reply(ErrorCode.CLAIM_UNAVAILABLE)
+        self._life.last_request_at = self._clock.monotonic()
+        self._version_seen(request.version)
+        try:
+            return await self._run_call(request)
+        except CallError as error:
+            reply = make_reply(error.code, error.outcome)
+            return msgspec.structs.replace(
+                reply, load=self._load(), version=self.routes.version
+            )
+
+    async def _run_call(self, request: CallRequest) -> CallReply:
+        reply = await self.backend.run(request)
+        return msgspec.structs.replace(
+            reply, load=self._load(), version=self.routes.version
+        )
+
+    def _load(self):  # noqa: ANN202
+        entry = self.backend.entry
+        if entry is None or entry.state is not ServingState.READY:
+            return None
+        return self.backend.queue.load()
+
+    async def _handle_metrics(self, request: CallerRequest) -> CallerResponse:
+        if request.target != METRICS_PATH:
+            return CallerResponse(HTTPStatus.NOT_FOUND, (), b"")
+        return CallerResponse(HTTPStatus.OK, _PLAIN, self._metrics.render())
+
+    async def _handle_ready(self, request: CallerRequest) -> CallerResponse:
+        ready = request.target == READY_PATH and self.is_ready()
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return CallerResponse(status, (), b"")
+
+    def is_ready(self) -> bool:
+        """Return whether this daemon can route requests."""
+        return self._life.stopping_at is None and self.routes.table is not None
+
+    async def _handle_control(self, request: CallerRequest) -> CallerResponse:
+        path = request.target.partition("?")[0]
+        try:
+            if request.method == "POST" and path.startswith(HEARTBEAT_PATH):
+                self._take_heartbeat(path.removeprefix(HEARTBEAT_PATH), request.body)
+            elif request.method == "POST" and path.startswith(LEAVE_PATH):
+                self._take_leaving(path.removeprefix(LEAVE_PATH), request.body)
+            else:
+                return CallerResponse(HTTPStatus.NOT_FOUND, (), b"")
+        except AlmondError as error:
+            _log.request("heartbeat ignored", path=path, reason=error.message)
+            return CallerResponse(HTTPStatus.BAD_REQUEST, (), b"")
+        return CallerResponse(HTTPStatus.OK, _JSON, ACKNOWLEDGEMENT)
+
+    def _take_heartbeat(self, backend: str, body: bytes) -> None:
+        report = decode_heartbeat(backend, body)
+        if report.address != self.settings.backend_address:
+            message = f"address {report.address!r} is not on this host"
+            raise AlmondError(ErrorCode.VALUE_OUT_OF_RANGE, message)
+        table = self.routes.table
+        if table is not None and report.entry.service not in table.services:
+            message = f"service {report.entry.service!r} is not declared"
+            raise AlmondError(ErrorCode.SERVICE_UNKNOWN, message)
+        if self._life.stopping_at is None:
+            self.backend.announce(report.entry)
+
+    def _take_leaving(self, backend: str, body: bytes) -> None:
+        entry = self.backend.entry
+        if entry is None or entry.backend != backend:
+            return
+        if decode_leaving(body) >= entry.started_ms or not body:
+            self.backend.change_state(ServingState.LEAVING, reason="it signs off")
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -0,0 +1,87 @@
+"""Figures of a host's daemon that metrics read when they are asked for."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Hashable
+
+from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.repeats import RepeatBudget
+from almondrouter.logs import LineWriter
+from almondrouter.transport.links import CallLinkPool
+from almondrouterd.metrics import DaemonMetrics, Samples, single
+from almondrouterd.platform.store import PlatformStore
+
+
+def register_state_figures(
+    metrics: DaemonMetrics,
+    *,
+    routes: ActiveRoutes,
+    directory: HostDirectory,
+    log_writer: LineWriter,
+) -> None:
+    """Register what the daemon knows."""
+    metrics.add_gauge(
+        "almond_configuration_version",
+        "Configuration version in force",
+        lambda: single(routes.version),
+    )
+    metrics.add_gauge("almond_hosts", "Known hosts", lambda: single(len(directory)))
+    metrics.add_counter(
+        "almond_log_lines_dropped_total",
+        "Log lines that were not written",
+        lambda: single(log_writer.dropped),
+    )
+
+
+def register_call_figures(
+    metrics: DaemonMetrics,
+    *,
+    backend: LocalBackend,
+    repeats: RepeatBudget,
+    links: CallLinkPool,
+    store: PlatformStore,
+) -> None:
+    """Register what happens on the way of a call."""
+    metrics.add_gauge(
+        "almond_backend_load",
+        "Slots, requests running and requests waiting",
+        lambda: _read_load(backend),
+    )
+    metrics.add_counter(
+        "almond_backend_events_total",
+        "Requests refused, shed and failed at the backend server",
+        lambda: _read_counts(backend.counts + backend.queue.counts, "event"),
+    )
+    metrics.add_counter(
+        "almond_repeats_total",
+        "Repeats allowed and denied by the budget",
+        lambda: _read_counts(repeats.counts, "event"),
+    )
+    metrics.add_counter(
+        "almond_link_events_total",
+        "Links lost and refused",
+        lambda: _read_counts(links.counts, "event"),
+    )
+    metrics.add_counter(
+        "almond_store_calls_total",
+        "Calls to the store by kind and status; 0 means no answer",
+        lambda: [
+            ({"kind": kind, "status": str(status)}, count)
+            for (kind, status), count in store.counts.items()
+        ],
+    )
+
+
+def _read_load(backend: LocalBackend) -> Samples:
+    load = backend.queue.load()
+    yield {"figure": "slots"}, load.slots
+    yield {"figure": "running"}, load.in_use
+    yield {"figure": "waiting"}, load.queued
+    yield {"figure": "service_seconds"}, load.service_time
+
+
+def _read_counts(counts: Counter[Hashable], label: str) -> Samples:
+    return [({label: str(name)}, count) for name, count in counts.items()]
--- a/packages/almondrouterd/src/almondrouterd/main.py
+++ b/packages/almondrouterd/src/almondrouterd/main.py
@@ -13,6 +13,7 @@
 
 from almondrouter import __version__
 from almondrouter.errors import FindingsError
+from almondrouter.logs import set_up_logs
 from almondrouter.settings import (
     FindingsParser,
     SettingValues,
@@ -20,7 +21,6 @@
     read_settings,
 )
 from almondrouterd.daemon import Daemon
-from almondrouterd.logs import set_up_logs
 from almondrouterd.settings import SETTINGS
 
 EXIT_OK = 0
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, decoded once."""
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/platform/configuration.py
@@ -0,0 +1,149 @@
+"""The configuration that operators write to the store."""
+
+from __future__ import annotations
+
+import re
+from types import MappingProxyType
+
+import msgspec
+
+from almondrouter.errors import ErrorCode, Finding, FindingsError
+from almondrouter.state.routes import (
+    CallerLimits,
+    RouteTable,
+    RouteTarget,
+    ServicePolicy,
+    ServiceShare,
+    sort_routes,
+)
+
+CONFIGURATION_KEY = "op/config"
+_VERSION = re.compile(r"r([0-9]{1,15})")
+_REPEATABLE_TYPE = "safe"
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Path(msgspec.Struct):
+    name: str
+    path_prefix: str
+    route_type: str
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int
+    priority: int = 0
+    service: str | None = None
+    backends: tuple[_Share, ...] = ()
+    """Named for backend servers, but lists services with their weights."""
+
+
+class _VirtualHost(msgspec.Struct):
+    host: str
+    paths: tuple[_Path, ...]
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_check_path: str = "/"
+    max_connections: int = 100
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 32_768
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+
+
+class _Configuration(msgspec.Struct):
+    version: str
+    virtual_hosts: tuple[_VirtualHost, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def decode_routes(data: bytes) -> RouteTable:
+    """Return the routes of a stored configuration, whole and checked.
+
+    Raises
+    ------
+    FindingsError
+        With every fault and its place.
+    """
+    try:
+        configuration = _DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        code = ErrorCode.CONFIGURATION_MALFORMED
+        raise FindingsError([Finding(CONFIGURATION_KEY, code, str(error))]) from error
+    findings = _find_faults(configuration)
+    if findings:
+        raise FindingsError(findings)
+    return _compile(configuration)
+
+
+def _find_faults(configuration: _Configuration) -> list[Finding]:
+    findings = []
+    if not _VERSION.fullmatch(configuration.version):
+        code = ErrorCode.VALUE_OUT_OF_RANGE
+        findings.append(Finding("version", code, repr(configuration.version)))
+    services = {service.name for service in configuration.services}
+    for virtual_host in configuration.virtual_hosts:
+        for path in virtual_host.paths:
+            place = f"{virtual_host.host}{path.path_prefix}"
+            shares = _make_shares(path)
+            unknown = [s.service for s in shares if s.service not in services]
+            if unknown:
+                code = ErrorCode.SERVICE_UNKNOWN
+                findings.append(Finding(place, code, ", ".join(unknown)))
+            if not sum(share.weight for share in shares) > 0:
+                code = ErrorCode.VALUE_OUT_OF_RANGE
+                findings.append(Finding(place, code, "no service has a weight"))
+    return findings
+
+
+def _compile(configuration: _Configuration) -> RouteTable:
+    hosts: dict[str, list[RouteTarget]] = {}
+    for virtual_host in configuration.virtual_hosts:
+        routes = hosts.setdefault(virtual_host.host.lower(), [])
+        routes += [_compile_route(path) for path in virtual_host.paths]
+    services = {
+        service.name: ServicePolicy(service.health_check_path, service.max_connections)
+        for service in configuration.services
+    }
+    limits = configuration.limits
+    return RouteTable(
+        version=int(configuration.version[1:]),
+        hosts=MappingProxyType({h: sort_routes(r) for h, r in hosts.items()}),
+        services=MappingProxyType(services),
+        limits=CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        ),
+    )
+
+
+def _compile_route(path: _Path) -> RouteTarget:
+    return RouteTarget(
+        name=path.name,
+        prefix=path.path_prefix,
+        shares=_make_shares(path),
+        repeatable=path.route_type == _REPEATABLE_TYPE,
+        answer_within=path.timeout_s,
+        target_latency=path.target_latency_s,
+        max_attempts=max(1, path.max_attempts),
+        priority=path.priority,
+    )
+
+
+def _make_shares(path: _Path) -> tuple[ServiceShare, ...]:
+    if path.backends:
+        return tuple(ServiceShare(s.service, s.weight) for s in path.backends)
+    return (ServiceShare(path.service or "", 1.0),)
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/platform/main.py
@@ -0,0 +1,93 @@
+"""Command line of the daemon on the users' platform."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import os
+import signal
+import sys
+from collections.abc import Sequence
+
+import uvloop
+
+from almondrouter import __version__
+from almondrouter.errors import AlmondError, FindingsError
+from almondrouter.logs import LineWriter, set_up_logs
+from almondrouterd.hostdaemon import HostDaemon
+from almondrouterd.platform.settings import (
+    SETTINGS_VARIABLE,
+    HostSettings,
+    read_host_settings,
+)
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the daemon until it is told to stop; return the exit code."""
+    arguments = build_parser().parse_args(argv)
+    path = arguments.settings or os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = read_host_settings(path)
+        if arguments.check:
+            print("settings are valid")
+            return EXIT_OK
+        writer = set_up_logs(arguments.log_level, host=settings.host)
+        uvloop.install()
+        # Objects made at the start live as long as the process.
+        gc.freeze()
+        asyncio.run(run_daemon(settings, writer))
+    except FindingsError as error:
+        for finding in error.findings:
+            print(f"almondrouterd-host: error: {finding}", file=sys.stderr)
+        return EXIT_USAGE
+    except AlmondError as error:
+        print(f"almondrouterd-host: error: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    return EXIT_OK
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="almondrouterd-host",
+        description="Route the requests of one host on the users' platform.",
+        epilog="exit codes: 0 stopped gracefully, 2 wrong settings or a taken address",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument("--check", action="store_true", help="check the settings only")
+    parser.add_argument(
+        "--settings",
+        metavar="FILE",
+        help=f"settings file (default: the file that {SETTINGS_VARIABLE} names)",
+    )
+    parser.add_argument(
+        "--log-level",
+        choices=("debug", "info", "warning", "error"),
+        default="debug",
+        help="debug adds a line for each request that fails (default: debug)",
+    )
+    return parser
+
+
+async def run_daemon(settings: HostSettings, writer: LineWriter) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then stop it gracefully."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    daemon = HostDaemon(settings, log_writer=writer)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    try:
+        await daemon.start()
+        await stop.wait()
+        await daemon.drain()
+    finally:
+        await daemon.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -0,0 +1,158 @@
+"""The settings file of the platform."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from almondrouter.coordination.repeats import RepeatLimits
+from almondrouter.errors import ErrorCode, Finding, FindingsError
+
+SETTINGS_VARIABLE = "ALMONDROUTER_SETTINGS"
+
+
+class _Listen(msgspec.Struct):
+    outbound: str
+    inbound: str
+    ready_address: str
+    control: str
+
+
+class _Bounds(msgspec.Struct):
+    drain_s: float = 2.5
+    grace_s: float = 6.0
+    config_apply_s: float = 2.5
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_extra: float = 50.0
+
+
+class _Provider(msgspec.Struct):
+    address: str
+    writes_per_s: float
+    reads_per_s: float
+    max_value_bytes: int = 1_048_576
+
+
+class _Limits(msgspec.Struct):
+    memory_mb: float
+    max_fds: int
+
+
+class _File(msgspec.Struct):
+    node: str
+    zone: str
+    region: str
+    ip: str
+    app_addr: str
+    service: str
+    heartbeat_s: float
+    port_range: tuple[int, int]
+    listen: _Listen
+    provider: _Provider
+    limits: _Limits
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    zones: dict[str, str] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What the platform tells a daemon of its host.
+
+    Parameters
+    ----------
+    host, data_centre, region, ip
+        Where the daemon runs.
+    own_service, backend_address
+        Service and ``ip:port`` of the backend server on this host.
+    caller_address
+        ``ip:port`` for requests of local clients and of the backend server.
+    peer_address
+        ``ip:port`` for calls from other daemons.
+    ready_address
+        ``ip:port`` for readiness checks.
+    backend_control_address
+        ``ip:port`` for heartbeats of the backend server.
+    metrics_port
+        Port of the metrics.
+    store_address
+        ``ip:port`` of the key-value service.
+    heartbeat_interval, drain_within, stop_within
+        Seconds between heartbeats, until a leaving backend server gets nothing
+        more, and from a stop signal until the process is killed.
+    repeat_limits
+        Bounds on repeated sendings for the whole fleet.
+    memory_mb
+        Memory that the process may use, in MB.
+    """
+
+    host: str
+    data_centre: str
+    region: str
+    ip: str
+    own_service: str
+    backend_address: str
+    caller_address: str
+    peer_address: str
+    ready_address: str
+    backend_control_address: str
+    metrics_port: int
+    store_address: str
+    heartbeat_interval: float
+    drain_within: float
+    stop_within: float
+    repeat_limits: RepeatLimits
+    memory_mb: float
+
+
+METRICS_PORT = 9464
+"""Port of the metrics; the deploy file names it too."""
+
+
+def read_host_settings(path: str) -> HostSettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    FindingsError
+        ``file_unreadable`` or ``setting_invalid`` with the place of the fault.
+    """
+    try:
+        data = tomllib.loads(Path(path).read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        code = ErrorCode.FILE_UNREADABLE
+        raise FindingsError([Finding(path, code, str(error))]) from error
+    try:
+        file = msgspec.convert(data, _File)
+    except msgspec.ValidationError as error:
+        code = ErrorCode.SETTING_INVALID
+        raise FindingsError([Finding(path, code, str(error))]) from error
+    return _translate(file)
+
+
+def _translate(file: _File) -> HostSettings:
+    bounds = file.bounds
+    return HostSettings(
+        host=file.node,
+        data_centre=file.zone,
+        region=file.region,
+        ip=file.ip,
+        own_service=file.service,
+        backend_address=file.app_addr,
+        caller_address=file.listen.outbound,
+        peer_address=file.listen.inbound,
+        ready_address=file.listen.ready_address,
+        backend_control_address=file.listen.control,
+        metrics_port=METRICS_PORT,
+        store_address=file.provider.address,
+        heartbeat_interval=file.heartbeat_s,
+        drain_within=bounds.drain_s,
+        stop_within=bounds.grace_s,
+        repeat_limits=RepeatLimits(
+            bounds.retry_budget_ratio, bounds.budget_extra, bounds.budget_window_s
+        ),
+        memory_mb=file.limits.memory_mb,
+    )
--- /dev/null
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -0,0 +1,282 @@
+"""Client of the platform's key-value service."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from almondrouter.clock import Clock
+from almondrouter.errors import (
+    AlmondError,
+    ErrorCode,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport.backends import BackendClient
+from almondrouter.transport.calls import BackendResponse
+from almondrouter.transport.store import (
+    CommitResult,
+    Compare,
+    Delete,
+    KeyValue,
+    Lease,
+    Put,
+    ReadResult,
+    Store,
+    Transaction,
+    WatchBatch,
+    WatchEvent,
+)
+
+CALL_TIMEOUT_S = 1.5
+"""Seconds for one call; a slow store takes up to 0.4."""
+WATCH_WAIT_MS = 3_000
+"""Milliseconds that a watch waits; bounds how long a silent one goes unnoticed."""
+WATCH_SLACK_S = 1.0
+"""Seconds beyond the wait after which a watch counts as silent."""
+MAX_CONNECTIONS = 4
+MAX_IDLE_S = 8.0
+_PREFIX = "/almondrouter/"
+T = TypeVar("T")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: bytes = b""
+    revision: int = 0
+    create_revision: int = 0
+    lease_id: int = 0
+    at: int = 0
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: tuple[_Item, ...]
+    at: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: tuple[_Item, ...]
+    at: int
+
+
+class _Committed(msgspec.Struct):
+    revision: int
+
+
+class _Granted(msgspec.Struct):
+    ttl_s_time: float
+    lease_id: int = 0
+
+
+class _Written(msgspec.Struct):
+    key: str
+    value: bytes
+    lease_id: int
+
+
+class _Condition(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Transaction(msgspec.Struct):
+    precondition: list[_Condition]
+    writes: list[_Written]
+    remove: list[str]
+
+
+class PlatformStore(Store):
+    """Speaks the platform's calls over a few connections.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` of the service.
+    clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, address: str, *, clock: Clock) -> None:
+        self._clock = clock
+        self._client = BackendClient(
+            address, connections=MAX_CONNECTIONS, clock=clock, max_idle=MAX_IDLE_S
+        )
+        self._leases: dict[int, float] = {}
+        self.counts: Counter[tuple[str, int]] = Counter()
+
+    async def read(self, key: str) -> ReadResult:  # noqa: D102
+        response = await self._call("GET", "kv-key", query={"key": key})
+        if response.status == HTTPStatus.NOT_FOUND:
+            return ReadResult((), 0)
+        item = decode(response, _Item)
+        return ReadResult((make_key_value(item),), item.at)
+
+    async def read_prefix(  # noqa: D102
+        self, prefix: str, *, start: str | None = None, limit: int = 0
+    ) -> ReadResult:
+        items: list[KeyValue] = []
+        query = {"path_prefix": prefix}
+        if start is not None:
+            query["after"] = start
+        revision = 0
+        while True:
+            response = await self._call("GET", "kv-range", query=query)
+            page = decode(response, _Range)
+            items += [make_key_value(item) for item in page.items]
+            # Pages are no snapshot; a watch from the first one misses nothing.
+            revision = revision or page.at
+            if not page.has_more or not page.items or 0 < limit <= len(items):
+                return ReadResult(tuple(items[: limit or None]), revision)
+            query["after"] = page.items[-1].key
+
+    async def commit(self, transaction: Transaction) -> CommitResult:  # noqa: D102
+        response = await self._call("POST", "kv-txn", body=encode(transaction))
+        if response.status == HTTPStatus.PRECONDITION_FAILED:
+            return CommitResult(succeeded=False, revision=0)
+        if response.status == HTTPStatus.NOT_FOUND:
+            raise AlmondError(ErrorCode.LEASE_EXPIRED, "a lease of a write has ended")
+        return CommitResult(True, decode(response, _Committed).revision)
+
+    async def grant_lease(self, ttl: int) -> Lease:  # noqa: D102
+        asked_at = self._clock.monotonic()
+        response = await self._call("POST", "kv-lease", body=_Granted(ttl))
+        granted = decode(response, _Granted)
+        self._leases[granted.lease_id] = granted.ttl_s_time
+        return Lease(granted.lease_id, asked_at + granted.ttl_s_time)
+
+    async def keep_alive(self, lease: Lease) -> Lease:  # noqa: D102
+        asked_at = self._clock.monotonic()
+        response = await self._call("POST", f"kv-keep/{lease.lease_id}")
+        if response.status == HTTPStatus.NOT_FOUND:
+            raise AlmondError(ErrorCode.LEASE_EXPIRED, "the lease has ended")
+        ttl = decode(response, _Granted).ttl_s_time
+        return Lease(lease.lease_id, asked_at + ttl)
+
+    async def revoke_lease(self, lease: Lease) -> None:  # noqa: D102
+        await self._call("DELETE", f"kv-lease-end/{lease.lease_id}")
+
+    async def watch(  # noqa: D102
+        self, prefix: str, *, from_revision: int
+    ) -> AsyncIterator[WatchBatch]:
+        after = from_revision - 1
+        while True:
+            query = {
+                "path_prefix": prefix,
+                "after": str(after),
+                "wait_ms": str(WATCH_WAIT_MS),
+            }
+            timeout = WATCH_WAIT_MS / 1000 + WATCH_SLACK_S
+            response = await self._call("GET", "kv-watch", query=query, timeout=timeout)
+            if response.status == HTTPStatus.GONE:
+                raise AlmondError(ErrorCode.HISTORY_COMPACTED, f"after {after}")
+            events = decode(response, _Events)
+            after = max(after, events.at)
+            yield WatchBatch(tuple(make_event(e) for e in events.events), after)
+
+    async def close(self) -> None:  # noqa: D102
+        await self._client.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        body: msgspec.Struct | None = None,
+        timeout: float = CALL_TIMEOUT_S,
+    ) -> BackendResponse:
+        target = _PREFIX + path + (f"?{urlencode(query)}" if query else "")
+        data = b"" if body is None else msgspec.json.encode(body)
+        headers = (("content-type", "application/json"),) if data else ()
+        name = path.partition("/")[0]
+        try:
+            response = await self._client.send(
+                method,
+                target,
+                headers,
+                data,
+                deadline=self._clock.monotonic() + timeout,
+            )
+        except CallError as error:
+            self.counts[(name, 0)] += 1
+            # Other idle connections may be as dead as the one that failed.
+            self._client.drop_idle()
+            if error.outcome is Outcome.NOT_RUN:
+                raise StoreUnavailableError(f"{name}: {error.message}") from error
+            raise StoreOutcomeUnknownError(f"{name}: {error.message}") from error
+        self.counts[(name, response.status)] += 1
+        refused = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+        if response.status in refused:
+            raise StoreUnavailableError(f"{name}: status {response.status}")
+        return response
+
+
+def encode(transaction: Transaction) -> _Transaction:
+    """Return the platform's form of a transaction without reads.
+
+    Raises
+    ------
+    ValueError
+        If the service cannot do one of its operations.
+    """
+    if transaction.failure:
+        raise ValueError("the service does nothing if a condition fails")
+    return _Transaction(
+        [make_condition(compare) for compare in transaction.compares],
+        [
+            _Written(put.key, put.value, put.lease_id)
+            for put in transaction.success
+            if isinstance(put, Put)
+        ],
+        [make_removal(op) for op in transaction.success if not isinstance(op, Put)],
+    )
+
+
+def make_condition(compare: Compare) -> _Condition:
+    """Return the platform's form of a condition on a revision."""
+    if compare.mod_revision is None:
+        raise ValueError("the service compares revisions only")
+    return _Condition(compare.key, compare.mod_revision)
+
+
+def make_removal(operation: Any) -> str:
+    """Return the key that a transaction removes."""
+    if not isinstance(operation, Delete) or operation.prefix:
+        raise ValueError("the service removes single keys only")
+    return operation.key
+
+
+def make_key_value(item: _Item) -> KeyValue:
+    """Return an item in the product's form."""
+    return KeyValue(item.key, item.value, item.create_revision, item.revision, 0)
+
+
+def make_event(item: _Item) -> WatchEvent:
+    """Return an event in the product's form."""
+    return WatchEvent(item.key, None if item.deleted else item.value, item.revision)
+
+
+def decode(response: BackendResponse, kind: type[T]) -> T:
+    """Return the decoded body of a successful response.
+
+    Raises
+    ------
+    AlmondError
+        ``store_response_invalid`` for another status or an unreadable body.
+    """
+    if response.status != HTTPStatus.OK:
+        message = f"status {response.status}"
+        raise AlmondError(ErrorCode.STORE_RESPONSE_INVALID, message)
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise AlmondError(ErrorCode.STORE_RESPONSE_INVALID, str(error)) from error
