Pass answers without a length on without one

A print of each end showed that broken-off answers end by FIN too, not only by reset, so the ends cannot be told apart; the answer is now relayed as it came. Ruled out: uvloop hiding a reset (356 of 356 ends were plain ends of file).

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -310,7 +310,7 @@
 
     def _make_response(self, attempt: _Attempt, reply: CallReply) -> CallerResponse:
         if reply.outcome is Outcome.COMPLETE:
-            return CallerResponse(reply.status, reply.headers, reply.body)
+            return CallerResponse(reply.status, reply.headers, reply.body, reply.framed)
         status = choose_status(reply.outcome, reply.code)
         headers: tuple[tuple[str, str], ...] = ((names.CODE, reply.code),)
         if reply.outcome is Outcome.NOT_RUN:
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -198,4 +198,5 @@
             response.body,
             "",
             None,
+            framed=response.framed,
         )
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -128,8 +128,8 @@
         Load of the backend server; None if it is gone.
     version
         Configuration version in force where the call ran; 0 if not told.
-    retry_after
-        Seconds after which a refused call has a chance; 0 if not told.
+    framed
+        Whether the body is known to be whole.
     """
 
     call_id: int
@@ -140,7 +140,7 @@
     code: str
     load: Load | None
     version: int = 0
-    retry_after: float = 0.0
+    framed: bool = True
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -360,7 +360,7 @@
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
         status = self._parser.get_status_code()
         if self._future is not None and not self._future.done():
-            response = BackendResponse(status, tuple(self._headers), body)
+            response = BackendResponse(status, tuple(self._headers), body, self._framed)
             self._future.set_result(response)
 
     def _read_keep_alive(self) -> None:
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -344,6 +344,7 @@
             stopping = server.draining or server.winding_down
             last = not self._exchanges and not self._reading
             keep_alive = exchange.keep_alive and not (stopping and last)
+            keep_alive = keep_alive and exchange.response.framed
             self._transport.write(
                 encode_response(exchange.response, keep_alive=keep_alive)
             )
@@ -393,5 +394,7 @@
     if response.status in _BODYLESS:
         parts.append("\r\n")
         return "".join(parts).encode("latin-1")
-    parts.append(f"Content-Length: {len(response.body)}\r\n\r\n")
+    if response.framed:
+        parts.append(f"Content-Length: {len(response.body)}\r\n")
+    parts.append("\r\n")
     return "".join(parts).encode("latin-1") + response.body
--- a/packages/almondrouter/src/almondrouter/transport/calls.py
+++ b/packages/almondrouter/src/almondrouter/transport/calls.py
@@ -31,20 +31,36 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerResponse:
-    """The response to a caller, with its Almond headers."""
+    """The response to a caller, with its Almond headers.
+
+    Parameters
+    ----------
+    framed
+        Whether the body is known to be whole. One that is not is sent without a
+        length and ends with its connection, as it came.
+    """
 
     status: int
     headers: HeaderList
     body: bytes
+    framed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class BackendResponse:
-    """The whole response of a backend server; header names are in lower case."""
+    """The response of a backend server; header names are in lower case.
+
+    Parameters
+    ----------
+    framed
+        Whether the body is known to be whole; one without a length that ended
+        with its connection may have been broken off.
+    """
 
     status: int
     headers: HeaderList
     body: bytes
+    framed: bool = True
 
 
 class CallLinks(ABC):
