Tell peers of a leaving host over the links; stop without waiting for quiet

Daemons now send their record over open links, a refusing destination is left out for 1 s, and a miss is not a refusal. A daemon without the store takes the configuration from a peer. Also: placement by whole time and cost of a call instead of LeastOccupied.

--- a/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
@@ -28,6 +28,7 @@
         self._key = key
         self._decode = decode
         self.table: RouteTable | None = None
+        self.stored_form = b""
 
     @property
     def prefix(self) -> str:  # noqa: D102
@@ -41,13 +42,14 @@
     def load(self, items: Sequence[KeyValue]) -> None:  # noqa: D102
         for item in items:
             if item.key == self._key:
-                self._take(item.value)
+                self.take(item.value)
 
     def apply(self, event: WatchEvent) -> None:  # noqa: D102
         if event.key == self._key and event.value is not None:
-            self._take(event.value)
+            self.take(event.value)
 
-    def _take(self, value: bytes) -> None:
+    def take(self, value: bytes) -> None:
+        """Take over a configuration in its stored form, if it is a later one."""
         try:
             table = self._decode(value)
         except FindingsError as error:
@@ -65,5 +67,5 @@
                     offered=table.version,
                 )
             return
-        before, self.table = self.version, table
+        before, self.table, self.stored_form = self.version, table, value
         _log.info("configuration in force", version=table.version, before=before)
--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -54,9 +54,10 @@
         return self._destinations.get(service, ())
 
     def put(self, entry: HostEntry) -> None:
-        """Take over a record, unless a later start of its daemon is known."""
+        """Take over a record, unless a later one of its host is known."""
         known = self._known.get(entry.host)
-        if known is not None and known.entry.incarnation > entry.incarnation:
+        if known is not None and known.entry.age_rank > entry.age_rank:
+            known.gone_at = None
             return
         if known is None or known.entry != entry:
             _log.info("host record changed", **describe_entry(entry))
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -12,7 +12,7 @@
 from almondrouter.clock import Clock
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.repeats import RepeatBudget
-from almondrouter.coordination.routing import ChoicePolicy
+from almondrouter.coordination.routing import ChoicePolicy, Demand
 from almondrouter.coordination.weights import WeightedTurns
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import StateLogger
@@ -23,11 +23,12 @@
 from almondrouter.protocol.outcomes import CallError, choose_status
 from almondrouter.state.routes import RouteTable, RouteTarget
 from almondrouter.state.snapshot import Destination
-from almondrouter.state.targets import Priority
 from almondrouter.transport.calls import CallerRequest, CallerResponse, CallLinks
 
 MAX_REFUSALS = 3
 """Choices that may refuse a request before its caller is told to come back."""
+MAX_MISSES = 8
+"""Choices that may turn out to have no backend server or no link."""
 MIN_REPEAT_TIME_SHARE = 0.3
 """Share of the target latency that must be left for a repeat to be of use."""
 MIN_RETURN_SHARE = 0.15
@@ -40,10 +41,14 @@
     code.value
     for code in (
         ErrorCode.OVERLOADED,
-        ErrorCode.NO_BACKEND,
         ErrorCode.BACKEND_REFUSED,
+    )
+)
+_MISS_CODES = frozenset(
+    code.value
+    for code in (
+        ErrorCode.NO_BACKEND,
         ErrorCode.STOPPING,
-        ErrorCode.NOT_READY,
         ErrorCode.PEER_UNAVAILABLE,
     )
 )
@@ -62,8 +67,8 @@
         What is sent, but for the backend server's name.
     sent
         Backend servers that the request may have reached.
-    refusals
-        Choices that refused it.
+    refusals, misses
+        Choices that refused it, and that could not have served it.
     """
 
     info: RequestInfo
@@ -73,6 +78,7 @@
     arrived_at: float
     sent: int = 0
     refusals: int = 0
+    misses: int = 0
 
 
 class Forwarder:
@@ -96,7 +102,7 @@
         Name, service and IP number of this host. Requests from the address
         are made by its backend server.
     version_seen
-        Called with a later configuration version that another daemon knows.
+        Called with a later configuration version and who knows it.
     finished
         Called with route, outcome, code and seconds of each request.
     """
@@ -117,7 +123,7 @@
         host: str,
         own_service: str,
         own_address: str,
-        version_seen: Callable[[int], None],
+        version_seen: Callable[[int, str], None],
         finished: Callable[[str, Outcome, str, float], None],
     ) -> None:
         self._table = table
@@ -221,11 +227,19 @@
             self._directory.find_destinations(attempt.service),
             now=now,
             excluded=excluded,
-            priority=Priority.NORMAL,
+            demand=Demand(
+                len(attempt.call.body),
+                attempt.call.nested,
+                attempt.route.target_latency,
+                attempt.route.priority,
+            ),
         )
 
     def _may_choose_again(self, attempt: _Attempt, reply: CallReply) -> bool:
-        attempt.refusals += reply.code != ErrorCode.PEER_UNAVAILABLE.value
+        if reply.code in _MISS_CODES:
+            attempt.misses += 1
+            return attempt.misses < MAX_MISSES
+        attempt.refusals += 1
         if reply.code not in _FURTHER_CODES or attempt.refusals >= MAX_REFUSALS:
             return False
         if reply.code == ErrorCode.BACKEND_REFUSED.value:
@@ -271,7 +285,7 @@
                 or reply.code == ErrorCode.BACKEND_REFUSED.value,
             )
         if reply.version > call.version:
-            self._version_seen(reply.version)
+            self._version_seen(reply.version, destination.peer_address)
         if reply.outcome is not Outcome.COMPLETE or is_failure(reply):
             _log.request(
                 "sending failed",
@@ -303,6 +317,7 @@
             nested=attempt.call.nested,
             sent=attempt.sent,
             refusals=attempt.refusals,
+            misses=attempt.misses,
             known=len(self._directory.find_destinations(attempt.service)),
             after=round(elapsed, 4),
             version=attempt.call.version,
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -0,0 +1,214 @@
+"""Choice of the backend server by the whole time and cost that a call takes.
+
+Load pattern: demand near the capacity of a fleet whose backend servers differ in
+speed and distance, of which some turn slow, shed or fail for a few seconds, while
+many daemons choose at once from reports that are some calls old.
+"""
+
+from __future__ import annotations
+
+import random as random_module
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
+from statistics import median_low
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.routing import ChoicePolicy, Demand
+from almondrouter.protocol.calls import Load
+from almondrouter.protocol.headers import Outcome
+from almondrouter.state.occupancy import (
+    MAX_ENTRIES,
+    SERVICE_TIME_HALF_LIFE_SECONDS,
+    OccupancyTable,
+)
+from almondrouter.state.snapshot import Destination
+from almondrouter.state.targets import Priority
+
+SAME_REGION_ROUND_TRIP_S = 0.002
+OTHER_REGION_ROUND_TRIP_S = 0.040
+"""Round trips between data centres and between regions of the deployments."""
+SAME_REGION_S_PER_MB = 0.25
+OTHER_REGION_S_PER_MB = 1.0
+"""Seconds of delay that are accepted rather than moving a megabyte there; in the
+proportion of what the two deployments pay for a byte."""
+NESTED_DISTANCE_FACTOR = 2.0
+"""Weight of distance for nested calls, which hold a slot elsewhere meanwhile."""
+CROWDING_S = 0.01
+"""Seconds that a wholly busy backend server counts worse than an idle one."""
+FAILURE_WEIGHT = 0.15
+"""Weight of the newest result in the share of failures."""
+FAILURE_HALF_LIFE_S = 2.0
+"""Seconds after which an old failure counts half, so that each is tried again."""
+REFUSED_S = 1.0
+"""Seconds for which a destination is left out after its daemon said that the
+backend server takes no work; its record says so too, but may be held up."""
+DRAWN_PER_TIER = 2
+"""Backend servers that are compared at each distance; drawing a few keeps daemons
+with the same old report from choosing the same one."""
+
+
+@dataclass(slots=True)
+class _Failures:
+    share: float = 0.0
+    updated_at: float = 0.0
+
+    def decayed(self, now: float) -> float:
+        return self.share * 0.5 ** ((now - self.updated_at) / FAILURE_HALF_LIFE_S)
+
+    def record(self, failed: bool, now: float) -> None:
+        share = self.decayed(now)
+        self.share = share + FAILURE_WEIGHT * (float(failed) - share)
+        self.updated_at = now
+
+
+class CostPlacement(ChoicePolicy):
+    """Takes the destination with the lowest expected time and cost.
+
+    Parameters
+    ----------
+    data_centre, region
+        Where this daemon runs.
+    occupancy
+        Load reports and own calls in flight.
+    random
+        Source of the random choices.
+    clock
+        Clock that the results of calls are dated with.
+    is_reachable
+        Returns whether the daemon beside a destination answers now.
+    """
+
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        region: str,
+        occupancy: OccupancyTable,
+        random: random_module.Random,
+        clock: Clock,
+        is_reachable: Callable[[Destination], bool],
+    ) -> None:
+        self._data_centre = data_centre
+        self._region = region
+        self._occupancy = occupancy
+        self._random = random
+        self._clock = clock
+        self._is_reachable = is_reachable
+        self._failures: dict[str, _Failures] = {}
+        self._refusals: dict[str, float] = {}
+
+    def choose(  # noqa: D102
+        self,
+        destinations: Sequence[Destination],
+        *,
+        now: float,
+        excluded: Collection[str] = (),
+        priority: Priority | None = None,
+        demand: Demand | None = None,
+    ) -> Destination | None:
+        left = [
+            d
+            for d in destinations
+            if d.backend not in excluded and now >= self._refused_until(d)
+        ]
+        usable = [d for d in left if self._is_reachable(d)] or left
+        demand = demand or Demand(0, nested=False, target_latency=0.0, rank=0)
+        usual = self._find_usual_time(destinations)
+        tiers: dict[float, list[Destination]] = {}
+        for destination in usable:
+            distance = self._weigh_distance(destination, demand)
+            tiers.setdefault(distance, []).append(destination)
+        best, best_cost = None, 0.0
+        for distance, members in tiers.items():
+            for candidate in self._draw(members):
+                cost = distance + self._weigh_load(candidate, demand, usual, now)
+                if best is None or cost < best_cost:
+                    best, best_cost = candidate, cost
+        return best
+
+    def started(self, destination: Destination) -> None:  # noqa: D102
+        self._occupancy.start(destination.backend)
+
+    def finished(  # noqa: D102
+        self,
+        destination: Destination,
+        *,
+        outcome: Outcome | None,
+        load: Load | None,
+        elapsed: float,
+        failed: bool = False,
+    ) -> None:
+        now = self._clock.monotonic()
+        self._occupancy.finish(destination.backend)
+        if load is not None:
+            self._occupancy.report(
+                destination.backend,
+                slots=load.slots,
+                in_use=load.in_use,
+                queued=load.queued,
+                service_time=load.service_time,
+                now=now,
+                queued_by_rank=load.queued_by_rank,
+            )
+        if outcome is Outcome.NOT_RUN and not failed:
+            if load is None and self._is_reachable(destination):
+                self._refusals[destination.backend] = now + REFUSED_S
+            return
+        if outcome is None:
+            return
+        self._refusals.pop(destination.backend, None)
+        self._record(destination.backend, failed or outcome is Outcome.UNKNOWN, now)
+
+    def _record(self, backend: str, failed: bool, now: float) -> None:
+        failures = self._failures.get(backend)
+        if failures is None:
+            if not failed:
+                return
+            if len(self._failures) >= MAX_ENTRIES:
+                # The oldest entry most likely belongs to a server that is gone.
+                del self._failures[next(iter(self._failures))]
+            failures = self._failures[backend] = _Failures(updated_at=now)
+        failures.record(failed, now)
+
+    def _refused_until(self, destination: Destination) -> float:
+        return self._refusals.get(destination.backend, 0.0)
+
+    def _draw(self, members: list[Destination]) -> list[Destination]:
+        if len(members) <= DRAWN_PER_TIER:
+            return members
+        return self._random.sample(members, DRAWN_PER_TIER)
+
+    def _weigh_distance(self, destination: Destination, demand: Demand) -> float:
+        if destination.data_centre == self._data_centre:
+            return 0.0
+        megabytes = demand.body_bytes / 1e6
+        if destination.region == self._region:
+            delay = SAME_REGION_ROUND_TRIP_S
+            price = SAME_REGION_S_PER_MB * megabytes
+        else:
+            delay = OTHER_REGION_ROUND_TRIP_S
+            price = OTHER_REGION_S_PER_MB * megabytes
+        return delay * (NESTED_DISTANCE_FACTOR if demand.nested else 1.0) + price
+
+    def _find_usual_time(self, destinations: Sequence[Destination]) -> float:
+        entries = (self._occupancy.find(d.backend) for d in destinations)
+        times = [entry.service_time for entry in entries if entry and entry.slots]
+        return median_low(times) if times else 0.0
+
+    def _weigh_load(
+        self, destination: Destination, demand: Demand, usual: float, now: float
+    ) -> float:
+        """Return the seconds until an answer, with what failures and crowds add."""
+        cost = 0.0
+        failures = self._failures.get(destination.backend)
+        if failures is not None:
+            cost += failures.decayed(now) * demand.target_latency
+        entry = self._occupancy.find(destination.backend)
+        if entry is None:
+            return cost + usual
+        slots = entry.slots or destination.slots
+        weight = entry.weight(now, half_life=SERVICE_TIME_HALF_LIFE_SECONDS)
+        service_time = usual + weight * (entry.service_time - usual)
+        calls = entry.calls(now, rank=demand.rank)
+        wait = max(0.0, calls + 1 - slots) * service_time / slots
+        return cost + wait + service_time + CROWDING_S * calls / slots
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -5,6 +5,7 @@
 import random as random_module
 from abc import ABC, abstractmethod
 from collections.abc import Collection, Sequence
+from dataclasses import dataclass
 from statistics import median_low
 
 from almondrouter.clock import Clock, SystemClock
@@ -27,6 +28,28 @@
 MAX_EXCLUDED_SHARE = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a call asks of its destination.
+
+    Parameters
+    ----------
+    body_bytes
+        Length of the body that has to get there.
+    nested
+        Whether another request holds a slot until the call is answered.
+    target_latency
+        Seconds within which an answer is of full use.
+    rank
+        Rank of the route; 0 is served first.
+    """
+
+    body_bytes: int
+    nested: bool
+    target_latency: float
+    rank: int
+
+
 class ChoicePolicy(ABC):
     """Chooses a destination for each call and learns from the results."""
 
@@ -38,6 +61,7 @@
         now: float,
         excluded: Collection[str] = (),
         priority: Priority | None = None,
+        demand: Demand | None = None,
     ) -> Destination | None:
         """Return where to send a call, or None if nothing is left.
 
@@ -51,6 +75,8 @@
             Names of backend servers already tried for this call.
         priority
             Priority of the call; it overtakes those that wait with a lower one.
+        demand
+            What the call asks for; policies that do not weigh it ignore it.
         """
 
     @abstractmethod
@@ -97,6 +123,7 @@
         now: float,
         excluded: Collection[str] = (),
         priority: Priority | None = None,
+        demand: Demand | None = None,
     ) -> Destination | None:
         usable = [d for d in destinations if d.backend not in excluded]
         if not usable:
@@ -162,6 +189,7 @@
         now: float,
         excluded: Collection[str] = (),
         priority: Priority | None = None,
+        demand: Demand | None = None,
     ) -> Destination | None:
         usable = self._find_usable(destinations, now, excluded)
         usual = self._usual_service_time(destinations)
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -164,6 +164,40 @@
     deadline: float
 
 
-CallFrame = Hello | Ping | Pong | CallRequest | CallReply | Cancel | ClaimQuery
+class RoutesQuery(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Asks a daemon for the configuration that it has in force.
+
+    Parameters
+    ----------
+    deadline
+        Monotonic clock of the sender until which it waits, in seconds.
+    key
+        Always empty; a query may be cancelled with its link.
+    """
+
+    call_id: int
+    deadline: float
+    key: str = ""
+
+
+class HostNotice(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Says what the sender's record is now; needs no reply.
+
+    Parameters
+    ----------
+    record
+        The record in its stored form.
+    version
+        Configuration version that the sender has in force.
+    """
+
+    record: bytes
+    version: int
+
+
+LinkCall = CallRequest | ClaimQuery | RoutesQuery
+"""Frames that are answered by a `CallReply`."""
+
+CallFrame = Hello | Ping | Pong | LinkCall | CallReply | Cancel | HostNotice
 
 CALL_CODEC: Codec[CallFrame] = Codec(CallFrame, max_bytes=MAX_CALL_FRAME_BYTES)
--- a/packages/almondrouter/src/almondrouter/state/hosts.py
+++ b/packages/almondrouter/src/almondrouter/state/hosts.py
@@ -48,6 +48,8 @@
         ``ip:port`` that takes calls from other daemons.
     backend
         The backend server, or None if none has announced itself.
+    change
+        Rises with each change of the record by the same daemon.
     """
 
     host: str
@@ -56,6 +58,12 @@
     region: str
     peer_address: str
     backend: BackendEntry | None = None
+    change: int = 0
+
+    @property
+    def age_rank(self) -> tuple[int, int]:
+        """Return what orders the records of one host by age."""
+        return (self.incarnation, self.change)
 
 
 _DECODER = msgspec.json.Decoder(HostEntry)
--- a/packages/almondrouter/src/almondrouter/transport/called_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/called_link.py
@@ -13,9 +13,8 @@
 from almondrouter.protocol.calls import (
     CallFrame,
     CallReply,
-    CallRequest,
     Cancel,
-    ClaimQuery,
+    LinkCall,
 )
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
@@ -55,7 +54,7 @@
         self._call_ids = itertools.count(1)
         self._lost = False
 
-    async def call(self, request: CallRequest | ClaimQuery) -> CallReply:
+    async def call(self, request: LinkCall) -> CallReply:
         """Send a call and return its reply; see `CallLinks.call`."""
         sent = False
         call_id = next(self._call_ids)
--- a/packages/almondrouter/src/almondrouter/transport/calls.py
+++ b/packages/almondrouter/src/almondrouter/transport/calls.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from almondrouter.protocol.calls import CallReply, CallRequest, ClaimQuery, HeaderList
+from almondrouter.protocol.calls import (
+    CallReply,
+    HeaderList,
+    LinkCall,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,9 +71,7 @@
     """Sends calls to the daemons of other hosts."""
 
     @abstractmethod
-    async def call(
-        self, peer_address: str, request: CallRequest | ClaimQuery
-    ) -> CallReply:
+    async def call(self, peer_address: str, request: LinkCall) -> CallReply:
         """Send a call and return its reply.
 
         Parameters
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -18,6 +18,8 @@
     Cancel,
     ClaimQuery,
     Hello,
+    HostNotice,
+    LinkCall,
 )
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES
 from almondrouter.protocol.headers import Outcome
@@ -67,7 +69,7 @@
     max_short_bytes: int = MAX_CALL_FRAME_BYTES
 
 
-LinkHandler = Callable[[CallRequest | ClaimQuery], Awaitable[CallReply]]
+LinkHandler = Callable[[LinkCall], Awaitable[CallReply]]
 
 
 def make_reply(
@@ -93,6 +95,8 @@
         Source of monotonic time.
     policy
         How soon silence is noticed.
+    noticed
+        Called with what a peer says of itself.
 
     Notes
     -----
@@ -109,7 +113,9 @@
         handler: LinkHandler,
         clock: Clock,
         policy: LinkPolicy | None = None,
+        noticed: Callable[[HostNotice], None] | None = None,
     ) -> None:
+        self._noticed = noticed
         self._policy = policy or LinkPolicy()
         super().__init__(address, tick_interval=self._policy.ping_interval)
         self._hello = hello
@@ -188,14 +194,16 @@
         return task
 
     def _take(self, link: _ServedLink, frame: CallFrame) -> None:
-        if isinstance(frame, CallRequest | ClaimQuery):
+        if isinstance(frame, LinkCall):
             self._start_call(link, frame)
         elif isinstance(frame, Cancel):
             link.cancel(frame.call_id)
+        elif isinstance(frame, HostNotice) and self._noticed is not None:
+            self._noticed(frame)
         else:
             raise AlmondError(ErrorCode.FRAME_MALFORMED, "unexpected frame")
 
-    def _start_call(self, link: _ServedLink, frame: CallRequest | ClaimQuery) -> None:
+    def _start_call(self, link: _ServedLink, frame: LinkCall) -> None:
         if frame.call_id in link.open_calls:
             raise AlmondError(ErrorCode.FRAME_MALFORMED, "call id is in use")
         if self.draining and isinstance(frame, CallRequest):
@@ -210,18 +218,14 @@
         task = self._start_task(self._answer(link, request))
         link.open_calls[frame.call_id] = (task, request.key)
 
-    def _refuse(
-        self, link: _ServedLink, frame: CallRequest | ClaimQuery, code: ErrorCode
-    ) -> None:
+    def _refuse(self, link: _ServedLink, frame: LinkCall, code: ErrorCode) -> None:
         self.counts[code.value] += 1
         outcome = Outcome.NOT_RUN
         if isinstance(frame, ClaimQuery):
             outcome = Outcome.UNKNOWN
         link.stream.send(make_reply(frame.call_id, outcome, code, status=503))
 
-    async def _answer(
-        self, link: _ServedLink, request: CallRequest | ClaimQuery
-    ) -> None:
+    async def _answer(self, link: _ServedLink, request: LinkCall) -> None:
         try:
             reply = await self._handler(request)
             reply = msgspec.structs.replace(reply, call_id=request.call_id)
@@ -244,9 +248,7 @@
             link.stream.send(make_reply(reply.call_id, Outcome.UNKNOWN, code))
 
 
-def localize_deadlines(
-    frame: CallRequest | ClaimQuery, offset: ClockOffset
-) -> CallRequest | ClaimQuery:
+def localize_deadlines(frame: LinkCall, offset: ClockOffset) -> LinkCall:
     """Return a frame with its times in this host's monotonic seconds."""
     deadline = offset.localize(frame.deadline)
     if isinstance(frame, CallRequest) and frame.useful_until:
@@ -268,6 +270,8 @@
         Source of monotonic time.
     policy
         How soon silence is noticed.
+    make_notice
+        Returns what is told to each peer as soon as its link is open.
 
     Notes
     -----
@@ -276,8 +280,14 @@
     """
 
     def __init__(
-        self, *, hello: Hello, clock: Clock, policy: LinkPolicy | None = None
+        self,
+        *,
+        hello: Hello,
+        clock: Clock,
+        policy: LinkPolicy | None = None,
+        make_notice: Callable[[], HostNotice] | None = None,
     ) -> None:
+        self._make_notice = make_notice
         self._policy = policy or LinkPolicy()
         self._hello = hello
         self._clock = clock
@@ -305,7 +315,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def call(  # noqa: D102
-        self, peer_address: str, request: CallRequest | ClaimQuery
+        self, peer_address: str, request: LinkCall
     ) -> CallReply:
         name = peer_address
         is_call = isinstance(request, CallRequest)
@@ -318,6 +328,15 @@
             link = await self._connect(name, min(request.deadline, patience))
         return await link.call(request)
 
+    def notify_all(self) -> None:
+        """Tell all peers with an open link what this daemon says of itself."""
+        for name in self._links:
+            self._notify(name)
+
+    def _notify(self, name: str) -> None:
+        if self._make_notice is not None and not name.endswith(_BULK_SUFFIX):
+            self._links[name].stream.send(self._make_notice())
+
     def warm(self, peer_address: str) -> None:
         """Open the link to a daemon before a call needs it."""
         if peer_address not in self._links and peer_address not in self._connecting:
@@ -380,6 +399,7 @@
             raise
         link = CalledLink(stream, self._clock, self._deadlines, self.counts)
         self._links[address] = link
+        self._notify(address)
         stream.forward(link.take, lambda error: self._end(address, link, error))
         return link
 
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -16,19 +16,29 @@
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.forwarding import Forwarder, make_reply
 from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.placement import CostPlacement
 from almondrouter.coordination.registration import HostRecords, Registration
 from almondrouter.coordination.repeats import RepeatBudget
-from almondrouter.coordination.routing import LeastOccupied
 from almondrouter.coordination.storefeed import StoreFeed
 from almondrouter.coordination.weights import WeightedTurns
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.logs import LineWriter, StateLogger
-from almondrouter.protocol.calls import CallReply, CallRequest, ClaimQuery, Hello
+from almondrouter.protocol.calls import (
+    CallReply,
+    CallRequest,
+    ClaimQuery,
+    Hello,
+    HostNotice,
+    LinkCall,
+    RoutesQuery,
+)
 from almondrouter.protocol.codec import PROTOCOL_VERSION
+from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
-from almondrouter.state.hosts import HostEntry, ServingState
+from almondrouter.state.hosts import HostEntry, ServingState, decode_host, encode_host
 from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.routes import CallerLimits
+from almondrouter.state.snapshot import Destination
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import CallerRequest, CallerResponse
@@ -60,10 +70,10 @@
 """Longest body of a heartbeat or a readiness check, in bytes."""
 TIDY_S = 0.25
 """Seconds between looks at records that were lost."""
-STORE_WAIT_S = 3.0
-"""Seconds for which a starting daemon is not ready while the store is silent."""
-QUIET_S = 0.3
-"""Seconds without a request after which a stopping daemon may end."""
+STORE_PATIENCE_S = 0.4
+"""Seconds that the store has for telling a version that a peer knows already."""
+ROUTES_QUERY_S = 1.0
+"""Seconds that a peer has for sending its configuration."""
 READY_CHECKS_MISSED_S = 2.3
 """Seconds after which nobody sends new work to a daemon that is not ready."""
 KILL_MARGIN_S = 0.5
@@ -83,7 +93,6 @@
 
     started_at: float
     stopping_at: float | None = None
-    last_request_at: float = 0.0
 
 
 class HostDaemon:
@@ -103,7 +112,9 @@
         self._random = random_module.Random()
         self._life = _Life(self._clock.monotonic())
         self._incarnation = int(self._clock.wall() * 1000)
+        self._changes = 0
         self._tasks: list[asyncio.Task] = []
+        self._asking: asyncio.Task | None = None
         self._dialect = PlatformDialect()
         self._metrics = DaemonMetrics()
         self._build_state()
@@ -118,7 +129,12 @@
             "almondrouter", PROTOCOL_VERSION, settings.host, self._incarnation, 0.0
         )
         self._hello = hello
-        self.links = CallLinkPool(hello=hello, clock=clock, policy=LINK_POLICY)
+        self.links = CallLinkPool(
+            hello=hello,
+            clock=clock,
+            policy=LINK_POLICY,
+            make_notice=self._make_notice,
+        )
         self.directory = HostDirectory(clock=clock, is_alive=self.links.is_alive)
         self.routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
         self.registration = Registration(
@@ -156,12 +172,13 @@
         self._forwarder = Forwarder(
             table=lambda: self.routes.table,
             directory=self.directory,
-            choice=LeastOccupied(
+            choice=CostPlacement(
                 data_centre=settings.data_centre,
                 region=settings.region,
                 occupancy=OccupancyTable(),
                 random=self._random,
                 clock=clock,
+                is_reachable=self._is_reachable,
             ),
             turns=WeightedTurns(self._random),
             repeats=self.repeats,
@@ -193,6 +210,7 @@
             handler=self._handle_link,
             clock=clock,
             policy=LINK_POLICY,
+            noticed=self._take_notice,
         )
         self._ready_server = self._make_small_server(
             settings.ready_address, self._handle_ready
@@ -255,7 +273,7 @@
         self.callers.wind_down()
         self.backend.change_state(ServingState.LEAVING, reason="the daemon stops")
         self.registration.update()
-        await self._wait_until_quiet(kill_at)
+        await asyncio.sleep(READY_CHECKS_MISSED_S)
         await self._close_gracefully(kill_at)
         _log.info("daemon stopped", in_flight=self.callers.requests_in_flight)
 
@@ -296,15 +314,6 @@
             self._metrics_server,
         )
 
-    async def _wait_until_quiet(self, kill_at: float) -> None:
-        leave_at = self._clock.monotonic() + READY_CHECKS_MISSED_S
-        while True:
-            now = self._clock.monotonic()
-            quiet = now - self._life.last_request_at > QUIET_S
-            if now >= kill_at or (now >= leave_at and quiet):
-                return
-            await asyncio.sleep(0.05)
-
     async def _close_gracefully(self, kill_at: float) -> None:
         left = max(0.0, kill_at - self._clock.monotonic())
         with contextlib.suppress(TimeoutError):
@@ -328,6 +337,9 @@
         while True:
             await asyncio.sleep(TIDY_S)
             self.directory.expire()
+            for address in self.directory.peer_addresses:
+                if address != self.settings.peer_address:
+                    self.links.warm(address)
 
     def _get_caller_limits(self) -> CallerLimits:
         table = self.routes.table
@@ -342,29 +354,76 @@
             settings.region,
             settings.peer_address,
             self.backend.entry,
+            self._changes,
         )
 
     def _backend_changed(self) -> None:
+        self._changes += 1
         self.directory.put(self._make_entry())
+        self.links.notify_all()
         self.registration.update()
 
+    def _make_notice(self) -> HostNotice:
+        return HostNotice(encode_host(self._make_entry()), self.routes.version)
+
+    def _take_notice(self, notice: HostNotice) -> None:
+        """Take over what a peer says of itself, which needs no store."""
+        try:
+            entry = decode_host(notice.record)
+        except AlmondError as error:
+            _log.warning("unreadable notice ignored", reason=error.message)
+            return
+        self.directory.put(entry)
+        self._warm_link(entry)
+        self._version_seen(notice.version, entry.peer_address)
+
     def _warm_link(self, entry: HostEntry) -> None:
         if entry.host != self.settings.host:
             self.links.warm(entry.peer_address)
 
-    def _version_seen(self, version: int) -> None:
-        if version > self.routes.version:
-            self.feed.request_reread()
+    def _is_reachable(self, destination: Destination) -> bool:
+        if destination.host == self.settings.host:
+            return True
+        return self.links.is_alive(destination.peer_address)
+
+    def _version_seen(self, version: int, peer_address: str) -> None:
+        """Catch up with another daemon that has a later configuration."""
+        if version <= self.routes.version:
+            return
+        self.feed.request_reread()
+        if self._asking is None:
+            work = self._ask_routes(version, peer_address)
+            self._asking = asyncio.create_task(work)
+            self._asking.add_done_callback(self._asked)
+
+    async def _ask_routes(self, version: int, peer_address: str) -> None:
+        await asyncio.sleep(STORE_PATIENCE_S)
+        if version <= self.routes.version:
+            return
+        deadline = self._clock.monotonic() + ROUTES_QUERY_S
+        try:
+            reply = await self.links.call(peer_address, RoutesQuery(0, deadline))
+        except CallError as error:
+            _log.info("peer did not tell its routes", reason=error.message)
+            return
+        if reply.body:
+            self.routes.take(reply.body)
+
+    def _asked(self, task: asyncio.Task) -> None:
+        self._asking = None
+        self._check_ended(task)
 
     async def _handle_caller(self, request: CallerRequest) -> CallerResponse:
-        self._life.last_request_at = self._clock.monotonic()
         return await self._forwarder.handle(request)
 
-    async def _handle_link(self, request: CallRequest | ClaimQuery) -> CallReply:
+    async def _handle_link(self, request: LinkCall) -> CallReply:
+        if isinstance(request, RoutesQuery):
+            body = self.routes.stored_form
+            return CallReply(0, Outcome.COMPLETE, HTTPStatus.OK, (), body, "", None)
         if isinstance(request, ClaimQuery):
             return make_reply(ErrorCode.CLAIM_UNAVAILABLE)
-        self._life.last_request_at = self._clock.monotonic()
-        self._version_seen(request.version)
+        if request.version > self.routes.version:
+            self.feed.request_reread()
         try:
             return await self._run_call(request)
         except CallError as error:
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -17,6 +17,8 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+LATE = OK.replace(b"\r\n\r\n", b"\r\nAttempt: other\r\n\r\n")
+OWN = LATE.replace(b"other", b"own").replace(b"body", b"mine")
 SHED = b"HTTP/1.1 503 x\r\nAlmond-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
 SHED_200 = OK.replace(b"\r\n\r\n", b"\r\nAlmond-Outcome: not-run\r\n\r\n")
 
@@ -31,9 +33,12 @@
         self.held = asyncio.Event()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.addCleanup(self.server.close)
+        self.use_client()
+
+    def use_client(self, **options):
         host, port = self.server.sockets[0].getsockname()
         self.client = BackendClient(
-            f"{host}:{port}", connections=2, clock=SystemClock()
+            f"{host}:{port}", connections=2, clock=SystemClock(), **options
         )
         self.addAsyncCleanup(self.client.close)
 
@@ -54,9 +59,11 @@
             self.closed += 1
             writer.close()
 
-    def send(self, *, seconds=TIMEOUT_S, method="GET", headers=()):
+    def send(self, *, seconds=TIMEOUT_S, method="GET", headers=(), **options):
         deadline = SystemClock().monotonic() + seconds
-        return self.client.send(method, "/x", headers, b"", deadline=deadline)
+        return self.client.send(
+            method, "/x", headers, b"", deadline=deadline, **options
+        )
 
     @parameterized.expand(
         [
@@ -95,6 +102,47 @@
         await self.assert_fails(self.send(), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN)
         self.assertEqual(1, len(self.requests))
 
+    @parameterized.expand([("whole", b"body"), ("empty", b"")])
+    async def test_answer_without_length_is_marked(self, _, body):
+        """Guards against a broken-off answer that is passed on as whole."""
+        self.use_client(accept_unframed=True)
+        self.script = (HEAD + b"\r\n" + body, True)
+        response = await self.send()
+        self.assertEqual((body, False), (response.body, response.framed))
+        self.script = (OK, True)
+        self.assertTrue((await self.send()).framed)
+
+    @parameterized.expand(
+        [
+            ("one stray answer", LATE + OWN, 1),
+            ("two stray answers", LATE + LATE + OWN, 2),
+        ]
+    )
+    async def test_answer_to_an_earlier_request_is_discarded(self, _, data, strays):
+        """Guards against a late second answer that reaches another request."""
+        self.script = (data, False)
+        response = await self.send(
+            matches=lambda headers: ("attempt", "own") in headers
+        )
+        self.assertEqual(b"mine", response.body)
+        self.assertEqual(strays, self.client.counts["stray_responses"])
+        await self.send(matches=lambda headers: ("attempt", "own") in headers)
+        self.assertEqual(2, self.client.counts["connections_opened"])
+
+    @parameterized.expand(
+        [
+            ("announced too short", b"Keep-Alive: timeout=1\r\n", None, 2),
+            ("announced long", b"Keep-Alive: timeout=9\r\n", None, 1),
+            ("idle for too long", b"", 0.0, 2),
+        ]
+    )
+    async def test_idle_connection_is_reused(self, _, header, max_idle, opened):
+        """Guards against a request on a connection that its peer has closed."""
+        self.script = (OK.replace(b"\r\n\r\n", b"\r\n" + header + b"\r\n"), False)
+        for _ in range(2):
+            await self.send(max_idle=max_idle)
+        self.assertEqual(opened, self.client.counts["connections_opened"])
+
     async def test_refusal_is_not_run(self):
         """Guards against a shed request that counts as run."""
         self.script = (SHED, False)
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -36,6 +36,7 @@
         self.clock = ManualClock()
         self.requests = []
         self.cancelled = 0
+        self.framed = True
         self.release = asyncio.Event()
         self.release.set()
         self.server = CallerServer(
@@ -60,7 +61,8 @@
         if request.target == "/big":
             return CallerResponse(200, (), bytes(BIG))
         headers = (("Almond-Outcome", "complete"),)
-        return CallerResponse(200, headers, request.target.encode() + request.body)
+        body = request.target.encode() + request.body
+        return CallerResponse(200, headers, body, self.framed)
 
     async def open(self, data):
         address = split_address(self.server.address)
@@ -144,6 +146,37 @@
         bodies = [(await self.read_response(reader))[2] for _ in range(5)]
         self.assertEqual([b"/%d" % i for i in range(5)], bodies)
 
+    @parameterized.expand([("GET", 3), ("POST", 1)])
+    async def test_pipelined_requests_wait_unless_safe(self, method, started):
+        """Guards against a request that runs though its caller sends it again."""
+        self.release.clear()
+        data = GET.replace(b"GET", method.encode()) * 3
+        reader, _ = await self.open(data)
+        await wait_until(lambda: len(self.requests) >= started)
+        await asyncio.sleep(0.01)
+        self.assertEqual(started, len(self.requests))
+        self.release.set()
+        for _ in range(3):
+            self.assertEqual(b"/a?b", (await self.read_response(reader))[2])
+
+    async def test_answer_without_length_ends_with_its_connection(self):
+        """Guards against a broken-off answer that looks whole to its caller."""
+        self.framed = False
+        reader, _ = await self.open(GET)
+        async with asyncio.timeout(TIMEOUT_S):
+            answer = (await reader.read()).lower()
+        self.assertNotIn(b"content-length", answer)
+        self.assertIn(b"connection: close", answer)
+        self.assertTrue(answer.endswith(b"/a?b"))
+
+    async def test_winding_down_serves_and_closes(self):
+        """Guards against a planned stop that cuts requests on kept connections."""
+        self.server.wind_down()
+        reader, _ = await self.open(GET * 2)
+        heads = [(await self.read_response(reader))[1] for _ in range(2)]
+        closing = ["connection: close" in head for head in heads]
+        self.assertEqual([False, True], closing)
+
     async def test_caller_gone_cancels_the_call(self):
         """Guards against work that goes on for a caller that has gone."""
         self.release.clear()
