Test the decision modules, the platform's documents and its store

Tables of cases against a stand-in of the store (refusals, silence, lost answers, forgotten history) and on a virtual clock.

--- /dev/null
+++ b/tests/platform_support.py
@@ -0,0 +1,47 @@
+"""Documents of the users' platform that several tests share."""
+
+from __future__ import annotations
+
+import msgspec
+
+SERVICE = "orders"
+
+
+def make_configuration(version=7, **changes):
+    """Return a configuration as operators store it."""
+    route = {
+        "name": "r-read",
+        "path_prefix": "/read/",
+        "route_type": "safe",
+        "timeout_s": 0.8,
+        "target_latency_s": 0.4,
+        "priority": 2,
+        "service": SERVICE,
+        "max_attempts": 2,
+    }
+    once = route | {"name": "r-pay", "path_prefix": "/pay/", "route_type": "unsafe"}
+    document = {
+        "version": f"r{version}",
+        "services": [
+            {"name": SERVICE, "health_check_path": "/healthz", "max_connections": 9}
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+        "virtual_hosts": [{"host": "shop.example", "paths": [route, once]}],
+    }
+    return msgspec.json.encode(document | changes)
+
+
+def make_heartbeat(address, *, state="ready", sequence=1, born=1000, **changes):
+    """Return a heartbeat of a backend server."""
+    document = {
+        "address": address,
+        "born": born,
+        "info": {"service": SERVICE, "version": "v1", "zone": "z1", "slots": 4},
+        "status": {"state": state, "sequence": sequence, "cold_remaining_s": 0},
+    }
+    return msgspec.json.encode(document | changes)
--- /dev/null
+++ b/tests/test_coordination_directory.py
@@ -0,0 +1,75 @@
+"""Known hosts: late records, lost records and hosts that are gone."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.directory import RETURN_GRACE_S, HostDirectory
+from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
+
+READY, LEAVING = ServingState.READY, ServingState.LEAVING
+
+
+def make_entry(host="h1", *, incarnation=1, change=0, state=READY, backend="b1"):
+    """Return the record of a host."""
+    entry = BackendEntry(backend, 1, "s", 4, state)
+    return HostEntry(host, incarnation, "dc", "r", f"{host}:1", entry, change)
+
+
+class HostDirectoryTest(unittest.TestCase):
+    """Records arrive from the store and over links, in any order."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.alive = set()
+        self.directory = HostDirectory(
+            clock=self.clock, is_alive=lambda address: address in self.alive
+        )
+
+    def found(self):
+        return [d.backend for d in self.directory.find_destinations("s")]
+
+    @parameterized.expand(
+        [
+            ("older change", {"change": 1}, {"change": 0}),
+            ("older daemon", {"incarnation": 2}, {"incarnation": 1, "change": 9}),
+        ]
+    )
+    def test_older_record_is_ignored(self, _, newer, older):
+        """Guards against a late reading that brings a leaving server back."""
+        self.directory.put(make_entry(state=LEAVING, **newer))
+        self.directory.put(make_entry(state=READY, **older))
+        self.assertEqual([], self.found())
+
+    @parameterized.expand([(LEAVING,), (ServingState.DOWN,)])
+    def test_only_ready_servers_are_destinations(self, state):
+        """Guards against new work for a server that takes none."""
+        self.directory.put(make_entry(state=state))
+        self.directory.put(msgspec.structs.replace(make_entry("h2"), backend=None))
+        self.assertEqual([], self.found())
+
+    def test_lost_record_may_return(self):
+        """Guards against an outage of the store that empties the directory."""
+        self.directory.put(make_entry())
+        self.directory.replace_all({})
+        self.clock.advance(RETURN_GRACE_S - 0.1)
+        self.directory.expire()
+        self.assertEqual(["b1"], self.found())
+        self.directory.put(make_entry())
+        self.clock.advance(RETURN_GRACE_S)
+        self.directory.expire()
+        self.assertEqual(["b1"], self.found())
+
+    @parameterized.expand([("gone", False, []), ("answers", True, ["b1"])])
+    def test_host_without_record(self, _, alive, expected):
+        """Guards against dead hosts that are kept, and living ones that are not."""
+        self.directory.put(make_entry())
+        self.alive = {"h1:1"} if alive else set()
+        self.directory.mark_lost("h1")
+        self.clock.advance(RETURN_GRACE_S)
+        self.directory.expire()
+        self.assertEqual(expected, self.found())
--- /dev/null
+++ b/tests/test_coordination_forwarding.py
@@ -0,0 +1,221 @@
+"""Forwarding: which choices follow a refusal or a failure, and what callers hear."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.forwarding import MAX_REFUSALS, Forwarder
+from almondrouter.coordination.repeats import RepeatBudget, RepeatLimits
+from almondrouter.coordination.routing import RoundRobin
+from almondrouter.coordination.weights import WeightedTurns
+from almondrouter.errors import ErrorCode
+from almondrouter.protocol.calls import CallReply
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
+from almondrouter.transport.calls import CallerRequest, CallLinks
+from almondrouterd.platform.configuration import decode_routes
+from almondrouterd.platform.headers import PlatformDialect
+from platform_support import SERVICE, make_configuration
+
+NOT_RUN, UNKNOWN = Outcome.NOT_RUN, Outcome.UNKNOWN
+HOSTS = 6
+
+
+def make_answer(status=200, *, framed=True, version=7):
+    """Return the reply with a backend server's answer."""
+    return CallReply(
+        0, Outcome.COMPLETE, status, (), b"x", "", None, version, framed
+    )
+
+
+class ScriptedLinks(CallLinks):
+    """Replies to each call with the next item of a script."""
+
+    def __init__(self):
+        self.script = []
+        self.calls = []
+
+    async def call(self, peer_address, request):
+        self.calls.append(request)
+        item = self.script.pop(0)
+        if isinstance(item, Exception):
+            raise item
+        return item
+
+
+class ForwarderTest(unittest.IsolatedAsyncioTestCase):
+    """All backend servers stand on other hosts."""
+
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.links = ScriptedLinks()
+        self.running = set()
+        self.finished = []
+        self.seen = []
+        self.table = decode_routes(make_configuration())
+        directory = HostDirectory(clock=self.clock, is_alive=lambda _: True)
+        for number in range(HOSTS):
+            backend = BackendEntry(f"b{number}", 1, SERVICE, 4, ServingState.READY)
+            directory.put(
+                HostEntry(f"h{number}", 1, "z", "r", f"h{number}:1", backend)
+            )
+        self.repeats = RepeatBudget(
+            RepeatLimits(0.2, 4.0, 10.0), count_hosts=lambda: 1, clock=self.clock
+        )
+        self.forwarder = Forwarder(
+            table=lambda: self.table,
+            directory=directory,
+            choice=RoundRobin(),
+            turns=WeightedTurns(random.Random(1)),
+            repeats=self.repeats,
+            links=self.links,
+            run_here=None,
+            is_running=self.running.__contains__,
+            dialect=PlatformDialect(),
+            clock=self.clock,
+            random=random.Random(1),
+            host="own",
+            own_service="caller",
+            version_seen=lambda version, address: self.seen.append(version),
+            finished=lambda *result: self.finished.append(result),
+        )
+
+    async def send(self, path="/read/1", *, host="shop.example", script=(), **headers):
+        self.links.script = list(script)
+        sent = {"host": host, "attempt-id": "id", "deadline-ms": "700"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        request = CallerRequest("GET", path, tuple(sent.items()), b"")
+        return await self.forwarder.handle(request)
+
+    def fails(self, code, outcome=NOT_RUN):
+        return CallError(code, "scripted", outcome=outcome)
+
+    async def test_answer_is_passed_on(self):
+        """Guards against an answer that is changed, or a call with wrong times."""
+        response = await self.send(script=[make_answer(framed=False)])
+        self.assertEqual(
+            (200, b"x", False), (response.status, response.body, response.framed)
+        )
+        call = self.links.calls[0]
+        now = self.clock.monotonic()
+        self.assertAlmostEqual(now + 0.7, call.deadline)
+        self.assertAlmostEqual(now + 0.4, call.useful_until)
+        self.assertEqual(
+            ("caller", "id", True, 2, 7),
+            (
+                call.caller_service,
+                call.attempt_id,
+                call.repeatable,
+                call.rank,
+                call.version,
+            ),
+        )
+
+    async def test_route_bounds_the_wait(self):
+        """Guards against callers that are kept longer than operators allow."""
+        await self.send(script=[make_answer()], deadline_ms="9000")
+        left = self.links.calls[0].deadline - self.clock.monotonic()
+        self.assertAlmostEqual(0.8, left)
+
+    @parameterized.expand(
+        [
+            ("/none/", "shop.example", 404, "class_unknown"),
+            ("/read/", "none.example", 404, "class_unknown"),
+        ]
+    )
+    async def test_unknown_route(self, path, host, status, code):
+        """Guards against a request that runs where no route leads."""
+        response = await self.send(path, host=host)
+        self.assertEqual(status, response.status)
+        self.assertIn(("Almond-Code", code), response.headers)
+        self.assertEqual([], self.links.calls)
+
+    async def test_no_configuration_yet(self):
+        """Guards against a 404 for what every configuration allows."""
+        self.table = None
+        response = await self.send()
+        self.assertEqual(503, response.status)
+        self.assertIn("retry-after", dict(response.headers))
+
+    @parameterized.expand(
+        [
+            ("misses are free", [ErrorCode.NO_BACKEND] * 4, 5, 200),
+            ("link is lost", [ErrorCode.PEER_UNAVAILABLE], 2, 200),
+            ("refusals end", [ErrorCode.OVERLOADED] * 5, MAX_REFUSALS, 503),
+            ("time is over", [ErrorCode.DEADLINE_EXCEEDED], 1, 503),
+        ]
+    )
+    async def test_not_run_is_tried_elsewhere(self, _, codes, sent, status):
+        """Guards against refusals though another server had room."""
+        script = [self.fails(code) for code in codes] + [make_answer()]
+        response = await self.send("/pay/1", script=script)
+        self.assertEqual((status, sent), (response.status, len(self.links.calls)))
+        self.assertEqual(sent, len({call.backend for call in self.links.calls}))
+        if status == 503:
+            delay = float(dict(response.headers)["retry-after"])
+            self.assertTrue(0 < delay < 0.4)
+
+    @parameterized.expand(
+        [
+            ("safe repeated", "/read/1", UNKNOWN, ErrorCode.BACKEND_FAILED, 2, 200),
+            ("unsafe unknown", "/pay/1", UNKNOWN, ErrorCode.BACKEND_FAILED, 1, 502),
+            ("unsafe late", "/pay/1", UNKNOWN, ErrorCode.PEER_TIMEOUT, 1, 504),
+            ("unsafe shed", "/pay/1", NOT_RUN, ErrorCode.BACKEND_REFUSED, 2, 200),
+        ]
+    )
+    async def test_what_may_have_run(self, _, path, outcome, code, sent, status):
+        """Guards against a second run of what may run once, and false promises."""
+        script = [self.fails(code, outcome), make_answer()]
+        response = await self.send(path, script=script)
+        self.assertEqual((status, sent), (response.status, len(self.links.calls)))
+
+    async def test_refusal_after_an_unknown_outcome_is_no_promise(self):
+        """Guards against "not run" for a request whose first sending may have run."""
+        script = [self.fails(ErrorCode.BACKEND_FAILED, UNKNOWN)]
+        script += [self.fails(ErrorCode.OVERLOADED)] * 5
+        self.assertEqual(502, (await self.send(script=script)).status)
+
+    @parameterized.expand([("/read/1", 2, 200), ("/pay/1", 1, 500)])
+    async def test_failure_of_the_backend_server(self, path, sent, status):
+        """Guards against a repeat of what has run, and a loss that one could mend."""
+        response = await self.send(path, script=[make_answer(500), make_answer()])
+        self.assertEqual((status, sent), (response.status, len(self.links.calls)))
+
+    async def test_attempts_are_bounded(self):
+        """Guards against more backend servers than the route allows."""
+        response = await self.send(script=[make_answer(500)] * 9)
+        self.assertEqual((500, 2), (response.status, len(self.links.calls)))
+
+    async def test_empty_budget_ends_repeats(self):
+        """Guards against repeats that multiply an overload."""
+        while self.repeats.try_spend(SERVICE):
+            pass
+        response = await self.send(script=[make_answer(500), make_answer()])
+        self.assertEqual((500, 1), (response.status, len(self.links.calls)))
+
+    async def test_repeat_needs_time(self):
+        """Guards against runs that end after their deadline."""
+        script = [self.fails(ErrorCode.BACKEND_FAILED, UNKNOWN), make_answer()]
+        response = await self.send(script=script, deadline_ms="100")
+        self.assertEqual((502, 1), (response.status, len(self.links.calls)))
+
+    @parameterized.expand([("parent runs here", True), ("unknown parent", False)])
+    async def test_nested(self, _, running):
+        """Guards against calls that wait behind new work while a slot is held."""
+        if running:
+            self.running.add("parent")
+        await self.send(script=[make_answer()], attempt_id="parent.child")
+        self.assertEqual(running, self.links.calls[0].nested)
+
+    async def test_later_version_elsewhere_is_told(self):
+        """Guards against a daemon that stays behind without noticing."""
+        reply = msgspec.structs.replace(make_answer(), version=9)
+        await self.send(script=[reply])
+        self.assertEqual([9], self.seen)
--- /dev/null
+++ b/tests/test_coordination_localbackend.py
@@ -0,0 +1,183 @@
+"""The backend server beside a daemon: what its answers mean, and its states."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.errors import ErrorCode
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.state.hosts import BackendEntry, ServingState
+from almondrouter.transport.calls import BackendResponse, BackendSender
+from almondrouterd.platform.headers import PlatformDialect
+from calls_support import CallAssertions, make_request
+
+READY, LEAVING, DOWN = ServingState.READY, ServingState.LEAVING, ServingState.DOWN
+SIGNED = (("response-signature", "s"),)
+
+
+class ScriptedSender(BackendSender):
+    """Answers each request with the next item of a script."""
+
+    def __init__(self):
+        self.script = []
+        self.sent = []
+        self.release = asyncio.Event()
+        self.release.set()
+
+    async def send(self, method, target, headers, body, **options):
+        self.sent.append((dict(headers), options))
+        await self.release.wait()
+        item = self.script.pop(0)
+        if isinstance(item, Exception):
+            raise item
+        return item
+
+
+def make_entry(*, state=READY, started=1, backend="b"):
+    """Return what a backend server says of itself."""
+    return BackendEntry(backend, started, "s", 1, state)
+
+
+class LocalBackendTest(CallAssertions, unittest.IsolatedAsyncioTestCase):
+    """Requests go to a sender that plays a script."""
+
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.sender = ScriptedSender()
+        self.changes = 0
+        self.backend = LocalBackend(
+            sender=self.sender,
+            dialect=PlatformDialect(),
+            clock=self.clock,
+            changed=self.count_change,
+        )
+        self.backend.announce(make_entry())
+
+    def count_change(self):
+        self.changes += 1
+
+    def request(self, *, repeatable=True, backend="b"):
+        request = make_request(
+            deadline=self.clock.monotonic() + 1.0, backend=backend
+        )
+        return msgspec.structs.replace(
+            request, repeatable=repeatable, attempt_id="id", caller_service="own"
+        )
+
+    async def test_answer_is_passed_on(self):
+        """Guards against an answer that loses a part of it."""
+        self.sender.script = [BackendResponse(201, SIGNED, b"body")]
+        reply = await self.backend.run(self.request())
+        self.assertEqual(
+            (Outcome.COMPLETE, 201, SIGNED, b"body"),
+            (reply.outcome, reply.status, reply.headers, reply.body),
+        )
+        headers, options = self.sender.sent[0]
+        self.assertEqual("1000", headers["deadline-ms"])
+        self.assertEqual("b", headers["expected-instance"])
+        self.assertIsNone(options["max_idle"])
+
+    @parameterized.expand(
+        [
+            ("shed", 503, (("not-executed", "1"),), ErrorCode.BACKEND_REFUSED, False),
+            ("another server", 421, (), ErrorCode.NO_BACKEND, False),
+            ("unsigned success", 200, (), ErrorCode.BACKEND_FAILED, True),
+        ]
+    )
+    async def test_answer_that_is_none(self, _, status, headers, code, may_have_run):
+        """Guards against a wrong word on whether the request has run."""
+        self.sender.script = [BackendResponse(status, headers, b"")]
+        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
+        await self.assert_fails(self.backend.run(self.request()), code, outcome)
+        self.assertTrue(self.backend.queue.is_idle)
+
+    async def test_unsigned_failure_is_passed_on(self):
+        """Guards against a failure whose status is changed on its way."""
+        self.sender.script = [BackendResponse(500, (), b"")]
+        self.assertEqual(500, (await self.backend.run(self.request())).status)
+
+    async def test_refused_connection_takes_the_server_out(self):
+        """Guards against requests for a server that has crashed."""
+        error = CallError(ErrorCode.NO_BACKEND, "refused")
+        self.sender.script = [error, BackendResponse(200, SIGNED, b"")]
+        for _ in range(2):
+            await self.assert_fails(
+                self.backend.run(self.request()),
+                ErrorCode.NO_BACKEND,
+                Outcome.NOT_RUN,
+            )
+        self.assertEqual(1, len(self.sender.sent))
+        self.backend.announce(make_entry())
+        self.assertEqual(200, (await self.backend.run(self.request())).status)
+
+    @parameterized.expand(
+        [
+            ("older start", make_entry(started=0, state=LEAVING), READY),
+            ("same start leaves", make_entry(state=LEAVING), LEAVING),
+            ("new start", make_entry(started=2, backend="c"), READY),
+        ]
+    )
+    async def test_announcement(self, _, entry, expected):
+        """Guards against a late heartbeat of an earlier start."""
+        self.backend.announce(entry)
+        self.assertEqual(expected, self.backend.entry.state)
+
+    async def test_leaving_is_final_for_one_start(self):
+        """Guards against new work for a server whose leaving was acknowledged."""
+        self.backend.change_state(LEAVING, reason="test")
+        self.backend.announce(make_entry())
+        await self.assert_fails(
+            self.backend.run(self.request()), ErrorCode.NO_BACKEND, Outcome.NOT_RUN
+        )
+        self.backend.announce(make_entry(started=2))
+        self.assertEqual(READY, self.backend.entry.state)
+
+    async def test_request_for_another_server_is_not_run(self):
+        """Guards against a run by a server that took over an address."""
+        await self.assert_fails(
+            self.backend.run(self.request(backend="old")),
+            ErrorCode.NO_BACKEND,
+            Outcome.NOT_RUN,
+        )
+        self.assertEqual([], self.sender.sent)
+
+    @parameterized.expand([("repeatable", True), ("at most once", False)])
+    async def test_caller_leaves(self, _, repeatable):
+        """Guards against work for nobody, and against effects cut in half."""
+        self.sender.release.clear()
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        task = asyncio.create_task(
+            self.backend.run(self.request(repeatable=repeatable))
+        )
+        while not self.sender.sent:
+            await asyncio.sleep(0)
+        self.assertTrue(self.backend.is_running("id"))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0)
+        self.assertEqual(0 if repeatable else 1, self.backend.runs_in_flight)
+        self.sender.release.set()
+        while self.backend.runs_in_flight:
+            await asyncio.sleep(0)
+        self.assertTrue(self.backend.queue.is_idle)
+
+    async def test_waiting_requests_end_with_a_restart(self):
+        """Guards against requests that wait for a server that is gone."""
+        self.sender.release.clear()
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        running = asyncio.create_task(self.backend.run(self.request()))
+        while not self.sender.sent:
+            await asyncio.sleep(0)
+        waiting = asyncio.create_task(self.backend.run(self.request()))
+        await asyncio.sleep(0)
+        self.backend.announce(make_entry(started=2))
+        await self.assert_fails(waiting, ErrorCode.NO_BACKEND, Outcome.NOT_RUN)
+        self.sender.release.set()
+        self.assertEqual(200, (await running).status)
--- /dev/null
+++ b/tests/test_coordination_placement.py
@@ -0,0 +1,116 @@
+"""Placement: distance against wait, failures and refusals."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.placement import REFUSED_S, CostPlacement
+from almondrouter.coordination.routing import Demand
+from almondrouter.protocol.calls import Load
+from almondrouter.protocol.headers import Outcome
+from almondrouter.state.occupancy import OccupancyTable
+from almondrouter.state.snapshot import Destination
+
+AIM = 0.4
+
+
+def make_destination(name, *, data_centre="here-1", region="here"):
+    """Return a destination with ten slots."""
+    return Destination(name, name, data_centre, region, f"{name}:1", 1, 10, False)
+
+
+NEAR = make_destination("near")
+BESIDE = make_destination("beside", data_centre="here-2")
+FAR = make_destination("far", data_centre="there-1", region="there")
+ALL = (NEAR, BESIDE, FAR)
+
+
+class CostPlacementTest(unittest.TestCase):
+    """Reports and results of calls decide where the next call goes."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.unreachable = set()
+        self.placement = CostPlacement(
+            data_centre="here-1",
+            region="here",
+            occupancy=OccupancyTable(),
+            random=random.Random(1),
+            clock=self.clock,
+            is_reachable=lambda d: d.backend not in self.unreachable,
+        )
+
+    def choose(self, *, body=0, nested=False, among=ALL, excluded=()):
+        return self.placement.choose(
+            among,
+            now=self.clock.monotonic(),
+            excluded=excluded,
+            demand=Demand(body, nested, AIM, 1),
+        )
+
+    def report(self, destination, *, busy=0, seconds=0.1, **result):
+        load = Load(10, min(busy, 10), max(0, busy - 10), seconds)
+        result = {"outcome": Outcome.COMPLETE, "load": load, **result}
+        self.placement.started(destination)
+        self.placement.finished(destination, elapsed=0.1, **result)
+
+    @parameterized.expand(
+        [
+            ("idle", 0, {}, NEAR),
+            ("short wait", 12, {}, BESIDE),
+            ("long body stays", 12, {"body": 300_000}, NEAR),
+            ("long wait", 30, {"body": 300_000}, BESIDE),
+        ]
+    )
+    def test_near_unless_it_takes_longer(self, _, busy, demand, expected):
+        """Guards against bytes between data centres that bring no answer sooner."""
+        self.report(NEAR, busy=busy)
+        for other in (BESIDE, FAR):
+            self.report(other, busy=0)
+        self.assertEqual(expected, self.choose(**demand))
+
+    @parameterized.expand([("call", False, FAR), ("nested call", True, BESIDE)])
+    def test_nested_calls_stay_nearer(self, _, nested, expected):
+        """Guards against slots that are held for the time of a long path."""
+        self.report(NEAR, busy=40)
+        self.report(BESIDE, busy=15)
+        self.report(FAR, busy=0)
+        self.assertEqual(expected, self.choose(nested=nested))
+
+    def test_failing_server_gets_less(self):
+        """Guards against a server that looks idle because it sheds or fails."""
+        for _ in range(5):
+            self.report(NEAR, failed=True)
+            self.report(BESIDE)
+        self.assertEqual(BESIDE, self.choose())
+        self.clock.advance(30)
+        self.assertEqual(NEAR, self.choose())
+
+    def test_refusing_server_is_left_out(self):
+        """Guards against a leaving server that is chosen while the store is away."""
+        self.report(NEAR, outcome=Outcome.NOT_RUN, load=None)
+        self.assertEqual(BESIDE, self.choose())
+        self.assertIsNone(self.choose(among=(NEAR,)))
+        self.clock.advance(REFUSED_S)
+        self.assertEqual(NEAR, self.choose())
+
+    def test_unreachable_server_is_the_last_choice(self):
+        """Guards against requests that wait for a host that is cut off."""
+        self.unreachable = {"near"}
+        self.assertEqual(BESIDE, self.choose())
+        self.unreachable = {"near", "beside", "far"}
+        self.assertEqual(NEAR, self.choose())
+
+    def test_daemons_with_the_same_report_spread(self):
+        """Guards against many daemons that pile onto one idle server."""
+        many = tuple(make_destination(str(i)) for i in range(9))
+        self.report(many[0], busy=0)
+        for other in many[1:]:
+            self.report(other, busy=3)
+        counts = Counter(self.choose(among=many).backend for _ in range(900))
+        self.assertLess(counts["0"], 300)
--- /dev/null
+++ b/tests/test_coordination_repeats.py
@@ -0,0 +1,58 @@
+"""Budget of repeats: never above the fleet's bound in any window."""
+
+from __future__ import annotations
+
+import bisect
+import random
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.repeats import RepeatBudget, RepeatLimits
+
+LIMITS = RepeatLimits(ratio=0.2, extra=60.0, window=10.0)
+
+
+def count_within(times, end):
+    """Return how many of the sorted times lie in the window before an end."""
+    begin = bisect.bisect(times, end - LIMITS.window)
+    return bisect.bisect(times, end) - begin
+
+
+class RepeatBudgetTest(unittest.TestCase):
+    """Daemons spend all that they are allowed."""
+
+    @parameterized.expand([(1, 0), (14, 0), (14, 4), (80, 10)])
+    def test_fleet_stays_within_its_bound(self, hosts, rate):
+        """Guards against repeats that multiply an overload over all daemons."""
+        clock = ManualClock()
+        budgets = [
+            RepeatBudget(LIMITS, count_hosts=lambda: hosts, clock=clock)
+            for _ in range(hosts)
+        ]
+        source = random.Random(7)
+        spent, requests = [], []
+        for _ in range(600):
+            clock.advance(0.05)
+            now = clock.monotonic()
+            for budget in budgets:
+                for _ in range(source.randint(0, rate)):
+                    budget.record_request("s")
+                    requests.append(now)
+                for _ in range(5):
+                    if budget.try_spend("s"):
+                        spent.append(now)
+        for end in {*spent}:
+            repeats, asked = count_within(spent, end), count_within(requests, end)
+            self.assertLessEqual(repeats, LIMITS.ratio * asked + LIMITS.extra)
+        self.assertTrue(spent)
+
+    def test_services_do_not_share(self):
+        """Guards against a failing service that spends the repeats of another."""
+        clock = ManualClock()
+        budget = RepeatBudget(LIMITS, count_hosts=lambda: 1, clock=clock)
+        while budget.try_spend("failing"):
+            pass
+        self.assertTrue(budget.try_spend("sound"))
+        self.assertEqual(1, budget.counts["denied"])
--- /dev/null
+++ b/tests/test_coordination_weights.py
@@ -0,0 +1,48 @@
+"""Shares of the services of a route."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from parameterized import parameterized
+
+from almondrouter.coordination.weights import WeightedTurns
+from almondrouter.state.routes import RouteTarget, ServiceShare
+
+
+def make_route(weights, name="r"):
+    """Return a route that is split by weights."""
+    shares = tuple(ServiceShare(f"s{i}", w) for i, w in enumerate(weights))
+    return RouteTarget(name, "/", shares, True, 1.0, 0.5, 2, 0)
+
+
+class WeightedTurnsTest(unittest.TestCase):
+    """Many daemons choose independently."""
+
+    @parameterized.expand([((90, 10),), ((1, 1, 1),), ((100, 0),), ((0.5, 99.5),)])
+    def test_shares_hold_over_few_requests(self, weights):
+        """Guards against shares that only hold in the long run.
+
+        Three hundred requests over fifteen daemons; the bound on a share is 0.1.
+        """
+        route = make_route(weights)
+        source = random.Random(3)
+        counts = Counter()
+        for _ in range(15):
+            turns = WeightedTurns(source)
+            counts.update(turns.choose(route) for _ in range(20))
+        for place, weight in enumerate(weights):
+            share = counts[f"s{place}"] / 300
+            self.assertLessEqual(abs(share - weight / sum(weights)), 0.1)
+            if not weight:
+                self.assertEqual(0, counts[f"s{place}"])
+
+    def test_new_weights_begin_at_once(self):
+        """Guards against credits of an old version that distort a new one."""
+        turns = WeightedTurns(random.Random(1))
+        for _ in range(99):
+            turns.choose(make_route((100, 1)))
+        counts = Counter(turns.choose(make_route((1, 100))) for _ in range(100))
+        self.assertGreaterEqual(counts["s1"], 98)
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,265 @@
+"""The platform's documents: settings, configuration, heartbeats and headers."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+from parameterized import parameterized
+
+from almondrouter.errors import AlmondError, ErrorCode, FindingsError
+from almondrouter.state.hosts import ServingState
+from almondrouterd.platform.configuration import decode_routes
+from almondrouterd.platform.headers import PlatformDialect
+from almondrouterd.platform.heartbeats import decode_heartbeat, decode_leaving
+from almondrouterd.platform.settings import read_host_settings
+from calls_support import make_request
+from platform_support import SERVICE, make_configuration, make_heartbeat
+
+SETTINGS = """
+node = "h1"
+zone = "z1"
+region = "r1"
+ip = "10.0.0.1"
+app_addr = "10.0.0.1:80"
+service = "orders"
+heartbeat_s = 1.5
+port_range = [7380, 7395]
+unknown_field = "ignored"
+[listen]
+inbound = "10.0.0.1:81"
+outbound = "10.0.0.1:82"
+ready_address = "10.0.0.1:83"
+control = "10.0.0.1:84"
+[limits]
+memory_mb = 150
+max_fds = 4100
+[provider]
+address = "10.0.0.9:90"
+writes_per_s = 400
+reads_per_s = 2000
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file is checked whole before anything starts."""
+
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "boot.toml")
+            path.write_text(text)
+            return read_host_settings(str(path))
+
+    def test_reads_what_the_daemon_needs(self):
+        """Guards against addresses that are mixed up."""
+        settings = self.read(SETTINGS)
+        self.assertEqual("10.0.0.1:81", settings.peer_address)
+        self.assertEqual("10.0.0.1:82", settings.caller_address)
+        self.assertEqual("10.0.0.1:80", settings.backend_address)
+        self.assertEqual(0.2, settings.repeat_limits.ratio)
+
+    @parameterized.expand(
+        [
+            ("no TOML", "node = ", ErrorCode.FILE_UNREADABLE, "Invalid value"),
+            ("missing", SETTINGS.replace("zone", "zona"), None, "zone"),
+            ("wrong type", SETTINGS.replace("150", '"x"'), None, "memory_mb"),
+        ]
+    )
+    def test_fault_is_named(self, _, text, code, place):
+        """Guards against a daemon that starts with half of its settings."""
+        with self.assertRaises(FindingsError) as caught:
+            self.read(text)
+        finding = caught.exception.findings[0]
+        self.assertEqual(code or ErrorCode.SETTING_INVALID, finding.code)
+        self.assertIn(place, finding.message)
+
+    def test_missing_file_is_named(self):
+        """Guards against a start without any settings."""
+        with self.assertRaises(FindingsError) as caught:
+            read_host_settings("")
+        self.assertEqual(ErrorCode.FILE_UNREADABLE, caught.exception.code)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Configurations are taken whole or not at all."""
+
+    def test_routes(self):
+        """Guards against routes that mean something else inside."""
+        table = decode_routes(make_configuration(12))
+        route = table.find("SHOP.example:80", "/read/1")
+        self.assertEqual(
+            (12, "r-read", True, 0.8, 0.4, 2, 2),
+            (
+                table.version,
+                route.name,
+                route.repeatable,
+                route.answer_within,
+                route.target_latency,
+                route.max_attempts,
+                route.priority,
+            ),
+        )
+        self.assertFalse(table.find("shop.example", "/pay/x").repeatable)
+        self.assertIsNone(table.find("shop.example", "/rea"))
+        self.assertIsNone(table.find("other.example", "/read/1"))
+        self.assertEqual(15, table.limits.keep_alive)
+
+    def test_longest_prefix_wins(self):
+        """Guards against a general route that hides a special one."""
+        document = msgspec.json.decode(make_configuration())
+        paths = document["virtual_hosts"][0]["paths"]
+        paths.append(paths[0] | {"path_prefix": "/read/deep/", "name": "r-deep"})
+        table = decode_routes(msgspec.json.encode(document))
+        self.assertEqual("r-deep", table.find("shop.example", "/read/deep/1").name)
+
+    @parameterized.expand(
+        [
+            ("no JSON", b"{", ErrorCode.CONFIGURATION_MALFORMED),
+            ("cut short", make_configuration()[:-9], ErrorCode.CONFIGURATION_MALFORMED),
+            (
+                "version",
+                make_configuration().replace(b'"r7"', b'"7"'),
+                ErrorCode.VALUE_OUT_OF_RANGE,
+            ),
+            (
+                "unknown service",
+                make_configuration(services=[]),
+                ErrorCode.SERVICE_UNKNOWN,
+            ),
+            (
+                "no weight",
+                make_configuration().replace(
+                    b'"service":"orders",',
+                    b'"backends":[{"service":"orders","weight":0}],',
+                ),
+                ErrorCode.VALUE_OUT_OF_RANGE,
+            ),
+        ]
+    )
+    def test_fault_refuses_the_whole(self, _, data, code):
+        """Guards against a configuration that is applied in part."""
+        with self.assertRaises(FindingsError) as caught:
+            decode_routes(data)
+        self.assertEqual(code, caught.exception.code)
+
+    def test_split(self):
+        """Guards against shares that are lost in decoding."""
+        data = make_configuration().replace(
+            b'"service":"orders",',
+            b'"backends":[{"service":"orders","weight":90},'
+            b'{"service":"orders","weight":10}],',
+        )
+        route = decode_routes(data).find("shop.example", "/read/")
+        self.assertEqual([90, 10], [share.weight for share in route.shares])
+
+
+class HeartbeatTest(unittest.TestCase):
+    """Heartbeats name a backend server to use, or none."""
+
+    @parameterized.expand(
+        [("ready", ServingState.READY), ("draining", ServingState.LEAVING)]
+    )
+    def test_report(self, state, expected):
+        """Guards against a leaving server that counts as ready."""
+        report = decode_heartbeat("i-1", make_heartbeat("a:1", state=state))
+        self.assertEqual(
+            ("i-1", 1000, SERVICE, 4, expected),
+            msgspec.structs.astuple(report.entry),
+        )
+
+    @parameterized.expand(
+        [
+            ("bytes", "i-1", b"\xff\xfe"),
+            ("state", "i-1", make_heartbeat("a:1", state="gone")),
+            ("no start", "i-1", make_heartbeat("a:1").replace(b'"born"', b'"x"')),
+            ("start as text", "i-1", make_heartbeat("a:1", born="1000")),
+            ("start as fraction", "i-1", make_heartbeat("a:1", born=1.5)),
+            ("no slots", "i-1", make_heartbeat("a:1").replace(b":4}", b":0}")),
+            ("id", "i 1", make_heartbeat("a:1")),
+            ("no id", "", make_heartbeat("a:1")),
+        ]
+    )
+    def test_other_writer_names_none(self, _, backend, body):
+        """Guards against a forged heartbeat that draws traffic."""
+        with self.assertRaises(AlmondError):
+            decode_heartbeat(backend, body)
+
+    @parameterized.expand([(b"", 0), (b'{"born":5}', 5), (b"{", 0), (b"[]", 0)])
+    def test_leaving(self, body, expected):
+        """Guards against a message of leaving that cannot be read."""
+        self.assertEqual(expected, decode_leaving(body))
+
+
+class DialectTest(unittest.TestCase):
+    """Header names are the platform's, and mean the product's."""
+
+    def setUp(self):
+        self.dialect = PlatformDialect()
+
+    def test_request(self):
+        """Guards against headers of one connection that are passed on."""
+        info = self.dialect.read_request(
+            (
+                ("host", "shop.example"),
+                ("attempt-id", "p.c"),
+                ("deadline-ms", "1500"),
+                ("connection", "close, x-hop"),
+                ("x-hop", "1"),
+                ("caller-service", "forged"),
+                ("expected-instance", "forged"),
+                ("x-keep", "1"),
+            )
+        )
+        self.assertEqual(
+            ("p.c", "p", "shop.example", 1.5),
+            (info.attempt_id, info.parent_id, info.virtual_host, info.time_left),
+        )
+        kept = (("host", "shop.example"), ("attempt-id", "p.c"), ("x-keep", "1"))
+        self.assertEqual(kept, info.headers)
+
+    @parameterized.expand(["", "-1", "1e3", "\u0663", "1.5"])
+    def test_unreadable_time_is_none(self, text):
+        """Guards against a deadline that is made up."""
+        info = self.dialect.read_request((("deadline-ms", text),))
+        self.assertIsNone(info.time_left)
+
+    def test_request_for_the_backend_server(self):
+        """Guards against a caller that names itself."""
+        request = msgspec.structs.replace(
+            make_request(deadline=1.0, backend="i-1"), caller_service="own"
+        )
+        headers = dict(self.dialect.write_request(request, time_left=0.25))
+        self.assertEqual(
+            {
+                "deadline-ms": "250",
+                "expected-instance": "i-1",
+                "caller-service": "own",
+            },
+            headers,
+        )
+
+    @parameterized.expand(
+        [
+            ("own answer", 200, ("response-signature",), (True, False, True)),
+            ("no signature", 200, (), (True, False, False)),
+            ("encoded", 200, ("response-signature", "content-encoding"), (1, 0, 0)),
+            ("shed", 503, ("not-executed",), (False, False, False)),
+            ("another", 421, (), (False, True, False)),
+            ("failed", 500, ("response-signature",), (True, False, True)),
+        ]
+    )
+    def test_answer(self, _, status, names, expected):
+        """Guards against an answer that says less or more than it does."""
+        headers = tuple((name, "x") for name in names)
+        answer = self.dialect.read_answer(status, headers)
+        found = (answer.executed, answer.misdirected, answer.genuine)
+        self.assertEqual(tuple(map(bool, expected)), found)
+
+    @parameterized.expand([("own", True), ("other", False), (None, True)])
+    def test_matching_by_id(self, answered, expected):
+        """Guards against a late answer that reaches another request."""
+        request = msgspec.structs.replace(make_request(deadline=1.0), attempt_id="own")
+        headers = (("attempt-id", answered),) if answered else ()
+        self.assertEqual(expected, self.dialect.answers(request, headers))
