Let one daemon a region follow the store and hand versions on

The first daemon of a region that answers and reaches the store now follows it and sends each version, compressed, over the open links; others read records every 12 s, and catch up from a peer or the store when a call shows a later version. Daemons write no record before their backend server has announced itself. Long bodies remain, so a megabyte now weighs four times as much against delay in placement.

--- a/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
@@ -22,9 +22,18 @@
         Key of the configuration in the store.
     decode
         Returns the routes of a stored configuration; raises ``FindingsError``.
+    changed
+        Called when another version is in force.
     """
 
-    def __init__(self, key: str, decode: Callable[[bytes], RouteTable]) -> None:
+    def __init__(
+        self,
+        key: str,
+        decode: Callable[[bytes], RouteTable],
+        *,
+        changed: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._changed = changed
         self._key = key
         self._decode = decode
         self.table: RouteTable | None = None
@@ -39,6 +48,11 @@
         """Return the version in force; 0 before the first."""
         return self.table.version if self.table is not None else 0
 
+    @property
+    def is_polled(self) -> bool:  # noqa: D102
+        # Peers tell of versions with every call, so a long value is not read.
+        return self.table is None
+
     def load(self, items: Sequence[KeyValue]) -> None:  # noqa: D102
         for item in items:
             if item.key == self._key:
@@ -69,3 +83,4 @@
             return
         before, self.table, self.stored_form = self.version, table, value
         _log.info("configuration in force", version=table.version, before=before)
+        self._changed()
--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -49,6 +49,11 @@
         """Return the peer addresses of all known hosts."""
         return [known.entry.peer_address for known in self._known.values()]
 
+    @property
+    def entries(self) -> list[HostEntry]:
+        """Return the records of all known hosts."""
+        return [known.entry for known in self._known.values()]
+
     def find_destinations(self, service: str) -> tuple[Destination, ...]:
         """Return the backend servers that take work for a service."""
         return self._destinations.get(service, ())
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -27,8 +27,8 @@
 SAME_REGION_ROUND_TRIP_S = 0.002
 OTHER_REGION_ROUND_TRIP_S = 0.040
 """Round trips between data centres and between regions of the deployments."""
-SAME_REGION_S_PER_MB = 0.25
-OTHER_REGION_S_PER_MB = 1.0
+SAME_REGION_S_PER_MB = 1.0
+OTHER_REGION_S_PER_MB = 4.0
 """Seconds of delay that are accepted rather than moving a megabyte there; in the
 proportion of what the two deployments pay for a byte."""
 NESTED_DISTANCE_FACTOR = 2.0
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -114,6 +114,8 @@
         entry = self._make_entry()
         if entry == self._written or self._lease is None:
             return
+        if entry.backend is None and self._written is None:
+            return  # There is nothing yet that others could use.
         put = Put(HOSTS_PREFIX + entry.host, encode_host(entry), self._lease.lease_id)
         await self._store.commit(Transaction(success=(put,)))
         self._written = entry
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -6,12 +6,12 @@
 import random as random_module
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from almondrouter.clock import Clock
 from almondrouter.errors import AlmondError
 from almondrouter.logs import StateLogger
-from almondrouter.transport.store import KeyValue, Store, WatchEvent
+from almondrouter.transport.store import KeyValue, Store, WatchBatch, WatchEvent
 
 FIRST_PAUSE_S = 0.1
 """Seconds before the first new try after the store failed."""
@@ -19,6 +19,12 @@
 """Longest pause between tries; the records of hosts return within two seconds."""
 REREAD_PAUSE_S = 0.5
 """Least seconds between readings that other daemons' versions ask for."""
+POLL_S = 12.0
+"""Seconds between readings of a daemon that does not follow the store; they heal
+what was lost on the way and show whether the store still answers."""
+COALESCE_S = 0.1
+"""Seconds for which changes are collected before the next wait; small against the
+seconds within which a configuration has to be in force."""
 
 _log = StateLogger("storefeed")
 
@@ -31,6 +37,11 @@
     def prefix(self) -> str:
         """Prefix of the keys."""
 
+    @property
+    def is_polled(self) -> bool:
+        """Whether a daemon that does not follow the store reads the keys too."""
+        return True
+
     @abstractmethod
     def load(self, items: Sequence[KeyValue]) -> None:
         """Take over a whole reading."""
@@ -41,7 +52,7 @@
 
 
 class StoreFeed:
-    """Reads each subscriber's keys once, then follows all changes by one watch.
+    """Reads each subscriber's keys, then follows all changes by one watch.
 
     Parameters
     ----------
@@ -51,12 +62,15 @@
         Who takes the keys over.
     clock, random
         Time, and the spread of pauses.
+    contact_changed
+        Called when the store was lost or regained.
 
     Notes
     -----
-    After a failure the watch goes on where it ended. Everything is read again
-    only if the store has no history that far back, or another daemon is found
-    to know a later configuration.
+    While ``following`` is False, changes come from another daemon, and only
+    polled keys are read now and then. After a failure the watch goes on where it
+    ended. Everything is read again only if the store has no history that far
+    back, or another daemon is found to know a later configuration.
     """
 
     def __init__(
@@ -66,7 +80,9 @@
         *,
         clock: Clock,
         random: random_module.Random,
+        contact_changed: Callable[[], None] = lambda: None,
     ) -> None:
+        self._contact_changed = contact_changed
         self._store = store
         self._subscribers = subscribers
         self._clock = clock
@@ -74,7 +90,8 @@
         self._prefix = find_common_prefix([s.prefix for s in subscribers])
         self._revision = 0
         self._loaded = False
-        self._reread = asyncio.Event()
+        self._interrupt = asyncio.Event()
+        self._following = True
         self._next_reread_at = 0.0
         self._pause = FIRST_PAUSE_S
         self._connected: bool | None = None
@@ -87,15 +104,39 @@
         now = self._clock.monotonic()
         if now >= self._next_reread_at:
             self._next_reread_at = now + REREAD_PAUSE_S
-            self._reread.set()
+            self._loaded = False
+            self._interrupt.set()
+
+    @property
+    def following(self) -> bool:
+        """Whether this daemon follows the store by itself."""
+        return self._following
+
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store has answered the last call."""
+        return self._connected is not False
+
+    def set_following(self, following: bool) -> None:
+        """Begin or end to follow the store by itself."""
+        if following == self._following:
+            return
+        self._following = following
+        self._loaded = self._loaded and not following
+        self._interrupt.set()
+        _log.info("following the store" if following else "leaving the store to a peer")
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
             try:
+                self._interrupt.clear()
                 if not self._loaded:
-                    await self._load()
-                await self._follow()
+                    await self._load(self._subscribers)
+                if self._following:
+                    await self._follow()
+                else:
+                    await self._rest()
             except AlmondError as error:
                 self._note_loss(error)
                 if error.code.value == "history_compacted":
@@ -104,9 +145,17 @@
                 await asyncio.sleep(self._pause * self._random.uniform(0.5, 1.0))
                 self._pause = min(MAX_PAUSE_S, self._pause * 2)
 
-    async def _load(self) -> None:
+    async def _rest(self) -> None:
+        """Let another daemon tell of changes; read the polled keys now and then."""
+        try:
+            async with asyncio.timeout(POLL_S * self._random.uniform(0.8, 1.2)):
+                await self._interrupt.wait()
+        except TimeoutError:
+            await self._load([s for s in self._subscribers if s.is_polled])
+
+    async def _load(self, subscribers: Sequence[StoreSubscriber]) -> None:
         revision = None
-        for subscriber in self._subscribers:
+        for subscriber in subscribers:
             result = await self._store.read_prefix(subscriber.prefix)
             subscriber.load(result.items)
             revision = result.revision if revision is None else revision
@@ -117,29 +166,31 @@
         self.loaded.set()
 
     async def _follow(self) -> None:
-        self._reread.clear()
-        reread = asyncio.ensure_future(self._reread.wait())
+        interrupt = asyncio.ensure_future(self._interrupt.wait())
         batches = self._store.watch(self._prefix, from_revision=self._revision + 1)
         try:
-            while True:
+            while not interrupt.done():
                 following = asyncio.ensure_future(anext(batches))
                 await asyncio.wait(
-                    (following, reread), return_when=asyncio.FIRST_COMPLETED
+                    (following, interrupt), return_when=asyncio.FIRST_COMPLETED
                 )
                 if not following.done():
                     following.cancel()
                     await asyncio.wait((following,))
-                    self._loaded = False
                     return
-                batch = following.result()
-                self._note_contact()
-                for event in batch.events:
-                    self._dispatch(event)
-                self._revision = batch.revision
+                self._take(following.result())
+                if following.result().events:
+                    await asyncio.sleep(COALESCE_S)
         finally:
-            reread.cancel()
+            interrupt.cancel()
             await batches.aclose()
 
+    def _take(self, batch: WatchBatch) -> None:
+        self._note_contact()
+        for event in batch.events:
+            self._dispatch(event)
+        self._revision = batch.revision
+
     def _dispatch(self, event: WatchEvent) -> None:
         for subscriber in self._subscribers:
             if event.key.startswith(subscriber.prefix):
@@ -150,12 +201,14 @@
         self._pause = FIRST_PAUSE_S
         if self._connected is not True:
             self._connected = True
+            self._contact_changed()
             _log.info("store regained", revision=self._revision)
 
     def _note_loss(self, error: AlmondError) -> None:
         self.counts[error.code.value] += 1
         if self._connected is not False:
             self._connected = False
+            self._contact_changed()
             _log.warning("store lost", code=error.code.value, reason=error.message)
 
 
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -192,15 +192,32 @@
         The record in its stored form.
     version
         Configuration version that the sender has in force.
+    reaches_store
+        Whether the store answers the sender.
     """
 
     record: bytes
     version: int
+    reaches_store: bool
 
 
+class RoutesNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Hands a configuration on; needs no reply.
+
+    Parameters
+    ----------
+    compressed
+        The stored form of the configuration, compressed with zlib.
+    """
+
+    compressed: bytes
+
+
+Notice = HostNotice | RoutesNotice
+
 LinkCall = CallRequest | ClaimQuery | RoutesQuery
 """Frames that are answered by a `CallReply`."""
 
-CallFrame = Hello | Ping | Pong | LinkCall | CallReply | Cancel | HostNotice
+CallFrame = Hello | Ping | Pong | LinkCall | CallReply | Cancel | Notice
 
 CALL_CODEC: Codec[CallFrame] = Codec(CallFrame, max_bytes=MAX_CALL_FRAME_BYTES)
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -20,6 +20,7 @@
     Hello,
     HostNotice,
     LinkCall,
+    Notice,
 )
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES
 from almondrouter.protocol.headers import Outcome
@@ -113,7 +114,7 @@
         handler: LinkHandler,
         clock: Clock,
         policy: LinkPolicy | None = None,
-        noticed: Callable[[HostNotice], None] | None = None,
+        noticed: Callable[[Notice], None] | None = None,
     ) -> None:
         self._noticed = noticed
         self._policy = policy or LinkPolicy()
@@ -198,7 +199,7 @@
             self._start_call(link, frame)
         elif isinstance(frame, Cancel):
             link.cancel(frame.call_id)
-        elif isinstance(frame, HostNotice) and self._noticed is not None:
+        elif isinstance(frame, Notice) and self._noticed is not None:
             self._noticed(frame)
         else:
             raise AlmondError(ErrorCode.FRAME_MALFORMED, "unexpected frame")
@@ -333,6 +334,12 @@
         for name in self._links:
             self._notify(name)
 
+    def send_notice(self, peer_address: str, notice: Notice) -> None:
+        """Send a notice to a peer, if its link is open."""
+        link = self._links.get(peer_address)
+        if link is not None:
+            link.stream.send(notice)
+
     def _notify(self, name: str) -> None:
         if self._make_notice is not None and not name.endswith(_BULK_SUFFIX):
             self._links[name].stream.send(self._make_notice())
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -28,23 +28,21 @@
     CallRequest,
     ClaimQuery,
     Hello,
-    HostNotice,
     LinkCall,
     RoutesQuery,
 )
 from almondrouter.protocol.codec import PROTOCOL_VERSION
-from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
-from almondrouter.state.hosts import HostEntry, ServingState, decode_host, encode_host
+from almondrouter.state.hosts import HostEntry, ServingState
 from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.routes import CallerLimits
-from almondrouter.state.snapshot import Destination
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
 from almondrouterd.hostmetrics import register_call_figures, register_state_figures
 from almondrouterd.metrics import DaemonMetrics
+from almondrouterd.peers import Peers
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
 from almondrouterd.platform.headers import PlatformDialect
 from almondrouterd.platform.heartbeats import (
@@ -70,10 +68,6 @@
 """Longest body of a heartbeat or a readiness check, in bytes."""
 TIDY_S = 0.25
 """Seconds between looks at records that were lost."""
-STORE_PATIENCE_S = 0.4
-"""Seconds that the store has for telling a version that a peer knows already."""
-ROUTES_QUERY_S = 1.0
-"""Seconds that a peer has for sending its configuration."""
 READY_CHECKS_MISSED_S = 2.3
 """Seconds after which nobody sends new work to a daemon that is not ready."""
 KILL_MARGIN_S = 0.5
@@ -133,10 +127,14 @@
             hello=hello,
             clock=clock,
             policy=LINK_POLICY,
-            make_notice=self._make_notice,
+            make_notice=lambda: self._peers.make_notice(),
         )
         self.directory = HostDirectory(clock=clock, is_alive=self.links.is_alive)
-        self.routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        self.routes = ActiveRoutes(
+            CONFIGURATION_KEY,
+            decode_routes,
+            changed=lambda: self._peers.hand_routes_on(),
+        )
         self.registration = Registration(
             self._store, make_entry=self._make_entry, clock=clock, random=self._random
         )
@@ -144,10 +142,24 @@
             self.directory,
             own_host=settings.host,
             lost=self.registration.note_lost,
-            seen=self._warm_link,
+            seen=lambda entry: self._peers.warm_link(entry),
         )
         self.feed = StoreFeed(
-            self._store, (self.routes, records), clock=clock, random=self._random
+            self._store,
+            (self.routes, records),
+            clock=clock,
+            random=self._random,
+            contact_changed=self.links.notify_all,
+        )
+        self._peers = Peers(
+            links=self.links,
+            directory=self.directory,
+            routes=self.routes,
+            feed=self.feed,
+            own_host=settings.host,
+            own_region=settings.region,
+            make_entry=self._make_entry,
+            clock=clock,
         )
 
     def _build_calls(self) -> None:
@@ -178,7 +190,7 @@
                 occupancy=OccupancyTable(),
                 random=self._random,
                 clock=clock,
-                is_reachable=self._is_reachable,
+                is_reachable=self._peers.is_reachable,
             ),
             turns=WeightedTurns(self._random),
             repeats=self.repeats,
@@ -190,7 +202,7 @@
             random=self._random,
             host=settings.host,
             own_service=settings.own_service,
-            version_seen=self._version_seen,
+            version_seen=self._peers.note_version,
             finished=self._metrics.record_call,
         )
 
@@ -210,7 +222,7 @@
             handler=self._handle_link,
             clock=clock,
             policy=LINK_POLICY,
-            noticed=self._take_notice,
+            noticed=self._peers.take_notice,
         )
         self._ready_server = self._make_small_server(
             settings.ready_address, self._handle_ready
@@ -336,10 +348,7 @@
     async def _tidy_forever(self) -> None:
         while True:
             await asyncio.sleep(TIDY_S)
-            self.directory.expire()
-            for address in self.directory.peer_addresses:
-                if address != self.settings.peer_address:
-                    self.links.warm(address)
+            self._peers.tidy()
 
     def _get_caller_limits(self) -> CallerLimits:
         table = self.routes.table
@@ -363,63 +372,12 @@
         self.links.notify_all()
         self.registration.update()
 
-    def _make_notice(self) -> HostNotice:
-        return HostNotice(encode_host(self._make_entry()), self.routes.version)
-
-    def _take_notice(self, notice: HostNotice) -> None:
-        """Take over what a peer says of itself, which needs no store."""
-        try:
-            entry = decode_host(notice.record)
-        except AlmondError as error:
-            _log.warning("unreadable notice ignored", reason=error.message)
-            return
-        self.directory.put(entry)
-        self._warm_link(entry)
-        self._version_seen(notice.version, entry.peer_address)
-
-    def _warm_link(self, entry: HostEntry) -> None:
-        if entry.host != self.settings.host:
-            self.links.warm(entry.peer_address)
-
-    def _is_reachable(self, destination: Destination) -> bool:
-        if destination.host == self.settings.host:
-            return True
-        return self.links.is_alive(destination.peer_address)
-
-    def _version_seen(self, version: int, peer_address: str) -> None:
-        """Catch up with another daemon that has a later configuration."""
-        if version <= self.routes.version:
-            return
-        self.feed.request_reread()
-        if self._asking is None:
-            work = self._ask_routes(version, peer_address)
-            self._asking = asyncio.create_task(work)
-            self._asking.add_done_callback(self._asked)
-
-    async def _ask_routes(self, version: int, peer_address: str) -> None:
-        await asyncio.sleep(STORE_PATIENCE_S)
-        if version <= self.routes.version:
-            return
-        deadline = self._clock.monotonic() + ROUTES_QUERY_S
-        try:
-            reply = await self.links.call(peer_address, RoutesQuery(0, deadline))
-        except CallError as error:
-            _log.info("peer did not tell its routes", reason=error.message)
-            return
-        if reply.body:
-            self.routes.take(reply.body)
-
-    def _asked(self, task: asyncio.Task) -> None:
-        self._asking = None
-        self._check_ended(task)
-
     async def _handle_caller(self, request: CallerRequest) -> CallerResponse:
         return await self._forwarder.handle(request)
 
     async def _handle_link(self, request: LinkCall) -> CallReply:
         if isinstance(request, RoutesQuery):
-            body = self.routes.stored_form
-            return CallReply(0, Outcome.COMPLETE, HTTPStatus.OK, (), body, "", None)
+            return self._peers.answer_query()
         if isinstance(request, ClaimQuery):
             return make_reply(ErrorCode.CLAIM_UNAVAILABLE)
         if request.version > self.routes.version:
--- a/packages/almondrouterd/src/almondrouterd/platform/store.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -37,9 +37,9 @@
 
 CALL_TIMEOUT_S = 1.5
 """Seconds for one call; a slow store takes up to 0.4."""
-WATCH_WAIT_MS = 3_000
+WATCH_WAIT_MS = 1_000
 """Milliseconds that a watch waits; bounds how long a silent one goes unnoticed."""
-WATCH_SLACK_S = 1.0
+WATCH_SLACK_S = 0.5
 """Seconds beyond the wait after which a watch counts as silent."""
 MAX_CONNECTIONS = 4
 MAX_IDLE_S = 8.0
