Expect longer waits where urgent work overtakes

The queue now learns by rank how much longer waits are than places say, and refuses on arrival. Also: a watch is closed cleanly when following ends, the stand-in keeps empty query values.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
@@ -158,7 +158,7 @@
     async def _answer(
         self, name: str, argument: str, request: CallerRequest, query: str
     ) -> CallerResponse:
-        asked = dict(parse_qsl(query))
+        asked = dict(parse_qsl(query, keep_blank_values=True))
         if name == "kv-range":
             return self._read_range(asked)
         if name == "kv-key":
--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -27,6 +27,13 @@
 """Share of slots kept for nested requests while there are any."""
 NESTED_MEMORY_S = 3.0
 """Seconds after a nested request in which slots are kept for others."""
+OVERTAKING_WEIGHT = 0.4
+"""Weight of the newest wait in how much longer than expected a rank waits."""
+OVERTAKING_HALF_LIFE_S = 3.0
+"""Seconds after which what was learned of overtaking counts half; a rank that is
+refused for it is not measured any more."""
+MAX_OVERTAKING = 6.0
+"""Most that an expected wait is multiplied by."""
 MAX_RANK = 9
 """Lowest rank that is told apart in load reports."""
 
@@ -44,6 +51,8 @@
     order: tuple[int, float, int]
     request: CallRequest
     granted: asyncio.Future[Grant]
+    enqueued_at: float
+    expected_wait: float
     expiry: asyncio.TimerHandle | None = None
 
 
@@ -66,6 +75,7 @@
         self._sequence = itertools.count()
         self._mean = _Average()
         self._by_class: dict[str, _Average] = {}
+        self._overtaking: dict[int, _Overtaking] = {}
         self._nested_until = 0.0
         self.counts: Counter[str] = Counter()
 
@@ -168,11 +178,13 @@
         order = (make_rank(request), useful_until, next(self._sequence))
         place = bisect.bisect(self._queue, order, key=lambda waiter: waiter.order)
         run_time = self.expected_time(request.class_name)
-        if now + (place + 1) * self._turn() + run_time > useful_until:
+        wait = (place + 1) * self._turn()
+        factor = self._find_overtaking(order[0]).decayed(now)
+        if now + wait * factor + run_time > useful_until:
             self.counts["refused_on_arrival"] += 1
             raise self._make_refusal("no answer in time can be expected")
         loop = asyncio.get_running_loop()
-        waiter = _Waiter(order, request, loop.create_future())
+        waiter = _Waiter(order, request, loop.create_future(), now, wait)
         self._queue.insert(place, waiter)
         spare = max(0.0, useful_until - run_time - now)
         waiter.expiry = loop.call_later(spare, self._expire, waiter)
@@ -181,15 +193,26 @@
     def _expire(self, waiter: _Waiter) -> None:
         """Refuse a request that others have kept waiting for too long."""
         self.counts["refused_waiting"] += 1
+        self._learn_wait(waiter, self._clock.monotonic())
         self._refuse(waiter, ErrorCode.OVERLOADED, "no slot came free in time")
 
     def _grant_waiting(self, now: float) -> None:
         while self._queue and self._has_room(self._queue[0].request, now):
             waiter = self._queue[0]
             self._remove(waiter)
+            self._learn_wait(waiter, now)
             if not waiter.granted.done():
                 waiter.granted.set_result(self._start(waiter.request, now))
 
+    def _learn_wait(self, waiter: _Waiter, now: float) -> None:
+        waited = now - waiter.enqueued_at
+        self._find_overtaking(waiter.order[0]).record(
+            waited / waiter.expected_wait, now
+        )
+
+    def _find_overtaking(self, rank: int) -> _Overtaking:
+        return self._overtaking.setdefault(rank, _Overtaking())
+
     def _refuse(self, waiter: _Waiter, code: ErrorCode, message: str) -> None:
         self._remove(waiter)
         if not waiter.granted.done():
@@ -205,6 +228,24 @@
         return CallError(ErrorCode.OVERLOADED, message)
 
 
+class _Overtaking:
+    """How much longer a rank waits than its place says, as others overtake it."""
+
+    def __init__(self) -> None:
+        self._factor = 1.0
+        self._updated_at = 0.0
+
+    def decayed(self, now: float) -> float:
+        weight = 0.5 ** ((now - self._updated_at) / OVERTAKING_HALF_LIFE_S)
+        return 1.0 + weight * (self._factor - 1.0)
+
+    def record(self, factor: float, now: float) -> None:
+        factor = min(max(factor, 1.0), MAX_OVERTAKING)
+        known = self.decayed(now)
+        self._factor = known + OVERTAKING_WEIGHT * (factor - known)
+        self._updated_at = now
+
+
 class _Average:
     """An exponentially weighted average that begins with its first value."""
 
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -168,21 +168,24 @@
     async def _follow(self) -> None:
         interrupt = asyncio.ensure_future(self._interrupt.wait())
         batches = self._store.watch(self._prefix, from_revision=self._revision + 1)
+        waiting: asyncio.Task[WatchBatch] | None = None
         try:
             while not interrupt.done():
-                following = asyncio.ensure_future(anext(batches))
+                waiting = asyncio.ensure_future(anext(batches))
                 await asyncio.wait(
-                    (following, interrupt), return_when=asyncio.FIRST_COMPLETED
+                    (waiting, interrupt), return_when=asyncio.FIRST_COMPLETED
                 )
-                if not following.done():
-                    following.cancel()
-                    await asyncio.wait((following,))
+                if not waiting.done():
                     return
-                self._take(following.result())
-                if following.result().events:
+                batch = waiting.result()
+                self._take(batch)
+                if batch.events:
                     await asyncio.sleep(COALESCE_S)
         finally:
             interrupt.cancel()
+            if waiting is not None:
+                waiting.cancel()
+                await asyncio.gather(waiting, return_exceptions=True)
             await batches.aclose()
 
     def _take(self, batch: WatchBatch) -> None:
--- /dev/null
+++ b/tests/test_coordination_relays.py
@@ -0,0 +1,50 @@
+"""Election of the daemon that follows the store for its region."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.coordination.relays import RelayCandidate, RelayElection
+
+
+class RelayElectionTest(unittest.TestCase):
+    """Each daemon decides by itself from what it knows of the others."""
+
+    @parameterized.expand(
+        [
+            ("alone", True, [], True),
+            ("first", True, [("c", True, True)], True),
+            ("second", True, [("a", True, True)], False),
+            ("first is silent", True, [("a", False, True)], True),
+            ("first lost the store", True, [("a", True, False)], True),
+            ("own store lost", False, [("c", True, True)], False),
+            ("all lost the store", False, [("a", True, False)], True),
+        ]
+    )
+    def test_own_view(self, _, reaches_store, others, expected):
+        """Guards against a region that nobody follows the store for."""
+        election = RelayElection("b", reaches_store=lambda: reaches_store)
+        candidates = [RelayCandidate(*other) for other in others]
+        self.assertEqual(expected, election.is_relay(candidates))
+
+    def test_someone_who_can_always_follows(self):
+        """Guards against any mix of lost stores that leaves a region behind."""
+        hosts = "abcd"
+        for reached in itertools.product((True, False), repeat=len(hosts)):
+            relays = []
+            for own in hosts:
+                others = [
+                    RelayCandidate(host, True, able)
+                    for host, able in zip(hosts, reached, strict=True)
+                    if host != own
+                ]
+                able = reached[hosts.index(own)]
+                election = RelayElection(own, reaches_store=lambda able=able: able)
+                if election.is_relay(others):
+                    relays.append((own, able))
+            self.assertTrue(relays)
+            if any(reached):
+                self.assertEqual(1, sum(able for _, able in relays), reached)
--- a/tests/test_coordination_slots.py
+++ b/tests/test_coordination_slots.py
@@ -87,6 +87,40 @@
         self.assertGreaterEqual(len(served), 5)
         self.assertLessEqual(self.clock.monotonic() - started, 0.4 + 1e-6)
 
+    def test_overtaken_rank_is_refused_on_arrival(self):
+        """Guards against low ranks that wait for long and are refused then.
+
+        Load: urgent work takes nine tenths of the slots; the rest of the demand
+        is of a lower rank, and its place in the queue promises too much.
+        """
+        self.warm_up()
+        refused_after = []
+
+        async def ask(request):
+            started = self.clock.monotonic()
+            try:
+                grant = await self.queue.acquire(request)
+            except CallError:
+                refused_after.append(self.clock.monotonic() - started)
+                return
+            await asyncio.sleep(RUN_S)
+            self.queue.release(grant, measured=True)
+
+        async def play():
+            tasks = []
+            for step in range(400):
+                tasks.append(asyncio.create_task(ask(self.request(rank=0))))
+                if step % 2:
+                    request = self.request(rank=2)
+                    tasks.append(asyncio.create_task(ask(request)))
+                await asyncio.sleep(RUN_S / 2 / 0.9)
+            await asyncio.gather(*tasks)
+
+        run_virtual(play(), self.clock)
+        late = [seconds for seconds in refused_after if seconds > 0.05]
+        self.assertGreater(len(refused_after), 50)
+        self.assertLess(len(late) / len(refused_after), 0.5)
+
     def test_passed_deadline_is_refused(self):
         """Guards against runs that nobody waits for."""
         self.play([self.request("late", deadline=0.0)])
