Ping idle links less; weigh speed beyond the target less than distance

Idle links were pinged 3.3 times a second, and calls went to a faster backend server of another region though the near one met the target.

--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -33,6 +33,11 @@
 proportion of what the two deployments pay for a byte."""
 NESTED_DISTANCE_FACTOR = 2.0
 """Weight of distance for nested calls, which hold a slot elsewhere meanwhile."""
+SPEED_WEIGHT = 0.3
+"""Weight of a run time that leaves enough of the target; more speed than the target
+asks for is not worth a longer path."""
+COMFORTABLE_SHARE = 0.5
+"""Share of the target latency up to which a run time leaves enough of it."""
 CROWDING_S = 0.01
 """Seconds that a wholly busy backend server counts worse than an idle one."""
 FAILURE_WEIGHT = 0.15
@@ -205,10 +210,17 @@
             cost += failures.decayed(now) * demand.target_latency
         entry = self._occupancy.find(destination.backend)
         if entry is None:
-            return cost + usual
+            return cost + weigh_run_time(usual, demand.target_latency)
         slots = entry.slots or destination.slots
         weight = entry.weight(now, half_life=SERVICE_TIME_HALF_LIFE_SECONDS)
         service_time = usual + weight * (entry.service_time - usual)
         calls = entry.calls(now, rank=demand.rank)
         wait = max(0.0, calls + 1 - slots) * service_time / slots
-        return cost + wait + service_time + CROWDING_S * calls / slots
+        run_time = weigh_run_time(service_time, demand.target_latency)
+        return cost + wait + run_time + CROWDING_S * calls / slots
+
+
+def weigh_run_time(seconds: float, target_latency: float) -> float:
+    """Return what a run time counts beside distance and wait, in seconds."""
+    comfortable = min(seconds, COMFORTABLE_SHARE * target_latency)
+    return SPEED_WEIGHT * comfortable + seconds - comfortable
--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -18,6 +18,10 @@
 HANDSHAKE_S = 3.0
 PING_INTERVAL_S = 1.0
 MAX_SILENCE_S = 3.0
+IDLE_FACTOR = 3.0
+"""How many times longer a peer of which nothing is expected may be silent."""
+IDLE_PINGS = 3
+"""Pings within the longest silence of such a peer."""
 MAX_CLOCK_DRIFT = 200e-6
 """Seconds a second by which the clocks of two hosts may drift apart."""
 
@@ -114,6 +118,7 @@
         self._ended = False
         self._heard_at = clock.monotonic()
         self._checked_at: float | None = None
+        self._pinged_at = 0.0
         self._task: asyncio.Task | None = None
         self.offset = ClockOffset()
 
@@ -203,21 +208,31 @@
         self._heard_at = self._clock.monotonic()
         self._checked_at = None
 
-    def check_silence(self) -> bool:
+    def check_silence(self, *, idle: bool = False) -> bool:
         """Ping the peer; return whether it has been silent for too long.
 
+        Parameters
+        ----------
+        idle
+            Whether nothing is expected now. Such a peer is pinged less often and
+            may be silent for longer.
+
         Notes
         -----
         To be called regularly while something is expected. A late call means
         that this process was frozen, which says nothing of the peer.
         """
         now = self._clock.monotonic()
-        if self._checked_at is not None and now - self._checked_at > self._max_silence:
+        factor = IDLE_FACTOR if idle else 1.0
+        max_silence = self._max_silence * factor
+        if self._checked_at is not None and now - self._checked_at > max_silence:
             self._heard_at = now
         self._checked_at = now
-        if now - self._heard_at >= self._max_silence:
+        if now - self._heard_at >= max_silence:
             return True
-        self.send(Ping(now))
+        if not idle or now - self._pinged_at >= max_silence / IDLE_PINGS:
+            self._pinged_at = now
+            self.send(Ping(now))
         return False
 
     def close(self) -> None:
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -30,6 +30,7 @@
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import (
     HANDSHAKE_S,
+    IDLE_FACTOR,
     MAX_SILENCE_S,
     PING_INTERVAL_S,
     ClockOffset,
@@ -354,7 +355,10 @@
         link = self._links.get(peer_address)
         if link is None:
             return False
-        horizon = self._clock.monotonic() - self._policy.max_silence
+        silence = self._policy.max_silence
+        if not link.pending:
+            silence *= IDLE_FACTOR
+        horizon = self._clock.monotonic() - silence
         return link.stream.heard_at > horizon
 
     def tick(self) -> None:
@@ -362,7 +366,7 @@
         now = self._clock.monotonic()
         for address, link in tuple(self._links.items()):
             if link.pending or self._policy.ping_idle:
-                if link.stream.check_silence():
+                if link.stream.check_silence(idle=not link.pending):
                     self.counts["silent"] += 1
                     self._drop(address, link, "silent")
             elif now - link.used_at > MAX_IDLE_S:
