--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -234,6 +234,7 @@
                 attempt.call.nested,
                 attempt.route.target_latency,
                 attempt.route.priority,
+                attempt.call.useful_until - now,
             ),
         )
 
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -126,9 +126,13 @@
         best, best_cost = None, 0.0
         for distance, members in tiers.items():
             for candidate in self._draw(members):
-                cost = distance + self._weigh_load(candidate, demand, usual, now)
-                if best is None or cost < best_cost:
-                    best, best_cost = candidate, cost
+                cost, answer_after = self._weigh_load(candidate, demand, usual, now)
+                if excluded and answer_after > demand.time_left:
+                    # The first choice may find that a report was too old; those
+                    # after it would only carry the request about.
+                    continue
+                if best is None or distance + cost < best_cost:
+                    best, best_cost = candidate, distance + cost
         return best
 
     def started(self, destination: Destination) -> None:  # noqa: D102
@@ -202,22 +206,23 @@
 
     def _weigh_load(
         self, destination: Destination, demand: Demand, usual: float, now: float
-    ) -> float:
-        """Return the seconds until an answer, with what failures and crowds add."""
+    ) -> tuple[float, float]:
+        """Return the cost of a load, and the seconds until an answer."""
         cost = 0.0
         failures = self._failures.get(destination.backend)
         if failures is not None:
             cost += failures.decayed(now) * demand.target_latency
         entry = self._occupancy.find(destination.backend)
         if entry is None:
-            return cost + weigh_run_time(usual, demand.target_latency)
+            return cost + weigh_run_time(usual, demand.target_latency), usual
         slots = entry.slots or destination.slots
         weight = entry.weight(now, half_life=SERVICE_TIME_HALF_LIFE_SECONDS)
         service_time = usual + weight * (entry.service_time - usual)
         calls = entry.calls(now, rank=demand.rank)
         wait = max(0.0, calls + 1 - slots) * service_time / slots
         run_time = weigh_run_time(service_time, demand.target_latency)
-        return cost + wait + run_time + CROWDING_S * calls / slots
+        cost += wait + run_time + CROWDING_S * calls / slots
+        return cost, wait + service_time
 
 
 def weigh_run_time(seconds: float, target_latency: float) -> float:
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -42,12 +42,15 @@
         Seconds within which an answer is of full use.
     rank
         Rank of the route; 0 is served first.
+    time_left
+        Seconds for which an answer is still of full use.
     """
 
     body_bytes: int
     nested: bool
     target_latency: float
     rank: int
+    time_left: float = float("inf")
 
 
 class ChoicePolicy(ABC):
--- a/tests/test_coordination_placement.py
+++ b/tests/test_coordination_placement.py
@@ -45,12 +45,12 @@
             is_reachable=lambda d: d.backend not in self.unreachable,
         )
 
-    def choose(self, *, body=0, nested=False, among=ALL, excluded=()):
+    def choose(self, *, body=0, nested=False, among=ALL, excluded=(), left=AIM):
         return self.placement.choose(
             among,
             now=self.clock.monotonic(),
             excluded=excluded,
-            demand=Demand(body, nested, AIM, 1),
+            demand=Demand(body, nested, AIM, 1, left),
         )
 
     def report(self, destination, *, busy=0, seconds=0.1, **result):
@@ -82,6 +82,19 @@
         self.report(FAR, busy=0)
         self.assertEqual(expected, self.choose(nested=nested))
 
+    @parameterized.expand(
+        [
+            ("room elsewhere", 0, ("near",), BESIDE),
+            ("no room in time", 60, ("near",), None),
+            ("first choice", 60, (), NEAR),
+        ]
+    )
+    def test_refused_request_is_not_carried_about(self, _, busy, excluded, expected):
+        """Guards against bytes for servers that would only refuse again."""
+        for destination in ALL:
+            self.report(destination, busy=busy)
+        self.assertEqual(expected, self.choose(excluded=excluded))
+
     def test_failing_server_gets_less(self):
         """Guards against a server that looks idle because it sheds or fails."""
         for _ in range(5):
