--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -27,6 +27,8 @@
 """Share of slots kept for nested requests while there are any."""
 NESTED_MEMORY_S = 3.0
 """Seconds after a nested request in which slots are kept for others."""
+RUN_TIME_MARGIN = 1.5
+"""Times the mean that a run may take without being late; run times spread widely."""
 OVERTAKING_WEIGHT = 0.4
 """Weight of the newest wait in how much longer than expected a rank waits."""
 OVERTAKING_HALF_LIFE_S = 3.0
@@ -177,7 +179,7 @@
         useful_until = request.useful_until or request.deadline
         order = (make_rank(request), useful_until, next(self._sequence))
         place = bisect.bisect(self._queue, order, key=lambda waiter: waiter.order)
-        run_time = self.expected_time(request.class_name)
+        run_time = self.expected_time(request.class_name) * RUN_TIME_MARGIN
         wait = (place + 1) * self._turn()
         factor = self._find_overtaking(order[0]).decayed(now)
         if now + wait * factor + run_time > useful_until:
