--- /dev/null
+++ b/tests/test_almondrouterd_host.py
@@ -0,0 +1,209 @@
+"""The daemon of the users' platform as processes: faults, stops and the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import tempfile
+import unittest
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+from parameterized import parameterized
+
+from almondrouter_standins.platform_fleet import (
+    CONFIGURATION_KEY,
+    GRACE_S,
+    PlatformFleet,
+)
+from almondrouter_standins.platform_store import StoreFault
+from platform_support import make_configuration
+
+NETWORKS = iter(range(20 + os.getpid() % 100, 255))
+PATHS = ("/read/1", "/pay/1", "/pay/big")
+CALM_S = 12.0
+"""Seconds after the last fault in which requests have to be served again."""
+
+
+class HostDaemonTest(unittest.IsolatedAsyncioTestCase):
+    """Real processes on loopback; the store and backend servers are stand-ins."""
+
+    async def start_fleet(self, *, hosts=3, seed=1):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.random = random.Random(seed)
+        self.fleet = PlatformFleet(
+            Path(folder.name),
+            hosts=hosts,
+            random=self.random,
+            network=next(NETWORKS),
+        )
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start(make_configuration(1))
+
+    async def send_many(self, count, *, hosts, paths=PATHS):
+        """Send requests to hosts in turn; return how often each status came."""
+        statuses = Counter()
+
+        async def send(place):
+            path = paths[place % len(paths)]
+            body = bytes(100_000) if path.endswith("big") else b""
+            host = hosts[place % len(hosts)]
+            statuses[await self.fleet.send(host, path, body=body)] += 1
+
+        for begin in range(0, count, 6):
+            await asyncio.gather(*map(send, range(begin, min(begin + 6, count))))
+        return statuses
+
+    def assert_kept(self):
+        self.assertEqual([], self.fleet.ledger.check(), self.fleet.ledger.outcomes)
+
+    async def read_version(self, number):
+        answer = await self.fleet.fetch(number, 9464, "/metrics")
+        line = next(
+            line
+            for line in answer.body.decode().splitlines()
+            if line.startswith("almond_configuration_version")
+        )
+        return int(float(line.rpartition(" ")[2]))
+
+    async def wait_for_versions(self, version, *, hosts=(0, 1, 2), seconds=5.0):
+        async with asyncio.timeout(seconds):
+            while {await self.read_version(n) for n in hosts} != {version}:
+                await asyncio.sleep(0.02)
+
+    async def test_calm_day(self):
+        """Guards against requests of any kind that are not served."""
+        await self.start_fleet()
+        statuses = await self.send_many(60, hosts=(0, 1, 2))
+        self.assertEqual({200: 60}, statuses)
+        self.assertEqual(404, await self.fleet.send(0, "/none/"))
+        ready = await self.fleet.fetch(0, 7004, "/almondrouter/readyz")
+        self.assertEqual(200, ready.status)
+        self.assert_kept()
+
+    async def test_version_spreads_and_never_goes_back(self):
+        """Guards against a host that stays behind or returns to an old version."""
+        await self.start_fleet()
+        for version in (5, 9):
+            await self.fleet.store.put(CONFIGURATION_KEY, make_configuration(version))
+            await self.wait_for_versions(version)
+        for value in (make_configuration(7), b"{", make_configuration(12)[:-5]):
+            await self.fleet.store.put(CONFIGURATION_KEY, value)
+        await self.fleet.store.put(CONFIGURATION_KEY, make_configuration(15))
+        await self.wait_for_versions(15)
+        in_force = [
+            msgspec.json.decode(line)["version"]
+            for line in self.fleet.read_logs().splitlines()
+            if '"configuration in force"' in line and '"host":"host-0"' in line
+        ]
+        self.assertEqual(sorted(in_force), in_force)
+
+    async def test_restart_without_the_store(self):
+        """Guards against a host that cannot serve until the store is back."""
+        await self.start_fleet()
+        self.fleet.store.fault = StoreFault.BUSY
+        self.fleet.store.cut_connections()
+        await self.fleet.stop_daemon(0, signal.SIGKILL)
+        await self.fleet.start_daemon(0)
+        await self.fleet.wait_until_ready(0)
+        self.assertEqual(1, await self.read_version(0))
+        self.assert_kept()
+
+    async def test_graceful_stop_cuts_no_request(self):
+        """Guards against a planned stop that loses requests in flight."""
+        await self.start_fleet()
+
+        async def send_until_closed():
+            statuses = Counter()
+            while (status := await self.fleet.send(0, "/read/1")) != 0:
+                statuses[status] += 1
+            return statuses
+
+        senders = [asyncio.create_task(send_until_closed()) for _ in range(3)]
+        async with asyncio.timeout(GRACE_S):
+            code = await self.fleet.stop_daemon(0, signal.SIGTERM)
+        self.assertEqual(0, code)
+        for statuses in await asyncio.gather(*senders):
+            self.assertLessEqual(set(statuses), {200, 503})
+            self.assertGreater(statuses[200], 10)
+        self.assertEqual({200: 12}, await self.send_many(12, hosts=(1, 2)))
+        self.assert_kept()
+
+    async def test_leaving_server_gets_nothing_new(self):
+        """Guards against work for a backend server that is going away."""
+        await self.start_fleet()
+        backend = self.fleet.backends[0]
+        backend.state = "draining"
+        while not backend.acknowledged["draining"]:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.1)
+        before = backend.server.counts.copy()
+        connections = len(backend.server.connections)
+        statuses = await self.send_many(30, hosts=(0, 1, 2))
+        self.assertEqual({200: 30}, statuses)
+        self.assertEqual(before, backend.server.counts)
+        self.assertLessEqual(len(backend.server.connections), connections)
+        self.assert_kept()
+
+    async def test_logs_are_one_object_a_line(self):
+        """Guards against log lines that no program can read."""
+        await self.start_fleet()
+        self.fleet.backends[0].state = "draining"
+        await self.fleet.stop_daemon(1, signal.SIGKILL)
+        await self.send_many(20, hosts=(0, 2))
+        for line in self.fleet.read_logs().splitlines():
+            fields = msgspec.json.decode(line)
+            self.assertLessEqual({"time", "level", "host", "event"}, set(fields))
+
+    @parameterized.expand([(11,), (23,), (37,)])
+    async def test_soak(self, seed):
+        """Guards against broken guarantees under random faults.
+
+        Signals, store faults, leaving servers and versions come in a series that
+        the seed decides; requests go on all the while.
+        """
+        await self.start_fleet(hosts=4, seed=seed)
+        stop = asyncio.Event()
+
+        async def send_forever(number):
+            while not stop.is_set():
+                await self.fleet.send(number, self.random.choice(PATHS[:2]))
+                await asyncio.sleep(0.01)
+
+        senders = [asyncio.create_task(send_forever(n)) for n in range(4)]
+        for step in range(5):
+            await self.disturb(self.random.randrange(4), version=10 + step)
+        self.fleet.store.fault = StoreFault.NONE
+        async with asyncio.timeout(CALM_S):
+            for number in range(4):
+                await self.fleet.wait_until_ready(number)
+            await self.wait_for_versions(14, hosts=range(4), seconds=CALM_S)
+        stop.set()
+        await asyncio.gather(*senders)
+        statuses = await self.send_many(40, hosts=range(4), paths=("/pay/1",))
+        self.assertGreaterEqual(statuses[200], 36, statuses)
+        self.assert_kept()
+
+    async def disturb(self, number, *, version):
+        """Bring about one fault, and a new version during it."""
+        fleet = self.fleet
+        fleet.store.fault = self.random.choice(list(StoreFault)[:4])
+        if self.random.random() < 0.5:
+            fleet.store.cut_connections()
+        kind = self.random.choice(("kill", "stop", "freeze", "store"))
+        if kind == "kill":
+            await fleet.stop_daemon(number, signal.SIGKILL)
+            await fleet.start_daemon(number)
+        elif kind == "stop":
+            await fleet.stop_daemon(number, signal.SIGTERM)
+            await fleet.start_daemon(number)
+        elif kind == "freeze":
+            fleet.daemons[number].send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            fleet.daemons[number].send_signal(signal.SIGCONT)
+        await fleet.store.put(CONFIGURATION_KEY, make_configuration(version))
+        await asyncio.sleep(self.random.uniform(0.1, 0.6))
