--- /dev/null
+++ b/tests/test_almondrouterd_peers.py
@@ -0,0 +1,168 @@
+"""Notices between daemons: records, versions, and configurations."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+import zlib
+
+from parameterized import parameterized
+
+from almondrouter.clock import SystemClock
+from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.directory import HostDirectory
+from almondrouter.protocol.calls import HostNotice, RoutesNotice, RoutesQuery
+from almondrouter.state.hosts import encode_host
+from almondrouterd import peers as module
+from almondrouterd.peers import Peers
+from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
+from platform_support import make_configuration
+from test_coordination_directory import make_entry
+
+
+class FakeLinks:
+    """Records what is sent; every peer answers."""
+
+    def __init__(self):
+        self.notices = []
+        self.queries = []
+        self.warmed = []
+        self.answer = None
+
+    def is_alive(self, address):
+        return True
+
+    def warm(self, address):
+        self.warmed.append(address)
+
+    def send_notice(self, address, notice):
+        self.notices.append((address, notice))
+
+    async def call(self, address, request):
+        self.queries.append((address, request))
+        return self.answer
+
+
+class FakeFeed:
+    """Says that it follows the store."""
+
+    following = True
+    reaches_store = True
+    rereads = 0
+
+    def request_reread(self):
+        self.rereads += 1
+
+    def set_following(self, following):
+        self.following = following
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    """One daemon hears notices from others of its region."""
+
+    async def asyncSetUp(self):
+        self.links, self.feed = FakeLinks(), FakeFeed()
+        self.directory = HostDirectory(
+            clock=SystemClock(), is_alive=self.links.is_alive
+        )
+        self.routes = ActiveRoutes(
+            CONFIGURATION_KEY,
+            decode_routes,
+            changed=lambda: self.peers.hand_routes_on(),
+        )
+        self.peers = Peers(
+            links=self.links,
+            directory=self.directory,
+            routes=self.routes,
+            feed=self.feed,
+            own_host="h5",
+            own_region="r",
+            make_entry=lambda: make_entry("h5"),
+            clock=SystemClock(),
+        )
+        patience = module.STORE_PATIENCE_S
+        module.STORE_PATIENCE_S = 0.01
+        self.addCleanup(setattr, module, "STORE_PATIENCE_S", patience)
+
+    def hear(self, host="h6", *, version=0, reaches_store=True, **entry):
+        record = encode_host(make_entry(host, **entry))
+        self.peers.take_notice(HostNotice(record, version, reaches_store))
+
+    async def test_host_is_known_without_the_store(self):
+        """Guards against hosts that nobody knows while the store is away."""
+        self.hear()
+        self.assertEqual(1, len(self.directory.find_destinations("s")))
+        self.assertEqual(["h6:1"], self.links.warmed)
+
+    async def test_unreadable_notices_change_nothing(self):
+        """Guards against bytes of a foreign writer that end the daemon."""
+        self.peers.take_notice(HostNotice(b"{", 3, True))
+        self.peers.take_notice(RoutesNotice(b"no zlib"))
+        self.peers.take_notice(RoutesNotice(zlib.compress(b"{")))
+        self.assertEqual((0, 0), (len(self.directory), self.routes.version))
+
+    @parameterized.expand([("relay", True, 1), ("other", False, 0)])
+    async def test_version_is_handed_on_once(self, _, following, sent):
+        """Guards against a region that waits, or hears everything from everyone."""
+        self.hear("h6")
+        self.feed.following = following
+        self.routes.take(make_configuration(4))
+        self.assertEqual(sent, len(self.links.notices))
+
+    async def test_newcomer_gets_the_configuration(self):
+        """Guards against a restarted daemon that has to ask the store."""
+        self.routes.take(make_configuration(4))
+        self.hear("h6", version=0)
+        address, notice = self.links.notices[-1]
+        self.assertEqual("h6:1", address)
+        self.assertEqual(make_configuration(4), zlib.decompress(notice.compressed))
+        self.hear("h7", version=4)
+        self.assertEqual(1, len(self.links.notices))
+
+    async def test_later_version_of_a_peer_is_fetched(self):
+        """Guards against a daemon that stays behind a silent relay."""
+        self.routes.take(make_configuration(4))
+        source = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        source.take(make_configuration(9))
+        self.links.answer = make_answer(source)
+        for _ in range(3):
+            self.peers.note_version(9, "h6:1")
+        await asyncio.sleep(0.05)
+        self.assertEqual((9, 1), (self.routes.version, self.feed.rereads))
+        self.assertEqual(1, len(self.links.queries))
+        self.assertIsInstance(self.links.queries[0][1], RoutesQuery)
+
+    async def test_version_that_arrives_meanwhile_is_not_fetched(self):
+        """Guards against a query by every daemon at each change."""
+        self.peers.note_version(9, "h6:1")
+        self.routes.take(make_configuration(9))
+        await asyncio.sleep(0.05)
+        self.assertEqual([], self.links.queries)
+
+    @parameterized.expand(
+        [
+            ("later host", "h6", True, True),
+            ("earlier host", "h1", True, False),
+            ("earlier host without the store", "h1", False, True),
+        ]
+    )
+    async def test_relay_is_elected(self, _, host, reaches_store, following):
+        """Guards against a region that no daemon follows the store for."""
+        self.hear(host, reaches_store=reaches_store)
+        self.peers.tidy()
+        self.assertEqual(following, self.feed.following)
+
+
+def make_answer(routes):
+    """Return the reply of a peer that has these routes in force."""
+    peers = Peers(
+        links=None,
+        directory=None,
+        routes=routes,
+        feed=FakeFeed(),
+        own_host="h6",
+        own_region="r",
+        make_entry=None,
+        clock=SystemClock(),
+    )
+    return peers.answer_query()
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,100 @@
+"""Log lines: whole, bounded, and never in the way of the process."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import unittest
+from unittest import mock
+
+import msgspec
+from parameterized import parameterized
+
+from almondrouter import logs
+from almondrouter.logs import LINES_BURST, JsonHandler, LineWriter, StateLogger
+
+
+class LineWriterTest(unittest.TestCase):
+    """Lines go to a pipe whose reader may stop or leave."""
+
+    def setUp(self):
+        self.reader, self.descriptor = os.pipe()
+        self.addCleanup(self.close, self.descriptor)
+        self.addCleanup(self.close, self.reader)
+        clock = mock.patch.object(logs.time, "monotonic", lambda: self.now)
+        self.now = 1000.0
+        clock.start()
+        self.addCleanup(clock.stop)
+        self.writer = LineWriter(self.descriptor)
+
+    def close(self, descriptor):
+        try:
+            os.close(descriptor)
+        except OSError:
+            self.assertEqual(self.reader, descriptor)
+
+    def test_reader_that_stops_does_not_block(self):
+        """Guards against a process that waits for whoever reads its logs."""
+        line = b"x" * 999 + b"\n"
+        for _ in range(1000):
+            self.writer.write(line, urgent=True)
+        self.assertGreater(self.writer.dropped, 500)
+        taken = os.read(self.reader, 10_000_000)
+        while self.writer.write(line, urgent=True) and len(taken) < 400_000:
+            taken += os.read(self.reader, 10_000_000)
+        self.assertEqual({line}, set(taken.splitlines(keepends=True)[:-1]))
+
+    @parameterized.expand([("pipe", True), ("file", False)])
+    def test_closed_output_is_no_error(self, _, pipe):
+        """Guards against a process that ends because nobody reads its logs."""
+        if pipe:
+            os.close(self.reader)
+            writer = self.writer
+        else:
+            with tempfile.TemporaryFile() as file:
+                writer = LineWriter(file.fileno())
+        writer.write(b"line\n")
+        self.assertEqual(1, writer.dropped)
+
+    def test_rate_is_bounded_and_urgent_lines_pass(self):
+        """Guards against logging that takes the time of requests."""
+        taken = sum(self.writer.write(b"l\n") for _ in range(1000))
+        self.assertEqual(LINES_BURST, taken)
+        self.assertTrue(self.writer.write(b"state\n", urgent=True))
+        self.now += 1.0
+        taken = sum(self.writer.write(b"l\n") for _ in range(1000))
+        self.assertEqual(logs.LINES_PER_SECOND, taken)
+
+
+class JsonHandlerTest(unittest.TestCase):
+    """Each line is one JSON object with the same first fields."""
+
+    def play(self, act):
+        reader, descriptor = os.pipe()
+        self.addCleanup(os.close, reader)
+        writer = LineWriter(descriptor)
+        handler = JsonHandler(writer, host="h1", level="DEBUG")
+        with handler.applicationbound():
+            act(StateLogger("test"), writer)
+        os.close(descriptor)
+        lines = os.read(reader, 1_000_000).splitlines()
+        return [msgspec.json.decode(line) for line in lines]
+
+    @parameterized.expand(["a\nb", 'a"b', "\u2028", "\x00", "é"])
+    def test_hostile_id_stays_in_its_field(self, value):
+        """Guards against a caller that forges log lines by its id."""
+        lines = self.play(lambda log, _: log.request("refused", request=value))
+        self.assertEqual(1, len(lines))
+        self.assertEqual((value, "h1"), (lines[0]["request"], lines[0]["host"]))
+
+    def test_dropped_lines_are_told(self):
+        """Guards against a gap in the logs that nobody notices."""
+
+        def act(log, writer):
+            writer.dropped = 7
+            log.warning("store lost")
+            log.info("store regained")
+
+        lines = self.play(act)
+        self.assertEqual(7, lines[0]["lines_dropped"])
+        self.assertNotIn("lines_dropped", lines[1])
