--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -222,7 +222,7 @@
 
     async def start_daemon(self, number: int) -> None:
         """Start the daemon of a host."""
-        path = self._directory / f"host-{number}.toml"
+        path = self.find_settings(number)
         path.write_text(self._make_settings(number))
         with (self._directory / f"host-{number}.log").open("ab") as log:
             self.daemons[number] = await asyncio.create_subprocess_exec(
@@ -232,6 +232,10 @@
                 stderr=log,
             )
 
+    def find_settings(self, number: int) -> Path:
+        """Return the settings file of a host."""
+        return self._directory / f"host-{number}.toml"
+
     async def stop_daemon(self, number: int, how: signal.Signals) -> int:
         """Signal a daemon and wait for its end; return its exit code."""
         process = self.daemons[number]
--- a/packages/almondrouter/src/almondrouter/coordination/repeats.py
+++ b/packages/almondrouter/src/almondrouter/coordination/repeats.py
@@ -55,7 +55,7 @@
     def __init__(
         self, limits: RepeatLimits, *, count_hosts: Callable[[], int], clock: Clock
     ) -> None:
-        self._limits = limits
+        self.limits = limits
         self._count_hosts = count_hosts
         self._clock = clock
         self._requests: dict[str, _WindowCount] = {}
@@ -71,8 +71,8 @@
         now = self._clock.monotonic()
         repeats = self._find(self._repeats, service)
         requests = self._find(self._requests, service).total(now)
-        extra = self._limits.extra * OWN_EXTRA_SHARE / max(1, self._count_hosts())
-        allowed = requests * self._limits.ratio * OWN_RATIO_SHARE + extra
+        extra = self.limits.extra * OWN_EXTRA_SHARE / max(1, self._count_hosts())
+        allowed = requests * self.limits.ratio * OWN_RATIO_SHARE + extra
         if repeats.total(now) + 1 > allowed:
             self.counts["denied"] += 1
             return False
@@ -82,7 +82,7 @@
 
     def _find(self, counts: dict[str, _WindowCount], service: str) -> _WindowCount:
         if service not in counts:
-            counts[service] = _WindowCount(self._limits.window)
+            counts[service] = _WindowCount(self.limits.window)
         return counts[service]
 
 
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -6,7 +6,7 @@
 import contextlib
 import random as random_module
 from collections.abc import Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from http import HTTPStatus
 
 import msgspec
@@ -79,6 +79,9 @@
 _JSON = (("content-type", "application/json"),)
 _PLAIN = (("content-type", "text/plain; version=0.0.4; charset=utf-8"),)
 METRICS_PATH = "/metrics"
+_RELOADABLE = frozenset(
+    {"repeat_limits", "stop_within", "drain_within", "heartbeat_interval", "memory_mb"}
+)
 
 
 @dataclass(slots=True)
@@ -299,15 +302,24 @@
         await self.backend_client.close()
         await self._store.close()
 
-    def reload(self) -> None:
-        """Note that the settings file has changed.
+    def reload(self, settings: HostSettings) -> None:
+        """Take over changed settings.
 
         Notes
         -----
-        Addresses and bounds are fixed for the life of the process, so nothing is
-        taken over before the next start.
+        Bounds are in force at once. Addresses and names hold for the life of the
+        process; what has changed of them is logged and waits for a restart.
         """
-        _log.info("reload asked for", version=self.routes.version)
+        changed = [
+            item.name
+            for item in fields(settings)
+            if getattr(settings, item.name) != getattr(self.settings, item.name)
+        ]
+        waiting = [name for name in changed if name not in _RELOADABLE]
+        kept = {name: getattr(self.settings, name) for name in waiting}
+        self.settings = replace(settings, **kept)
+        self.repeats.limits = settings.repeat_limits
+        _log.info("settings reloaded", changed=changed, wait_for_restart=waiting)
 
     def count_in_flight(self) -> int:
         """Return how many requests are served here in either direction."""
--- a/packages/almondrouterd/src/almondrouterd/platform/main.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/main.py
@@ -14,7 +14,7 @@
 
 from almondrouter import __version__
 from almondrouter.errors import AlmondError, FindingsError
-from almondrouter.logs import LineWriter, set_up_logs
+from almondrouter.logs import LineWriter, StateLogger, set_up_logs
 from almondrouterd.hostdaemon import HostDaemon
 from almondrouterd.platform.settings import (
     SETTINGS_VARIABLE,
@@ -22,6 +22,7 @@
     read_host_settings,
 )
 
+_log = StateLogger("settings")
 EXIT_OK = 0
 EXIT_USAGE = 2
 
@@ -39,7 +40,7 @@
         uvloop.install()
         # Objects made at the start live as long as the process.
         gc.freeze()
-        asyncio.run(run_daemon(settings, writer))
+        asyncio.run(run_daemon(settings, writer, path=path))
     except FindingsError as error:
         for finding in error.findings:
             print(f"almondrouterd-host: error: {finding}", file=sys.stderr)
@@ -73,14 +74,20 @@
     return parser
 
 
-async def run_daemon(settings: HostSettings, writer: LineWriter) -> None:
-    """Run a daemon until SIGTERM or SIGINT, then stop it gracefully."""
+async def run_daemon(settings: HostSettings, writer: LineWriter, *, path: str) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then stop it gracefully.
+
+    Parameters
+    ----------
+    path
+        Settings file, which is read again at SIGHUP.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     daemon = HostDaemon(settings, log_writer=writer)
-    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, daemon, path)
     try:
         await daemon.start()
         await stop.wait()
@@ -89,5 +96,14 @@
         await daemon.close()
 
 
+def reload_settings(daemon: HostDaemon, path: str) -> None:
+    """Read the settings file again; one that cannot be used changes nothing."""
+    try:
+        daemon.reload(read_host_settings(path))
+    except FindingsError as error:
+        findings = [str(finding) for finding in error.findings]
+        _log.error("settings refused; those in force stay", findings=findings)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -149,6 +149,27 @@
         self.assertLessEqual(len(backend.server.connections), connections)
         self.assert_kept()
 
+    async def test_settings_are_read_again(self):
+        """Guards against a changed file that is ignored, or half of one in force."""
+        await self.start_fleet()
+        path = self.fleet.find_settings(0)
+        text = path.read_text()
+        daemon = self.fleet.daemons[0]
+        for changed, event in (
+            (
+                text.replace("grace_s = 4.0", "grace_s = 3.0"),
+                '"changed":["stop_within"]',
+            ),
+            (text.replace("z0", "z9"), '"wait_for_restart":["data_centre"]'),
+            ("node = ", "settings refused"),
+        ):
+            path.write_text(changed)
+            daemon.send_signal(signal.SIGHUP)
+            async with asyncio.timeout(5.0):
+                while event not in self.fleet.read_logs():
+                    await asyncio.sleep(0.02)
+        self.assertEqual(200, await self.fleet.send(0, "/read/1"))
+
     async def test_logs_are_one_object_a_line(self):
         """Guards against log lines that no program can read."""
         await self.start_fleet()
