Explain collected logs: almondctl logs request ID, logs version N

The daemon beside a backend server now logs why it did not answer a request, with running, waiting, slots and service time; lines beyond the rate are dropped before they are encoded. Cut lines are counted and said, hostile names match nothing.

--- a/packages/almondctl/src/almondctl/main.py
+++ b/packages/almondctl/src/almondctl/main.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Sequence
 
-from almondctl import changes, reports
+from almondctl import changes, reports, stories
 from almondctl.connections import Connections
 from almondctl.exits import ExitCode
 from almondctl.output import print_result, report_error
@@ -219,6 +219,12 @@
     )
     parser.add_argument("about", choices=("class", "request", "version"))
     parser.add_argument("name", help="class, fingerprint or version")
+    parser = _add_command(
+        commands, "logs", stories.explain_logs, "Explain collected log files."
+    )
+    parser.add_argument("about", choices=("request", "version"))
+    parser.add_argument("name", help="id of a request, or number of a version")
+    parser.add_argument("files", nargs="+", metavar="FILE", help="log files of daemons")
     parser = _add_command(
         commands, "quarantine", reports.quarantine, "List or lift condemned requests."
     )
--- /dev/null
+++ b/packages/almondctl/src/almondctl/stories.py
@@ -0,0 +1,139 @@
+"""Explains what collected log files say of a request or a version."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from almondctl.connections import Connections
+from almondctl.exits import ExitCode
+from almondctl.output import Result
+from almondrouter.errors import AlmondError, ErrorCode
+
+AROUND_S = 3.0
+"""Seconds before and after a request in which changes of state may explain it."""
+IN_FORCE_EVENT = "configuration in force"
+
+_FIRST_FIELDS = ("time", "host", "event")
+_STATE_CHANNELS = frozenset({"backend", "daemon", "directory", "routes", "storefeed"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a daemon's log.
+
+    Parameters
+    ----------
+    time
+        Seconds since the epoch by the clock of its host.
+    """
+
+    time: float
+    host: str
+    event: str
+    fields: dict[str, object]
+
+
+async def explain_logs(arguments: argparse.Namespace, _: Connections) -> Result:
+    """Return the lines that explain a request, or when a version came into force."""
+    lines, unreadable = read_log_files(arguments.files)
+    if arguments.about == "request":
+        found = find_request(lines, arguments.name)
+    else:
+        found = find_version(lines, arguments.name)
+    text = [format_line(line) for line in found]
+    if unreadable:
+        text.append(f"{unreadable} lines could not be read")
+    if not found:
+        text.append(f"no line names {arguments.about} {arguments.name!r}")
+    code = ExitCode.OK if found else ExitCode.FAILED
+    entries = [
+        {"time": line.time, "host": line.host, "event": line.event, **line.fields}
+        for line in found
+    ]
+    return Result({"lines": entries, "unreadable": unreadable}, tuple(text), code)
+
+
+def read_log_files(paths: Iterable[str]) -> tuple[list[LogLine], int]:
+    """Return all lines in order of time, and how many could not be read.
+
+    Raises
+    ------
+    AlmondError
+        ``file_unreadable`` if a file cannot be opened.
+    """
+    lines: list[LogLine] = []
+    unreadable = 0
+    for path in paths:
+        try:
+            data = Path(path).read_bytes()
+        except OSError as error:
+            raise AlmondError(ErrorCode.FILE_UNREADABLE, str(error)) from error
+        for raw in data.splitlines():
+            line = decode_line(raw)
+            if line is None:
+                unreadable += bool(raw.strip())
+            else:
+                lines.append(line)
+    return sorted(lines, key=lambda line: line.time), unreadable
+
+
+def decode_line(raw: bytes) -> LogLine | None:
+    """Return a line, or None if it is none, such as one that was cut."""
+    try:
+        fields = msgspec.json.decode(raw, type=dict[str, object])
+        first = {name: fields.pop(name) for name in _FIRST_FIELDS}
+        return LogLine(
+            float(first["time"]), str(first["host"]), str(first["event"]), fields
+        )
+    except (msgspec.DecodeError, UnicodeDecodeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def find_request(lines: list[LogLine], request: str) -> list[LogLine]:
+    """Return the lines of a request and its nested calls, and of states around it."""
+    own = [line for line in lines if names_request(line, request)]
+    if not own:
+        return []
+    begin, end = own[0].time - AROUND_S, own[-1].time + AROUND_S
+    involved = {line.host for line in own}
+    involved |= {str(line.fields["peer"]) for line in own if "peer" in line.fields}
+    backends = {str(line.fields.get("backend", "")) for line in own} - {""}
+    around = [
+        line
+        for line in lines
+        if begin <= line.time <= end
+        and line.fields.get("channel") in _STATE_CHANNELS
+        and "request" not in line.fields
+        and (line.host in involved or line.fields.get("backend") in backends)
+    ]
+    return sorted([*own, *around], key=lambda line: line.time)
+
+
+def names_request(line: LogLine, request: str) -> bool:
+    """Return whether a line is about a request or a call nested in it."""
+    found = str(line.fields.get("request", ""))
+    return bool(found) and (found == request or found.startswith(f"{request}."))
+
+
+def find_version(lines: list[LogLine], version: str) -> list[LogLine]:
+    """Return when each daemon put a version in force, or a later one instead."""
+    wanted = int(version) if version.isdigit() else -1
+    found: dict[str, LogLine] = {}
+    for line in lines:
+        reached = line.fields.get("version")
+        in_force = line.event == IN_FORCE_EVENT and isinstance(reached, int)
+        if in_force and reached >= wanted >= 0:
+            found.setdefault(line.host, line)
+    return sorted(found.values(), key=lambda line: line.time)
+
+
+def format_line(line: LogLine) -> str:
+    """Return a line for people."""
+    hidden = ("level", "channel")
+    fields = " ".join(f"{k}={v}" for k, v in line.fields.items() if k not in hidden)
+    return f"{line.time:.4f} {line.host} {line.event}: {fields}"
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -109,6 +109,27 @@
             With the outcome; ``NOT_RUN`` only if the request surely did not run
             and never will.
         """
+        try:
+            return await self._run(request)
+        except CallError as error:
+            load = self.queue.load()
+            _log.request(
+                "request not answered here",
+                request=request.attempt_id,
+                route=request.class_name,
+                backend=request.backend,
+                code=error.code.value,
+                outcome=error.outcome.value,
+                reason=error.message,
+                running=load.in_use,
+                waiting=load.queued,
+                slots=load.slots,
+                service_time=round(load.service_time, 4),
+                version=request.version,
+            )
+            raise
+
+    async def _run(self, request: CallRequest) -> CallReply:
         self._check_serves(request)
         queue = self.queue
         grant = await queue.acquire(request)
--- a/packages/almondrouter/src/almondrouter/logs.py
+++ b/packages/almondrouter/src/almondrouter/logs.py
@@ -44,6 +44,11 @@
         if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
             os.set_blocking(descriptor, False)
 
+    def admits(self) -> bool:
+        """Return whether the rate allows a line that is not urgent."""
+        self._refill()
+        return self._tokens >= 1
+
     def write(self, line: bytes, *, urgent: bool = False) -> bool:
         """Write a line; return whether it was taken.
 
@@ -97,6 +102,10 @@
 
     def emit(self, record: logbook.LogRecord) -> None:  # noqa: D102
         writer = self._writer
+        urgent = record.level >= logbook.INFO
+        if not urgent and not writer.admits():
+            writer.dropped += 1
+            return
         line = {
             "time": round(time.time(), 4),
             "level": record.level_name.lower(),
@@ -109,7 +118,7 @@
             line["lines_dropped"] = writer.dropped - self._reported
         dropped = writer.dropped
         data = _ENCODER.encode(line) + b"\n"
-        if writer.write(data, urgent=record.level >= logbook.INFO):
+        if writer.write(data, urgent=urgent):
             self._reported = dropped
 
 
