Split heartbeats from the daemon; share load reports and hop-by-hop headers

Placement and LeastOccupied repeated how a reply's load is taken over, the adapter and the ingress the list of headers of one connection.

--- a/packages/almondrouter/src/almondrouter/coordination/ingress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/ingress.py
@@ -57,25 +57,12 @@
         names.TRACEPARENT,
     )
 )
-_DROPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        *(name.lower() for name in (names.DEADLINE_MS, names.OUTCOME)),
-        *(name.lower() for name in (names.CODE, names.VERSION)),
-        *_OWN_HEADERS,
-    }
-)
+_DROPPED_HEADERS = names.HOP_BY_HOP | _OWN_HEADERS
+_DROPPED_HEADERS |= {
+    "host",
+    *(name.lower() for name in (names.DEADLINE_MS, names.OUTCOME)),
+    *(name.lower() for name in (names.CODE, names.VERSION)),
+}
 _DIGITS = re.compile(r"[0-9]{1,18}")
 _TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -13,7 +13,7 @@
 from statistics import median_low
 
 from almondrouter.clock import Clock
-from almondrouter.coordination.routing import ChoicePolicy, Demand
+from almondrouter.coordination.routing import Demand, OccupancyPolicy
 from almondrouter.protocol.calls import Load
 from almondrouter.protocol.headers import Outcome
 from almondrouter.state.occupancy import (
@@ -66,7 +66,7 @@
         self.updated_at = now
 
 
-class CostPlacement(ChoicePolicy):
+class CostPlacement(OccupancyPolicy):
     """Takes the destination with the lowest expected time and cost.
 
     Parameters
@@ -93,11 +93,10 @@
         clock: Clock,
         is_reachable: Callable[[Destination], bool],
     ) -> None:
+        super().__init__(occupancy, clock)
         self._data_centre = data_centre
         self._region = region
-        self._occupancy = occupancy
         self._random = random
-        self._clock = clock
         self._is_reachable = is_reachable
         self._failures: dict[str, _Failures] = {}
         self._refusals: dict[str, float] = {}
@@ -135,9 +134,6 @@
                     best, best_cost = candidate, distance + cost
         return best
 
-    def started(self, destination: Destination) -> None:  # noqa: D102
-        self._occupancy.start(destination.backend)
-
     def finished(  # noqa: D102
         self,
         destination: Destination,
@@ -147,18 +143,7 @@
         elapsed: float,
         failed: bool = False,
     ) -> None:
-        now = self._clock.monotonic()
-        self._occupancy.finish(destination.backend)
-        if load is not None:
-            self._occupancy.report(
-                destination.backend,
-                slots=load.slots,
-                in_use=load.in_use,
-                queued=load.queued,
-                service_time=load.service_time,
-                now=now,
-                queued_by_rank=load.queued_by_rank,
-            )
+        now = self._take_report(destination, load)
         if outcome is Outcome.NOT_RUN and not failed:
             if load is None and self._is_reachable(destination):
                 self._refusals[destination.backend] = now + REFUSED_S
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -149,7 +149,42 @@
         pass
 
 
-class LeastOccupied(ChoicePolicy):
+class OccupancyPolicy(ChoicePolicy):
+    """Keeps count of own calls and of the load that replies report.
+
+    Parameters
+    ----------
+    occupancy
+        Load reports and own calls in flight.
+    clock
+        Clock that the results of calls are dated with.
+    """
+
+    def __init__(self, occupancy: OccupancyTable, clock: Clock) -> None:
+        self._occupancy = occupancy
+        self._clock = clock
+
+    def started(self, destination: Destination) -> None:  # noqa: D102
+        self._occupancy.start(destination.backend)
+
+    def _take_report(self, destination: Destination, load: Load | None) -> float:
+        """Take over a reply's load; return the time that it is dated with."""
+        now = self._clock.monotonic()
+        self._occupancy.finish(destination.backend)
+        if load is not None:
+            self._occupancy.report(
+                destination.backend,
+                slots=load.slots,
+                in_use=load.in_use,
+                queued=load.queued,
+                service_time=load.service_time,
+                now=now,
+                queued_by_rank=load.queued_by_rank,
+            )
+        return now
+
+
+class LeastOccupied(OccupancyPolicy):
     """Takes the lower expected wait of two random choices, near ones first.
 
     Two destinations are drawn at random in the own data centre, two elsewhere
@@ -178,11 +213,10 @@
         random: random_module.Random,
         clock: Clock | None = None,
     ) -> None:
+        super().__init__(occupancy, clock or SystemClock())
         self._data_centre = data_centre
         self._region = region
-        self._occupancy = occupancy
         self._random = random
-        self._clock = clock or SystemClock()
         self._standings: dict[str, Standing] = {}
 
     def choose(  # noqa: D102
@@ -211,9 +245,6 @@
                     best, best_cost = candidate, cost
         return best
 
-    def started(self, destination: Destination) -> None:  # noqa: D102
-        self._occupancy.start(destination.backend)
-
     def finished(  # noqa: D102
         self,
         destination: Destination,
@@ -223,18 +254,7 @@
         elapsed: float,
         failed: bool = False,
     ) -> None:
-        now = self._clock.monotonic()
-        self._occupancy.finish(destination.backend)
-        if load is not None:
-            self._occupancy.report(
-                destination.backend,
-                slots=load.slots,
-                in_use=load.in_use,
-                queued=load.queued,
-                service_time=load.service_time,
-                now=now,
-                queued_by_rank=load.queued_by_rank,
-            )
+        now = self._take_report(destination, load)
         if outcome is None:
             return
         unavailable = outcome is Outcome.NOT_RUN and load is None
--- a/packages/almondrouter/src/almondrouter/protocol/headers.py
+++ b/packages/almondrouter/src/almondrouter/protocol/headers.py
@@ -16,6 +16,24 @@
 TRACEPARENT = "traceparent"
 
 
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern only one connection, in lower case."""
+
+
 class Outcome(StrEnum):
     """What became of a call.
 
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -21,7 +21,7 @@
 from almondrouter.coordination.repeats import RepeatBudget
 from almondrouter.coordination.storefeed import StoreFeed
 from almondrouter.coordination.weights import WeightedTurns
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.errors import ErrorCode
 from almondrouter.logs import LineWriter, StateLogger
 from almondrouter.protocol.calls import (
     CallReply,
@@ -40,19 +40,13 @@
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
+from almondrouterd.backendcontrol import BackendControl
 from almondrouterd.hostmetrics import register_call_figures, register_state_figures
 from almondrouterd.metrics import DaemonMetrics
 from almondrouterd.peers import Peers
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
 from almondrouterd.platform.headers import PlatformDialect
-from almondrouterd.platform.heartbeats import (
-    ACKNOWLEDGEMENT,
-    HEARTBEAT_PATH,
-    LEAVE_PATH,
-    READY_PATH,
-    decode_heartbeat,
-    decode_leaving,
-)
+from almondrouterd.platform.heartbeats import READY_PATH
 from almondrouterd.platform.settings import HostSettings
 from almondrouterd.platform.store import PlatformStore
 
@@ -76,7 +70,6 @@
 """Connections to the backend server; it accepts a few more from all callers."""
 
 _log = StateLogger("daemon")
-_JSON = (("content-type", "application/json"),)
 _PLAIN = (("content-type", "text/plain; version=0.0.4; charset=utf-8"),)
 METRICS_PATH = "/metrics"
 _RELOADABLE = frozenset(
@@ -230,8 +223,14 @@
         self._ready_server = self._make_small_server(
             settings.ready_address, self._handle_ready
         )
+        control = BackendControl(
+            backend=self.backend,
+            backend_address=settings.backend_address,
+            routes=self.routes,
+            is_stopping=lambda: self._life.stopping_at is not None,
+        )
         self._control_server = self._make_small_server(
-            settings.backend_control_address, self._handle_control
+            settings.backend_control_address, control.handle
         )
 
     def _make_small_server(self, address: str, handler) -> CallerServer:  # noqa: ANN001
@@ -427,36 +426,3 @@
     def is_ready(self) -> bool:
         """Return whether this daemon can route requests."""
         return self._life.stopping_at is None and self.routes.table is not None
-
-    async def _handle_control(self, request: CallerRequest) -> CallerResponse:
-        path = request.target.partition("?")[0]
-        try:
-            if request.method == "POST" and path.startswith(HEARTBEAT_PATH):
-                self._take_heartbeat(path.removeprefix(HEARTBEAT_PATH), request.body)
-            elif request.method == "POST" and path.startswith(LEAVE_PATH):
-                self._take_leaving(path.removeprefix(LEAVE_PATH), request.body)
-            else:
-                return CallerResponse(HTTPStatus.NOT_FOUND, (), b"")
-        except AlmondError as error:
-            _log.request("heartbeat ignored", path=path, reason=error.message)
-            return CallerResponse(HTTPStatus.BAD_REQUEST, (), b"")
-        return CallerResponse(HTTPStatus.OK, _JSON, ACKNOWLEDGEMENT)
-
-    def _take_heartbeat(self, backend: str, body: bytes) -> None:
-        report = decode_heartbeat(backend, body)
-        if report.address != self.settings.backend_address:
-            message = f"address {report.address!r} is not on this host"
-            raise AlmondError(ErrorCode.VALUE_OUT_OF_RANGE, message)
-        table = self.routes.table
-        if table is not None and report.entry.service not in table.services:
-            message = f"service {report.entry.service!r} is not declared"
-            raise AlmondError(ErrorCode.SERVICE_UNKNOWN, message)
-        if self._life.stopping_at is None:
-            self.backend.announce(report.entry)
-
-    def _take_leaving(self, backend: str, body: bytes) -> None:
-        entry = self.backend.entry
-        if entry is None or entry.backend != backend:
-            return
-        if decode_leaving(body) >= entry.started_ms or not body:
-            self.backend.change_state(ServingState.LEAVING, reason="it signs off")
--- a/packages/almondrouterd/src/almondrouterd/platform/headers.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/headers.py
@@ -6,6 +6,7 @@
 
 from almondrouter.protocol.calls import CallRequest, HeaderList
 from almondrouter.protocol.dialect import AnswerInfo, Dialect, RequestInfo
+from almondrouter.protocol.headers import HOP_BY_HOP
 
 ATTEMPT_ID = "attempt-id"
 TIME_LEFT_MS = "deadline-ms"
@@ -15,23 +16,8 @@
 NOT_EXECUTED = "not-executed"
 CALLER_SERVICE = "caller-service"
 
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 _SET_HERE = frozenset({TIME_LEFT_MS, EXPECTED_BACKEND, CALLER_SERVICE})
-_DROPPED_FROM_REQUEST = _HOP_BY_HOP | _SET_HERE
+_DROPPED_FROM_REQUEST = HOP_BY_HOP | _SET_HERE
 _PARENT_SEPARATOR = "."
 """Ids of calls that an instance makes were seen to extend the id of the request
 that it runs; the pages do not promise it, so the id only orders what waits."""
@@ -77,7 +63,7 @@
             executed=not not_executed and not misdirected,
             misdirected=misdirected,
             genuine=SIGNATURE in found and "content-encoding" not in found,
-            headers=drop(headers, _HOP_BY_HOP),
+            headers=drop(headers, HOP_BY_HOP),
         )
 
     def answers(self, request: CallRequest, headers: HeaderList) -> bool:  # noqa: D102
--- /dev/null
+++ b/tests/test_almondrouterd_backendcontrol.py
@@ -0,0 +1,97 @@
+"""Heartbeats of the backend server: what is acknowledged, and what it changes."""
+
+from __future__ import annotations
+
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.state.hosts import ServingState
+from almondrouter.transport.calls import CallerRequest
+from almondrouterd.backendcontrol import BackendControl
+from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
+from almondrouterd.platform.headers import PlatformDialect
+from almondrouterd.platform.heartbeats import HEARTBEAT_PATH, LEAVE_PATH
+from platform_support import make_configuration, make_heartbeat
+
+READY, LEAVING = ServingState.READY, ServingState.LEAVING
+OWN, OTHER = "10.0.0.1:80", "10.0.0.2:80"
+
+
+class BackendControlTest(unittest.IsolatedAsyncioTestCase):
+    """One backend server has announced itself."""
+
+    async def asyncSetUp(self):
+        self.stopping = False
+        self.routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        self.backend = LocalBackend(
+            sender=None,
+            dialect=PlatformDialect(),
+            clock=ManualClock(),
+            changed=lambda: None,
+        )
+        self.control = BackendControl(
+            backend=self.backend,
+            backend_address=OWN,
+            routes=self.routes,
+            is_stopping=lambda: self.stopping,
+        )
+        self.assertEqual(200, await self.beat())
+
+    async def post(self, path, body=b""):
+        request = CallerRequest("POST", path, (), body)
+        return (await self.control.handle(request)).status
+
+    async def beat(self, backend="i-1", *, address=OWN, **changes):
+        body = make_heartbeat(address, **changes)
+        return await self.post(HEARTBEAT_PATH + backend, body)
+
+    @parameterized.expand(
+        [
+            ("leaving", {"state": "draining"}, 200, "i-1", LEAVING),
+            ("later start", {"backend": "i-2", "born": 2000}, 200, "i-2", READY),
+            ("earlier start", {"born": 1, "state": "draining"}, 200, "i-1", READY),
+            ("other address", {"address": OTHER, "born": 9000}, 400, "i-1", READY),
+            ("unreadable", {"status": 7}, 400, "i-1", READY),
+        ]
+    )
+    async def test_heartbeat(self, _, beat, status, backend, state):
+        """Guards against a forged or late heartbeat that changes where work goes."""
+        self.assertEqual(status, await self.beat(**beat))
+        entry = self.backend.entry
+        self.assertEqual((backend, state), (entry.backend, entry.state))
+
+    async def test_undeclared_service_is_refused(self):
+        """Guards against a service that no configuration names."""
+        self.routes.take(make_configuration())
+        info = {"service": "other", "slots": 4}
+        self.assertEqual(400, await self.beat(born=9000, info=info))
+        self.assertEqual(200, await self.beat(born=9000))
+
+    @parameterized.expand(
+        [
+            ("own", "i-1", b"", LEAVING),
+            ("own start", "i-1", b'{"born":1000}', LEAVING),
+            ("earlier start", "i-1", b'{"born":999}', READY),
+            ("another", "i-9", b"", READY),
+        ]
+    )
+    async def test_leaving(self, _, backend, body, state):
+        """Guards against new work after an acknowledged end, and a false one."""
+        self.assertEqual(200, await self.post(LEAVE_PATH + backend, body))
+        self.assertEqual(state, self.backend.entry.state)
+
+    async def test_stopping_daemon_takes_nothing_back(self):
+        """Guards against a stopping daemon that announces itself as ready."""
+        self.stopping = True
+        self.assertEqual(200, await self.beat("i-2", born=2000))
+        self.assertEqual("i-1", self.backend.entry.backend)
+
+    @parameterized.expand([("GET", HEARTBEAT_PATH + "i-1"), ("POST", "/other")])
+    async def test_unknown_call(self, method, path):
+        """Guards against an acknowledgement of what was not understood."""
+        response = await self.control.handle(CallerRequest(method, path, (), b""))
+        self.assertEqual(404, response.status)
