--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -109,6 +109,7 @@
     ) -> None:
         self.name = name
         self.state = "ready"
+        self.run_time = RUN_S
         self._service = service
         self._ip = ip
         self._ledger = ledger
@@ -145,7 +146,7 @@
         self._running += 1
         self._ledger.runs[attempt] += 1
         try:
-            await asyncio.sleep(self._random.uniform(*RUN_S))
+            await asyncio.sleep(self._random.uniform(*self.run_time))
         finally:
             self._running -= 1
         body = make_body(attempt, request.target, request.body)
@@ -210,6 +211,7 @@
             for number, ip in enumerate(self.ips)
         ]
         self._attempts = 0
+        self.last_attempt = ""
 
     async def start(self, configuration: bytes) -> None:
         """Start everything and wait until each daemon can serve."""
@@ -252,9 +254,13 @@
             await backend.close()
         await self.store.close()
 
+    def find_logs(self) -> list[Path]:
+        """Return the log files of all daemons."""
+        return sorted(self._directory.glob("*.log"))
+
     def read_logs(self) -> str:
         """Return the log lines of all daemons."""
-        return "".join(p.read_text() for p in sorted(self._directory.glob("*.log")))
+        return "".join(path.read_text() for path in self.find_logs())
 
     async def wait_until_ready(self, number: int, *, timeout: float = 20.0) -> None:
         """Wait until a request at a host is served."""
@@ -280,7 +286,7 @@
     ) -> int:
         """Send a request to a host as its clients do; return the status or 0."""
         self._attempts += 1
-        attempt = f"a{os.getpid()}x{self._attempts}"
+        attempt = self.last_attempt = f"a{os.getpid()}x{self._attempts}"
         method = "POST" if path.startswith("/pay/") else "GET"
         if method == "POST":
             self.ledger.once.add(attempt)
--- /dev/null
+++ b/tests/test_docs_operations.py
@@ -0,0 +1,117 @@
+"""Walks of the operations page, repeated on a fresh run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import os
+import random
+import re
+import shlex
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+from almondctl.main import main
+from almondrouter_standins.platform_fleet import CONFIGURATION_KEY, PlatformFleet
+from platform_support import make_configuration
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "OPERATIONS.md"
+NETWORKS = iter(range(130 + os.getpid() % 50, 255))
+
+
+def read_walk(number):
+    """Return the command of a walk and the events that its output shows."""
+    text = PAGE.read_text().partition(f"\n## Walk {number}")[2].partition("\n## ")[0]
+    command = re.search(r"^```sh\n(.*?)\n```$", text, re.M | re.S)[1]
+    output = re.search(r"^```text\n(.*?)\n```$", text, re.M | re.S)[1]
+    events = [re.match(r"\S+ (\S+ [^:]+):", line)[1] for line in output.splitlines()]
+    return command, events
+
+
+class WalkTest(unittest.IsolatedAsyncioTestCase):
+    """A walk that does not lead to the cause leaves an engineer alone at night."""
+
+    async def start_fleet(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = PlatformFleet(
+            Path(folder.name),
+            hosts=2,
+            random=random.Random(1),
+            network=next(NETWORKS),
+        )
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start(make_configuration(1))
+
+    async def drain(self, *numbers):
+        for number in numbers:
+            backend = self.fleet.backends[number]
+            backend.state = "draining"
+            while not backend.acknowledged["draining"]:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+
+    async def wait_for_log(self, text):
+        async with asyncio.timeout(10.0):
+            while text not in self.fleet.read_logs():
+                await asyncio.sleep(0.01)
+
+    async def follow(self, number, name):
+        """Run the command of a walk; check that it shows the walk's events."""
+        command, events = read_walk(number)
+        words = shlex.split(command)[1:]
+        files = [str(path) for path in self.fleet.find_logs()]
+        words = [name if word in ("ID", "VERSION") else word for word in words]
+        words = [word for word in words if not word.endswith("*.log")] + files
+        text = io.StringIO()
+        with contextlib.redirect_stdout(text):
+            code = await asyncio.to_thread(main, words)
+        self.assertEqual(0, code, text.getvalue())
+        shown = text.getvalue()
+        if os.environ.get("SHOW_WALKS"):
+            print(shown)
+        place = 0
+        for event in events:
+            found = shown.find(f" {event}:", place)
+            self.assertGreaterEqual(found, 0, f"{event!r} is not in\n{shown}")
+            place = found
+        return shown
+
+    async def test_refused_though_servers_were_free(self):
+        """Walk 1: both backend servers are idle, and both are leaving."""
+        await self.start_fleet()
+        await self.drain(0, 1)
+        self.assertEqual(503, await self.fleet.send(0, "/read/1"))
+        await self.wait_for_log(self.fleet.last_attempt)
+        await self.follow(1, self.fleet.last_attempt)
+
+    async def test_unknown_outcome(self):
+        """Walk 2: the daemon beside the backend server dies during a run."""
+        await self.start_fleet()
+        await self.drain(0)
+        self.fleet.backends[1].run_time = (0.5, 0.5)
+        sending = asyncio.create_task(self.fleet.send(0, "/pay/1"))
+        await asyncio.sleep(0)
+        attempt = self.fleet.last_attempt
+        while not self.fleet.ledger.runs[attempt]:
+            await asyncio.sleep(0.01)
+        await self.fleet.stop_daemon(1, signal.SIGKILL)
+        self.assertIn(await sending, (502, 504))
+        await self.wait_for_log(attempt)
+        await self.follow(2, attempt)
+
+    async def test_served_by_the_old_service(self):
+        """Walk 3: a frozen host puts a version in force later than the others."""
+        await self.start_fleet()
+        self.fleet.daemons[1].send_signal(signal.SIGSTOP)
+        await self.fleet.store.put(CONFIGURATION_KEY, make_configuration(5))
+        await self.wait_for_log('"version":5')
+        await asyncio.sleep(0.5)
+        self.fleet.daemons[1].send_signal(signal.SIGCONT)
+        async with asyncio.timeout(10.0):
+            while self.fleet.read_logs().count('"version":5') < 2:
+                await asyncio.sleep(0.01)
+        await self.follow(3, "5")
