--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -165,7 +165,7 @@
         daemon = self.fleet.daemons[0]
         for changed, event in (
             (
-                text.replace("grace_s = 4.0", "grace_s = 3.0"),
+                text.replace("grace_s = 6.0", "grace_s = 5.0"),
                 '"changed":["stop_within"]',
             ),
             (text.replace("z0", "z9"), '"wait_for_restart":["data_centre"]'),
