Tell the load with refusals of the own host

Cause, found by reading: a refusal of the backend server beside the ingress came without its load, since only the link handler turned errors into replies that have one. Placement takes a refusal without a load for a server that takes no work, and leaves it out for one second, so that a full local server sent work further away than needed.

The reply of a call without a response is made by one function. Test: test_refusal_tells_the_load.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -20,7 +20,7 @@
 from almondrouter.protocol.calls import CallReply, CallRequest
 from almondrouter.protocol.dialect import Dialect, RequestInfo
 from almondrouter.protocol.headers import Outcome
-from almondrouter.protocol.outcomes import CallError, choose_status
+from almondrouter.protocol.outcomes import CallError, choose_status, make_reply
 from almondrouter.state.routes import RouteTable, RouteTarget
 from almondrouter.state.snapshot import Destination
 from almondrouter.transport.calls import CallerRequest, CallerResponse, CallLinks
@@ -366,8 +366,3 @@
         reply.outcome is Outcome.COMPLETE
         and reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
     )
-
-
-def make_reply(code: ErrorCode, outcome: Outcome = Outcome.NOT_RUN) -> CallReply:
-    """Return the reply of a call without a response."""
-    return CallReply(0, outcome, 0, (), b"", code.value, None)
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -7,14 +7,16 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+import msgspec
+
 from almondrouter.clock import Clock
 from almondrouter.coordination.slots import Grant, SlotQueue
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import StateLogger
-from almondrouter.protocol.calls import CallReply, CallRequest
+from almondrouter.protocol.calls import CallReply, CallRequest, Load
 from almondrouter.protocol.dialect import Dialect
 from almondrouter.protocol.headers import Outcome
-from almondrouter.protocol.outcomes import CallError
+from almondrouter.protocol.outcomes import CallError, make_reply
 from almondrouter.state.hosts import BackendEntry, ServingState
 from almondrouter.transport.calls import BackendResponse, BackendSender
 
@@ -100,6 +102,14 @@
         )
         self._changed()
 
+    async def answer(self, request: CallRequest) -> CallReply:
+        """Run a request; the reply tells the load whatever the outcome is."""
+        try:
+            reply = await self.run(request)
+        except CallError as error:
+            reply = make_reply(error.code, error.outcome)
+        return msgspec.structs.replace(reply, load=self._read_load())
+
     async def run(self, request: CallRequest) -> CallReply:
         """Run a request and return its result.
 
@@ -156,6 +166,11 @@
         """Return whether the backend server runs a request with this id now."""
         return bool(attempt_id) and attempt_id in self._runs.values()
 
+    def _read_load(self) -> Load | None:
+        if self.entry is None or self.entry.state is not ServingState.READY:
+            return None
+        return self.queue.load()
+
     def _forget_run(self, run: asyncio.Task[CallReply]) -> None:
         self._runs.pop(run, None)
         if not run.cancelled():
--- a/packages/almondrouter/src/almondrouter/protocol/outcomes.py
+++ b/packages/almondrouter/src/almondrouter/protocol/outcomes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.protocol.calls import CallReply
 from almondrouter.protocol.headers import Outcome
 
 
@@ -45,3 +46,14 @@
     if outcome is Outcome.NOT_RUN:
         return _NOT_RUN_STATUSES.get(code, 503)
     return 504 if code in _TIMEOUT_CODES else 502
+
+
+def make_reply(
+    code: ErrorCode,
+    outcome: Outcome = Outcome.NOT_RUN,
+    *,
+    call_id: int = 0,
+    status: int = 0,
+) -> CallReply:
+    """Return the reply of a call without a response."""
+    return CallReply(call_id, outcome, status, (), b"", code.value, None)
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -24,7 +24,7 @@
 )
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES
 from almondrouter.protocol.headers import Outcome
-from almondrouter.protocol.outcomes import CallError
+from almondrouter.protocol.outcomes import CallError, make_reply
 from almondrouter.transport.called_link import CalledLink
 from almondrouter.transport.calls import CallLinks
 from almondrouter.transport.deadlines import Deadlines
@@ -74,13 +74,6 @@
 LinkHandler = Callable[[LinkCall], Awaitable[CallReply]]
 
 
-def make_reply(
-    call_id: int, outcome: Outcome, code: ErrorCode, *, status: int = 0
-) -> CallReply:
-    """Return the reply to a call without a response."""
-    return CallReply(call_id, outcome, status, (), b"", code.value, None)
-
-
 class CallLinkServer(Listener):
     """Serves the calls that other daemons send.
 
@@ -225,7 +218,7 @@
         outcome = Outcome.NOT_RUN
         if isinstance(frame, ClaimQuery):
             outcome = Outcome.UNKNOWN
-        link.stream.send(make_reply(frame.call_id, outcome, code, status=503))
+        link.stream.send(make_reply(code, outcome, call_id=frame.call_id, status=503))
 
     async def _answer(self, link: _ServedLink, request: LinkCall) -> None:
         try:
@@ -234,7 +227,7 @@
         except Exception:  # noqa: BLE001 - one failed call must not end the link
             self.counts["failed"] += 1
             code = ErrorCode.BACKEND_FAILED
-            reply = make_reply(request.call_id, Outcome.UNKNOWN, code)
+            reply = make_reply(code, Outcome.UNKNOWN, call_id=request.call_id)
         finally:
             link.open_calls.pop(request.call_id, None)
         if not link.stream.is_writable:
@@ -247,7 +240,7 @@
         except AlmondError as error:
             self.counts[error.code.value] += 1
             code = ErrorCode.FRAME_TOO_LARGE
-            link.stream.send(make_reply(reply.call_id, Outcome.UNKNOWN, code))
+            link.stream.send(make_reply(code, Outcome.UNKNOWN, call_id=reply.call_id))
 
 
 def localize_deadlines(frame: LinkCall, offset: ClockOffset) -> LinkCall:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -14,7 +14,7 @@
 from almondrouter.clock import SuspendAwareClock
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
-from almondrouter.coordination.forwarding import Forwarder, make_reply
+from almondrouter.coordination.forwarding import Forwarder
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.coordination.placement import CostPlacement
 from almondrouter.coordination.registration import HostRecords, Registration
@@ -32,7 +32,7 @@
     RoutesQuery,
 )
 from almondrouter.protocol.codec import PROTOCOL_VERSION
-from almondrouter.protocol.outcomes import CallError
+from almondrouter.protocol.outcomes import make_reply
 from almondrouter.state.hosts import HostEntry, ServingState
 from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.routes import CallerLimits
@@ -393,25 +393,11 @@
             return make_reply(ErrorCode.CLAIM_UNAVAILABLE)
         if request.version > self.routes.version:
             self.feed.request_reread()
-        try:
-            return await self._run_call(request)
-        except CallError as error:
-            reply = make_reply(error.code, error.outcome)
-            return msgspec.structs.replace(
-                reply, load=self._load(), version=self.routes.version
-            )
+        return await self._run_call(request)
 
     async def _run_call(self, request: CallRequest) -> CallReply:
-        reply = await self.backend.run(request)
-        return msgspec.structs.replace(
-            reply, load=self._load(), version=self.routes.version
-        )
-
-    def _load(self):  # noqa: ANN202
-        entry = self.backend.entry
-        if entry is None or entry.state is not ServingState.READY:
-            return None
-        return self.backend.queue.load()
+        reply = await self.backend.answer(request)
+        return msgspec.structs.replace(reply, version=self.routes.version)
 
     async def _handle_metrics(self, request: CallerRequest) -> CallerResponse:
         if request.target != METRICS_PATH:
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -69,6 +69,19 @@
             request, repeatable=repeatable, attempt_id="id", caller_service="own"
         )
 
+    async def test_refusal_tells_the_load(self):
+        """Guards against a full server that looks as if it took no work at all."""
+        self.sender.script = [BackendResponse(503, (("not-executed", "full"),), b"")]
+        refused = await self.backend.answer(self.request())
+        self.assertEqual(ErrorCode.BACKEND_REFUSED.value, refused.code)
+        self.assertEqual(1, refused.load.slots)
+        self.backend.change_state(LEAVING, reason="test")
+        leaving = await self.backend.answer(self.request())
+        self.assertEqual(
+            (ErrorCode.NO_BACKEND.value, Outcome.NOT_RUN, None),
+            (leaving.code, leaving.outcome, leaving.load),
+        )
+
     async def test_answer_is_passed_on(self):
         """Guards against an answer that loses a part of it."""
         self.sender.script = [BackendResponse(201, SIGNED, b"body")]
