Add a soak whose faults come from outside the daemons

Proxies on loopback stand before peers, store and backend servers, and delay, cut (one way or both), silence, reset or refuse connections; daemons are killed, stopped, frozen and reloaded; the store spoils answers and forgets; backend servers leave and are replaced; two faults overlap at a time. Callers keep their connections. Checked: own answers, at most one run, true refusals, nothing new for servers that leave, no caller cut while its daemon lives, versions that only rise, exits within the grace period, and service after the last fault.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -21,10 +21,14 @@
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import BackendResponse, CallerRequest, CallerResponse
+from almondrouter_standins.faultproxy import FaultProxy
 from almondrouter_standins.platform_store import PlatformStoreServer
 
 HEARTBEAT_S = 0.3
 SLOTS = 4
+DRAIN_S = 2.5
+"""Seconds after which a leaving backend server gets nothing more, as the deployments
+have it."""
 GRACE_S = 6.0
 """Seconds from the stop signal to the kill, as the deployments have it."""
 RUN_S = (0.005, 0.05)
@@ -37,7 +41,7 @@
 zone = "z{zone}"
 region = "r{region}"
 ip = "{ip}"
-app_addr = "{ip}:7001"
+app_addr = "{backend}"
 service = "{service}"
 heartbeat_s = 0.3
 port_range = [7100, 7110]
@@ -58,6 +62,28 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class HostProxies:
+    """Proxies on the way to one host.
+
+    Parameters
+    ----------
+    peers
+        From other daemons to its daemon.
+    store, backend
+        From its daemon to the store, and to its backend server.
+    """
+
+    peers: FaultProxy
+    store: FaultProxy
+    backend: FaultProxy
+
+    @property
+    def all(self) -> tuple[FaultProxy, ...]:
+        """Return all proxies."""
+        return (self.peers, self.store, self.backend)
+
+
 @dataclass(slots=True)
 class Ledger:
     """What backend servers ran and what callers were told.
@@ -93,6 +119,8 @@
     ----------
     name, service, ip
         Which backend server it is, and where it runs.
+    address
+        ``ip:port`` that it announces.
     ledger
         Takes its runs.
     random
@@ -105,9 +133,12 @@
         service: str,
         ip: str,
         *,
+        address: str,
         ledger: Ledger,
         random: random_module.Random,
     ) -> None:
+        self._address = address
+        self.draining_since: float | None = None
         self.name = name
         self.state = "ready"
         self.run_time = RUN_S
@@ -146,6 +177,7 @@
             return CallerResponse(HTTPStatus.SERVICE_UNAVAILABLE, refusal, b"")
         self._running += 1
         self._ledger.runs[attempt] += 1
+        self._check_draining(attempt)
         try:
             await asyncio.sleep(self._random.uniform(*self.run_time))
         finally:
@@ -153,6 +185,11 @@
         body = make_body(attempt, request.target, request.body)
         return CallerResponse(200, (*echo, ("response-signature", "s")), body)
 
+    def _check_draining(self, attempt: str) -> None:
+        since = self.draining_since
+        if since is not None and time.monotonic() - since > DRAIN_S:
+            self._ledger.faults.append(f"{attempt} reached {self.name}, which leaves")
+
     async def _beat_forever(self) -> None:
         client = BackendClient(f"{self._ip}:7005", connections=1, clock=SystemClock())
         while True:
@@ -162,18 +199,24 @@
     async def _beat(self, client: BackendClient) -> None:
         self._sequence += 1
         document = {
-            "address": f"{self._ip}:7001",
+            "address": self._address,
             "born": self._started_ms,
             "info": {"service": self._service, "slots": SLOTS},
             "status": {"state": self.state, "sequence": self._sequence},
         }
+        state = self.state
         body = msgspec.json.encode(document)
         target = HEARTBEAT_PATH + self.name
         deadline = time.monotonic() + 1.0
         with contextlib.suppress(CallError):
             response = await client.send("POST", target, (), body, deadline=deadline)
             if response.status == HTTPStatus.OK:
-                self.acknowledged[self.state] += 1
+                self._take_acknowledgement(state)
+
+    def _take_acknowledgement(self, state: str) -> None:
+        self.acknowledged[state] += 1
+        if state == "draining" and self.draining_since is None:
+            self.draining_since = time.monotonic()
 
 
 class PlatformFleet:
@@ -189,6 +232,9 @@
         Source of all that varies.
     network
         Second octet of the loopback addresses, so that fleets do not meet.
+    proxied
+        Whether daemons reach each other, the store and their backend servers
+        through proxies.
     """
 
     def __init__(
@@ -198,6 +244,7 @@
         hosts: int,
         random: random_module.Random,
         network: int,
+        proxied: bool = False,
     ) -> None:
         self._directory = directory
         self._random = random
@@ -205,12 +252,12 @@
         self.store = PlatformStoreServer()
         self.ips = [f"127.{network}.0.{number + 1}" for number in range(hosts)]
         self.daemons: list[asyncio.subprocess.Process | None] = [None] * hosts
-        self.backends = [
-            PlatformBackend(
-                f"i-{number}", "orders", ip, ledger=self.ledger, random=random
-            )
-            for number, ip in enumerate(self.ips)
-        ]
+        self._proxied = proxied
+        self.proxies = [self._make_proxies(ip) for ip in self.ips] if proxied else []
+        self._callers: dict[int, BackendClient] = {}
+        self.incarnations = [0] * hosts
+        self._log_starts = [0] * hosts
+        self.backends = [self._make_backend(number) for number in range(hosts)]
         self._attempts = 0
         self.last_attempt = ""
 
@@ -218,6 +265,8 @@
         """Start everything and wait until each daemon can serve."""
         await self.store.start()
         await self.store.put(CONFIGURATION_KEY, configuration)
+        for proxy in self._list_proxies():
+            await proxy.start()
         for backend in self.backends:
             await backend.start()
         await asyncio.gather(*map(self.start_daemon, range(len(self.ips))))
@@ -227,14 +276,28 @@
         """Start the daemon of a host."""
         path = self.find_settings(number)
         path.write_text(self._make_settings(number))
-        with (self._directory / f"host-{number}.log").open("ab") as log:
+        with self._find_log(number).open("ab") as log:
+            self._log_starts[number] = log.tell()
             self.daemons[number] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *("-m", "almondrouterd.platform.main", "--settings", str(path)),
+                *(("--advertise", f"{self.ips[number]}:7012") if self._proxied else ()),
                 stdout=log,
                 stderr=log,
             )
 
+    async def replace_backend(self, number: int) -> None:
+        """End a backend server at once and start its successor."""
+        await self.backends[number].close()
+        self.incarnations[number] += 1
+        self.backends[number] = self._make_backend(number)
+        await self.backends[number].start()
+
+    def is_started(self, number: int) -> bool:
+        """Return whether the daemon of a host listens since its last start."""
+        log = self._find_log(number)
+        return b'"daemon started"' in log.read_bytes()[self._log_starts[number] :]
+
     def find_settings(self, number: int) -> Path:
         """Return the settings file of a host."""
         return self._directory / f"host-{number}.toml"
@@ -253,8 +316,15 @@
                 await process.wait()
         for backend in self.backends:
             await backend.close()
+        for client in self._callers.values():
+            await client.close()
+        for proxy in self._list_proxies():
+            await proxy.close()
         await self.store.close()
 
+    def _find_log(self, number: int) -> Path:
+        return self._directory / f"host-{number}.log"
+
     def find_logs(self) -> list[Path]:
         """Return the log files of all daemons."""
         return sorted(self._directory.glob("*.log"))
@@ -283,16 +353,44 @@
             await client.close()
 
     async def send(
-        self, number: int, path: str, *, body: bytes = b"", time_left: float = 8.0
+        self,
+        number: int,
+        path: str,
+        *,
+        body: bytes = b"",
+        time_left: float = 8.0,
+        keep_open: bool = False,
     ) -> int:
         """Send a request to a host as its clients do; return the status or 0."""
+        status, _ = await self.send_named(
+            number, path, body=body, time_left=time_left, keep_open=keep_open
+        )
+        return status
+
+    async def send_named(
+        self,
+        number: int,
+        path: str,
+        *,
+        body: bytes = b"",
+        time_left: float = 8.0,
+        keep_open: bool = False,
+    ) -> tuple[int, str]:
+        """Send a request; return the status, 0 if there is none, and the attempt.
+
+        Parameters
+        ----------
+        keep_open
+            Whether the request may use a connection of an earlier one, and leaves
+            its own open.
+        """
         self._attempts += 1
-        attempt = self.last_attempt = f"a{os.getpid()}x{self._attempts}"
+        attempt = f"a{os.getpid()}x{self._attempts}"
+        self.last_attempt = attempt
         method = "POST" if path.startswith("/pay/") else "GET"
         if method == "POST":
             self.ledger.once.add(attempt)
-        address = f"{self.ips[number]}:7003"
-        client = BackendClient(address, connections=1, clock=SystemClock())
+        client = self._find_caller(number) if keep_open else self._make_caller(number)
         headers = (
             ("attempt-id", attempt),
             ("deadline-ms", str(int(time_left * 1000))),
@@ -308,11 +406,12 @@
             )
         except CallError as error:
             self.ledger.outcomes[error.code.value] += 1
-            return 0
+            return 0, attempt
         finally:
-            await client.close()
+            if not keep_open:
+                await client.close()
         self._judge(attempt, method, path, body, response)
-        return response.status
+        return response.status, attempt
 
     def _judge(
         self,
@@ -331,6 +430,39 @@
         elif status in refused and method == "POST":
             self.ledger.promised.add(attempt)
 
+    def _find_caller(self, number: int) -> BackendClient:
+        if number not in self._callers:
+            self._callers[number] = self._make_caller(number, connections=8)
+        return self._callers[number]
+
+    def _make_caller(self, number: int, *, connections: int = 1) -> BackendClient:
+        address = f"{self.ips[number]}:7003"
+        return BackendClient(address, connections=connections, clock=SystemClock())
+
+    def _make_backend(self, number: int) -> PlatformBackend:
+        ip, incarnation = self.ips[number], self.incarnations[number]
+        return PlatformBackend(
+            f"i-{number}-{incarnation}" if incarnation else f"i-{number}",
+            "orders",
+            ip,
+            address=self._find_backend_address(number),
+            ledger=self.ledger,
+            random=self._random,
+        )
+
+    def _find_backend_address(self, number: int) -> str:
+        return f"{self.ips[number]}:{7011 if self._proxied else 7001}"
+
+    def _make_proxies(self, ip: str) -> HostProxies:
+        return HostProxies(
+            FaultProxy(f"{ip}:7012", lambda: f"{ip}:7002"),
+            FaultProxy(f"{ip}:7013", lambda: self.store.address),
+            FaultProxy(f"{ip}:7011", lambda: f"{ip}:7001"),
+        )
+
+    def _list_proxies(self) -> list[FaultProxy]:
+        return [proxy for host in self.proxies for proxy in host.all]
+
     def _make_settings(self, number: int) -> str:
         return _SETTINGS.format(
             name=f"host-{number}",
@@ -338,7 +470,8 @@
             region=number % 2,
             ip=self.ips[number],
             service="orders",
-            store=self.store.address,
+            store=f"{self.ips[number]}:7013" if self._proxied else self.store.address,
+            backend=self._find_backend_address(number),
             grace=GRACE_S,
         )
 
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -372,7 +372,7 @@
             self._incarnation,
             settings.data_centre,
             settings.region,
-            settings.peer_address,
+            settings.advertised_address,
             self.backend.entry,
             self._changes,
         )
--- a/packages/almondrouterd/src/almondrouterd/platform/main.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/main.py
@@ -15,6 +15,7 @@
 from almondrouter import __version__
 from almondrouter.errors import AlmondError, FindingsError
 from almondrouter.logs import LineWriter, StateLogger, set_up_logs
+from almondrouter.settings import parse_address
 from almondrouterd.hostdaemon import HostDaemon
 from almondrouterd.platform.settings import (
     SETTINGS_VARIABLE,
@@ -32,7 +33,7 @@
     arguments = build_parser().parse_args(argv)
     path = arguments.settings or os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        settings = read_host_settings(path)
+        settings = read_host_settings(path, advertised_address=arguments.advertise)
         if arguments.check:
             print("settings are valid")
             return EXIT_OK
@@ -65,6 +66,13 @@
         metavar="FILE",
         help=f"settings file (default: the file that {SETTINGS_VARIABLE} names)",
     )
+    parser.add_argument(
+        "--advertise",
+        metavar="ADDRESS",
+        type=parse_address,
+        help="ip:port that other daemons are told, for hosts behind a port "
+        "forwarder (default: the address that the daemon listens on)",
+    )
     parser.add_argument(
         "--log-level",
         choices=("debug", "info", "warning", "error"),
@@ -99,7 +107,8 @@
 def reload_settings(daemon: HostDaemon, path: str) -> None:
     """Read the settings file again; one that cannot be used changes nothing."""
     try:
-        daemon.reload(read_host_settings(path))
+        advertised = daemon.settings.advertised_address
+        daemon.reload(read_host_settings(path, advertised_address=advertised))
     except FindingsError as error:
         findings = [str(finding) for finding in error.findings]
         _log.error("settings refused; those in force stay", findings=findings)
--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -72,6 +72,9 @@
         ``ip:port`` for requests of local clients and of the backend server.
     peer_address
         ``ip:port`` for calls from other daemons.
+    advertised_address
+        ``ip:port`` that other daemons are told; another one than `peer_address`
+        only behind a port forwarder.
     ready_address
         ``ip:port`` for readiness checks.
     backend_control_address
@@ -97,6 +100,7 @@
     backend_address: str
     caller_address: str
     peer_address: str
+    advertised_address: str
     ready_address: str
     backend_control_address: str
     metrics_port: int
@@ -112,9 +116,16 @@
 """Port of the metrics; the deploy file names it too."""
 
 
-def read_host_settings(path: str) -> HostSettings:
+def read_host_settings(
+    path: str, *, advertised_address: str | None = None
+) -> HostSettings:
     """Read and check the settings file.
 
+    Parameters
+    ----------
+    advertised_address
+        Replaces the address that other daemons are told, if given.
+
     Raises
     ------
     FindingsError
@@ -130,10 +141,10 @@
     except msgspec.ValidationError as error:
         code = ErrorCode.SETTING_INVALID
         raise FindingsError([Finding(path, code, str(error))]) from error
-    return _translate(file)
+    return _translate(file, advertised_address or file.listen.inbound)
 
 
-def _translate(file: _File) -> HostSettings:
+def _translate(file: _File, advertised_address: str) -> HostSettings:
     bounds = file.bounds
     return HostSettings(
         host=file.node,
@@ -144,6 +155,7 @@
         backend_address=file.app_addr,
         caller_address=file.listen.outbound,
         peer_address=file.listen.inbound,
+        advertised_address=advertised_address,
         ready_address=file.listen.ready_address,
         backend_control_address=file.listen.control,
         metrics_port=METRICS_PORT,
