Take nothing behind the last answer of a stopping daemon

Its callers pipeline: while one request was in flight the next was taken, so a connection never had a last answer and was neither closed nor refused. Ruled out: a slow backend server (it ran the request for 0.7 s) and a wrong grace period.

Now requests that arrive after the first answer that a stopping daemon sends on a connection are not read; the last answer closes it and callers send them again. Test: test_winding_down_takes_nothing_behind_its_last_answer, fails before.

--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -183,10 +183,12 @@
 
     async def _stop(self, number: int) -> None:
         async with self._states[number].lock:
+            # A process that has not begun to serve ends by the signal itself.
+            started = self.fleet.is_started(number)
             try:
                 async with asyncio.timeout(GRACE_S + EXIT_MARGIN_S):
                     code = await self.fleet.stop_daemon(number, signal.SIGTERM)
-                if code:
+                if code and started:
                     self._ended.append(f"host {number} ended with code {code}")
             except TimeoutError:
                 self._ended.append(f"host {number} did not end after the stop signal")
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -168,6 +168,7 @@
         self._refused = False
         self._reading = False
         self._closing = False
+        self._accepting = True
         self._reset()
 
     @property
@@ -247,7 +248,7 @@
 
     def on_message_complete(self) -> None:
         """Serve the request, or keep it until the ones before are answered."""
-        if self._refused:
+        if self._refused or not self._accepting:
             return
         request = CallerRequest(
             self._parser.get_method().decode("latin-1"),
@@ -341,9 +342,12 @@
             self._expires_at = server.clock.monotonic() + max(
                 WRITE_S, server.limits().keep_alive
             )
-            stopping = server.draining or server.winding_down
-            last = not self._exchanges and not self._reading
-            keep_alive = exchange.keep_alive and not (stopping and last)
+            if server.draining or server.winding_down:
+                # Requests that arrive from now on count as unread: their caller
+                # sends them again elsewhere once the connection closes.
+                self._accepting = False
+            last = not self._accepting and not self._exchanges
+            keep_alive = exchange.keep_alive and not last
             keep_alive = keep_alive and exchange.response.framed
             self._transport.write(
                 encode_response(exchange.response, keep_alive=keep_alive)
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -177,6 +177,29 @@
         closing = ["connection: close" in head for head in heads]
         self.assertEqual([False, True], closing)
 
+    async def test_winding_down_takes_nothing_behind_its_last_answer(self):
+        """Guards against pipelining callers that keep a stopping daemon busy."""
+        slow = asyncio.Event()
+
+        async def handle(request):
+            self.requests.append(request)
+            if request.target == "/slow":
+                await slow.wait()
+            return CallerResponse(200, (), request.target.encode())
+
+        self.server.handler = handle
+        reader, writer = await self.open(GET + GET.replace(b"a?b", b"slow"))
+        self.server.wind_down()
+        self.assertEqual(b"/a?b", (await self.read_response(reader))[2])
+        writer.write(GET.replace(b"a?b", b"late"))
+        await asyncio.sleep(0.05)
+        slow.set()
+        _, head, body = await self.read_response(reader)
+        self.assertEqual(b"/slow", body)
+        self.assertIn("connection: close", head)
+        self.assertEqual(b"", await reader.read())
+        self.assertEqual(["/a?b", "/slow"], [r.target for r in self.requests])
+
     async def test_caller_gone_cancels_the_call(self):
         """Guards against work that goes on for a caller that has gone."""
         self.release.clear()
