Read the store cheaply at the start and while a peer follows it

Each new daemon followed the store until it had found its peers, so that every record that a starting fleet wrote woke all of them; each request with a later version made the other end read everything again; resting daemons read at the full price.

New daemons read now and then for 3 s, stale readings are allowed where nothing depends on them, changes are collected for 0.3 s, a watch waits for 2 s, and a later version in a call waits for the usual way first. A stale reading does not tell that the own record is lost, and a follower starts from a current reading.

The stand-in fleet now waits until its daemons know each other, which the test without the store needs: it took for granted that they do within 0.1 s.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -31,6 +31,8 @@
 have it."""
 GRACE_S = 6.0
 """Seconds from the stop signal to the kill, as the deployments have it."""
+KNOWN_S = 90.0
+"""Seconds in which daemons have to know each other, even on a busy machine."""
 RUN_S = (0.005, 0.05)
 CONFIGURATION_KEY = "op/config"
 MAX_BODY_BYTES = 2_000_000
@@ -262,7 +264,7 @@
         self.last_attempt = ""
 
     async def start(self, configuration: bytes) -> None:
-        """Start everything and wait until each daemon can serve."""
+        """Start everything and wait until each daemon serves and knows all others."""
         await self.store.start()
         await self.store.put(CONFIGURATION_KEY, configuration)
         for proxy in self._list_proxies():
@@ -271,6 +273,7 @@
             await backend.start()
         await asyncio.gather(*map(self.start_daemon, range(len(self.ips))))
         await asyncio.gather(*map(self.wait_until_ready, range(len(self.ips))))
+        await asyncio.gather(*map(self._wait_until_known, range(len(self.ips))))
 
     async def start_daemon(self, number: int) -> None:
         """Start the daemon of a host."""
@@ -342,6 +345,16 @@
             await asyncio.sleep(0.05)
         raise TimeoutError(f"host {number} does not serve:\n{self.read_logs()[-3000:]}")
 
+    async def _wait_until_known(self, number: int) -> None:
+        wanted = f"almond_hosts {len(self.ips)}"
+        async with asyncio.timeout(KNOWN_S):
+            while wanted not in (await self.read_metrics(number)):
+                await asyncio.sleep(0.05)
+
+    async def read_metrics(self, number: int) -> str:
+        """Return the metrics of a host's daemon."""
+        return (await self.fetch(number, 9464, "/metrics")).body.decode()
+
     async def fetch(self, number: int, port: int, path: str) -> BackendResponse:
         """Return the answer of one of a daemon's other addresses."""
         address = f"{self.ips[number]}:{port}"
--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
@@ -73,6 +73,7 @@
         self.fault = StoreFault.NONE
         self.faulty: set[str] | None = None
         self.calls: Counter[str] = Counter()
+        self.stale_reads = 0
         self.server = CallerServer(
             address="127.0.0.1:0", handler=self._handle, max_body_bytes=MAX_BODY_BYTES
         )
@@ -195,6 +196,7 @@
         return make_response(HTTPStatus.OK, at=self._keys.revision, **fields)
 
     def _read_range(self, asked: dict[str, str]) -> CallerResponse:
+        self.stale_reads += asked.get("allow_stale") == "1"
         prefix, after = asked["path_prefix"], asked.get("after", "")
         found = [
             describe_item(key, item)
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -122,10 +122,7 @@
             self._ended.append(f"version {version} is not in force everywhere")
 
     async def _all_have(self, version: int) -> bool:
-        lines = [
-            (await self.fleet.fetch(number, 9464, "/metrics")).body.decode()
-            for number in range(HOSTS)
-        ]
+        lines = [await self.fleet.read_metrics(number) for number in range(HOSTS)]
         wanted = f"almond_configuration_version {version}"
         return all(wanted in text for text in lines)
 
--- a/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
@@ -53,7 +53,9 @@
         # Peers tell of versions with every call, so a long value is not read.
         return self.table is None
 
-    def load(self, items: Sequence[KeyValue]) -> None:  # noqa: D102
+    def load(  # noqa: D102
+        self, items: Sequence[KeyValue], *, stale: bool = False
+    ) -> None:
         for item in items:
             if item.key == self._key:
                 self.take(item.value)
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -159,13 +159,16 @@
     def prefix(self) -> str:  # noqa: D102
         return HOSTS_PREFIX
 
-    def load(self, items: Sequence[KeyValue]) -> None:  # noqa: D102
+    def load(  # noqa: D102
+        self, items: Sequence[KeyValue], *, stale: bool = False
+    ) -> None:
         entries = {}
         for item in items:
             entry = self._decode(item.key, item.value)
             if entry is not None:
                 entries[entry.host] = entry
-        if self._own_host not in entries:
+        if self._own_host not in entries and not stale:
+            # A stale reading may be older than the record; its lease tells a loss.
             self._lost()
         self._directory.replace_all(entries)
         for entry in entries.values():
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -22,7 +22,9 @@
 POLL_S = 12.0
 """Seconds between readings of a daemon that does not follow the store; they heal
 what was lost on the way and show whether the store still answers."""
-COALESCE_S = 0.1
+SETTLING_POLL_S = 0.5
+"""Seconds between readings while a new daemon looks for its peers."""
+COALESCE_S = 0.3
 """Seconds for which changes are collected before the next wait; small against the
 seconds within which a configuration has to be in force."""
 
@@ -43,8 +45,8 @@
         return True
 
     @abstractmethod
-    def load(self, items: Sequence[KeyValue]) -> None:
-        """Take over a whole reading."""
+    def load(self, items: Sequence[KeyValue], *, stale: bool = False) -> None:
+        """Take over a whole reading, which is some seconds old if ``stale``."""
 
     @abstractmethod
     def apply(self, event: WatchEvent) -> None:
@@ -64,13 +66,17 @@
         Time, and the spread of pauses.
     contact_changed
         Called when the store was lost or regained.
+    settles_at
+        Monotonic seconds until which the daemon reads now and then instead of
+        following, as it will probably find a peer that follows for it.
 
     Notes
     -----
     While ``following`` is False, changes come from another daemon, and only
-    polled keys are read now and then. After a failure the watch goes on where it
-    ended. Everything is read again only if the store has no history that far
-    back, or another daemon is found to know a later configuration.
+    polled keys are read now and then; these readings may be stale. After a failure
+    the watch goes on where it ended. Everything is read again only if the store has
+    no history that far back, or another daemon is found to know a later
+    configuration.
     """
 
     def __init__(
@@ -81,6 +87,7 @@
         clock: Clock,
         random: random_module.Random,
         contact_changed: Callable[[], None] = lambda: None,
+        settles_at: float = 0.0,
     ) -> None:
         self._contact_changed = contact_changed
         self._store = store
@@ -90,8 +97,11 @@
         self._prefix = find_common_prefix([s.prefix for s in subscribers])
         self._revision = 0
         self._loaded = False
+        self._current = False
+        self._stale_will_do = True
         self._interrupt = asyncio.Event()
-        self._following = True
+        self._settles_at = settles_at
+        self._following = clock.monotonic() >= settles_at
         self._next_reread_at = 0.0
         self._pause = FIRST_PAUSE_S
         self._connected: bool | None = None
@@ -104,7 +114,7 @@
         now = self._clock.monotonic()
         if now >= self._next_reread_at:
             self._next_reread_at = now + REREAD_PAUSE_S
-            self._loaded = False
+            self._require_reading()
             self._interrupt.set()
 
     @property
@@ -119,10 +129,11 @@
 
     def set_following(self, following: bool) -> None:
         """Begin or end to follow the store by itself."""
+        following = following and not self._is_settling
         if following == self._following:
             return
         self._following = following
-        self._loaded = self._loaded and not following
+        self._current = False
         self._interrupt.set()
         _log.info("following the store" if following else "leaving the store to a peer")
 
@@ -131,8 +142,9 @@
         while True:
             try:
                 self._interrupt.clear()
-                if not self._loaded:
-                    await self._load(self._subscribers)
+                if not self._loaded or (self._following and not self._current):
+                    stale = self._stale_will_do and not self._following
+                    await self._load(self._subscribers, stale=stale)
                 if self._following:
                     await self._follow()
                 else:
@@ -140,27 +152,40 @@
             except AlmondError as error:
                 self._note_loss(error)
                 if error.code.value == "history_compacted":
-                    self._loaded = False
+                    self._require_reading()
                     continue
                 await asyncio.sleep(self._pause * self._random.uniform(0.5, 1.0))
                 self._pause = min(MAX_PAUSE_S, self._pause * 2)
 
     async def _rest(self) -> None:
         """Let another daemon tell of changes; read the polled keys now and then."""
+        pause = SETTLING_POLL_S if self._is_settling else POLL_S
         try:
-            async with asyncio.timeout(POLL_S * self._random.uniform(0.8, 1.2)):
+            async with asyncio.timeout(pause * self._random.uniform(0.8, 1.2)):
                 await self._interrupt.wait()
         except TimeoutError:
-            await self._load([s for s in self._subscribers if s.is_polled])
+            polled = [s for s in self._subscribers if s.is_polled]
+            await self._load(polled, stale=True)
 
-    async def _load(self, subscribers: Sequence[StoreSubscriber]) -> None:
+    @property
+    def _is_settling(self) -> bool:
+        return self._clock.monotonic() < self._settles_at
+
+    def _require_reading(self) -> None:
+        """Have everything read again, in its newest state."""
+        self._loaded = self._current = self._stale_will_do = False
+
+    async def _load(
+        self, subscribers: Sequence[StoreSubscriber], *, stale: bool
+    ) -> None:
         revision = None
         for subscriber in subscribers:
-            result = await self._store.read_prefix(subscriber.prefix)
-            subscriber.load(result.items)
+            result = await self._store.read_prefix(subscriber.prefix, stale=stale)
+            subscriber.load(result.items, stale=stale)
             revision = result.revision if revision is None else revision
         self._revision = revision or 0
-        self._loaded = True
+        self._current = not stale
+        self._loaded = self._stale_will_do = True
         self.counts["readings"] += 1
         self._note_contact()
         self.loaded.set()
--- a/packages/almondrouter/src/almondrouter/transport/etcd.py
+++ b/packages/almondrouter/src/almondrouter/transport/etcd.py
@@ -98,9 +98,14 @@
         return await self._query("range", "/v3/kv/range", body, decode_read)
 
     async def read_prefix(  # noqa: D102
-        self, prefix: str, *, start: str | None = None, limit: int = 0
+        self,
+        prefix: str,
+        *,
+        start: str | None = None,
+        limit: int = 0,
+        stale: bool = False,
     ) -> ReadResult:
-        body = encode_prefix_read(prefix, start, limit)
+        body = encode_prefix_read(prefix, start, limit, stale=stale)
         return await self._query("range", "/v3/kv/range", body, decode_read)
 
     async def commit(self, transaction: Transaction) -> CommitResult:  # noqa: D102
--- a/packages/almondrouter/src/almondrouter/transport/etcdcodec.py
+++ b/packages/almondrouter/src/almondrouter/transport/etcdcodec.py
@@ -30,13 +30,17 @@
     return body
 
 
-def encode_prefix_read(prefix: str, start: str | None, limit: int) -> Body:
+def encode_prefix_read(
+    prefix: str, start: str | None, limit: int, *, stale: bool = False
+) -> Body:
     """Return the request that reads keys with a prefix from ``start`` on."""
     body = encode_range(prefix, prefix=True)
     if start is not None and start > prefix:
         body["key"] = _encode(start.encode())
     if limit:
         body["limit"] = str(limit)
+    if stale:
+        body["serializable"] = True
     return body
 
 
--- a/packages/almondrouter/src/almondrouter/transport/lazystore.py
+++ b/packages/almondrouter/src/almondrouter/transport/lazystore.py
@@ -40,9 +40,16 @@
         return await self._store.read(key)
 
     async def read_prefix(  # noqa: D102
-        self, prefix: str, *, start: str | None = None, limit: int = 0
+        self,
+        prefix: str,
+        *,
+        start: str | None = None,
+        limit: int = 0,
+        stale: bool = False,
     ) -> ReadResult:
-        return await self._store.read_prefix(prefix, start=start, limit=limit)
+        return await self._store.read_prefix(
+            prefix, start=start, limit=limit, stale=stale
+        )
 
     async def commit(self, transaction: Transaction) -> CommitResult:  # noqa: D102
         return await self._store.commit(transaction)
--- a/packages/almondrouter/src/almondrouter/transport/store.py
+++ b/packages/almondrouter/src/almondrouter/transport/store.py
@@ -147,9 +147,17 @@
 
     @abstractmethod
     async def read_prefix(
-        self, prefix: str, *, start: str | None = None, limit: int = 0
+        self,
+        prefix: str,
+        *,
+        start: str | None = None,
+        limit: int = 0,
+        stale: bool = False,
     ) -> ReadResult:
-        """Read keys with a prefix in order, from ``start`` on, at most ``limit``."""
+        """Read keys with a prefix in order, from ``start`` on, at most ``limit``.
+
+        With ``stale`` the answer may be some seconds old, which costs the store less.
+        """
 
     @abstractmethod
     async def commit(self, transaction: Transaction) -> CommitResult:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -62,6 +62,9 @@
 """Longest body of a heartbeat or a readiness check, in bytes."""
 TIDY_S = 0.25
 """Seconds between looks at records that were lost."""
+SETTLING_S = 3.0
+"""Seconds after its start in which a daemon does not follow the store itself; less
+than the time for which a starting host counts as disturbed."""
 READY_CHECKS_MISSED_S = 2.3
 """Seconds after which nobody sends new work to a daemon that is not ready."""
 KILL_MARGIN_S = 0.5
@@ -146,6 +149,7 @@
             clock=clock,
             random=self._random,
             contact_changed=self.links.notify_all,
+            settles_at=self._life.started_at + SETTLING_S,
         )
         self._peers = Peers(
             links=self.links,
@@ -392,7 +396,7 @@
         if isinstance(request, ClaimQuery):
             return make_reply(ErrorCode.CLAIM_UNAVAILABLE)
         if request.version > self.routes.version:
-            self.feed.request_reread()
+            self._peers.note_version(request.version)
         return await self._run_call(request)
 
     async def _run_call(self, request: CallRequest) -> CallReply:
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -27,7 +27,7 @@
 from almondrouter.state.snapshot import Destination
 from almondrouter.transport.links import CallLinkPool
 
-STORE_PATIENCE_S = 0.4
+STORE_PATIENCE_S = 0.6
 """Seconds that the usual way has for telling a version that a peer knows already."""
 ROUTES_QUERY_S = 1.0
 """Seconds that a peer has for sending its configuration."""
@@ -119,8 +119,14 @@
         body = self._routes.stored_form
         return CallReply(0, Outcome.COMPLETE, HTTPStatus.OK, (), body, "", None)
 
-    def note_version(self, version: int, peer_address: str) -> None:
-        """Catch up with a peer that has a later configuration."""
+    def note_version(self, version: int, peer_address: str | None = None) -> None:
+        """Catch up with a peer that has a later configuration.
+
+        Parameters
+        ----------
+        peer_address
+            Who can be asked for it; None if only the store can.
+        """
         if version > self._routes.version and self._asking is None:
             work = self._catch_up(version, peer_address)
             self._asking = asyncio.create_task(work)
@@ -170,11 +176,13 @@
         level = zlib.Z_BEST_SPEED
         return RoutesNotice(zlib.compress(self._routes.stored_form, level))
 
-    async def _catch_up(self, version: int, peer_address: str) -> None:
+    async def _catch_up(self, version: int, peer_address: str | None) -> None:
         await asyncio.sleep(STORE_PATIENCE_S)
         if version <= self._routes.version:
             return
         self._feed.request_reread()
+        if peer_address is None:
+            return
         deadline = self._clock.monotonic() + ROUTES_QUERY_S
         try:
             reply = await self._links.call(peer_address, RoutesQuery(0, deadline))
--- a/packages/almondrouterd/src/almondrouterd/platform/store.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -37,8 +37,9 @@
 
 CALL_TIMEOUT_S = 1.5
 """Seconds for one call; a slow store takes up to 0.4."""
-WATCH_WAIT_MS = 1_000
-"""Milliseconds that a watch waits; bounds how long a silent one goes unnoticed."""
+WATCH_WAIT_MS = 2_000
+"""Milliseconds that a watch waits; bounds how long a silent one goes unnoticed, and
+with the slack it stays below the time in which a change has to be in force."""
 WATCH_SLACK_S = 0.5
 """Seconds beyond the wait after which a watch counts as silent."""
 MAX_CONNECTIONS = 4
@@ -121,10 +122,17 @@
         return ReadResult((make_key_value(item),), item.at)
 
     async def read_prefix(  # noqa: D102
-        self, prefix: str, *, start: str | None = None, limit: int = 0
+        self,
+        prefix: str,
+        *,
+        start: str | None = None,
+        limit: int = 0,
+        stale: bool = False,
     ) -> ReadResult:
         items: list[KeyValue] = []
         query = {"path_prefix": prefix}
+        if stale:
+            query["allow_stale"] = "1"
         if start is not None:
             query["after"] = start
         revision = 0
--- a/tests/simulation/store.py
+++ b/tests/simulation/store.py
@@ -105,7 +105,7 @@
         found = ReadResult((item,) if item else (), self.memory.revision)
         return await self._reply(found)
 
-    async def read_prefix(self, prefix, *, start=None, limit=0):
+    async def read_prefix(self, prefix, *, start=None, limit=0, stale=False):
         await self._travel("read_prefix")
         items = self.memory.items
         keys = sorted(k for k in items if k.startswith(prefix) and k >= (start or ""))
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -55,16 +55,21 @@
             seen=lambda entry: None,
         )
         self.contacts = []
-        self.feed = StoreFeed(
+        self.feed = self.make_feed(records)
+        for work in (self.feed.run(), self.registration.run()):
+            task = asyncio.create_task(work)
+            self.addCleanup(task.cancel)
+
+    def make_feed(self, records, *, settles_in=0.0):
+        clock = SystemClock()
+        return StoreFeed(
             self.store,
             (self.routes, records),
             clock=clock,
             random=random.Random(1),
             contact_changed=lambda: self.contacts.append(self.feed.reaches_store),
+            settles_at=clock.monotonic() + settles_in,
         )
-        for work in (self.feed.run(), self.registration.run()):
-            task = asyncio.create_task(work)
-            self.addCleanup(task.cancel)
 
     def count_change(self):
         self.changes += 1
@@ -165,6 +170,43 @@
         await self.put_version(3)
         await self.wait_for_version(3)
 
+    async def test_new_daemon_reads_cheaply_before_it_follows(self):
+        """Guards against a herd of new daemons that each watch the store."""
+        await self.put_version(1)
+        await self.wait_for_version(1)
+        self.feed.set_following(False)
+        await asyncio.sleep(0.1)
+        self.server.calls.clear()
+        records = HostRecords(
+            self.directory, own_host="own", lost=self.fail, seen=lambda entry: None
+        )
+        feed = self.make_feed(records, settles_in=0.3)
+        task = asyncio.create_task(feed.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await feed.loaded.wait()
+        feed.set_following(True)
+        self.assertFalse(feed.following)
+        self.assertEqual(self.server.calls["kv-range"], self.server.stale_reads)
+        await asyncio.sleep(0.3)
+        feed.set_following(True)
+        await wait_until(lambda: self.server.calls["kv-watch"])
+        self.assertGreater(self.server.calls["kv-range"], self.server.stale_reads)
+
+    async def test_stale_reading_tells_no_loss_of_the_own_record(self):
+        """Guards against a record that is written again for each old reading."""
+        lost = []
+        records = HostRecords(
+            self.directory,
+            own_host="own",
+            lost=lambda: lost.append(1),
+            seen=lambda entry: None,
+        )
+        records.load((), stale=True)
+        self.assertEqual([], lost)
+        records.load(())
+        self.assertEqual([1], lost)
+
     async def test_withdrawn_record_is_gone_at_once(self):
         """Guards against a stopped host that is chosen until its lease ends."""
         key = HOSTS_PREFIX + "own"
