Share load within the region; expect the usual load where a report is old

Cause: at 80 hosts a daemon hears of a backend server only every few seconds, as load came with replies alone. Old reports lost their weight towards nothing, so the server that was longest unheard of looked idle.

The page test of messages took tags of one digit only; it now takes all of them.

--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -76,12 +76,18 @@
             known.gone_at = self._clock.monotonic() + RETURN_GRACE_S
             _log.info("host record lost", peer=host)
 
-    def replace_all(self, entries: Mapping[str, HostEntry]) -> None:
-        """Take over a whole reading of the store."""
+    def replace_all(
+        self, entries: Mapping[str, HostEntry], *, stale: bool = False
+    ) -> None:
+        """Take over a whole reading of the store.
+
+        A stale reading may be older than the record of a host that answers.
+        """
         for entry in entries.values():
             self.put(entry)
         for host in set(self._known) - set(entries):
-            self.mark_lost(host)
+            if not stale or not self._is_alive(self._known[host].entry.peer_address):
+                self.mark_lost(host)
 
     def expire(self) -> None:
         """Forget the hosts whose records did not come back."""
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -108,7 +108,7 @@
             reply = await self.run(request)
         except CallError as error:
             reply = make_reply(error.code, error.outcome)
-        return msgspec.structs.replace(reply, load=self._read_load())
+        return msgspec.structs.replace(reply, load=self.load)
 
     async def run(self, request: CallRequest) -> CallReply:
         """Run a request and return its result.
@@ -166,7 +166,9 @@
         """Return whether the backend server runs a request with this id now."""
         return bool(attempt_id) and attempt_id in self._runs.values()
 
-    def _read_load(self) -> Load | None:
+    @property
+    def load(self) -> Load | None:
+        """Return the exact load; None if the backend server takes no work."""
         if self.entry is None or self.entry.state is not ServingState.READY:
             return None
         return self.queue.load()
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -19,6 +19,7 @@
 from almondrouter.state.occupancy import (
     MAX_ENTRIES,
     SERVICE_TIME_HALF_LIFE_SECONDS,
+    Occupancy,
     OccupancyTable,
 )
 from almondrouter.state.snapshot import Destination
@@ -52,6 +53,34 @@
 with the same old report from choosing the same one."""
 
 
+MIN_REPORT_WEIGHT = 0.5
+"""Least weight of all reports; less of it tells little of a service."""
+USUAL_S = 0.1
+"""Seconds for which the usual load of a service is not worked out again."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Usual:
+    """What to expect of a backend server without a report that is still true.
+
+    Parameters
+    ----------
+    destinations
+        The backend servers of the service.
+    service_time
+        Seconds that a request runs.
+    occupancy
+        Running and waiting requests a slot.
+    until
+        Monotonic seconds until which it holds.
+    """
+
+    destinations: Sequence[Destination]
+    service_time: float
+    occupancy: float
+    until: float
+
+
 @dataclass(slots=True)
 class _Failures:
     share: float = 0.0
@@ -100,6 +129,7 @@
         self._is_reachable = is_reachable
         self._failures: dict[str, _Failures] = {}
         self._refusals: dict[str, float] = {}
+        self._usual: dict[tuple[str, int], _Usual] = {}
 
     def choose(  # noqa: D102
         self,
@@ -117,7 +147,7 @@
         ]
         usable = [d for d in left if self._is_reachable(d)] or left
         demand = demand or Demand(0, nested=False, target_latency=0.0, rank=0)
-        usual = self._find_usual_time(destinations)
+        usual = self._find_usual(destinations, demand.rank, now)
         tiers: dict[float, list[Destination]] = {}
         for destination in usable:
             distance = self._weigh_distance(destination, demand)
@@ -184,13 +214,38 @@
             price = OTHER_REGION_S_PER_MB * megabytes
         return delay * (NESTED_DISTANCE_FACTOR if demand.nested else 1.0) + price
 
-    def _find_usual_time(self, destinations: Sequence[Destination]) -> float:
-        entries = (self._occupancy.find(d.backend) for d in destinations)
-        times = [entry.service_time for entry in entries if entry and entry.slots]
-        return median_low(times) if times else 0.0
+    def _find_usual(
+        self, destinations: Sequence[Destination], rank: int, now: float
+    ) -> _Usual:
+        key = (destinations[0].backend if destinations else "", rank)
+        known = self._usual.get(key)
+        if known and known.destinations is destinations and now < known.until:
+            return known
+        if len(self._usual) >= MAX_ENTRIES:
+            self._usual.clear()
+        usual = self._usual[key] = self._work_out_usual(destinations, rank, now)
+        return usual
+
+    def _work_out_usual(
+        self, destinations: Sequence[Destination], rank: int, now: float
+    ) -> _Usual:
+        found = [self._occupancy.find(d.backend) for d in destinations]
+        entries = [entry for entry in found if entry and entry.slots]
+        times = [entry.service_time for entry in entries]
+        weights = [entry.weight(now) for entry in entries]
+        calls = sum(
+            weight * entry.reported_calls(rank) / entry.slots
+            for weight, entry in zip(weights, entries, strict=True)
+        )
+        return _Usual(
+            destinations,
+            median_low(times) if times else 0.0,
+            calls / max(sum(weights), MIN_REPORT_WEIGHT),
+            now + USUAL_S,
+        )
 
     def _weigh_load(
-        self, destination: Destination, demand: Demand, usual: float, now: float
+        self, destination: Destination, demand: Demand, usual: _Usual, now: float
     ) -> tuple[float, float]:
         """Return the cost of a load, and the seconds until an answer."""
         cost = 0.0
@@ -199,11 +254,13 @@
             cost += failures.decayed(now) * demand.target_latency
         entry = self._occupancy.find(destination.backend)
         if entry is None:
-            return cost + weigh_run_time(usual, demand.target_latency), usual
+            entry = Occupancy(reported_at=float("-inf"))
         slots = entry.slots or destination.slots
         weight = entry.weight(now, half_life=SERVICE_TIME_HALF_LIFE_SECONDS)
-        service_time = usual + weight * (entry.service_time - usual)
-        calls = entry.calls(now, rank=demand.rank)
+        seconds = usual.service_time
+        service_time = seconds + weight * (entry.service_time - seconds)
+        usual_calls = usual.occupancy * slots
+        calls = entry.calls(now, rank=demand.rank, usual=usual_calls)
         wait = max(0.0, calls + 1 - slots) * service_time / slots
         run_time = weigh_run_time(service_time, demand.target_latency)
         cost += wait + run_time + CROWDING_S * calls / slots
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -170,7 +170,7 @@
         if self._own_host not in entries and not stale:
             # A stale reading may be older than the record; its lease tells a loss.
             self._lost()
-        self._directory.replace_all(entries)
+        self._directory.replace_all(entries, stale=stale)
         for entry in entries.values():
             self._seen(entry)
 
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -213,7 +213,14 @@
     compressed: bytes
 
 
-Notice = HostNotice | RoutesNotice
+class LoadNotice(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Tells how busy the backend server beside the sender is; needs no reply."""
+
+    backend: str
+    load: Load
+
+
+Notice = HostNotice | RoutesNotice | LoadNotice
 
 LinkCall = CallRequest | ClaimQuery | RoutesQuery
 """Frames that are answered by a `CallReply`."""
--- a/packages/almondrouter/src/almondrouter/state/occupancy.py
+++ b/packages/almondrouter/src/almondrouter/state/occupancy.py
@@ -42,7 +42,16 @@
         """Return the weight of the report by its age, 1 when new."""
         return 0.5 ** (max(0.0, now - self.reported_at) / half_life)
 
-    def calls(self, now: float, *, rank: int | None = None) -> float:
+    def reported_calls(self, rank: int | None) -> int:
+        """Return the calls that the report has ahead of a call of a rank."""
+        queued = self.queued
+        if rank is not None and self.queued_by_rank:
+            queued = sum(self.queued_by_rank[: rank + 1])
+        return self.in_use + queued
+
+    def calls(
+        self, now: float, *, rank: int | None = None, usual: float = 0.0
+    ) -> float:
         """Return the calls expected to be running or waiting there.
 
         Parameters
@@ -50,11 +59,11 @@
         rank
             Rank of the priority of a call that overtakes those behind it; with
             None it overtakes none.
+        usual
+            Calls to expect where a report is too old to tell.
         """
-        queued = self.queued
-        if rank is not None and self.queued_by_rank:
-            queued = sum(self.queued_by_rank[: rank + 1])
-        reported = (self.in_use + queued) * self.weight(now)
+        weight = self.weight(now)
+        reported = self.reported_calls(rank) * weight + usual * (1.0 - weight)
         return max(reported + self.since_report, float(self.in_flight))
 
 
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -15,6 +15,7 @@
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.forwarding import Forwarder
+from almondrouter.coordination.loadsharing import LOOK_S, LoadSharing
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.coordination.placement import CostPlacement
 from almondrouter.coordination.registration import HostRecords, Registration
@@ -160,7 +161,9 @@
             own_region=settings.region,
             make_entry=self._make_entry,
             clock=clock,
+            learn_load=lambda backend, load: self._placement.learn_load(backend, load),
         )
+        self._sharing = LoadSharing(clock=clock)
 
     def _build_calls(self) -> None:
         settings, clock = self.settings, self._clock
@@ -181,17 +184,18 @@
             count_hosts=lambda: len(self.directory),
             clock=clock,
         )
+        self._placement = CostPlacement(
+            data_centre=settings.data_centre,
+            region=settings.region,
+            occupancy=OccupancyTable(),
+            random=self._random,
+            clock=clock,
+            is_reachable=self._peers.is_reachable,
+        )
         self._forwarder = Forwarder(
             table=lambda: self.routes.table,
             directory=self.directory,
-            choice=CostPlacement(
-                data_centre=settings.data_centre,
-                region=settings.region,
-                occupancy=OccupancyTable(),
-                random=self._random,
-                clock=clock,
-                is_reachable=self._peers.is_reachable,
-            ),
+            choice=self._placement,
             turns=WeightedTurns(self._random),
             repeats=self.repeats,
             links=self.links,
@@ -267,7 +271,12 @@
         for server in self._servers():
             await server.start()
         await self.links.start()
-        for work in (self.feed.run(), self.registration.run(), self._tidy_forever()):
+        for work in (
+            self.feed.run(),
+            self.registration.run(),
+            self._tidy_forever(),
+            self._share_load_forever(),
+        ):
             self._start_task(work)
         _log.info(
             "daemon started",
@@ -365,6 +374,13 @@
             await asyncio.sleep(TIDY_S)
             self._peers.tidy()
 
+    async def _share_load_forever(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            load = self.backend.load
+            if self._sharing.take(load):
+                self._peers.share_load(self.backend.entry.backend, load)
+
     def _get_caller_limits(self) -> CallerLimits:
         table = self.routes.table
         return table.limits if table is not None else CallerLimits()
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -17,6 +17,8 @@
 from almondrouter.protocol.calls import (
     CallReply,
     HostNotice,
+    Load,
+    LoadNotice,
     Notice,
     RoutesNotice,
     RoutesQuery,
@@ -48,6 +50,8 @@
         Returns the record of this host as it is now.
     clock
         Source of monotonic time.
+    learn_load
+        Takes the load that the daemon beside a backend server tells.
     """
 
     def __init__(
@@ -61,7 +65,9 @@
         own_region: str,
         make_entry: Callable[[], HostEntry],
         clock: Clock,
+        learn_load: Callable[[str, Load], None],
     ) -> None:
+        self._learn_load = learn_load
         self._links = links
         self._directory = directory
         self._routes = routes
@@ -88,7 +94,19 @@
         """Take over what a peer says, which needs no store."""
         if isinstance(notice, RoutesNotice):
             self._take_routes(notice)
-            return
+        elif isinstance(notice, LoadNotice):
+            self._learn_load(notice.backend, notice.load)
+        else:
+            self._take_record(notice)
+
+    def share_load(self, backend: str, load: Load) -> None:
+        """Tell the daemons of the region how busy this host's server is."""
+        notice = LoadNotice(backend, load)
+        for entry in self._directory.entries:
+            if self._is_neighbour(entry):
+                self._links.send_notice(entry.peer_address, notice)
+
+    def _take_record(self, notice: HostNotice) -> None:
         try:
             entry = decode_host(notice.record)
         except AlmondError as error:
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -11,7 +11,13 @@
 from almondrouter.clock import SystemClock
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
-from almondrouter.protocol.calls import HostNotice, RoutesNotice, RoutesQuery
+from almondrouter.protocol.calls import (
+    HostNotice,
+    Load,
+    LoadNotice,
+    RoutesNotice,
+    RoutesQuery,
+)
 from almondrouter.state.hosts import encode_host
 from almondrouterd import peers as module
 from almondrouterd.peers import Peers
@@ -62,6 +68,7 @@
 
     async def asyncSetUp(self):
         self.links, self.feed = FakeLinks(), FakeFeed()
+        self.loads = []
         self.directory = HostDirectory(
             clock=SystemClock(), is_alive=self.links.is_alive
         )
@@ -79,6 +86,7 @@
             own_region="r",
             make_entry=lambda: make_entry("h5"),
             clock=SystemClock(),
+            learn_load=lambda backend, load: self.loads.append((backend, load)),
         )
         patience = module.STORE_PATIENCE_S
         module.STORE_PATIENCE_S = 0.01
@@ -94,6 +102,16 @@
         self.assertEqual(1, len(self.directory.find_destinations("s")))
         self.assertEqual(["h6:1"], self.links.warmed)
 
+    async def test_load_is_told_within_the_region(self):
+        """Guards against load that costs bytes between regions, or goes unheard."""
+        load = Load(4, 3, 2, 0.1)
+        self.hear("h6")
+        self.hear("far", region="other")
+        self.peers.share_load("b", load)
+        self.assertEqual([("h6:1", LoadNotice("b", load))], self.links.notices)
+        self.peers.take_notice(LoadNotice("b6", load))
+        self.assertEqual([("b6", load)], self.loads)
+
     async def test_unreadable_notices_change_nothing(self):
         """Guards against bytes of a foreign writer that end the daemon."""
         self.peers.take_notice(HostNotice(b"{", 3, True))
@@ -164,5 +182,6 @@
         own_region="r",
         make_entry=None,
         clock=SystemClock(),
+        learn_load=None,
     )
     return peers.answer_query()
--- a/tests/test_coordination_directory.py
+++ b/tests/test_coordination_directory.py
@@ -14,10 +14,12 @@
 READY, LEAVING = ServingState.READY, ServingState.LEAVING
 
 
-def make_entry(host="h1", *, incarnation=1, change=0, state=READY, backend="b1"):
+def make_entry(
+    host="h1", *, incarnation=1, change=0, state=READY, backend="b1", region="r"
+):
     """Return the record of a host."""
     entry = BackendEntry(backend, 1, "s", 4, state)
-    return HostEntry(host, incarnation, "dc", "r", f"{host}:1", entry, change)
+    return HostEntry(host, incarnation, "dc", region, f"{host}:1", entry, change)
 
 
 class HostDirectoryTest(unittest.TestCase):
--- a/tests/test_coordination_placement.py
+++ b/tests/test_coordination_placement.py
@@ -119,6 +119,30 @@
         self.unreachable = {"near", "beside", "far"}
         self.assertEqual(NEAR, self.choose())
 
+    def test_old_report_does_not_look_idle(self):
+        """Guards against bursts sent to whichever server was not heard of lately."""
+        self.report(NEAR, busy=0)
+        self.clock.advance(8)
+        self.report(BESIDE, busy=12)
+        self.report(FAR, busy=0)
+        third = make_destination("third", data_centre="here-3")
+        among = (NEAR, BESIDE, FAR, third)
+        before = self.choose(among=(NEAR, BESIDE, third))
+        self.assertIn(before, (NEAR, third))
+        for _ in range(3):
+            self.report(make_destination("full", data_centre="here-4"), busy=30)
+        full = make_destination("full", data_centre="here-4")
+        self.clock.advance(0.2)
+        self.assertEqual(FAR, self.choose(among=(*among, full)))
+
+    def test_load_that_peers_tell_counts(self):
+        """Guards against a daemon that knows only the replies to its own calls."""
+        self.report(NEAR, busy=0)
+        self.report(BESIDE, busy=0)
+        self.assertEqual(NEAR, self.choose())
+        self.placement.learn_load("near", Load(10, 10, 20, 0.1))
+        self.assertEqual(BESIDE, self.choose())
+
     def test_daemons_with_the_same_report_spread(self):
         """Guards against many daemons that pile onto one idle server."""
         many = tuple(make_destination(str(i)) for i in range(9))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -60,7 +60,7 @@
     @parameterized.expand(
         [
             ("control", control.ControlMessage, r"`(\w+)` (?:\||\()\s?`([a-z]{2})`"),
-            ("call", calls.CallFrame, r"^\| `(\w+)` \| (\d) \|"),
+            ("call", calls.CallFrame, r"^\| `(\w+)` \| (\d+) \|"),
         ]
     )
     def test_page_lists_exactly_the_messages(self, _name, union, pattern):
