Let long bodies fill a narrow path for longer than a second

Links of 12 Mbit/s take a second for 1.5 MB; pings wait behind the bodies on the same link, so that after 1 s without a byte from the peer the link was dropped with all uploads in it, which may not be sent again.

Links of long bodies may be silent for 4 s. Whether a host is reachable is still told by the link of short requests. Test: test_slow_path_keeps_its_long_bodies.

--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -62,6 +62,9 @@
         Whether links without open calls are watched too.
     max_short_bytes
         Longest body that shares a link with short requests.
+    max_bulk_silence
+        Like ``max_silence``, for the links of longer bodies; on a narrow path their
+        pings wait behind the bodies.
     """
 
     ping_interval: float = PING_INTERVAL_S
@@ -69,6 +72,7 @@
     max_connect_wait: float = CONNECT_S
     ping_idle: bool = False
     max_short_bytes: int = MAX_CALL_FRAME_BYTES
+    max_bulk_silence: float = MAX_SILENCE_S
 
 
 LinkHandler = Callable[[LinkCall], Awaitable[CallReply]]
@@ -392,7 +396,7 @@
                 stream = await FrameStream.connect(
                     address.removesuffix(_BULK_SUFFIX),
                     self._clock,
-                    max_silence=self._policy.max_silence,
+                    max_silence=self._find_max_silence(address),
                 )
                 await stream.greet(self._hello)
         except BaseException as error:
@@ -407,6 +411,11 @@
         stream.forward(link.take, lambda error: self._end(address, link, error))
         return link
 
+    def _find_max_silence(self, address: str) -> float:
+        if address.endswith(_BULK_SUFFIX):
+            return self._policy.max_bulk_silence
+        return self._policy.max_silence
+
     def _end(self, address: str, link: CalledLink, error: Exception) -> None:
         if isinstance(error, AlmondError):
             self.counts[error.code.value] += 1
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -57,8 +57,10 @@
     max_connect_wait=0.3,
     ping_idle=True,
     max_short_bytes=16_384,
+    max_bulk_silence=4.0,
 )
-"""A cut peer is noticed while most of its callers still have time for another."""
+"""A cut peer is noticed while most of its callers still have time for another; long
+bodies may fill a path for seconds, and most of them cannot be sent again anyway."""
 MAX_SMALL_BODY = 65_536
 """Longest body of a heartbeat or a readiness check, in bytes."""
 TIDY_S = 0.25
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -14,7 +14,7 @@
 from almondrouter.protocol.calls import CALL_CODEC, Cancel, Pong
 from almondrouter.protocol.headers import Outcome
 from almondrouter.transport.frames import ClockOffset, FrameStream
-from almondrouter.transport.links import CallLinkPool, CallLinkServer
+from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
 from calls_support import (
     CallAssertions,
     make_hello,
@@ -186,6 +186,30 @@
         await wait_until(lambda: len(peer.streams) == 2)
         again.cancel()
 
+    async def test_slow_path_keeps_its_long_bodies(self):
+        """Guards against uploads cut because a ping waits behind their bytes."""
+        policy = LinkPolicy(max_silence=1.0, max_short_bytes=100, max_bulk_silence=4.0)
+        self.pool = CallLinkPool(
+            hello=make_hello("caller"), clock=self.clock, policy=policy
+        )
+        self.addAsyncCleanup(self.pool.close)
+        peer = Peer()
+        address = await peer.start()
+        upload = self.begin(bytes(7_000_000), address=address)
+        short = self.begin(b"1", address=address)
+        await wait_until(lambda: len(peer.streams) == 2)
+        await asyncio.sleep(0)
+        for _ in range(3):
+            self.clock.advance(1)
+            self.pool.tick()
+            await asyncio.sleep(0)
+        self.assertTrue(short.done())
+        self.assertFalse(upload.done())
+        self.clock.advance(1)
+        self.pool.tick()
+        await self.assert_fails(upload, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+        await self.assert_fails(short, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+
     async def test_own_freeze_does_not_condemn_the_peer(self):
         """Guards against links dropped because this process was stopped."""
         task = self.begin(b"1")
