--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -44,11 +44,6 @@
     def __len__(self) -> int:
         return len(self._known)
 
-    @property
-    def peer_addresses(self) -> list[str]:
-        """Return the peer addresses of all known hosts."""
-        return [known.entry.peer_address for known in self._known.values()]
-
     @property
     def entries(self) -> list[HostEntry]:
         """Return the records of all known hosts."""
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -433,4 +433,6 @@
 
     def is_ready(self) -> bool:
         """Return whether this daemon can route requests."""
-        return self._life.stopping_at is None and self.routes.table is not None
+        if self._life.stopping_at is not None or self._peers.is_cut_off:
+            return False
+        return self.routes.table is not None
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -10,6 +10,7 @@
 from almondrouter.clock import Clock
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.isolation import IsolationDetector
 from almondrouter.coordination.relays import RelayCandidate, RelayElection
 from almondrouter.coordination.storefeed import StoreFeed
 from almondrouter.errors import AlmondError
@@ -79,6 +80,8 @@
         self._election = RelayElection(
             own_host, reaches_store=lambda: feed.reaches_store
         )
+        self._isolation = IsolationDetector(clock=clock)
+        self._told_cut_off = False
         self._without_store: set[str] = set()
         self._asking: asyncio.Task | None = None
 
@@ -150,11 +153,17 @@
             self._asking = asyncio.create_task(work)
             self._asking.add_done_callback(self._caught_up)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether too few peers answer this host."""
+        return self._isolation.is_cut_off
+
     def tidy(self) -> None:
         """Forget lost hosts, open missing links and elect the relay."""
         self._directory.expire()
         for entry in self._directory.entries:
             self.warm_link(entry)
+        self._note_isolation()
         self._feed.set_following(self._election.is_relay(self._find_candidates()))
 
     def warm_link(self, entry: HostEntry) -> None:
@@ -168,6 +177,21 @@
             return True
         return self._links.is_alive(destination.peer_address)
 
+    def _note_isolation(self) -> None:
+        others = [
+            entry.peer_address
+            for entry in self._directory.entries
+            if entry.host != self._own_host
+        ]
+        reachable = sum(map(self._links.is_alive, others))
+        self._isolation.update(known=len(others), reachable=reachable)
+        if self._told_cut_off is not self.is_cut_off:
+            self._told_cut_off = self.is_cut_off
+            event = (
+                "cut off from the peers" if self.is_cut_off else "peers answer again"
+            )
+            _log.warning(event, known=len(others), reachable=reachable)
+
     def _find_candidates(self) -> list[RelayCandidate]:
         return [
             RelayCandidate(
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -11,6 +11,7 @@
 from almondrouter.clock import SystemClock
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.isolation import CUT_OFF_AFTER_S
 from almondrouter.protocol.calls import (
     HostNotice,
     Load,
@@ -35,8 +36,10 @@
         self.warmed = []
         self.answer = None
 
+    alive = True
+
     def is_alive(self, address):
-        return True
+        return self.alive
 
     def warm(self, address):
         self.warmed.append(address)
@@ -112,6 +115,19 @@
         self.peers.take_notice(LoadNotice("b6", load))
         self.assertEqual([("b6", load)], self.loads)
 
+    async def test_silent_peers_tell_of_a_cut(self):
+        """Guards against callers kept at a host that reaches nobody."""
+        for number in range(10, 15):
+            self.hear(f"h{number}")
+        self.links.alive = False
+        self.peers.tidy()
+        self.assertFalse(self.peers.is_cut_off)
+        await asyncio.sleep(CUT_OFF_AFTER_S)
+        self.assertTrue(self.peers.is_cut_off)
+        self.links.alive = True
+        self.peers.tidy()
+        self.assertFalse(self.peers.is_cut_off)
+
     async def test_unreadable_notices_change_nothing(self):
         """Guards against bytes of a foreign writer that end the daemon."""
         self.peers.take_notice(HostNotice(b"{", 3, True))
