Give up idle connections sooner where the backend server forgets them

Cause: on the grown deployments servers drop connections that rested 0.2 to 0.4 s (idle_race), and what is sent next is reset, so its outcome is unknown. Requests that run at most once used connections of up to 0.5 s, others of up to 30 s.

The first take connections of up to 0.1 s. A connection that ends without a byte after it was idle teaches the limit: half of its age, for 10 s. Connections under 0.05 s do not count, since they ended for another reason. Test: test_forgotten_connection_teaches_the_limit.

--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -20,7 +20,7 @@
 from almondrouter.state.hosts import BackendEntry, ServingState
 from almondrouter.transport.calls import BackendResponse, BackendSender
 
-MAX_IDLE_ONCE_S = 0.5
+MAX_IDLE_ONCE_S = 0.1
 """Seconds for which a connection may have been idle before a request that must
 run at most once; a connection that its peer forgot fails such a request."""
 
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -29,6 +29,14 @@
 """
 KEEP_ALIVE_MARGIN_S = 1.0
 """Seconds before the announced idle timeout at which a connection is given up."""
+FORGOTTEN_IDLE_SHARE = 0.5
+"""Share of the age at which the server had forgotten an idle connection, up to which
+others are used."""
+MIN_FORGOTTEN_IDLE_S = 0.05
+"""Least age at which an ended connection counts as forgotten; a younger one ended for
+another reason."""
+FORGOTTEN_MEMORY_S = 10.0
+"""Seconds for which that limit holds; such trouble lasts some seconds."""
 MAX_UNACKNOWLEDGED_S = 1.0
 """Seconds after which a peer that acknowledges no bytes is taken as gone."""
 MAX_RESPONSE_BYTES = 7_500_000
@@ -80,6 +88,8 @@
         self._open: set[_Connection] = set()
         self._connecting = 0
         self._waiters: deque[asyncio.Future[None]] = deque()
+        self._learned_idle = float("inf")
+        self._learned_until = 0.0
 
     @property
     def connections(self) -> int:
@@ -161,11 +171,16 @@
 
     def _take_idle(self, max_idle: float) -> _Connection | None:
         now = self._clock.monotonic()
+        if now < self._learned_until:
+            max_idle = min(max_idle, self._learned_idle)
+        else:
+            self._learned_idle = float("inf")
         while self._idle:
             connection = self._idle[-1]
             if not connection.usable or now >= connection.reusable_until:
                 self._drop(self._idle.pop())
             elif connection.idle_since > now - max_idle:
+                connection.idle_age = now - connection.idle_since
                 return self._idle.pop()
             else:
                 return None
@@ -201,6 +216,8 @@
 
     def _give_back(self, connection: _Connection) -> None:
         self.counts["stray_responses"] += connection.take_stray_count()
+        if connection.forgotten:
+            self._learn_idle(connection.idle_age)
         if connection.usable:
             now = self._clock.monotonic()
             connection.idle_since = now
@@ -211,6 +228,12 @@
             self._drop(connection)
         self._wake_next()
 
+    def _learn_idle(self, age: float) -> None:
+        """Reuse only younger connections for a while, as the server forgets them."""
+        self.counts["connections_forgotten"] += 1
+        self._learned_idle = min(self._learned_idle, age * FORGOTTEN_IDLE_SHARE)
+        self._learned_until = self._clock.monotonic() + FORGOTTEN_MEMORY_S
+
     def _wake_next(self) -> None:
         while self._waiters:
             waiter = self._waiters.popleft()
@@ -220,7 +243,15 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection, with one request at a time."""
+    """One connection, with one request at a time.
+
+    Attributes
+    ----------
+    idle_age
+        Seconds that it was idle before its last request; 0 if it was new.
+    forgotten
+        Whether it ended without a byte after it had been idle.
+    """
 
     def __init__(self, *, accept_unframed: bool) -> None:
         self._accept_unframed = accept_unframed
@@ -230,7 +261,10 @@
         self._is_head = False
         self._matches: Matcher | None = None
         self._stray_count = 0
+        self._heard = False
         self.usable = True
+        self.forgotten = False
+        self.idle_age = 0.0
         self.idle_since = 0.0
         self.reusable_until = 0.0
         self.announced_idle = float("inf")
@@ -251,6 +285,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._is_head = is_head
         self._matches = matches
+        self._heard = False
         self._future = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         return self._future
@@ -293,9 +328,13 @@
             self._finish()
 
     def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
+        waiting = self._future is not None and not self._future.done()
+        was_idle = self.idle_age >= MIN_FORGOTTEN_IDLE_S
+        self.forgotten = waiting and not self._heard and was_idle
         self._fail("the backend server closed the connection")
 
     def data_received(self, data: bytes) -> None:  # noqa: D102
+        self._heard = True
         if self._future is None or self._future.done():
             self._fail("data without a request")
             return
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -29,6 +29,7 @@
     async def asyncSetUp(self):
         self.requests = []
         self.closed = 0
+        self.forgetting = False
         self.script = None
         self.held = asyncio.Event()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -46,6 +47,10 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                if self.forgetting and len(self.requests) == 1:
+                    self.forgetting = False
+                    writer.transport.abort()
+                    return
                 self.requests.append(head)
                 if self.script is None:
                     await self.held.wait()
@@ -102,6 +107,21 @@
         await self.assert_fails(self.send(), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN)
         self.assertEqual(1, len(self.requests))
 
+    async def test_forgotten_connection_teaches_the_limit(self):
+        """Guards against requests lost one after the other on idle connections."""
+        self.script = (OK, False)
+        self.forgetting = True
+        await self.send()
+        await asyncio.sleep(0.1)
+        await self.assert_fails(self.send(), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN)
+        await self.send()
+        opened = self.client.counts["connections_opened"]
+        await self.send()
+        self.assertEqual(opened, self.client.counts["connections_opened"])
+        await asyncio.sleep(0.1)
+        await self.send()
+        self.assertEqual(opened + 1, self.client.counts["connections_opened"])
+
     @parameterized.expand([("whole", b"body"), ("empty", b"")])
     async def test_answer_without_length_is_marked(self, _, body):
         """Guards against a broken-off answer that is passed on as whole."""
