--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -170,6 +170,8 @@
         if info.time_left is not None:
             time_left = min(time_left, info.time_left)
         nested = self._is_running(info.parent_id)
+        # A late answer still saves the request that waits for a nested call.
+        useful_for = time_left if nested else min(time_left, route.target_latency)
         call = CallRequest(
             call_id=0,
             class_name=route.name,
@@ -184,7 +186,7 @@
             version=version,
             rank=route.priority,
             repeatable=route.repeatable,
-            useful_until=now + min(time_left, route.target_latency),
+            useful_until=now + useful_for,
             nested=nested,
             caller_service=self._own_service,
             attempt_id=info.attempt_id,
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -208,7 +208,11 @@
         if running:
             self.running.add("parent")
         await self.send(script=[make_answer()], attempt_id="parent.child")
-        self.assertEqual(running, self.links.calls[0].nested)
+        call = self.links.calls[0]
+        self.assertEqual(running, call.nested)
+        # Refusing a nested call fails its parent, for which late is soon enough.
+        useful_for = call.useful_until - self.clock.monotonic()
+        self.assertAlmostEqual(0.7 if running else 0.4, useful_for)
 
     async def test_later_version_elsewhere_is_told(self):
         """Guards against a daemon that stays behind without noticing."""
