Offer long bodies before they move, and take them one after the other

Cause: uploads of 280 KB fill the 12 Mbit/s links of the documents' hosts. A body that the other end refused had moved in vain, up to three times.

A lost offer is no sending: the request goes elsewhere.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -17,7 +17,7 @@
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import StateLogger
 from almondrouter.protocol import headers as names
-from almondrouter.protocol.calls import CallReply, CallRequest
+from almondrouter.protocol.calls import BodyOffer, CallReply, CallRequest
 from almondrouter.protocol.dialect import Dialect, RequestInfo
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, choose_status, make_reply
@@ -35,6 +35,9 @@
 """Least part of the target latency after which a refused caller returns."""
 MAX_RETURN_SHARE = 0.45
 """Largest part of it; the spread keeps refused callers from returning at once."""
+MAX_UNOFFERED_BYTES = 16_384
+"""Longest body that is sent without an offer; it passes a narrow link in some
+hundredths of a second."""
 RETRY_AFTER = "retry-after"
 
 _FURTHER_CODES = frozenset(
@@ -274,7 +277,7 @@
             if destination.host == self._host:
                 reply = await self._run_here(call)
             else:
-                reply = await self._links.call(destination.peer_address, call)
+                reply = await self._send_over_link(destination, call)
             outcome = reply.outcome
         except CallError as error:
             outcome = error.outcome
@@ -306,6 +309,21 @@
             )
         return reply
 
+    async def _send_over_link(
+        self, destination: Destination, call: CallRequest
+    ) -> CallReply:
+        """Send a call; offer a long body first, which may be refused unsent."""
+        address = destination.peer_address
+        if len(call.body) > MAX_UNOFFERED_BYTES:
+            try:
+                answer = await self._links.call(address, make_offer(call))
+            except CallError as error:
+                # Only the offer was lost; the request itself was not sent.
+                raise CallError(ErrorCode.PEER_UNAVAILABLE, error.message) from error
+            if answer.outcome is not Outcome.COMPLETE:
+                return msgspec.structs.replace(answer, outcome=Outcome.NOT_RUN)
+        return await self._links.call(address, call)
+
     def _record(self, attempt: _Attempt, reply: CallReply) -> None:
         elapsed = self._clock.monotonic() - attempt.arrived_at
         self._finished(attempt.route.name, reply.outcome, reply.code, elapsed)
@@ -362,6 +380,19 @@
         return CallerResponse(choose_status(Outcome.NOT_RUN, code), headers, b"")
 
 
+def make_offer(call: CallRequest) -> BodyOffer:
+    """Return the offer of a call's body."""
+    return BodyOffer(
+        call_id=0,
+        class_name=call.class_name,
+        backend=call.backend,
+        rank=call.rank,
+        size=len(call.body),
+        deadline=call.deadline,
+        useful_until=call.useful_until,
+    )
+
+
 def is_failure(reply: CallReply) -> bool:
     """Return whether a backend server answered that it failed."""
     return (
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -10,10 +10,11 @@
 import msgspec
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.slots import Grant, SlotQueue
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import StateLogger
-from almondrouter.protocol.calls import CallReply, CallRequest, Load
+from almondrouter.protocol.calls import BodyOffer, CallReply, CallRequest, Load
 from almondrouter.protocol.dialect import Dialect
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, make_reply
@@ -38,6 +39,8 @@
         Reads and writes headers.
     clock
         Source of monotonic time.
+    intake
+        Plans when long bodies are sent here.
     changed
         Called when the announced state has changed.
     """
@@ -48,8 +51,10 @@
         sender: BackendSender,
         dialect: Dialect,
         clock: Clock,
+        intake: BodyIntake,
         changed: Callable[[], None],
     ) -> None:
+        self._intake = intake
         self._sender = sender
         self._dialect = dialect
         self._clock = clock
@@ -178,7 +183,28 @@
         if not run.cancelled():
             run.exception()  # Marks it as seen if its caller has left.
 
-    def _check_serves(self, request: CallRequest) -> None:
+    async def take_offer(self, offer: BodyOffer) -> CallReply:
+        """Answer an offer of a long body as soon as it may be sent."""
+        try:
+            self._check_serves(offer)
+            await self._clock.sleep_until(self._plan_body(offer))
+        except CallError as error:
+            reply = make_reply(error.code, error.outcome)
+            return msgspec.structs.replace(reply, load=self.load)
+        status = HTTPStatus.CONTINUE
+        return CallReply(0, Outcome.COMPLETE, status, (), b"", "", self.load)
+
+    def _plan_body(self, offer: BodyOffer) -> float:
+        run_time = self.queue.expected_time(offer.class_name)
+        begins_at = self._intake.plan(
+            offer.size, arrive_by=offer.useful_until - run_time
+        )
+        if begins_at is None:
+            message = f"{offer.size} bytes would arrive too late"
+            raise CallError(ErrorCode.OVERLOADED, message)
+        return begins_at
+
+    def _check_serves(self, request: CallRequest | BodyOffer) -> None:
         entry = self.entry
         if entry is None or entry.backend != request.backend:
             message = f"backend server {request.backend!r} is not on this host"
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -213,6 +213,31 @@
     compressed: bytes
 
 
+class BodyOffer(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Asks whether the long body of a call may be sent, which is answered in turn.
+
+    Parameters
+    ----------
+    class_name, backend, rank
+        As in the call.
+    size
+        Length of the body in bytes.
+    deadline, useful_until
+        As in the call.
+    key
+        Always empty; an offer may be cancelled with its link.
+    """
+
+    call_id: int
+    class_name: str
+    backend: str
+    rank: int
+    size: int
+    deadline: float
+    useful_until: float
+    key: str = ""
+
+
 class LoadNotice(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Tells how busy the backend server beside the sender is; needs no reply."""
 
@@ -222,7 +247,7 @@
 
 Notice = HostNotice | RoutesNotice | LoadNotice
 
-LinkCall = CallRequest | ClaimQuery | RoutesQuery
+LinkCall = CallRequest | ClaimQuery | RoutesQuery | BodyOffer
 """Frames that are answered by a `CallReply`."""
 
 CallFrame = Hello | Ping | Pong | LinkCall | CallReply | Cancel | Notice
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -12,6 +12,7 @@
 from almondrouter.clock import Clock
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol.calls import (
+    BodyOffer,
     CallFrame,
     CallReply,
     CallRequest,
@@ -205,7 +206,7 @@
     def _start_call(self, link: _ServedLink, frame: LinkCall) -> None:
         if frame.call_id in link.open_calls:
             raise AlmondError(ErrorCode.FRAME_MALFORMED, "call id is in use")
-        if self.draining and isinstance(frame, CallRequest):
+        if self.draining and isinstance(frame, CallRequest | BodyOffer):
             self._refuse(link, frame, ErrorCode.STOPPING)
             return
         if len(link.open_calls) >= MAX_OPEN_CALLS:
@@ -250,7 +251,7 @@
 def localize_deadlines(frame: LinkCall, offset: ClockOffset) -> LinkCall:
     """Return a frame with its times in this host's monotonic seconds."""
     deadline = offset.localize(frame.deadline)
-    if isinstance(frame, CallRequest) and frame.useful_until:
+    if isinstance(frame, CallRequest | BodyOffer) and frame.useful_until:
         useful_until = offset.localize(frame.useful_until)
         return msgspec.structs.replace(
             frame, deadline=deadline, useful_until=useful_until
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -15,6 +15,7 @@
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.forwarding import Forwarder
+from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.loadsharing import LOOK_S, LoadSharing
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.coordination.placement import CostPlacement
@@ -25,6 +26,7 @@
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import LineWriter, StateLogger
 from almondrouter.protocol.calls import (
+    BodyOffer,
     CallReply,
     CallRequest,
     ClaimQuery,
@@ -179,6 +181,9 @@
             sender=self.backend_client,
             dialect=self._dialect,
             clock=clock,
+            intake=BodyIntake(
+                bytes_per_second=settings.link_bytes_per_second, clock=clock
+            ),
             changed=self._backend_changed,
         )
         self.repeats = RepeatBudget(
@@ -411,6 +416,8 @@
     async def _handle_link(self, request: LinkCall) -> CallReply:
         if isinstance(request, RoutesQuery):
             return self._peers.answer_query()
+        if isinstance(request, BodyOffer):
+            return await self.backend.take_offer(request)
         if isinstance(request, ClaimQuery):
             return make_reply(ErrorCode.CLAIM_UNAVAILABLE)
         if request.version > self.routes.version:
--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -40,6 +40,7 @@
 class _Limits(msgspec.Struct):
     memory_mb: float
     max_fds: int
+    link_mbps: float = 1000.0
 
 
 class _File(msgspec.Struct):
@@ -90,6 +91,8 @@
         Bounds on repeated sendings for the whole fleet.
     memory_mb
         Memory that the process may use, in MB.
+    link_bytes_per_second
+        What the network link of the host carries.
     """
 
     host: str
@@ -110,8 +113,10 @@
     stop_within: float
     repeat_limits: RepeatLimits
     memory_mb: float
+    link_bytes_per_second: float
 
 
+BYTES_PER_MEGABIT = 125_000
 METRICS_PORT = 9464
 """Port of the metrics; the deploy file names it too."""
 
@@ -167,4 +172,5 @@
             bounds.retry_budget_ratio, bounds.budget_extra, bounds.budget_window_s
         ),
         memory_mb=file.limits.memory_mb,
+        link_bytes_per_second=file.limits.link_mbps * BYTES_PER_MEGABIT,
     )
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -10,14 +10,18 @@
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.directory import HostDirectory
-from almondrouter.coordination.forwarding import MAX_REFUSALS, Forwarder
+from almondrouter.coordination.forwarding import (
+    MAX_REFUSALS,
+    MAX_UNOFFERED_BYTES,
+    Forwarder,
+)
 from almondrouter.coordination.repeats import RepeatBudget, RepeatLimits
 from almondrouter.coordination.routing import RoundRobin
 from almondrouter.coordination.weights import WeightedTurns
 from almondrouter.errors import ErrorCode
-from almondrouter.protocol.calls import CallReply
+from almondrouter.protocol.calls import BodyOffer, CallReply, CallRequest
 from almondrouter.protocol.headers import Outcome
-from almondrouter.protocol.outcomes import CallError
+from almondrouter.protocol.outcomes import CallError, make_reply
 from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
 from almondrouter.transport.calls import CallerRequest, CallLinks
 from almondrouterd.platform.configuration import decode_routes
@@ -33,6 +37,13 @@
     return CallReply(0, Outcome.COMPLETE, status, (), b"x", "", None, version, framed)
 
 
+LONG = bytes(MAX_UNOFFERED_BYTES + 1)
+GO_ON = make_answer(100)
+FULL = make_reply(ErrorCode.OVERLOADED)
+TWO_OFFERS = [BodyOffer, BodyOffer, CallRequest]
+LOST = CallError(ErrorCode.PEER_TIMEOUT, "scripted", outcome=UNKNOWN)
+
+
 class ScriptedLinks(CallLinks):
     """Replies to each call with the next item of a script."""
 
@@ -83,11 +94,13 @@
             finished=lambda *result: self.finished.append(result),
         )
 
-    async def send(self, path="/read/1", *, host="shop.example", script=(), **headers):
+    async def send(
+        self, path="/read/1", *, host="shop.example", script=(), body=b"", **headers
+    ):
         self.links.script = list(script)
         sent = {"host": host, "attempt-id": "id", "deadline-ms": "700"}
         sent |= {name.replace("_", "-"): value for name, value in headers.items()}
-        request = CallerRequest("GET", path, tuple(sent.items()), b"")
+        request = CallerRequest("GET", path, tuple(sent.items()), body)
         return await self.forwarder.handle(request)
 
     def fails(self, code, outcome=NOT_RUN):
@@ -214,6 +227,20 @@
         useful_for = call.useful_until - self.clock.monotonic()
         self.assertAlmostEqual(0.7 if running else 0.4, useful_for)
 
+    @parameterized.expand(
+        [
+            ("short", b"x", [make_answer()], [CallRequest], 200),
+            ("taken", LONG, [GO_ON, make_answer()], [BodyOffer, CallRequest], 200),
+            ("refused", LONG, [FULL] * MAX_REFUSALS, [BodyOffer] * MAX_REFUSALS, 503),
+            ("lost", LONG, [LOST, GO_ON, make_answer()], TWO_OFFERS, 200),
+        ]
+    )
+    async def test_long_body_is_offered_first(self, _, body, script, sent, status):
+        """Guards against long bodies that move only to be refused."""
+        response = await self.send(script=script, body=body)
+        self.assertEqual(sent, [type(call) for call in self.links.calls])
+        self.assertEqual(status, response.status)
+
     async def test_later_version_elsewhere_is_told(self):
         """Guards against a daemon that stays behind without noticing."""
         reply = msgspec.structs.replace(make_answer(), version=9)
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -9,8 +9,10 @@
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
+from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.errors import ErrorCode
+from almondrouter.protocol.calls import BodyOffer
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.state.hosts import BackendEntry, ServingState
@@ -56,6 +58,7 @@
             sender=self.sender,
             dialect=PlatformDialect(),
             clock=self.clock,
+            intake=BodyIntake(bytes_per_second=1_000_000, clock=self.clock),
             changed=self.count_change,
         )
         self.backend.announce(make_entry())
@@ -82,6 +85,22 @@
             (leaving.code, leaving.outcome, leaving.load),
         )
 
+    @parameterized.expand(
+        [
+            ("in time", 100_000, 1.0, READY, "", Outcome.COMPLETE),
+            ("too long", 900_000, 1.0, READY, "overloaded", Outcome.NOT_RUN),
+            ("leaving", 100, 1.0, LEAVING, "no_backend", Outcome.NOT_RUN),
+        ]
+    )
+    async def test_offer(self, _, size, within, state, code, outcome):
+        """Guards against long bodies that are sent only to be refused."""
+        self.backend.change_state(state, reason="test")
+        now = self.clock.monotonic()
+        offer = BodyOffer(0, "c", "b", 1, size, now + 2.0, now + within)
+        reply = await self.backend.take_offer(offer)
+        self.assertEqual((code, outcome), (reply.code, reply.outcome))
+        self.assertEqual([], self.sender.sent)
+
     async def test_answer_is_passed_on(self):
         """Guards against an answer that loses a part of it."""
         self.sender.script = [BackendResponse(201, SIGNED, b"body")]
