Let calls choose again where more wait than their sender knew

A call names the wait beyond which another choice is better: the expected one and 0.02 s, or 0.08 s to another region. Where more wait, the daemon there answers with its load, and the sender chooses again, twice at most. Ruled out: a lack of slots, as three quarters were in use.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -29,6 +29,8 @@
 """Choices that may refuse a request before its caller is told to come back."""
 MAX_MISSES = 8
 """Choices that may turn out to have no backend server or no link."""
+MAX_CORRECTIONS = 2
+"""Choices that may turn out busier than expected before a request waits anywhere."""
 MIN_REPEAT_TIME_SHARE = 0.3
 """Share of the target latency that must be left for a repeat to be of use."""
 MIN_RETURN_SHARE = 0.15
@@ -72,6 +74,8 @@
         Backend servers that the request may have reached.
     refusals, misses
         Choices that refused it, and that could not have served it.
+    corrections
+        Choices that were busier than expected.
     """
 
     info: RequestInfo
@@ -82,6 +86,7 @@
     sent: int = 0
     refusals: int = 0
     misses: int = 0
+    corrections: int = 0
 
 
 class Forwarder:
@@ -211,8 +216,12 @@
         answer: CallReply | None = None
         refusal: CallReply | None = None
         while destination := self._choose(attempt, excluded):
-            excluded.add(destination.backend)
             reply = await self._send(destination, attempt)
+            if reply.code == ErrorCode.BUSIER_THAN_EXPECTED.value:
+                # Its load is known now; the next choice may be the same one.
+                attempt.corrections += 1
+                continue
+            excluded.add(destination.backend)
             if reply.outcome is Outcome.NOT_RUN:
                 refusal = reply
                 if not self._may_choose_again(attempt, reply):
@@ -234,15 +243,17 @@
             self._directory.find_destinations(attempt.service),
             now=now,
             excluded=excluded,
-            demand=Demand(
-                len(attempt.call.body),
-                attempt.call.nested,
-                attempt.route.target_latency,
-                attempt.route.priority,
-                attempt.call.useful_until - now,
-            ),
+            demand=make_demand(attempt, now),
         )
 
+    def _find_max_wait(self, destination: Destination, attempt: _Attempt) -> float:
+        if attempt.corrections >= MAX_CORRECTIONS:
+            return -1.0
+        now = self._clock.monotonic()
+        demand = make_demand(attempt, now)
+        wait = self._choice.find_max_wait(destination, now=now, demand=demand)
+        return -1.0 if wait is None else wait
+
     def _may_choose_again(self, attempt: _Attempt, reply: CallReply) -> bool:
         if reply.code in _MISS_CODES:
             attempt.misses += 1
@@ -268,7 +279,11 @@
         return self._repeats.try_spend(attempt.service)
 
     async def _send(self, destination: Destination, attempt: _Attempt) -> CallReply:
-        call = msgspec.structs.replace(attempt.call, backend=destination.backend)
+        call = msgspec.structs.replace(
+            attempt.call,
+            backend=destination.backend,
+            max_wait=self._find_max_wait(destination, attempt),
+        )
         started = self._clock.monotonic()
         outcome: Outcome | None = None
         reply = make_reply(ErrorCode.CALL_CANCELLED)
@@ -294,7 +309,10 @@
             )
         if reply.version > call.version:
             self._version_seen(reply.version, destination.peer_address)
-        if reply.outcome is not Outcome.COMPLETE or is_failure(reply):
+        corrected = reply.code == ErrorCode.BUSIER_THAN_EXPECTED.value
+        if not corrected and (
+            reply.outcome is not Outcome.COMPLETE or is_failure(reply)
+        ):
             _log.request(
                 "sending failed",
                 request=attempt.info.attempt_id,
@@ -380,6 +398,18 @@
         return CallerResponse(choose_status(Outcome.NOT_RUN, code), headers, b"")
 
 
+def make_demand(attempt: _Attempt, now: float) -> Demand:
+    """Return what an attempt asks of its destination now."""
+    call = attempt.call
+    return Demand(
+        len(call.body),
+        call.nested,
+        attempt.route.target_latency,
+        attempt.route.priority,
+        call.useful_until - now,
+    )
+
+
 def make_offer(call: CallRequest) -> BodyOffer:
     """Return the offer of a call's body."""
     return BodyOffer(
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -127,6 +127,8 @@
         try:
             return await self._run(request)
         except CallError as error:
+            if error.code is ErrorCode.BUSIER_THAN_EXPECTED:
+                raise
             load = self.queue.load()
             _log.request(
                 "request not answered here",
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -32,6 +32,9 @@
 OTHER_REGION_S_PER_MB = 4.0
 """Seconds of delay that are accepted rather than moving a megabyte there; in the
 proportion of what the two deployments pay for a byte."""
+SAME_REGION_PATIENCE_S = 0.02
+OTHER_REGION_PATIENCE_S = 0.08
+"""Seconds beyond the expected wait that are accepted rather than a second path."""
 NESTED_DISTANCE_FACTOR = 2.0
 """Weight of distance for nested calls, which hold a slot elsewhere meanwhile."""
 SPEED_WEIGHT = 0.3
@@ -81,6 +84,15 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Expected:
+    """Seconds of waiting and running, and requests a slot, that a call will meet."""
+
+    wait: float
+    run_time: float
+    occupancy: float
+
+
 @dataclass(slots=True)
 class _Failures:
     share: float = 0.0
@@ -130,6 +142,7 @@
         self._failures: dict[str, _Failures] = {}
         self._refusals: dict[str, float] = {}
         self._usual: dict[tuple[str, int], _Usual] = {}
+        self._last_usual = _Usual((), 0.0, 0.0, 0.0)
 
     def choose(  # noqa: D102
         self,
@@ -147,7 +160,7 @@
         ]
         usable = [d for d in left if self._is_reachable(d)] or left
         demand = demand or Demand(0, nested=False, target_latency=0.0, rank=0)
-        usual = self._find_usual(destinations, demand.rank, now)
+        usual = self._last_usual = self._find_usual(destinations, demand.rank, now)
         tiers: dict[float, list[Destination]] = {}
         for destination in usable:
             distance = self._weigh_distance(destination, demand)
@@ -164,6 +177,14 @@
                     best, best_cost = candidate, distance + cost
         return best
 
+    def find_max_wait(  # noqa: D102
+        self, destination: Destination, *, now: float, demand: Demand
+    ) -> float | None:
+        expected = self._expect(destination, demand, self._last_usual, now)
+        if destination.region == self._region:
+            return expected.wait + SAME_REGION_PATIENCE_S
+        return expected.wait + OTHER_REGION_PATIENCE_S
+
     def finished(  # noqa: D102
         self,
         destination: Destination,
@@ -252,19 +273,25 @@
         failures = self._failures.get(destination.backend)
         if failures is not None:
             cost += failures.decayed(now) * demand.target_latency
+        expected = self._expect(destination, demand, usual, now)
+        run_time = weigh_run_time(expected.run_time, demand.target_latency)
+        cost += expected.wait + run_time + CROWDING_S * expected.occupancy
+        return cost, expected.wait + expected.run_time
+
+    def _expect(
+        self, destination: Destination, demand: Demand, usual: _Usual, now: float
+    ) -> _Expected:
         entry = self._occupancy.find(destination.backend)
         if entry is None:
             entry = Occupancy(reported_at=float("-inf"))
         slots = entry.slots or destination.slots
         weight = entry.weight(now, half_life=SERVICE_TIME_HALF_LIFE_SECONDS)
         seconds = usual.service_time
-        service_time = seconds + weight * (entry.service_time - seconds)
+        run_time = seconds + weight * (entry.service_time - seconds)
         usual_calls = usual.occupancy * slots
         calls = entry.calls(now, rank=demand.rank, usual=usual_calls)
-        wait = max(0.0, calls + 1 - slots) * service_time / slots
-        run_time = weigh_run_time(service_time, demand.target_latency)
-        cost += wait + run_time + CROWDING_S * calls / slots
-        return cost, wait + service_time
+        wait = max(0.0, calls + 1 - slots) * run_time / slots
+        return _Expected(wait, run_time, calls / slots)
 
 
 def weigh_run_time(seconds: float, target_latency: float) -> float:
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -82,6 +82,17 @@
             What the call asks for; policies that do not weigh it ignore it.
         """
 
+    def find_max_wait(
+        self, destination: Destination, *, now: float, demand: Demand
+    ) -> float | None:
+        """Return up to which wait a call should stay with its destination.
+
+        Returns
+        -------
+        Seconds beyond which another choice is better, or None for any wait.
+        """
+        return None
+
     @abstractmethod
     def started(self, destination: Destination) -> None:
         """Count a call as sent; `finished` must follow."""
--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -93,7 +93,8 @@
         ------
         CallError
             ``overloaded`` if the request could not be answered while that is
-            useful, ``deadline_exceeded`` if its time is over. It was not run.
+            useful, ``busier_than_expected`` if its sender would rather choose
+            again, ``deadline_exceeded`` if its time is over. It was not run.
         """
         now = self._clock.monotonic()
         if now >= request.deadline:
@@ -181,6 +182,10 @@
         place = bisect.bisect(self._queue, order, key=lambda waiter: waiter.order)
         run_time = self.expected_time(request.class_name) * RUN_TIME_MARGIN
         wait = (place + 1) * self._turn()
+        if 0 <= request.max_wait < wait:
+            self.counts["busier_than_expected"] += 1
+            message = "more requests wait than the sender expects"
+            raise CallError(ErrorCode.BUSIER_THAN_EXPECTED, message)
         factor = self._find_overtaking(order[0]).decayed(now)
         if now + wait * factor + run_time > useful_until:
             self.counts["refused_on_arrival"] += 1
--- a/packages/almondrouter/src/almondrouter/errors.py
+++ b/packages/almondrouter/src/almondrouter/errors.py
@@ -58,6 +58,7 @@
     STOPPING = "stopping"
     NO_BACKEND = "no_backend"
     OVERLOADED = "overloaded"
+    BUSIER_THAN_EXPECTED = "busier_than_expected"
     LIMITED = "limited"
     LIMIT_UNAVAILABLE = "limit_unavailable"
     CLAIM_UNAVAILABLE = "claim_unavailable"
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -79,6 +79,9 @@
         Service of the host that the request began on.
     attempt_id
         Id of the caller's attempt; empty if it gave none.
+    max_wait
+        Seconds that the sender accepts to wait for a slot rather than to choose
+        again; negative if it has no bound.
     """
 
     call_id: int
@@ -98,6 +101,7 @@
     nested: bool = False
     caller_service: str = ""
     attempt_id: str = ""
+    max_wait: float = -1.0
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -11,6 +11,7 @@
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.forwarding import (
+    MAX_CORRECTIONS,
     MAX_REFUSALS,
     MAX_UNOFFERED_BYTES,
     Forwarder,
@@ -59,6 +60,15 @@
         return item
 
 
+class WaryRoundRobin(RoundRobin):
+    """Takes destinations in turn, with a bound on the wait."""
+
+    max_wait = None
+
+    def find_max_wait(self, destination, *, now, demand):
+        return self.max_wait
+
+
 class ForwarderTest(unittest.IsolatedAsyncioTestCase):
     """All backend servers stand on other hosts."""
 
@@ -73,13 +83,14 @@
         for number in range(HOSTS):
             backend = BackendEntry(f"b{number}", 1, SERVICE, 4, ServingState.READY)
             directory.put(HostEntry(f"h{number}", 1, "z", "r", f"h{number}:1", backend))
+        self.choice = WaryRoundRobin()
         self.repeats = RepeatBudget(
             RepeatLimits(0.2, 4.0, 10.0), count_hosts=lambda: 1, clock=self.clock
         )
         self.forwarder = Forwarder(
             table=lambda: self.table,
             directory=directory,
-            choice=RoundRobin(),
+            choice=self.choice,
             turns=WeightedTurns(random.Random(1)),
             repeats=self.repeats,
             links=self.links,
@@ -241,6 +252,15 @@
         self.assertEqual(sent, [type(call) for call in self.links.calls])
         self.assertEqual(status, response.status)
 
+    async def test_busier_server_is_no_refusal(self):
+        """Guards against callers turned away because a report was old."""
+        busier = make_reply(ErrorCode.BUSIER_THAN_EXPECTED)
+        self.choice.max_wait = 0.1
+        response = await self.send(script=[busier] * 2 + [make_answer()])
+        self.assertEqual(200, response.status)
+        waits = [call.max_wait for call in self.links.calls]
+        self.assertEqual([0.1] * MAX_CORRECTIONS + [-1.0], waits)
+
     async def test_later_version_elsewhere_is_told(self):
         """Guards against a daemon that stays behind without noticing."""
         reply = msgspec.structs.replace(make_answer(), version=9)
--- a/tests/test_coordination_placement.py
+++ b/tests/test_coordination_placement.py
@@ -9,7 +9,12 @@
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
-from almondrouter.coordination.placement import REFUSED_S, CostPlacement
+from almondrouter.coordination.placement import (
+    OTHER_REGION_PATIENCE_S,
+    REFUSED_S,
+    SAME_REGION_PATIENCE_S,
+    CostPlacement,
+)
 from almondrouter.coordination.routing import Demand
 from almondrouter.protocol.calls import Load
 from almondrouter.protocol.headers import Outcome
@@ -135,6 +140,21 @@
         self.clock.advance(0.2)
         self.assertEqual(FAR, self.choose(among=(*among, full)))
 
+    @parameterized.expand([("idle", NEAR, 0), ("busy", NEAR, 20), ("far", FAR, 0)])
+    def test_max_wait(self, _, destination, busy):
+        """Guards against calls that stay where more wait than was known."""
+        for other in ALL:
+            self.report(other, busy=busy)
+        self.choose()
+        demand = Demand(0, nested=False, target_latency=AIM, rank=1)
+        now = self.clock.monotonic()
+        max_wait = self.placement.find_max_wait(destination, now=now, demand=demand)
+        expected = max(0, busy + 1 - 10) * 0.1 / 10
+        patience = SAME_REGION_PATIENCE_S
+        if destination is FAR:
+            patience = OTHER_REGION_PATIENCE_S
+        self.assertAlmostEqual(expected + patience, max_wait)
+
     def test_load_that_peers_tell_counts(self):
         """Guards against a daemon that knows only the replies to its own calls."""
         self.report(NEAR, busy=0)
--- a/tests/test_coordination_slots.py
+++ b/tests/test_coordination_slots.py
@@ -58,6 +58,15 @@
         run_virtual(self.run_all([self.request("w")]), self.clock)
         self.ended.clear()
 
+    def test_busier_than_expected(self):
+        """Guards against queues at servers that looked idle to many senders."""
+        self.warm_up()
+        requests = [self.request(str(n)) for n in range(5)]
+        wary = msgspec.structs.replace(self.request("wary"), max_wait=0.06)
+        patient = msgspec.structs.replace(self.request("patient"), max_wait=0.3)
+        self.assertIn("patient", self.play([*requests, wary, patient]))
+        self.assertIn(("wary", ErrorCode.BUSIER_THAN_EXPECTED), self.ended)
+
     @parameterized.expand(
         [
             ("rank", {"rank": 0}, {"rank": 2}),
