--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -310,9 +310,8 @@
         if reply.version > call.version:
             self._version_seen(reply.version, destination.peer_address)
         corrected = reply.code == ErrorCode.BUSIER_THAN_EXPECTED.value
-        if not corrected and (
-            reply.outcome is not Outcome.COMPLETE or is_failure(reply)
-        ):
+        answered = reply.outcome is Outcome.COMPLETE and not is_failure(reply)
+        if not corrected and not answered:
             _log.request(
                 "sending failed",
                 request=attempt.info.attempt_id,
