Prefer a short wait in the own region to bytes between regions

A destination elsewhere counts a share of the target latency more: 0.03 in the region, 0.2 in another one.

--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -32,6 +32,10 @@
 OTHER_REGION_S_PER_MB = 4.0
 """Seconds of delay that are accepted rather than moving a megabyte there; in the
 proportion of what the two deployments pay for a byte."""
+SAME_REGION_TARGET_SHARE = 0.03
+OTHER_REGION_TARGET_SHARE = 0.2
+"""Shares of the target latency that are accepted as delay rather than moving an
+answer there, whose length nobody knows yet; in the proportion of the price of bytes."""
 SAME_REGION_PATIENCE_S = 0.02
 OTHER_REGION_PATIENCE_S = 0.08
 """Seconds beyond the expected wait that are accepted rather than a second path."""
@@ -230,9 +234,11 @@
         if destination.region == self._region:
             delay = SAME_REGION_ROUND_TRIP_S
             price = SAME_REGION_S_PER_MB * megabytes
+            price += SAME_REGION_TARGET_SHARE * demand.target_latency
         else:
             delay = OTHER_REGION_ROUND_TRIP_S
             price = OTHER_REGION_S_PER_MB * megabytes
+            price += OTHER_REGION_TARGET_SHARE * demand.target_latency
         return delay * (NESTED_DISTANCE_FACTOR if demand.nested else 1.0) + price
 
     def _find_usual(
