Stop telling loads within the region

Daemons that follow the same report meet at the same server, and a call that finds more waiting learns the load itself. The mechanism goes.

--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -178,24 +178,21 @@
     def started(self, destination: Destination) -> None:  # noqa: D102
         self._occupancy.start(destination.backend)
 
-    def learn_load(self, backend: str, load: Load) -> None:
-        """Take over the load that the daemon beside a backend server tells."""
-        self._occupancy.report(
-            backend,
-            slots=load.slots,
-            in_use=load.in_use,
-            queued=load.queued,
-            service_time=load.service_time,
-            now=self._clock.monotonic(),
-            queued_by_rank=load.queued_by_rank,
-        )
-
     def _take_report(self, destination: Destination, load: Load | None) -> float:
         """Take over a reply's load; return the time that it is dated with."""
+        now = self._clock.monotonic()
         self._occupancy.finish(destination.backend)
         if load is not None:
-            self.learn_load(destination.backend, load)
-        return self._clock.monotonic()
+            self._occupancy.report(
+                destination.backend,
+                slots=load.slots,
+                in_use=load.in_use,
+                queued=load.queued,
+                service_time=load.service_time,
+                now=now,
+                queued_by_rank=load.queued_by_rank,
+            )
+        return now
 
 
 class LeastOccupied(OccupancyPolicy):
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -217,7 +217,7 @@
     compressed: bytes
 
 
-class BodyOffer(msgspec.Struct, frozen=True, array_like=True, tag=11):
+class BodyOffer(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Asks whether the long body of a call may be sent, which is answered in turn.
 
     Parameters
@@ -242,14 +242,7 @@
     key: str = ""
 
 
-class LoadNotice(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """Tells how busy the backend server beside the sender is; needs no reply."""
-
-    backend: str
-    load: Load
-
-
-Notice = HostNotice | RoutesNotice | LoadNotice
+Notice = HostNotice | RoutesNotice
 
 LinkCall = CallRequest | ClaimQuery | RoutesQuery | BodyOffer
 """Frames that are answered by a `CallReply`."""
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -16,7 +16,6 @@
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.forwarding import Forwarder
 from almondrouter.coordination.intake import BodyIntake
-from almondrouter.coordination.loadsharing import LOOK_S, LoadSharing
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.coordination.placement import CostPlacement
 from almondrouter.coordination.registration import HostRecords, Registration
@@ -165,9 +164,7 @@
             own_region=settings.region,
             make_entry=self._make_entry,
             clock=clock,
-            learn_load=lambda backend, load: self._placement.learn_load(backend, load),
         )
-        self._sharing = LoadSharing(clock=clock)
 
     def _build_calls(self) -> None:
         settings, clock = self.settings, self._clock
@@ -282,7 +279,6 @@
             self.feed.run(),
             self.registration.run(),
             self._tidy_forever(),
-            self._share_load_forever(),
         ):
             self._start_task(work)
         _log.info(
@@ -381,13 +377,6 @@
             await asyncio.sleep(TIDY_S)
             self._peers.tidy()
 
-    async def _share_load_forever(self) -> None:
-        while True:
-            await asyncio.sleep(LOOK_S)
-            load = self.backend.load
-            if self._sharing.take(load):
-                self._peers.share_load(self.backend.entry.backend, load)
-
     def _get_caller_limits(self) -> CallerLimits:
         table = self.routes.table
         return table.limits if table is not None else CallerLimits()
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -18,8 +18,6 @@
 from almondrouter.protocol.calls import (
     CallReply,
     HostNotice,
-    Load,
-    LoadNotice,
     Notice,
     RoutesNotice,
     RoutesQuery,
@@ -51,8 +49,6 @@
         Returns the record of this host as it is now.
     clock
         Source of monotonic time.
-    learn_load
-        Takes the load that the daemon beside a backend server tells.
     """
 
     def __init__(
@@ -66,9 +62,7 @@
         own_region: str,
         make_entry: Callable[[], HostEntry],
         clock: Clock,
-        learn_load: Callable[[str, Load], None],
     ) -> None:
-        self._learn_load = learn_load
         self._links = links
         self._directory = directory
         self._routes = routes
@@ -97,18 +91,9 @@
         """Take over what a peer says, which needs no store."""
         if isinstance(notice, RoutesNotice):
             self._take_routes(notice)
-        elif isinstance(notice, LoadNotice):
-            self._learn_load(notice.backend, notice.load)
         else:
             self._take_record(notice)
 
-    def share_load(self, backend: str, load: Load) -> None:
-        """Tell the daemons of the region how busy this host's server is."""
-        notice = LoadNotice(backend, load)
-        for entry in self._directory.entries:
-            if self._is_neighbour(entry):
-                self._links.send_notice(entry.peer_address, notice)
-
     def _take_record(self, notice: HostNotice) -> None:
         try:
             entry = decode_host(notice.record)
