Hand versions on as what differs from the one before

A notice holds the pieces that are new and the runs of pieces of the last version that stay, with a hash of the result. Who has another version, or gets another result, asks the sender as for any later version.

--- a/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
@@ -16,6 +16,9 @@
 class ActiveRoutes(StoreSubscriber):
     """Brings each accepted configuration into force, whole.
 
+    It keeps the stored form of the one in force, and version and form of the one
+    before, from which peers can make it.
+
     Parameters
     ----------
     key
@@ -38,6 +41,7 @@
         self._decode = decode
         self.table: RouteTable | None = None
         self.stored_form = b""
+        self.previous: tuple[int, bytes] = (0, b"")
 
     @property
     def prefix(self) -> str:  # noqa: D102
@@ -83,6 +87,8 @@
                     offered=table.version,
                 )
             return
-        before, self.table, self.stored_form = self.version, table, value
+        before = self.version
+        self.previous = (before, self.stored_form)
+        self.table, self.stored_form = table, value
         _log.info("configuration in force", version=table.version, before=before)
         self._changed()
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -211,10 +211,18 @@
     Parameters
     ----------
     compressed
-        The stored form of the configuration, compressed with zlib.
+        The stored form of the configuration, compressed with zlib, or its
+        difference from that of the base.
+    version, base
+        Version that is handed on, and the one that it differs from; 0 for none.
+    peer_address
+        Address of the sender, which can be asked for the whole.
     """
 
     compressed: bytes
+    version: int = 0
+    base: int = 0
+    peer_address: str = ""
 
 
 class BodyOffer(msgspec.Struct, frozen=True, array_like=True, tag=10):
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -9,6 +9,7 @@
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.deltas import apply_delta, make_delta
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.isolation import IsolationDetector
 from almondrouter.coordination.relays import RelayCandidate, RelayElection
@@ -115,7 +116,7 @@
         """Hand a version from the store on to the daemons of the region."""
         if not self._feed.following:
             return
-        notice = self._make_routes_notice()
+        notice = self._make_routes_delta()
         for entry in self._directory.entries:
             if self._is_neighbour(entry):
                 self._links.send_notice(entry.peer_address, notice)
@@ -192,16 +193,34 @@
         return entry.region == self._own_region and entry.host != self._own_host
 
     def _take_routes(self, notice: RoutesNotice) -> None:
+        if notice.base and notice.base != self._routes.version:
+            self.note_version(notice.version, notice.peer_address)
+            return
         try:
-            value = zlib.decompress(notice.compressed)
-        except zlib.error as error:
+            if notice.base:
+                value = apply_delta(self._routes.stored_form, notice.compressed)
+            else:
+                value = zlib.decompress(notice.compressed)
+        except (zlib.error, AlmondError) as error:
             _log.warning("unreadable configuration ignored", reason=str(error))
+            self.note_version(notice.version, notice.peer_address)
             return
         self._routes.take(value)
 
     def _make_routes_notice(self) -> RoutesNotice:
-        level = zlib.Z_BEST_SPEED
-        return RoutesNotice(zlib.compress(self._routes.stored_form, level))
+        """Return the configuration in force, whole."""
+        form = zlib.compress(self._routes.stored_form, zlib.Z_BEST_SPEED)
+        address = self._make_entry().peer_address
+        return RoutesNotice(form, self._routes.version, 0, address)
+
+    def _make_routes_delta(self) -> RoutesNotice:
+        """Return what the configuration in force differs by from the last one."""
+        base, form = self._routes.previous
+        if not base:
+            return self._make_routes_notice()
+        delta = make_delta(form, self._routes.stored_form)
+        address = self._make_entry().peer_address
+        return RoutesNotice(delta, self._routes.version, base, address)
 
     async def _catch_up(self, version: int, peer_address: str | None) -> None:
         await asyncio.sleep(STORE_PATIENCE_S)
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -21,7 +21,7 @@
 from almondrouterd import peers as module
 from almondrouterd.peers import Peers
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
-from platform_support import make_configuration
+from platform_support import SERVICE, make_configuration
 from test_coordination_directory import make_entry
 
 
@@ -121,6 +121,24 @@
         self.peers.take_notice(RoutesNotice(zlib.compress(b"{")))
         self.assertEqual((0, 0), (len(self.directory), self.routes.version))
 
+    async def test_next_version_is_handed_on_as_a_difference(self):
+        """Guards against storms of versions that fill narrow links."""
+        self.hear("h6")
+        many = [{"name": f"s{n}"} for n in range(500)] + [{"name": SERVICE}]
+        for version in (4, 5):
+            self.routes.take(make_configuration(version, services=many))
+        whole, delta = (notice for _, notice in self.links.notices)
+        self.assertEqual((4, 0, 5, 4), tuple(find_versions(whole, delta)))
+        self.assertLess(len(delta.compressed), len(whole.compressed) / 2)
+        other = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        peers = make_peers(other)
+        peers.take_notice(delta)
+        self.assertEqual(0, other.version)
+        for notice in (whole, delta):
+            peers.take_notice(notice)
+        self.assertEqual(5, other.version)
+        self.assertEqual(self.routes.stored_form, other.stored_form)
+
     @parameterized.expand([("relay", True, 1), ("other", False, 0)])
     async def test_version_is_handed_on_once(self, _, following, sent):
         """Guards against a region that waits, or hears everything from everyone."""
@@ -173,9 +191,19 @@
         self.assertEqual(following, self.feed.following)
 
 
+def find_versions(*notices):
+    """Return version and base of each notice."""
+    return [n for notice in notices for n in (notice.version, notice.base)]
+
+
 def make_answer(routes):
     """Return the reply of a peer that has these routes in force."""
-    peers = Peers(
+    return make_peers(routes).answer_query()
+
+
+def make_peers(routes):
+    """Return the peers of a daemon that has these routes in force."""
+    return Peers(
         links=None,
         directory=None,
         routes=routes,
@@ -185,4 +213,3 @@
         make_entry=None,
         clock=SystemClock(),
     )
-    return peers.answer_query()
