Count a caller's time from the first byte; keep long bodies on their host

Time counts from the first byte; a megabyte moved within a data centre counts half a second; bodies may fill 0.85 of a link.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -153,7 +153,10 @@
 
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Serve a caller's request and return its response."""
-        arrived_at = self._clock.monotonic()
+        # Callers count their time from the sending, not from the end of a long body.
+        arrived_at = request.began_at
+        if arrived_at is None:
+            arrived_at = self._clock.monotonic()
         info = self._dialect.read_request(request.headers)
         table = self._table()
         if table is None:
--- a/packages/almondrouter/src/almondrouter/coordination/intake.py
+++ b/packages/almondrouter/src/almondrouter/coordination/intake.py
@@ -11,7 +11,7 @@
 
 from almondrouter.clock import Clock
 
-LINK_SHARE = 0.7
+LINK_SHARE = 0.85
 """Share of the link that long bodies may fill; the rest is for requests and replies."""
 OVERLAP_S = 0.05
 """Seconds before the end of a body at which the next one may begin, so that the link
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -28,10 +28,11 @@
 SAME_REGION_ROUND_TRIP_S = 0.002
 OTHER_REGION_ROUND_TRIP_S = 0.040
 """Round trips between data centres and between regions of the deployments."""
+SAME_DATA_CENTRE_S_PER_MB = 0.5
 SAME_REGION_S_PER_MB = 1.0
 OTHER_REGION_S_PER_MB = 4.0
-"""Seconds of delay that are accepted rather than moving a megabyte there; in the
-proportion of what the two deployments pay for a byte."""
+"""Seconds of delay that are accepted rather than moving a megabyte there: the time on
+a narrow link, and what the two deployments pay for a byte."""
 SAME_REGION_TARGET_SHARE = 0.03
 OTHER_REGION_TARGET_SHARE = 0.2
 """Shares of the target latency that are accepted as delay rather than moving an
@@ -116,7 +117,7 @@
 
     Parameters
     ----------
-    data_centre, region
+    host, data_centre, region
         Where this daemon runs.
     occupancy
         Load reports and own calls in flight.
@@ -131,6 +132,7 @@
     def __init__(
         self,
         *,
+        host: str,
         data_centre: str,
         region: str,
         occupancy: OccupancyTable,
@@ -139,6 +141,7 @@
         is_reachable: Callable[[Destination], bool],
     ) -> None:
         super().__init__(occupancy, clock)
+        self._host = host
         self._data_centre = data_centre
         self._region = region
         self._random = random
@@ -228,9 +231,11 @@
         return self._random.sample(members, DRAWN_PER_TIER)
 
     def _weigh_distance(self, destination: Destination, demand: Demand) -> float:
-        if destination.data_centre == self._data_centre:
-            return 0.0
         megabytes = demand.body_bytes / 1e6
+        if destination.host == self._host:
+            return 0.0
+        if destination.data_centre == self._data_centre:
+            return SAME_DATA_CENTRE_S_PER_MB * megabytes
         if destination.region == self._region:
             delay = SAME_REGION_ROUND_TRIP_S
             price = SAME_REGION_S_PER_MB * megabytes
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -169,6 +169,7 @@
         self._reading = False
         self._closing = False
         self._accepting = True
+        self._began_at = server.clock.monotonic()
         self._reset()
 
     @property
@@ -216,6 +217,10 @@
                 self._partial_bytes += len(data)
                 self._check_header_bytes(self._partial_bytes)
 
+    def on_message_begin(self) -> None:
+        """Note when the request begins; a long body may take a while."""
+        self._began_at = self._server.clock.monotonic()
+
     def on_url(self, url: bytes) -> None:
         """Take a part of the request target."""
         self._target += url
@@ -256,6 +261,7 @@
             tuple(self._headers),
             self._body[0] if len(self._body) == 1 else b"".join(self._body),
             self._peer,
+            self._began_at,
         )
         exchange = _Exchange(request, self._parser.should_keep_alive())
         self._reading = False
--- a/packages/almondrouter/src/almondrouter/transport/calls.py
+++ b/packages/almondrouter/src/almondrouter/transport/calls.py
@@ -24,6 +24,8 @@
         lower case.
     peer
         IP number that the request came from; empty if it is not known.
+    began_at
+        Monotonic seconds at which its first byte was read; None if it is not known.
     """
 
     method: str
@@ -31,6 +33,7 @@
     headers: HeaderList
     body: bytes
     peer: str = ""
+    began_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -189,6 +189,7 @@
             clock=clock,
         )
         self._placement = CostPlacement(
+            host=settings.host,
             data_centre=settings.data_centre,
             region=settings.region,
             occupancy=OccupancyTable(),
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -138,6 +138,17 @@
             ),
         )
 
+    async def test_time_of_a_long_body_counts(self):
+        """Guards against backend servers that work for callers who have left."""
+        began_at = self.clock.monotonic()
+        self.clock.advance(0.3)
+        headers = (("host", "shop.example"), ("deadline-ms", "700"))
+        self.links.script = [make_answer()]
+        await self.forwarder.handle(
+            CallerRequest("GET", "/read/1", headers, b"", began_at=began_at)
+        )
+        self.assertAlmostEqual(began_at + 0.7, self.links.calls[0].deadline)
+
     async def test_route_bounds_the_wait(self):
         """Guards against callers that are kept longer than operators allow."""
         await self.send(script=[make_answer()], deadline_ms="9000")
--- a/tests/test_coordination_placement.py
+++ b/tests/test_coordination_placement.py
@@ -42,6 +42,7 @@
         self.clock = ManualClock()
         self.unreachable = set()
         self.placement = CostPlacement(
+            host="own",
             data_centre="here-1",
             region="here",
             occupancy=OccupancyTable(),
@@ -134,6 +135,16 @@
         self.report(full, busy=30)
         self.assertEqual(BESIDE, self.choose(among=(NEAR, BESIDE, full)))
 
+    def test_long_body_stays_on_its_host(self):
+        """Guards against narrow links filled while the own server is free."""
+        own = make_destination("own")
+        for other in (own, NEAR):
+            self.report(other, busy=5)
+        chosen = {self.choose(body=300_000, among=(own, NEAR)) for _ in range(9)}
+        self.assertEqual({own}, chosen)
+        self.report(own, busy=60)
+        self.assertEqual(NEAR, self.choose(body=300_000, among=(own, NEAR)))
+
     @parameterized.expand([("idle", NEAR, 0), ("busy", NEAR, 20), ("far", FAR, 0)])
     def test_max_wait(self, _, destination, busy):
         """Guards against calls that stay where more wait than was known."""
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -159,6 +159,18 @@
         for _ in range(3):
             self.assertEqual(b"/a?b", (await self.read_response(reader))[2])
 
+    async def test_beginning_of_a_request_is_noted(self):
+        """Guards against time that a slow body takes and nobody counts."""
+        reader, writer = await self.open(POST + b"Content-Length: 4\r\n\r\nab")
+        await wait_until(lambda: any(c._reading for c in self.server.connections))
+        began_at = self.clock.monotonic()
+        self.clock.advance(1)
+        writer.write(b"cd")
+        await self.read_response(reader)
+        writer.write(GET)
+        await self.read_response(reader)
+        self.assertEqual([began_at, began_at + 1], [r.began_at for r in self.requests])
+
     async def test_answer_without_length_ends_with_its_connection(self):
         """Guards against a broken-off answer that looks whole to its caller."""
         self.framed = False
