Recall the own backend server from the record of an earlier daemon

The first reading of the store holds the own record, whose server is taken over if it was ready: each request names the server that it is for, so one that has gone refuses. A record that says the server leaves is not taken over, as it may come from the daemon's own stop; the test fails without that check. Test: test_restarted_daemon_recalls_its_server.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -142,6 +142,7 @@
         self._address = address
         self.draining_since: float | None = None
         self.name = name
+        self.beating = True
         self.state = "ready"
         self.run_time = RUN_S
         self._service = service
@@ -195,7 +196,8 @@
     async def _beat_forever(self) -> None:
         client = BackendClient(f"{self._ip}:7005", connections=1, clock=SystemClock())
         while True:
-            await self._beat(client)
+            if self.beating:
+                await self._beat(client)
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _beat(self, client: BackendClient) -> None:
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -140,6 +140,9 @@
         Name of this host, and what is called if its record is missing.
     seen
         Called with each record of another host.
+    own_seen
+        Called with the record of this host in a reading; an earlier daemon of the
+        host may have written it.
     """
 
     def __init__(
@@ -149,11 +152,13 @@
         own_host: str,
         lost: Callable[[], None],
         seen: Callable[[HostEntry], None],
+        own_seen: Callable[[HostEntry], None] = lambda entry: None,
     ) -> None:
         self._directory = directory
         self._own_host = own_host
         self._lost = lost
         self._seen = seen
+        self._own_seen = own_seen
 
     @property
     def prefix(self) -> str:  # noqa: D102
@@ -167,7 +172,10 @@
             entry = self._decode(item.key, item.value)
             if entry is not None:
                 entries[entry.host] = entry
-        if self._own_host not in entries and not stale:
+        own = entries.get(self._own_host)
+        if own is not None:
+            self._own_seen(own)
+        elif not stale:
             # A stale reading may be older than the record; its lease tells a loss.
             self._lost()
         self._directory.replace_all(entries, stale=stale)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -146,6 +146,7 @@
             own_host=settings.host,
             lost=self.registration.note_lost,
             seen=lambda entry: self._peers.warm_link(entry),
+            own_seen=self._recall_backend,
         )
         self.feed = StoreFeed(
             self._store,
@@ -394,6 +395,24 @@
             self._changes,
         )
 
+    def _recall_backend(self, entry: HostEntry) -> None:
+        """Take over what an earlier daemon of this host wrote, until a heartbeat.
+
+        Notes
+        -----
+        A backend server that has gone or was replaced meanwhile refuses, as each
+        request names the one that it is for. A record that says it leaves may mean
+        only that the earlier daemon stopped.
+        """
+        backend = entry.backend
+        if self.backend.entry is not None or backend is None:
+            return
+        if backend.state is not ServingState.READY:
+            return
+        if entry.incarnation < self._incarnation and self._life.stopping_at is None:
+            _log.info("backend server recalled", backend=backend.backend)
+            self.backend.announce(backend)
+
     def _backend_changed(self) -> None:
         self._changes += 1
         self.directory.put(self._make_entry())
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -121,6 +121,26 @@
         self.assertEqual(1, await self.read_version(0))
         self.assert_kept()
 
+    async def test_restarted_daemon_recalls_its_server(self):
+        """Guards against idle servers until the next heartbeat after a herd kill."""
+        await self.start_fleet(hosts=1)
+        self.fleet.backends[0].beating = False
+        await self.fleet.stop_daemon(0, signal.SIGKILL)
+        await self.fleet.start_daemon(0)
+        await self.fleet.wait_until_ready(0)
+        self.assertIn('"backend server recalled"', self.fleet.read_logs())
+        # The record then goes on to say that the server leaves.
+        self.fleet.store.faulty = {"kv-lease-end"}
+        self.fleet.store.fault = StoreFault.BUSY
+        await self.fleet.stop_daemon(0, signal.SIGTERM)
+        self.fleet.store.fault = StoreFault.NONE
+        await self.fleet.start_daemon(0)
+        self.fleet.backends[0].beating = True
+        await self.fleet.wait_until_ready(0)
+        await self.fleet.replace_backend(0)
+        await self.fleet.wait_until_ready(0)
+        self.assert_kept()
+
     async def test_graceful_stop_cuts_no_request(self):
         """Guards against a planned stop that loses requests in flight."""
         await self.start_fleet()
