--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -361,6 +361,7 @@
             sent=attempt.sent,
             refusals=attempt.refusals,
             misses=attempt.misses,
+            corrections=attempt.corrections,
             known=len(self._directory.find_destinations(attempt.service)),
             after=round(elapsed, 4),
             version=attempt.call.version,
