Keep a call where its long body has moved

Found by reading: a call whose body had been offered, taken and sent could still be answered as busier than expected, and its body moved again to another host. Such a call now waits where it is. Test: test_long_body_is_offered_first.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -342,6 +342,8 @@
                 raise CallError(ErrorCode.PEER_UNAVAILABLE, error.message) from error
             if answer.outcome is not Outcome.COMPLETE:
                 return msgspec.structs.replace(answer, outcome=Outcome.NOT_RUN)
+            # A body that has moved is not sent back for a shorter queue elsewhere.
+            call = msgspec.structs.replace(call, max_wait=-1.0)
         return await self._links.call(address, call)
 
     def _record(self, attempt: _Attempt, reply: CallReply) -> None:
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -259,7 +259,11 @@
     )
     async def test_long_body_is_offered_first(self, _, body, script, sent, status):
         """Guards against long bodies that move only to be refused."""
+        self.choice.max_wait = 0.1
         response = await self.send(script=script, body=body)
+        last = self.links.calls[-1]
+        if body is LONG and isinstance(last, CallRequest):
+            self.assertEqual(-1.0, last.max_wait)
         self.assertEqual(sent, [type(call) for call in self.links.calls])
         self.assertEqual(status, response.status)
 
