--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -33,6 +33,9 @@
 OTHER_REGION_S_PER_MB = 4.0
 """Seconds of delay that are accepted rather than moving a megabyte there: the time on
 a narrow link, and what the two deployments pay for a byte."""
+MAX_REMOTE_BODY_BYTES = 32_768
+"""Longest body that goes to another region while the own one has a server; the bytes
+of a longer one cost both deployments more than what the request is worth."""
 SAME_REGION_TARGET_SHARE = 0.03
 OTHER_REGION_TARGET_SHARE = 0.2
 """Shares of the target latency that are accepted as delay rather than moving an
@@ -166,6 +169,8 @@
             if d.backend not in excluded and now >= self._refused_until(d)
         ]
         usable = [d for d in left if self._is_reachable(d)] or left
+        if demand is not None and demand.body_bytes > MAX_REMOTE_BODY_BYTES:
+            usable = self._keep_in_region(usable, destinations)
         demand = demand or Demand(0, nested=False, target_latency=0.0, rank=0)
         usual = self._last_usual = self._find_usual(destinations, demand.rank, now)
         tiers: dict[float, list[Destination]] = {}
@@ -222,6 +227,15 @@
             failures = self._failures[backend] = _Failures(updated_at=now)
         failures.record(failed, now)
 
+    def _keep_in_region(
+        self, usable: list[Destination], destinations: Sequence[Destination]
+    ) -> list[Destination]:
+        """Leave other regions out if a server of the own region can be reached."""
+        near = [d for d in destinations if d.region == self._region]
+        if any(self._is_reachable(d) for d in near):
+            return [d for d in usable if d.region == self._region]
+        return usable
+
     def _refused_until(self, destination: Destination) -> float:
         return self._refusals.get(destination.backend, 0.0)
 
--- a/tests/test_coordination_placement.py
+++ b/tests/test_coordination_placement.py
@@ -145,6 +145,21 @@
         self.report(own, busy=60)
         self.assertEqual(NEAR, self.choose(body=300_000, among=(own, NEAR)))
 
+    @parameterized.expand(
+        [
+            ("short", 1_000, (), FAR),
+            ("long", 300_000, (), None),
+            ("long, region cut off", 300_000, ("near", "beside"), FAR),
+        ]
+    )
+    def test_long_body_stays_in_its_region(self, _, body, unreachable, expected):
+        """Guards against bytes between regions that cost more than the answer."""
+        self.unreachable = set(unreachable)
+        for other in ALL:
+            self.report(other)
+        tried = ("near", "beside")
+        self.assertEqual(expected, self.choose(body=body, excluded=tried))
+
     @parameterized.expand([("idle", NEAR, 0), ("busy", NEAR, 20), ("far", FAR, 0)])
     def test_max_wait(self, _, destination, busy):
         """Guards against calls that stay where more wait than was known."""
