--- a/tests/test_almondrouterd_backendcontrol.py
+++ b/tests/test_almondrouterd_backendcontrol.py
@@ -8,6 +8,7 @@
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.state.hosts import ServingState
 from almondrouter.transport.calls import CallerRequest
@@ -31,6 +32,7 @@
             sender=None,
             dialect=PlatformDialect(),
             clock=ManualClock(),
+            intake=BodyIntake(bytes_per_second=1_000_000, clock=ManualClock()),
             changed=lambda: None,
         )
         self.control = BackendControl(
