Assume a usual link where the settings name none

Found by reading: a link of 0 Mbit/s in the settings would have ended each offer of a long body with a division by zero, which its sender cannot tell from a lost one. Nothing changes for a link that is named.

--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -40,7 +40,7 @@
 class _Limits(msgspec.Struct):
     memory_mb: float
     max_fds: int
-    link_mbps: float = 1000.0
+    link_mbps: float = 0.0
 
 
 class _File(msgspec.Struct):
@@ -117,6 +117,8 @@
 
 
 BYTES_PER_MEGABIT = 125_000
+ASSUMED_LINK_MBPS = 1000.0
+"""Megabits a second of a link that the file says nothing of."""
 METRICS_PORT = 9464
 """Port of the metrics; the deploy file names it too."""
 
@@ -172,5 +174,10 @@
             bounds.retry_budget_ratio, bounds.budget_extra, bounds.budget_window_s
         ),
         memory_mb=file.limits.memory_mb,
-        link_bytes_per_second=file.limits.link_mbps * BYTES_PER_MEGABIT,
+        link_bytes_per_second=find_link_rate(file.limits.link_mbps),
     )
+
+
+def find_link_rate(megabits: float) -> float:
+    """Return bytes a second of a link; 0 or less means that it is not known."""
+    return (megabits if megabits > 0 else ASSUMED_LINK_MBPS) * BYTES_PER_MEGABIT
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -46,11 +46,11 @@
 class SettingsTest(unittest.TestCase):
     """The settings file is checked whole before anything starts."""
 
-    def read(self, text):
+    def read(self, text, **options):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "boot.toml")
             path.write_text(text)
-            return read_host_settings(str(path))
+            return read_host_settings(str(path), **options)
 
     def test_reads_what_the_daemon_needs(self):
         """Guards against addresses that are mixed up."""
@@ -60,6 +60,20 @@
         self.assertEqual("10.0.0.1:80", settings.backend_address)
         self.assertEqual(0.2, settings.repeat_limits.ratio)
 
+    def test_advertised_address(self):
+        """Guards against peers that are sent past a port forwarder."""
+        self.assertEqual("10.0.0.1:81", self.read(SETTINGS).advertised_address)
+        settings = self.read(SETTINGS, advertised_address="10.0.0.7:81")
+        self.assertEqual("10.0.0.7:81", settings.advertised_address)
+        self.assertEqual("10.0.0.1:81", settings.peer_address)
+
+    @parameterized.expand([("narrow", 8.0, 1e6), ("unknown", 0.0, 125e6)])
+    def test_link_rate(self, _, megabits, expected):
+        """Guards against a link without a rate that takes no body at all."""
+        text = SETTINGS.replace("max_fds", f"link_mbps = {megabits}\nmax_fds")
+        self.assertEqual(expected, self.read(text).link_bytes_per_second)
+        self.assertEqual(125e6, self.read(SETTINGS).link_bytes_per_second)
+
     @parameterized.expand(
         [
             ("no TOML", "node = ", ErrorCode.FILE_UNREADABLE, "Invalid value"),
