--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -11,6 +11,7 @@
 
 from almondrouter.clock import Clock
 from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.logs import StateLogger
 from almondrouter.protocol.calls import (
     BodyOffer,
     CallFrame,
@@ -47,6 +48,7 @@
 """Calls of one link that a server holds at a time."""
 
 _BULK_SUFFIX = "#bulk"
+_log = StateLogger("links")
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,8 +231,9 @@
         try:
             reply = await self._handler(request)
             reply = msgspec.structs.replace(reply, call_id=request.call_id)
-        except Exception:  # noqa: BLE001 - one failed call must not end the link
+        except Exception as error:  # noqa: BLE001 - one failed call must not end the link
             self.counts["failed"] += 1
+            _log.error("the handler of a call failed", error=repr(error))
             code = ErrorCode.BACKEND_FAILED
             reply = make_reply(code, Outcome.UNKNOWN, call_id=request.call_id)
         finally:
