Replay two load patterns against the real decisions

Idle slots beside queues, with and without calls that choose again, and uploads beyond the links, with and without offers.

--- /dev/null
+++ b/tests/test_load_replays.py
@@ -0,0 +1,233 @@
+"""Replays of load patterns against the real decisions, on a virtual clock.
+
+Each replay compares with the same decisions less the one that answers its pattern.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination import forwarding
+from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.forwarding import Forwarder
+from almondrouter.coordination.intake import BodyIntake
+from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.placement import CostPlacement
+from almondrouter.coordination.repeats import RepeatBudget, RepeatLimits
+from almondrouter.coordination.weights import WeightedTurns
+from almondrouter.protocol.calls import BodyOffer
+from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
+from almondrouter.state.occupancy import OccupancyTable
+from almondrouter.transport.calls import (
+    BackendResponse,
+    BackendSender,
+    CallerRequest,
+    CallLinks,
+)
+from almondrouter_standins.virtual_time import run_virtual
+from almondrouterd.platform.configuration import decode_routes
+from almondrouterd.platform.headers import PlatformDialect
+from platform_support import SERVICE, make_configuration
+
+HOSTS = 42
+SERVERS = 14
+SLOTS = 5
+RUN_S = 0.1
+AIM_S = 0.4
+"""Target latency of the route in the shared configuration."""
+SECONDS = 4.0
+REGIONS = 3
+ONE_WAY_S = {0: 0.0001, 1: 0.001, 2: 0.02}
+"""Delays within a data centre, within a region, and between regions."""
+SIGNED = (("response-signature", "s"),)
+
+
+class VirtualSender(BackendSender):
+    """A backend server whose runs take about a tenth of a second."""
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    async def send(self, method, target, headers, body, **options):
+        await asyncio.sleep(RUN_S * self._rng.uniform(0.4, 1.6))
+        return BackendResponse(200, SIGNED, b"")
+
+
+class VirtualHost:
+    """A host with its place; some have a backend server and a narrow link."""
+
+    def __init__(self, number, *, clock, rng, bytes_per_second):
+        self.number, self.clock = number, clock
+        self.region = f"r{number % REGIONS}"
+        self.data_centre = f"{self.region}-{number // REGIONS % 2}"
+        self.bytes_per_second = bytes_per_second
+        self.link_free_at = 0.0
+        self.backend = LocalBackend(
+            sender=VirtualSender(rng),
+            dialect=PlatformDialect(),
+            clock=clock,
+            intake=BodyIntake(bytes_per_second=bytes_per_second, clock=clock),
+            changed=lambda: None,
+        )
+
+    @property
+    def entry(self):
+        name, announced = f"h{self.number}", None
+        if self.number < SERVERS:
+            ready = ServingState.READY
+            announced = BackendEntry(f"b{self.number}", 1, SERVICE, SLOTS, ready)
+        address = f"{name}:1"
+        return HostEntry(name, 1, self.data_centre, self.region, address, announced)
+
+    def find_distance(self, other):
+        if self.data_centre == other.data_centre:
+            return 0
+        return 1 if self.region == other.region else 2
+
+    async def receive(self, size):
+        """Wait until a body has come over the link, after those before it."""
+        begin = max(self.clock.monotonic(), self.link_free_at)
+        self.link_free_at = begin + size / self.bytes_per_second
+        await asyncio.sleep(self.link_free_at - self.clock.monotonic())
+
+
+class VirtualLinks(CallLinks):
+    """Links of one host, with the delays of distance and of bodies."""
+
+    def __init__(self, host, fleet):
+        self._host, self._fleet = host, fleet
+
+    async def call(self, peer_address, request):
+        peer = self._fleet[int(peer_address[1:-2])]
+        delay = ONE_WAY_S[self._host.find_distance(peer)]
+        await asyncio.sleep(delay)
+        if isinstance(request, BodyOffer):
+            reply = await peer.backend.take_offer(request)
+        else:
+            if request.body:
+                await peer.receive(len(request.body))
+            reply = await peer.backend.answer(request)
+        await asyncio.sleep(delay)
+        return reply
+
+
+class Impatient(CostPlacement):
+    """The placement without a bound on the wait."""
+
+    def find_max_wait(self, destination, *, now, demand):
+        return None
+
+
+class LoadReplayTest(unittest.TestCase):
+    """Callers send to all hosts alike, at random times that a seed decides."""
+
+    def replay(self, *, per_second, placement=CostPlacement, body=b"", link=125e6):
+        """Return how requests ended: in time, late, or by their status."""
+        clock, rng = ManualClock(), random.Random(7)
+        fleet = [
+            VirtualHost(n, clock=clock, rng=rng, bytes_per_second=link)
+            for n in range(HOSTS)
+        ]
+        for host in fleet[:SERVERS]:
+            host.backend.announce(host.entry.backend)
+        ended = Counter()
+        forwarders = [self.make_forwarder(h, fleet, placement, clock) for h in fleet]
+        work = self.send_all(forwarders, per_second, body, clock, rng, ended)
+        run_virtual(work, clock)
+        return ended
+
+    def make_forwarder(self, host, fleet, placement, clock):
+        directory = HostDirectory(clock=clock, is_alive=lambda _: True)
+        for other in fleet:
+            directory.put(other.entry)
+        table = decode_routes(make_configuration())
+        rng = random.Random(host.number)
+        return Forwarder(
+            table=lambda: table,
+            directory=directory,
+            choice=placement(
+                host=host.entry.host,
+                data_centre=host.data_centre,
+                region=host.region,
+                occupancy=OccupancyTable(),
+                random=rng,
+                clock=clock,
+                is_reachable=lambda _: True,
+            ),
+            turns=WeightedTurns(rng),
+            repeats=RepeatBudget(
+                RepeatLimits(0.2, 60.0, 10.0), count_hosts=lambda: HOSTS, clock=clock
+            ),
+            links=VirtualLinks(host, fleet),
+            run_here=host.backend.answer,
+            is_running=lambda _: False,
+            dialect=PlatformDialect(),
+            clock=clock,
+            random=rng,
+            host=host.entry.host,
+            own_service="callers",
+            version_seen=lambda version, address: None,
+            finished=lambda *result: None,
+        )
+
+    async def send_all(self, forwarders, per_second, body, clock, rng, ended):
+        tasks = []
+        for _ in range(int(per_second * SECONDS)):
+            await asyncio.sleep(rng.expovariate(per_second))
+            forwarder = rng.choice(forwarders)
+            tasks.append(asyncio.create_task(self.send(forwarder, body, clock, ended)))
+        await asyncio.gather(*tasks)
+
+    async def send(self, forwarder, body, clock, ended):
+        began_at = clock.monotonic()
+        headers = (("host", "shop.example"), ("attempt-id", "a"))
+        path = "/pay/1" if body else "/read/1"
+        method = "POST" if body else "GET"
+        response = await forwarder.handle(CallerRequest(method, path, headers, body))
+        in_time = clock.monotonic() - began_at <= AIM_S
+        if response.status == 200:
+            ended["in time" if in_time else "late"] += 1
+        else:
+            ended[response.status] += 1
+
+    def test_idle_slots_beside_queues(self):
+        """Guards against queues at one server while others are idle.
+
+        Pattern: many daemons, each of which hears of a server now and then; demand
+        of nine tenths of the slots.
+        """
+        per_second = 0.9 * SERVERS * SLOTS / RUN_S
+        before = self.replay(per_second=per_second, placement=Impatient)
+        now = self.replay(per_second=per_second)
+        self.assertEqual(sum(before.values()), sum(now.values()))
+        self.assertLess(
+            sum(now.values()) - now["in time"],
+            (sum(before.values()) - before["in time"]) / 2,
+            (now, before),
+        )
+
+    def test_bodies_beyond_the_links(self):
+        """Guards against bodies that all move at once and are all too late.
+
+        Pattern: uploads that ask for one and a half times what the links carry.
+        """
+        body = bytes(250_000)
+        pattern = {"body": body, "link": 1e6, "per_second": 1.5 * SERVERS * 4}
+        limit = forwarding.MAX_UNOFFERED_BYTES
+        forwarding.MAX_UNOFFERED_BYTES = len(body)
+        try:
+            before = self.replay(**pattern)
+        finally:
+            forwarding.MAX_UNOFFERED_BYTES = limit
+        now = self.replay(**pattern)
+        self.assertGreater(now["in time"], before["in time"], (now, before))
+        self.assertLess(now["late"], before["late"] / 2, (now, before))
+
+    def test_replays_repeat(self):
+        """Guards against replays that give another verdict each time."""
+        first, second = (self.replay(per_second=200) for _ in range(2))
+        self.assertEqual(first, second)
