--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -25,6 +25,9 @@
 """Seconds for which a connection may have been idle before a request that must
 run at most once; a connection that its peer forgot fails such a request."""
 
+MAX_LEFT = 100
+"""Backend servers that are remembered as having left; a host has one at a time."""
+
 _log = StateLogger("backend")
 
 
@@ -60,6 +63,7 @@
         self._clock = clock
         self._changed = changed
         self._runs: dict[asyncio.Task[CallReply], str] = {}
+        self._left: dict[str, int] = {}
         self.entry: BackendEntry | None = None
         self.queue = SlotQueue(1, clock=clock)
         self.counts: Counter[str] = Counter()
@@ -71,6 +75,11 @@
             return
         if known == entry:
             return
+        if entry.state is ServingState.LEAVING:
+            self._remember_left(entry.backend, entry.started_ms)
+        elif entry.started_ms <= self._left.get(entry.backend, 0):
+            # A late heartbeat, or the record of an earlier daemon of this host.
+            return
         restarted = known is None or (
             (known.backend, known.started_ms) != (entry.backend, entry.started_ms)
         )
@@ -91,6 +100,29 @@
         )
         self._changed()
 
+    def sign_off(self, backend: str, started_ms: int | None) -> None:
+        """Take over that a backend server leaves, also one that is not known yet.
+
+        Parameters
+        ----------
+        started_ms
+            Its start in Unix milliseconds; None if it does not say, which means
+            the one that is known, or any start until now.
+        """
+        entry = self.entry
+        is_known = entry is not None and entry.backend == backend
+        if started_ms is None:
+            now_ms = int(self._clock.wall() * 1000)
+            started_ms = entry.started_ms if is_known else now_ms
+        self._remember_left(backend, started_ms)
+        if is_known and started_ms >= entry.started_ms:
+            self.change_state(ServingState.LEAVING, reason="it signs off")
+
+    def _remember_left(self, backend: str, started_ms: int) -> None:
+        if backend not in self._left and len(self._left) >= MAX_LEFT:
+            del self._left[next(iter(self._left))]
+        self._left[backend] = max(started_ms, self._left.get(backend, 0))
+
     def change_state(self, state: ServingState, *, reason: str) -> None:
         """Change the state of the backend server that is known now."""
         entry = self.entry
--- a/packages/almondrouterd/src/almondrouterd/backendcontrol.py
+++ b/packages/almondrouterd/src/almondrouterd/backendcontrol.py
@@ -9,7 +9,6 @@
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.logs import StateLogger
-from almondrouter.state.hosts import ServingState
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouterd.platform.heartbeats import (
     ACKNOWLEDGEMENT,
@@ -79,8 +78,4 @@
             self._backend.announce(report.entry)
 
     def _take_leaving(self, backend: str, body: bytes) -> None:
-        entry = self._backend.entry
-        if entry is None or entry.backend != backend:
-            return
-        if decode_leaving(body) >= entry.started_ms or not body:
-            self._backend.change_state(ServingState.LEAVING, reason="it signs off")
+        self._backend.sign_off(backend, decode_leaving(body) or None)
--- a/tests/test_almondrouterd_backendcontrol.py
+++ b/tests/test_almondrouterd_backendcontrol.py
@@ -79,6 +79,8 @@
             ("own start", "i-1", b'{"born":1000}', LEAVING),
             ("earlier start", "i-1", b'{"born":999}', READY),
             ("another", "i-9", b"", READY),
+            ("no start", "i-1", b"{}", LEAVING),
+            ("unreadable", "i-1", b"{", LEAVING),
         ]
     )
     async def test_leaving(self, _, backend, body, state):
@@ -86,6 +88,24 @@
         self.assertEqual(200, await self.post(LEAVE_PATH + backend, body))
         self.assertEqual(state, self.backend.entry.state)
 
+    @parameterized.expand(
+        [
+            ("same start", 2000, b'{"born":2000}', None),
+            ("no start told", 2000, b"", None),
+            ("later start", 3000, b'{"born":2000}', "i-2"),
+        ]
+    )
+    async def test_leaving_before_it_was_known(self, _, born, body, expected):
+        """Guards against work for a server whose end an empty daemon acknowledged.
+
+        A late heartbeat, or the record of the daemon before, tells of it only then.
+        """
+        self.backend.entry = None
+        self.assertEqual(200, await self.post(LEAVE_PATH + "i-2", body))
+        self.assertEqual(200, await self.beat("i-2", born=born))
+        entry = self.backend.entry
+        self.assertEqual(expected, entry and entry.backend)
+
     async def test_stopping_daemon_takes_nothing_back(self):
         """Guards against a stopping daemon that announces itself as ready."""
         self.stopping = True
