Give a reused address to its later host; never lose the own host

Tests, both failed before: test_address_belongs_to_the_later_host, test_stale_reading_tells_no_loss_of_the_own_record.

--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -39,6 +39,7 @@
         self._clock = clock
         self._is_alive = is_alive
         self._known: dict[str, _Known] = {}
+        self._holders: dict[str, str] = {}
         self._destinations: dict[str, tuple[Destination, ...]] = {}
 
     def __len__(self) -> int:
@@ -59,11 +60,31 @@
         if known is not None and known.entry.age_rank > entry.age_rank:
             known.gone_at = None
             return
+        if not self._take_address(entry):
+            return
         if known is None or known.entry != entry:
             _log.info("host record changed", **describe_entry(entry))
         self._known[entry.host] = _Known(entry)
         self._rebuild()
 
+    def _take_address(self, entry: HostEntry) -> bool:
+        """Give a peer address to its later host; return whether that is this one.
+
+        Notes
+        -----
+        Addresses of hosts that are gone are used again. A link to such an address
+        answers, but says nothing of the host that had it before.
+        """
+        holder = self._holders.get(entry.peer_address, entry.host)
+        known = self._known.get(holder)
+        if holder != entry.host and known is not None:
+            if known.entry.incarnation > entry.incarnation:
+                return False
+            del self._known[holder]
+            _log.info("host is gone", peer=holder, address_of=entry.host)
+        self._holders[entry.peer_address] = entry.host
+        return True
+
     def mark_lost(self, host: str) -> None:
         """Begin to give up a host whose record is gone."""
         known = self._known.get(host)
@@ -72,15 +93,24 @@
             _log.info("host record lost", peer=host)
 
     def replace_all(
-        self, entries: Mapping[str, HostEntry], *, stale: bool = False
+        self,
+        entries: Mapping[str, HostEntry],
+        *,
+        own_host: str = "",
+        stale: bool = False,
     ) -> None:
         """Take over a whole reading of the store.
 
-        A stale reading may be older than the record of a host that answers.
+        Parameters
+        ----------
+        own_host
+            Host that is never lost; it has no link to itself that could answer.
+        stale
+            Whether the reading may be older than the record of a host that answers.
         """
         for entry in entries.values():
             self.put(entry)
-        for host in set(self._known) - set(entries):
+        for host in set(self._known) - set(entries) - {own_host}:
             if not stale or not self._is_alive(self._known[host].entry.peer_address):
                 self.mark_lost(host)
 
@@ -93,6 +123,8 @@
             if self._is_alive(known.entry.peer_address):
                 continue
             del self._known[host]
+            if self._holders.get(known.entry.peer_address) == host:
+                del self._holders[known.entry.peer_address]
             _log.info("host is gone", peer=host)
             self._rebuild()
 
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -178,7 +178,7 @@
         elif not stale:
             # A stale reading may be older than the record; its lease tells a loss.
             self._lost()
-        self._directory.replace_all(entries, stale=stale)
+        self._directory.replace_all(entries, own_host=self._own_host, stale=stale)
         for entry in entries.values():
             self._seen(entry)
 
--- a/tests/test_coordination_directory.py
+++ b/tests/test_coordination_directory.py
@@ -66,6 +66,33 @@
         self.directory.expire()
         self.assertEqual(["b1"], self.found())
 
+    @parameterized.expand([("later", 2, ["b2"]), ("earlier", 0, ["b1"])])
+    def test_address_belongs_to_the_later_host(self, _, incarnation, expected):
+        """Guards against a dead host that seems to answer, as its address is reused.
+
+        Such a host was taken for the relay of its region, which nobody followed the
+        store for.
+        """
+        self.alive = {"h1:1"}
+        self.directory.put(make_entry())
+        other = make_entry("h2", incarnation=incarnation, backend="b2")
+        other = msgspec.structs.replace(other, peer_address="h1:1")
+        self.directory.put(other)
+        self.assertEqual(expected, self.found())
+        self.directory.put(make_entry())
+        self.assertEqual(expected, self.found())
+
+    def test_address_is_free_after_its_host(self):
+        """Guards against a host that cannot return to its own address."""
+        self.directory.put(make_entry(incarnation=5))
+        self.directory.mark_lost("h1")
+        self.clock.advance(RETURN_GRACE_S)
+        self.directory.expire()
+        earlier = make_entry("h2", incarnation=1, backend="b2")
+        earlier = msgspec.structs.replace(earlier, peer_address="h1:1")
+        self.directory.put(earlier)
+        self.assertEqual(["b2"], self.found())
+
     @parameterized.expand([("gone", False, []), ("answers", True, ["b1"])])
     def test_host_without_record(self, _, alive, expected):
         """Guards against dead hosts that are kept, and living ones that are not."""
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -5,10 +5,12 @@
 import asyncio
 import random
 import unittest
+from unittest.mock import patch
 
 from parameterized import parameterized
 
 from almondrouter.clock import SystemClock
+from almondrouter.coordination import directory
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.registration import (
@@ -202,10 +204,15 @@
             lost=lambda: lost.append(1),
             seen=lambda entry: None,
         )
-        records.load((), stale=True)
-        self.assertEqual([], lost)
-        records.load(())
-        self.assertEqual([1], lost)
+        self.directory.put(self.entry)
+        with patch.object(directory, "RETURN_GRACE_S", 0.0):
+            records.load((), stale=True)
+            self.assertEqual([], lost)
+            records.load(())
+            self.assertEqual([1], lost)
+            self.directory.expire()
+        hosts = {entry.host for entry in self.directory.entries}
+        self.assertIn("own", hosts)
 
     async def test_withdrawn_record_is_gone_at_once(self):
         """Guards against a stopped host that is chosen until its lease ends."""
