--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -62,8 +62,6 @@
 DRAWN_PER_TIER = 2
 """Backend servers that are compared at each distance; drawing a few keeps daemons
 with the same old report from choosing the same one."""
-
-
 MIN_REPORT_WEIGHT = 0.5
 """Least weight of all reports; less of it tells little of a service."""
 USUAL_S = 0.1
