Pass sooner over daemons that the store does not answer

Logs: the store answers part of the machines with silence; three daemons of the region in turn waited for a watch of 2.5 s and for readings of 1.5 s, and version 5 came into force 3.8 s after it was accepted.

A watch waits for 1 s again, and a call ends after 0.8 s; a slow store takes 0.4 s. Test, failed before: test_silent_store_is_noticed_in_time.

--- a/packages/almondrouterd/src/almondrouterd/platform/store.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -35,9 +35,10 @@
     WatchEvent,
 )
 
-CALL_TIMEOUT_S = 1.5
-"""Seconds for one call; a slow store takes up to 0.4."""
-WATCH_WAIT_MS = 2_000
+CALL_TIMEOUT_S = 0.8
+"""Seconds for one call; a slow store takes up to 0.4. Daemons that the store does not
+answer are passed over one after the other, each after this time."""
+WATCH_WAIT_MS = 1_000
 """Milliseconds that a watch waits; bounds how long a silent one goes unnoticed, and
 with the slack it stays below the time in which a change has to be in force."""
 WATCH_SLACK_S = 0.5
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -16,6 +16,7 @@
 )
 from almondrouter.transport.store import Compare, Delete, Lease, Put, Transaction
 from almondrouter_standins.platform_store import PlatformStoreServer, StoreFault
+from almondrouterd.platform import store
 from almondrouterd.platform.store import PlatformStore
 from calls_support import TIMEOUT_S
 
@@ -137,3 +138,15 @@
             await self.write("b")
         await self.write("c")
         self.assertIn("c", self.server.keys)
+
+
+class TakeOverTest(unittest.TestCase):
+    """A machine that the store does not answer is passed over."""
+
+    def test_silent_store_is_noticed_in_time(self):
+        """Guards against versions that are late as two daemons wait one by one.
+
+        Changes have to be in force within 2.5 s on the deployments.
+        """
+        silent_watch = store.WATCH_WAIT_MS / 1000 + store.WATCH_SLACK_S
+        self.assertLessEqual(silent_watch + store.CALL_TIMEOUT_S, 2.5)
