Log and count each request whose connection ends before its response

Cause: a connection of a caller can end with requests in progress for six reasons, five of them decisions of the daemon (a later request is malformed or too long, too many pipelined requests, a response without a length, `Connection: close`, the end of a graceful stop).

Change: one rate-limited line for each such request with its id, the reason, its position on the connection and whether it was being served; counters by reason in almond_caller_events_total. No decision changes.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -6,6 +6,7 @@
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from http import HTTPStatus
 
 import httptools
@@ -13,6 +14,7 @@
 from almondrouter.clock import Clock, SystemClock
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
+from almondrouter.protocol.calls import HeaderList
 from almondrouter.protocol.headers import CODE, OUTCOME, VERSION, Outcome
 from almondrouter.protocol.outcomes import choose_status
 from almondrouter.state.routes import CallerLimits
@@ -53,6 +55,18 @@
 CallerHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 
 
+class EndReason(StrEnum):
+    """Why a connection of a caller ended or reads no further requests."""
+
+    CALLER_LEFT = "caller_left"
+    CALLER_CLOSES = "caller_closes"
+    RESPONSE_UNFRAMED = "response_unframed"
+    STOPPING = "stopping"
+    CLOSED = "closed"
+    REQUEST_REFUSED = "request_refused"
+    TOO_MANY_PIPELINED = "too_many_pipelined"
+
+
 class CallerServer(Listener):
     """HTTP/1.1 server for the requests of callers.
 
@@ -71,6 +85,8 @@
     limits
         Returns the limits in force; by default ``max_body_bytes`` and the constants
         of this module.
+    find_request_id
+        Returns the id of a request from its headers, for log lines.
     """
 
     def __init__(
@@ -82,6 +98,7 @@
         version: Callable[[], int] = lambda: 0,
         clock: Clock | None = None,
         limits: Callable[[], CallerLimits] | None = None,
+        find_request_id: Callable[[HeaderList], str] = lambda headers: "",
     ) -> None:
         super().__init__(address)
         default = CallerLimits(
@@ -91,6 +108,7 @@
         self.limits = limits or (lambda: default)
         self.version = version
         self.clock = clock or SystemClock()
+        self.find_request_id = find_request_id
         self.connections: set[CallerConnection] = set()
         self.draining = False
         self.keep_alive_disabled = False
@@ -135,7 +153,7 @@
         self.stop_listening()
         tasks = [task for c in self.connections for task in c.tasks]
         for connection in tuple(self.connections):
-            connection.abort()
+            connection.abort(EndReason.CLOSED)
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def tick(self) -> None:
@@ -178,6 +196,7 @@
         self._closing = False
         self._accepting_requests = True
         self._began_at = server.clock.monotonic()
+        self._end_reason = EndReason.CALLER_LEFT
         self._reset_request()
 
     @property
@@ -202,7 +221,7 @@
     def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
         self._server.connections.discard(self)
         self._closing = True
-        self._cancel_requests()
+        self._drop_requests()
 
     def data_received(self, data: bytes) -> None:  # noqa: D102
         if self._refused:
@@ -277,7 +296,7 @@
         self._reset_request()
         if len(self._exchanges) > MAX_PIPELINED:
             self._server.counts["pipeline_refused"] += 1
-            self.abort()
+            self.abort(EndReason.TOO_MANY_PIPELINED)
             return
         if not self._exchanges and self._server.draining:
             self._refuse_request(ErrorCode.STOPPING)
@@ -296,8 +315,9 @@
             self._closing = True
             self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: EndReason) -> None:
         """Close the connection at once and discard unsent data."""
+        self._end_reason = reason
         self._refused = True
         self._transport.abort()
 
@@ -309,7 +329,7 @@
             self._server.counts["slow_callers"] += 1
             self._refuse_request(ErrorCode.HEADER_INVALID)
         else:
-            self.abort()
+            self.abort(EndReason.CLOSED)
 
     def _reset_request(self) -> None:
         self._target = b""
@@ -372,16 +392,33 @@
             )
             if not keep_alive:
                 self._closing = True
-                self._cancel_requests()
+                self._end_reason = find_end_reason(exchange.response, last=last)
+                self._drop_requests()
                 self._transport.close()
                 return
         self._start_ready_requests()
 
-    def _cancel_requests(self) -> None:
-        for task in self.tasks:
-            task.cancel()
+    def _drop_requests(self) -> None:
+        """Cancel the requests that get no response, as the connection has ended."""
+        for position, exchange in enumerate(self._exchanges):
+            if exchange.task is not None:
+                exchange.task.cancel()
+            self._log_unanswered(exchange, position)
         self._exchanges.clear()
 
+    def _log_unanswered(self, exchange: _Exchange, position: int) -> None:
+        server, request = self._server, exchange.request
+        server.counts[f"unanswered_{self._end_reason}"] += 1
+        _log.request(
+            "connection of the caller ended before the response",
+            request=server.find_request_id(request.headers),
+            reason=self._end_reason.value,
+            position=position,
+            started=exchange.task is not None,
+            answered=exchange.response is not None,
+            after=round(server.clock.monotonic() - request.began_at, 4),
+        )
+
     def _refuse_request(self, code: ErrorCode) -> None:
         if self._refused or self._closing:
             return
@@ -389,7 +426,7 @@
         self._server.counts[code.value] += 1
         if self._exchanges:
             # An error response now would be taken for that of an earlier request.
-            self.abort()
+            self.abort(EndReason.REQUEST_REFUSED)
             return
         response = self._make_error_response(Outcome.NOT_RUN, code)
         self._transport.write(encode_response(response, keep_alive=False))
@@ -406,6 +443,19 @@
         return CallerResponse(choose_status(outcome, code), headers, b"")
 
 
+def find_end_reason(response: CallerResponse, *, last: bool) -> EndReason:
+    """Return why a connection ends with a response.
+
+    Parameters
+    ----------
+    last
+        Whether the server reads no further request on the connection.
+    """
+    if last:
+        return EndReason.STOPPING
+    return EndReason.CALLER_CLOSES if response.framed else EndReason.RESPONSE_UNFRAMED
+
+
 def encode_response(response: CallerResponse, *, keep_alive: bool) -> bytes:
     """Return an HTTP/1.1 response as bytes."""
     line = _STATUS_LINES.get(response.status)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -34,6 +34,7 @@
     CallReply,
     CallRequest,
     ClaimQuery,
+    HeaderList,
     Hello,
     LinkRequest,
     RoutesQuery,
@@ -233,6 +234,7 @@
             version=lambda: self.routes.version,
             clock=clock,
             limits=self._get_caller_limits,
+            find_request_id=self._find_request_id,
         )
         self.link_server = CallLinkServer(
             address=settings.peer_address,
@@ -276,6 +278,7 @@
             retry_budget=self.retry_budget,
             links=self.links,
             store=self._store,
+            callers=self.callers,
         )
         address = f"{self.settings.ip}:{self.settings.metrics_port}"
         self._metrics_server = self._make_internal_server(address, self._handle_metrics)
@@ -396,6 +399,9 @@
         table = self.routes.table
         return table.limits if table is not None else CallerLimits()
 
+    def _find_request_id(self, headers: HeaderList) -> str:
+        return self._dialect.read_request(headers).attempt_id
+
     def _make_entry(self) -> HostEntry:
         settings = self.settings
         return HostEntry(
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -10,6 +10,7 @@
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.logs import LineWriter
+from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.links import CallLinkPool
 from almondrouterd.metrics import DaemonMetrics, Samples, make_unlabelled_samples
 from almondrouterd.platform.store import PlatformStore
@@ -45,8 +46,9 @@
     retry_budget: FleetRetryBudget,
     links: CallLinkPool,
     store: PlatformStore,
+    callers: CallerServer,
 ) -> None:
-    """Register metrics of the backend server, retries, links and store calls."""
+    """Register metrics of callers, backend server, retries, links and store calls."""
     metrics.add_gauge(
         "almond_backend_load",
         "Slots, requests running and requests waiting",
@@ -67,6 +69,11 @@
         "Links lost and refused",
         lambda: _read_counts(links.counts, "event"),
     )
+    metrics.add_counter(
+        "almond_caller_events_total",
+        "Requests and connections refused, and requests without a response",
+        lambda: _read_counts(callers.counts, "event"),
+    )
     metrics.add_counter(
         "almond_store_calls_total",
         "Calls to the store by kind and status; 0 means no answer",
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -228,6 +228,24 @@
         writer.close()
         await wait_until(lambda: self.cancelled == 1)
 
+    @parameterized.expand(
+        [
+            ("caller_left", b"", 1),
+            ("request_refused", b"\x00\r\n\r\n", 1),
+            ("too_many_pipelined", GET * 17, 17),
+        ]
+    )
+    async def test_unanswered_request_is_counted_by_reason(self, reason, data, count):
+        """Guards against connections that end with requests and leave no trace."""
+        self.release.clear()
+        _, writer = await self.open(GET)
+        await wait_until(lambda: self.requests)
+        writer.write(data)
+        if not data:
+            writer.close()
+        await wait_until(lambda: not self.server.connections)
+        self.assertEqual(count, self.server.counts[f"unanswered_{reason}"])
+
     async def test_failure_of_the_handler_is_unknown(self):
         """Guards against reporting not run after an internal error.
 
