Skip change records older than the version in force

What was seen: while a reply of change records was on its way, a broadcast could put one of its versions in force. The reply was then refused as a whole and the complete document was fetched instead; operators saw a refusal `version_older`.

Cause: activate_records raised for each record older than the version in force, and accepted only that version itself before the newer ones.

Change: records up to the version in force are skipped. The last of them must be that version with its digest, so a reply from another history, with a gap there or with only older records is refused as before.

Evidence: the new test failed before: records 6, 7, 8 at version 7 gave False in place of True, and a record 7 of another history was counted as version_older in place of version_diverged. The cases "all older" and "without the version in force" passed before and still do.

--- a/packages/almondrouter/src/almondrouter/coordination/activation.py
+++ b/packages/almondrouter/src/almondrouter/coordination/activation.py
@@ -149,30 +149,29 @@
     def activate_records(self, records: Sequence[ChangeRecord]) -> bool:
         """Apply change records in order and put the final result in force.
 
-        A record of the version in force is skipped. An older record, a gap in the
-        versions or one invalid record causes all of them to be refused.
+        Records up to the version in force are skipped, as it may have been replaced
+        since the sender was asked; the last of them must be that version. A gap in
+        the versions or one invalid record causes all of them to be refused.
 
         Returns
         -------
         bool
             Whether a new version was put in force.
         """
-        configuration = self._state.configuration
-        applied = []
+        configuration, head = self._state.configuration, self._state.head
+        known = [record for record in records if record.version <= head.version]
+        newer = [record for record in records if record.version > head.version]
         try:
-            for record in records:
-                if record.version <= self._state.head.version:
-                    # Raises for an older version, or for another digest.
-                    self._is_newer(Head(record.version, record.digest))
-                    continue
+            if known:
+                # Raises for an older version, or for another digest.
+                self._is_newer(Head(known[-1].version, known[-1].digest))
+            for record in newer:
                 configuration = apply_record(configuration, record)
-                applied.append(record)
         except AlmondError as error:
             return self._record_refusal(error)
-        if not applied:
+        if not newer:
             return False
-        digest = applied[-1].digest
-        return self.activate(configuration, digest=digest, records=applied)
+        return self.activate(configuration, digest=newer[-1].digest, records=newer)
 
     def recompile(self) -> None:
         """Compile the snapshot again from the hosts in the registry now."""
--- a/tests/test_coordination_activation.py
+++ b/tests/test_coordination_activation.py
@@ -130,6 +130,30 @@
         self.assertEqual(self.activation.activate_records(records), not corrupt)
         self.assertEqual(self.activation.head().version, version)
 
+    @parameterized.expand(
+        [
+            ("through the version in force", (6, 7, 8), 8, None),
+            ("another history", (6, -7, 8), 7, ErrorCode.VERSION_DIVERGED),
+            ("all older", (5, 6), 7, ErrorCode.VERSION_OLDER),
+            ("without the version in force", (6, 8), 7, ErrorCode.VERSION_OLDER),
+        ]
+    )
+    def test_older_records_before_newer_ones_are_skipped(
+        self, _name, versions, version, code
+    ):
+        """Guards against fetching a document because a version arrived meanwhile."""
+        configuration = make_configuration(4)
+        records = {}
+        for _ in range(4):
+            configuration, record = make_record(configuration, Change())
+            records[record.version] = record
+            records[-record.version] = msgspec.structs.replace(record, digest="0" * 32)
+        activate_first(self.activation, 7)
+        reply = [records[number] for number in versions]
+        self.assertEqual(code is None, self.activation.activate_records(reply))
+        self.assertEqual(version, self.activation.head().version)
+        self.assertEqual({code: 1} if code else {}, self.activation.refusals)
+
     def test_records_with_a_gap_are_refused(self):
         activate_first(self.activation)
         middle, _ = make_record(self.activation.configuration, Change())
