Don't report an outage when the store has compacted its history

What operators saw: `store unreachable; retrying` with the code history_compacted, and a daemon that counted as cut off from the store, although the store had just responded.

Cause: StoreFeed.run recorded each failure of a watch as an outage, also the response that the history after a revision is gone.

Change: that response is counted, leaves a line of its own and requires a full read. An outage begins only with a call that gets no usable response.

Evidence: the new test compacts the history between two requests of a watch. It failed before: connection states [True, False, True] in place of [True].

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
@@ -126,10 +126,14 @@
             self._delete(key)
             self._changed.notify_all()
 
-    async def forget_history(self) -> None:
-        """Discard the event history and reset all connections, with their watches."""
+    def compact_history(self) -> None:
+        """Discard the event history."""
         self._state.history.clear()
         self._state.compacted_revision = self._state.revision
+
+    async def forget_history(self) -> None:
+        """Discard the event history and reset all connections, with their watches."""
+        self.compact_history()
         self.cut_connections()
 
     def cut_connections(self) -> None:
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from almondrouter.clock import Clock
-from almondrouter.errors import AlmondError
+from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.logs import EventLogger
 from almondrouter.transport.store import KeyValue, Store, WatchBatch, WatchEvent
 
@@ -156,10 +156,10 @@
                 else:
                     await self._poll_store()
             except AlmondError as error:
-                self._record_failure(error)
-                if error.code.value == "history_compacted":
-                    self._require_full_read()
+                if error.code is ErrorCode.HISTORY_COMPACTED:
+                    self._handle_compaction(error)
                     continue
+                self._record_failure(error)
                 await asyncio.sleep(self._backoff_s * self._random.uniform(0.5, 1.0))
                 self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
 
@@ -239,6 +239,12 @@
             self._on_connection_changed()
             _log.info("store reachable", revision=self._revision)
 
+    def _handle_compaction(self, error: AlmondError) -> None:
+        """Require a full read; the store has responded, so this is no outage."""
+        self.counts[error.code.value] += 1
+        self._require_full_read()
+        _log.info("store history compacted; reading all keys", reason=error.message)
+
     def _record_failure(self, error: AlmondError) -> None:
         self.counts[error.code.value] += 1
         if self._connected is not False:
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -10,7 +10,7 @@
 from parameterized import parameterized
 
 from almondrouter.clock import SystemClock
-from almondrouter.coordination import directory
+from almondrouter.coordination import directory, storefeed
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.registration import (
@@ -140,6 +140,19 @@
         self.server.fault = StoreFault.NONE
         await self.wait_for_version(2)
 
+    async def test_compacted_history_is_no_outage(self):
+        """Guards against an outage that is reported while the store responds."""
+        await wait_until(lambda: self.connection_states == [True])
+        with patch.object(storefeed, "COALESCING_DELAY_S", 1.0):
+            await self.put_version(1)
+            await self.wait_for_version(1)
+            # The feed waits before it watches again, so it misses the compaction.
+            await self.put_version(2)
+            self.server.compact_history()
+            await self.wait_for_version(2)
+        self.assertEqual(1, self.feed.counts["history_compacted"])
+        self.assertEqual([True], self.connection_states)
+
     async def test_lost_record_is_written_again(self):
         """Guards against a live host that stays unknown after its lease expired."""
         key = HOSTS_PREFIX + "own"
