Keep a delegate's status collection within its timeout

What operators saw: `almondctl status` showed all hosts of a data centre as silent when more than 32 of them did not respond, also those that did.

Cause: a delegate asks 16 hosts at a time and waits 1 s for each, so 33 silent hosts take three rounds, longer than the 2.5 s that the asking daemon waits for the delegate.

Change: a request without a reply gives its slot back after its share of SENDING_TIME_S and goes on waiting. All requests are sent within 1 s and each host still has 1 s, so a collection ends within 2 s for any number of hosts. The limit of 16 requests now holds for each collection instead of for all that run at once; hosts that respond still get no more than 16 at a time from one.

--- a/packages/almondrouter/src/almondrouter/coordination/fleetstatus.py
+++ b/packages/almondrouter/src/almondrouter/coordination/fleetstatus.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
+from functools import partial
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.delegates import rank_hosts
@@ -23,6 +25,9 @@
 # Longer, because the delegate first requests the status of its data centre's hosts.
 DELEGATE_TIMEOUT_S = 2.5
 MAX_CONCURRENT_REQUESTS = 16
+# Seconds within which the last request of a data centre is sent. With HOST_TIMEOUT_S it
+# stays below DELEGATE_TIMEOUT_S, however many hosts do not respond.
+SENDING_TIME_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +80,6 @@
         self._clock = clock
         self._status = status
         self._cached_replies: dict[str, StatusReply] = {}
-        self._request_slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
         endpoint.set_handler(FleetRequest, self._answer_fleet_request)
 
     async def collect(self, version: int) -> list[DataCentreStatus]:
@@ -110,7 +114,8 @@
 
     async def _collect_own_data_centre(self, version: int) -> DataCentreStatus:
         records = _list_live(self._registry.list_data_centre(self._data_centre))
-        requests = [self._request_status(record, version) for record in records]
+        slots = _RequestSlots(len(records))
+        requests = [self._request_status(record, version, slots) for record in records]
         replies = await asyncio.gather(*requests)
         pairs = list(zip(records, replies, strict=True))
         return DataCentreStatus(
@@ -120,26 +125,28 @@
         )
 
     async def _request_status(
-        self, record: HostRecord, version: int
+        self, record: HostRecord, version: int, slots: _RequestSlots
     ) -> StatusReply | None:
         if record.host == self._host:
             return self._status()
         cached = self._cached_replies.get(record.host)
         if cached is not None and _is_still_valid(cached, record, version):
             return cached
-        async with self._request_slots:
-            deadline = self._clock.monotonic() + HOST_TIMEOUT_S
-            try:
-                reply = await self._endpoint.request(
-                    record.control_address, StatusRequest(), deadline=deadline
-                )
-            except AlmondError:
-                return None
-        if not isinstance(reply, StatusReply):
-            return None
-        self._cached_replies[record.host] = reply
+        reply = await slots.run(partial(self._query_host, record))
+        if reply is not None:
+            self._cached_replies[record.host] = reply
         return reply
 
+    async def _query_host(self, record: HostRecord) -> StatusReply | None:
+        deadline = self._clock.monotonic() + HOST_TIMEOUT_S
+        try:
+            reply = await self._endpoint.request(
+                record.control_address, StatusRequest(), deadline=deadline
+            )
+        except AlmondError:
+            return None
+        return reply if isinstance(reply, StatusReply) else None
+
     async def _answer_fleet_request(
         self, message: ControlMessage, sender: str
     ) -> FleetReply:
@@ -147,6 +154,37 @@
         return FleetReply(status.replies, status.silent)
 
 
+class _RequestSlots:
+    """Limits the concurrent requests of one collection, and how long one delays others.
+
+    A request that gets no reply gives its slot back early, so that hosts that do not
+    respond cannot delay the last request by more than ``SENDING_TIME_S``.
+
+    Parameters
+    ----------
+    count
+        Number of requests in the collection.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
+        rounds = max(1, math.ceil(count / MAX_CONCURRENT_REQUESTS))
+        self._max_hold_s = SENDING_TIME_S / rounds
+
+    async def run(
+        self, query: Callable[[], Coroutine[None, None, StatusReply | None]]
+    ) -> StatusReply | None:
+        """Query a host as soon as a slot is free; return its reply."""
+        async with self._slots:
+            task = asyncio.create_task(query())
+            try:
+                await asyncio.wait((task,), timeout=self._max_hold_s)
+            except asyncio.CancelledError:
+                task.cancel()
+                raise
+        return await task
+
+
 def _is_still_valid(cached: StatusReply, record: HostRecord, version: int) -> bool:
     return (
         cached.ready
