Apply a reloaded retry window to the counts that exist

What operators saw: after SIGHUP with another `budget_window_s` the daemon went on with the old window for each service that it had already counted, until its restart.

Cause: each count kept the window in force when it was made; FleetRetryBudget replaced only the limits.

Change: a count gets the beginning of the window with each query. When the window grows, events that the shorter one has already dropped stay dropped.

Evidence: the new test failed before in both cases: 5 s after a change from 10 s to 2 s a retry was denied (True != False), and after one from 2 s to 10 s it was allowed (False != True).

--- a/packages/almondrouter/src/almondrouter/coordination/fleetretries.py
+++ b/packages/almondrouter/src/almondrouter/coordination/fleetretries.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -50,7 +50,7 @@
     Parameters
     ----------
     limits
-        Limits for the whole fleet.
+        Limits for the whole fleet; may be replaced at any time.
     count_hosts
         Returns how many daemons share the extra retries.
     clock
@@ -63,41 +63,34 @@
         self.limits = limits
         self._count_hosts = count_hosts
         self._clock = clock
-        self._requests: dict[str, _WindowCount] = {}
-        self._retries: dict[str, _WindowCount] = {}
+        self._requests: defaultdict[str, _WindowCount] = defaultdict(_WindowCount)
+        self._retries: defaultdict[str, _WindowCount] = defaultdict(_WindowCount)
         self.counts: Counter[str] = Counter()
 
     def record_request(self, service: str) -> None:
         """Count the first attempt of a request."""
-        self._get_window(self._requests, service).add(self._clock.monotonic())
+        self._requests[service].add(self._clock.monotonic())
 
     def try_spend(self, service: str) -> bool:
         """Take one retry from the budget; return whether one was left."""
         now = self._clock.monotonic()
-        retries = self._get_window(self._retries, service)
-        requests = self._get_window(self._requests, service).total(now)
+        since = now - self.limits.window
+        retries = self._retries[service]
+        requests = self._requests[service].total(since)
         extra = self.limits.extra * USABLE_EXTRA_SHARE / max(1, self._count_hosts())
         allowed = requests * self.limits.ratio * USABLE_RATIO_SHARE + extra
-        if retries.total(now) + 1 > allowed:
+        if retries.total(since) + 1 > allowed:
             self.counts["denied"] += 1
             return False
         retries.add(now)
         self.counts["spent"] += 1
         return True
 
-    def _get_window(
-        self, counts: dict[str, _WindowCount], service: str
-    ) -> _WindowCount:
-        if service not in counts:
-            counts[service] = _WindowCount(self.limits.window)
-        return counts[service]
-
 
 class _WindowCount:
     """Number of events within a sliding window, counted in buckets."""
 
-    def __init__(self, window: float) -> None:
-        self._window = window
+    def __init__(self) -> None:
         self._buckets: deque[list[float]] = deque()
         self._total = 0
 
@@ -109,7 +102,8 @@
             self._buckets.append([bucket, 1])
         self._total += 1
 
-    def total(self, now: float) -> int:
-        while self._buckets and self._buckets[0][0] < now - self._window:
+    def total(self, since: float) -> int:
+        """Return the events since a time; drops the earlier ones."""
+        while self._buckets and self._buckets[0][0] < since:
             self._total -= int(self._buckets.popleft()[1])
         return self._total
--- a/tests/test_coordination_fleetretries.py
+++ b/tests/test_coordination_fleetretries.py
@@ -5,6 +5,7 @@
 import bisect
 import random
 import unittest
+from dataclasses import replace
 
 from parameterized import parameterized
 
@@ -59,3 +60,17 @@
             pass
         self.assertTrue(budget.try_spend("sound"))
         self.assertEqual(1, budget.counts["denied"])
+
+    @parameterized.expand([("shorter", 10.0, 2.0, True), ("longer", 2.0, 10.0, False)])
+    def test_reloaded_window_applies_to_existing_counts(
+        self, _, before, after, is_allowed
+    ):
+        """Guards against a daemon that keeps an old window until it restarts."""
+        clock = ManualClock()
+        limits = replace(LIMITS, window=before)
+        budget = FleetRetryBudget(limits, count_hosts=lambda: 1, clock=clock)
+        while budget.try_spend("s"):
+            pass
+        budget.limits = replace(LIMITS, window=after)
+        clock.advance(5.0)
+        self.assertEqual(is_allowed, budget.try_spend("s"))
