Keep no entry for each lease of the platform's store

What operators saw: nothing yet; the daemon kept one entry for each lease that it was ever granted, so its memory grew with each renewal of its record after an outage.

Cause: PlatformStore wrote the time to live of each lease to a table that nothing reads.

Change: the table is gone; callers hold the lease with its expiry.

Evidence: the new test compares the entries that the client keeps before and after three leases that have ended. It failed before: _leases held 4 entries in place of 1.

--- a/packages/almondrouterd/src/almondrouterd/platform/store.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -121,7 +121,6 @@
             clock=clock,
             max_idle=MAX_CONNECTION_IDLE_S,
         )
-        self._leases: dict[int, float] = {}
         self.counts: Counter[tuple[str, int]] = Counter()
 
     async def read(self, key: str) -> ReadResult:  # noqa: D102
@@ -174,7 +173,6 @@
         requested_at = self._clock.monotonic()
         response = await self._call_store("POST", "kv-lease", body=_LeaseGrant(ttl))
         granted = decode_response(response, _LeaseGrant)
-        self._leases[granted.lease_id] = granted.ttl_s_time
         return Lease(granted.lease_id, requested_at + granted.ttl_s_time)
 
     async def keep_alive(self, lease: Lease) -> Lease:  # noqa: D102
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Collection
 
 from parameterized import parameterized
 
@@ -73,6 +74,22 @@
                 await call
             self.assertEqual(ErrorCode.LEASE_EXPIRED, caught.exception.code)
 
+    async def test_nothing_is_kept_for_a_lease(self):
+        """Guards against memory that grows with each lease over months."""
+
+        def count_entries():
+            return {
+                name: len(value)
+                for name, value in vars(self.store).items()
+                if isinstance(value, Collection)
+            }
+
+        await self.store.revoke_lease(await self.store.grant_lease(1))
+        before = count_entries()
+        for _ in range(3):
+            await self.store.revoke_lease(await self.store.grant_lease(1))
+        self.assertEqual(before, count_entries())
+
     async def test_watch_continues_from_its_revision(self):
         """Guards against changes that are lost between two requests of a watch."""
         revision = (await self.store.read_prefix("a/")).revision
