Drop three host settings that a reload reported without effect

What operators saw: after SIGHUP with another drain_s, heartbeat_s or memory_mb the daemon logged `settings reloaded` with that name under `changed`, and nothing was different.

Cause: HostSettings carried drain_within, heartbeat_interval and memory_mb, and they were listed as reloadable, but nothing reads them.

Change: HostSettings has only what the daemon uses; the reloadable ones are repeat_limits and stop_within. The settings file is checked as before.

Evidence: the new test failed before for the three fields: settings that differ in one of them were unequal (False != True). Its cases grace_s and budget_extra passed before.

--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -88,9 +88,7 @@
 _log = EventLogger("daemon")
 _METRICS_HEADERS = (("content-type", "text/plain; version=0.0.4; charset=utf-8"),)
 METRICS_PATH = "/metrics"
-_RELOADABLE_SETTINGS = frozenset(
-    {"repeat_limits", "stop_within", "drain_within", "heartbeat_interval", "memory_mb"}
-)
+_RELOADABLE_SETTINGS = frozenset({"repeat_limits", "stop_within"})
 
 
 @dataclass(slots=True)
--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -84,13 +84,10 @@
         Port of the metrics endpoint.
     store_address
         ``ip:port`` of the key-value service.
-    heartbeat_interval, drain_within, stop_within
-        Seconds between heartbeats, from a backend server's leaving until it gets
-        no more requests, and from a stop signal until the process is killed.
+    stop_within
+        Seconds from a stop signal until the process is killed.
     repeat_limits
         Limits on retries over the whole fleet.
-    memory_mb
-        Memory that the process may use, in MB.
     link_bytes_per_second
         Capacity of the network link of the host.
     """
@@ -108,11 +105,8 @@
     backend_control_address: str
     metrics_port: int
     store_address: str
-    heartbeat_interval: float
-    drain_within: float
     stop_within: float
     repeat_limits: FleetRetryLimits
-    memory_mb: float
     link_bytes_per_second: float
 
 
@@ -169,13 +163,10 @@
         backend_control_address=file.listen.control,
         metrics_port=METRICS_PORT,
         store_address=file.provider.address,
-        heartbeat_interval=file.heartbeat_s,
-        drain_within=bounds.drain_s,
         stop_within=bounds.grace_s,
         repeat_limits=FleetRetryLimits(
             bounds.retry_budget_ratio, bounds.budget_extra, bounds.budget_window_s
         ),
-        memory_mb=file.limits.memory_mb,
         link_bytes_per_second=compute_link_rate(file.limits.link_mbps),
     )
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -74,6 +74,20 @@
         self.assertEqual(expected, self.read(text).link_bytes_per_second)
         self.assertEqual(125e6, self.read(SETTINGS).link_bytes_per_second)
 
+    @parameterized.expand(
+        [
+            ("heartbeat_s = 1.5", "heartbeat_s = 3.0", False),
+            ("memory_mb = 150", "memory_mb = 300", False),
+            ("[listen]", "[bounds]\ndrain_s = 9.0\n[listen]", False),
+            ("[listen]", "[bounds]\ngrace_s = 9.0\n[listen]", True),
+            ("[listen]", "[bounds]\nbudget_extra = 9.0\n[listen]", True),
+        ]
+    )
+    def test_only_settings_in_use_can_change(self, old, new, changes):
+        """Guards against a reload that reports a change without any effect."""
+        settings = self.read(SETTINGS.replace(old, new))
+        self.assertEqual(changes, settings != self.read(SETTINGS))
+
     @parameterized.expand(
         [
             ("no TOML", "node = ", ErrorCode.FILE_UNREADABLE, "Invalid value"),
