Let a link open for as long as the policy lets calls wait

What callers saw: with `max_connect_wait` above 1 s a call to a daemon that took longer than 1 s to answer the handshake still failed after 1 s with peer_unavailable.

Cause: the attempt to open a link always ended after CONNECT_TIMEOUT_S; the policy only shortened the wait of a call.

Change: the attempt lasts for the longer of the two.

Evidence: the new test failed before: with a handshake after 0.3 s, a policy of several seconds and CONNECT_TIMEOUT_S at 0.1 s the call had ended (True is not false).

--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -41,7 +41,7 @@
 from almondrouter.transport.outbound_link import OutboundLink
 
 CONNECT_TIMEOUT_S = 1.0
-"""Time limit for connecting to a daemon, including the handshake.
+"""Least time limit for connecting to a daemon, including the handshake.
 
 These take two round trips; one to a distant region takes 20 ms.
 """
@@ -67,7 +67,8 @@
         Seconds without received bytes after which a link with pending calls is
         closed; idle links that are pinged are allowed a longer silence.
     max_connect_wait
-        Seconds that a call waits for a link to open.
+        Seconds that a call waits for a link to open. The attempt goes on for
+        ``CONNECT_TIMEOUT_S`` if that is longer, as later calls can use the link.
     ping_idle
         Whether links without pending calls are also pinged. If not, they are
         closed after ``MAX_IDLE_S``.
@@ -86,6 +87,11 @@
     max_short_bytes: int = MAX_CALL_FRAME_BYTES
     max_bulk_silence: float = MAX_SILENCE_S
 
+    @property
+    def connect_timeout(self) -> float:
+        """Seconds after which an attempt to open a link is given up."""
+        return max(CONNECT_TIMEOUT_S, self.max_connect_wait)
+
 
 LinkHandler = Callable[[LinkRequest], Awaitable[CallReply]]
 
@@ -438,7 +444,7 @@
     async def _open_link(self, link_key: str) -> OutboundLink:
         stream = None
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._policy.connect_timeout):
                 stream = await FrameStream.connect(
                     link_key.removesuffix(_BULK_SUFFIX),
                     self._clock,
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 import msgspec
 from parameterized import parameterized
@@ -13,9 +14,11 @@
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import CALL_CODEC, Cancel, Pong
 from almondrouter.protocol.headers import Outcome
+from almondrouter.transport import links
 from almondrouter.transport.frames import ClockOffset, FrameStream
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
 from calls_support import (
+    TIMEOUT_S,
     CallAssertions,
     make_hello,
     make_reply,
@@ -36,6 +39,9 @@
 class Peer:
     """Server that completes the handshake and then reads only when a test does so."""
 
+    def __init__(self, *, handshake_delay=0.0):
+        self.handshake_delay = handshake_delay
+
     async def start(self):
         self.streams = []
         self.server = await asyncio.get_running_loop().create_server(
@@ -45,6 +51,7 @@
         return f"{host}:{port}"
 
     async def serve(self, stream):
+        await asyncio.sleep(self.handshake_delay)
         await stream.run_server_handshake(make_hello("silent"))
         self.streams.append(stream)
 
@@ -166,6 +173,20 @@
         self.assertEqual(5002.0, self.arrived[0].deadline)
         stream.close()
 
+    async def test_call_waits_for_a_link_as_long_as_the_policy_allows(self):
+        """Guards against giving up a distant daemon before the configured wait."""
+        policy = LinkPolicy(max_connect_wait=TIMEOUT_S)
+        self.pool = CallLinkPool(
+            hello=make_hello("caller"), clock=self.clock, policy=policy
+        )
+        self.addAsyncCleanup(self.pool.close)
+        peer = Peer(handshake_delay=0.3)
+        with patch.object(links, "CONNECT_TIMEOUT_S", 0.1):
+            task = self.start_call(b"1", address=await peer.start())
+            await wait_until(lambda: task.done() or peer.streams)
+        self.assertFalse(task.done())
+        self.assertEqual(b"1", (await peer.streams[0].receive()).body)
+
     async def test_silent_link_is_closed_and_reopened(self):
         """Guards against calls that wait forever on a suspended or half-open peer.
 
