--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from almondrouter.clock import Clock, SystemClock
-from almondrouter.transport.callers import CallerServer
+from almondrouter.transport.callers import CallerServer, EndReason
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 
 PATH = "/almondrouter/"
@@ -126,16 +126,20 @@
             self._delete(key)
             self._changed.notify_all()
 
-    async def forget_history(self) -> None:
-        """Discard the event history and reset all connections, with their watches."""
+    def compact_history(self) -> None:
+        """Discard the event history."""
         self._state.history.clear()
         self._state.compacted_revision = self._state.revision
+
+    async def forget_history(self) -> None:
+        """Discard the event history and reset all connections, with their watches."""
+        self.compact_history()
         self.cut_connections()
 
     def cut_connections(self) -> None:
         """Reset every connection."""
         for connection in tuple(self.server.connections):
-            connection.abort()
+            connection.abort(EndReason.CLOSED)
 
     async def _expire_leases_forever(self) -> None:
         while True:
