Count the bytes of restarted daemons in the membership bench

Change: bytes are counted per endpoint, which a restart replaces, and as totals, so that no time is divided by and multiplied again.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -21,6 +21,7 @@
 from almondrouter.clock import SystemClock
 from almondrouter.protocol.control import Head, Heartbeat, HeartbeatReply
 from almondrouter.state.registry import BackendRecord
+from almondrouter.transport.control import ControlEndpoint
 from almondrouter.transport.zeromq import ZmqControlEndpoint
 from almondrouter_standins.simulated_fleet import SimulatedFleet, make_topology
 from almondrouter_standins.simulation import run_simulated
@@ -34,7 +35,8 @@
 MESSAGE_COUNT = 10_000
 LINK_COUNT = 50
 
-HostBytes = dict[str, float]
+EndpointBytes = dict[ControlEndpoint, int]
+"""Bytes sent and received by the endpoint of each daemon since it was started."""
 
 
 def print_figure(name: str, value: float, unit: str, **details: Any) -> None:
@@ -120,7 +122,7 @@
         started = time.process_time()
         await asyncio.sleep(IDLE_SECONDS)
         cpu_seconds = time.process_time() - started
-        rates = self._compute_rates(before, IDLE_SECONDS)
+        rates = [total / IDLE_SECONDS for total in self._count_bytes_since(before)]
         frames_sent = self.fleet.network.frames_sent - frames_sent
         daemons = len(self.fleet.daemons)
         self._add_figure(
@@ -144,8 +146,7 @@
         seconds = 5.0
         before = self._count_bytes()
         await asyncio.sleep(seconds)
-        # With a period of 1 s, the rates equal the bytes of the whole wait.
-        idle = sum(self._compute_rates(before, 1.0))
+        idle = sum(self._count_bytes_since(before))
         before = self._count_bytes()
         daemon = next(iter(self.fleet.daemons.values()))
         started = self.fleet.clock.monotonic()
@@ -158,7 +159,7 @@
             await asyncio.sleep(0.01)
         propagation_seconds = self.fleet.clock.monotonic() - started
         await asyncio.sleep(seconds - propagation_seconds)
-        cost = (sum(self._compute_rates(before, 1.0)) - idle) / len(self.fleet.daemons)
+        cost = (sum(self._count_bytes_since(before)) - idle) / len(self.fleet.daemons)
         self._add_figure("changed record", cost, "B sent and received per daemon")
         self._add_figure("changed record known everywhere", propagation_seconds, "s")
 
@@ -191,18 +192,15 @@
         before = self._count_bytes()
         await action(hosts)
         peak_tracker = asyncio.create_task(self._track_peak_rate())
-        seconds_until_agreed = await self._measure_agreement(name, limit=120)
+        await self._measure_agreement(name, limit=120)
         peak_tracker.cancel()
-        rates = self._compute_rates(before, seconds_until_agreed)
-        total = sum(rates) / len(rates) * seconds_until_agreed
+        totals = self._count_bytes_since(before)
         self._add_figure(
-            f"{name}: bytes, mean", total, "B sent and received per daemon"
-        )
-        self._add_figure(
-            f"{name}: bytes, worst",
-            max(rates) * seconds_until_agreed,
-            "B sent and received",
+            f"{name}: bytes, mean",
+            sum(totals) / len(totals),
+            "B sent and received per daemon",
         )
+        self._add_figure(f"{name}: bytes, worst", max(totals), "B sent and received")
         self._add_figure(
             f"{name}: worst second", self._peak_rate, "B sent and received"
         )
@@ -212,9 +210,9 @@
         while True:
             before = self._count_bytes()
             await asyncio.sleep(1)
-            self._peak_rate = max(self._peak_rate, *self._compute_rates(before, 1.0))
+            self._peak_rate = max(self._peak_rate, *self._count_bytes_since(before))
 
-    async def _measure_agreement(self, name: str, *, limit: float) -> float:
+    async def _measure_agreement(self, name: str, *, limit: float) -> None:
         """Wait until all daemons agree; record the seconds, or -1 at the limit."""
         seconds_until_agreed = await self.fleet.run_until_converged(seconds=limit)
         self._add_figure(
@@ -222,15 +220,14 @@
             -1.0 if seconds_until_agreed is None else seconds_until_agreed,
             "s",
         )
-        return seconds_until_agreed or limit
 
-    def _count_bytes(self) -> HostBytes:
+    def _count_bytes(self) -> EndpointBytes:
         return {
-            host: sum(
+            daemon.endpoint: sum(
                 count.sent + count.received
                 for count in daemon.endpoint.count_bytes().values()
             )
-            for host, daemon in self.fleet.daemons.items()
+            for daemon in self.fleet.daemons.values()
         }
 
     def _count_cross_region_bytes(self) -> int:
@@ -241,13 +238,13 @@
             if self.hosts[address][1] != self.hosts[host][1]
         )
 
-    def _compute_rates(self, before: HostBytes, seconds: float) -> list[float]:
-        after = self._count_bytes()
-        # A daemon whose counter fell was restarted in between and is left out.
+    def _count_bytes_since(self, before: EndpointBytes) -> list[int]:
+        """Return the bytes that each daemon has sent and received since a count."""
+        # A daemon that was restarted in between has another endpoint, whose count
+        # began at 0.
         return [
-            (total - before.get(host, 0.0)) / seconds
-            for host, total in after.items()
-            if total >= before.get(host, 0.0)
+            total - before.get(endpoint, 0)
+            for endpoint, total in self._count_bytes().items()
         ]
 
     def _add_figure(self, name: str, value: float, unit: str) -> None:
