Refuse waiting requests as soon as a backend server leaves

Callers saw: a request that waited for a slot of a host whose daemon was stopping got 504 (outcome unknown) when the daemon ended, although it had not run. Where a slot became free earlier it was refused only then, late for another attempt.

Cause: LocalBackend refuses a request of a server that is not ready on arrival and again when it is granted a slot, but not while it waits. With all slots held by long runs nothing was granted until the kill, and the link closed with the call open.

Change: when the entry stops being ready, all waiting requests are refused with no_backend, which does not count as a refusal that ends the attempts. No run is lost: leaving is final for one start of a backend server, so each later grant was refused by the second _check_destination anyway. A server that is down becomes ready with its next heartbeat, but the failed run that marks it down releases its slot at once and the waiting requests were refused one after the other as they were granted it.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -95,6 +95,8 @@
     proxied
         Whether daemons reach each other, the store and their backend servers
         through fault proxies.
+    stop_within
+        Seconds from the stop signal to the kill, as written to the settings.
 
     Notes
     -----
@@ -109,8 +111,10 @@
         random: random_module.Random,
         network_octet: int,
         proxied: bool = False,
+        stop_within: float = STOP_GRACE_PERIOD_S,
     ) -> None:
         self._directory = directory
+        self._stop_within = stop_within
         self._random = random
         self.ledger = RunLedger()
         self.store = PlatformStoreServer()
@@ -374,5 +378,5 @@
             service="orders",
             store=f"{self.ips[number]}:7013" if self._proxied else self.store.address,
             backend=self._find_backend_address(number),
-            grace=STOP_GRACE_PERIOD_S,
+            grace=self._stop_within,
         )
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -106,6 +106,7 @@
             started_ms=entry.started_ms,
             slots=entry.slots,
         )
+        self._refuse_waiting_unless_ready(entry)
         self._on_changed()
 
     def mark_leaving(self, backend: str, started_ms: int | None) -> None:
@@ -150,8 +151,21 @@
             state=state.value,
             reason=reason,
         )
+        self._refuse_waiting_unless_ready(self.entry)
         self._on_changed()
 
+    def _refuse_waiting_unless_ready(self, entry: BackendEntry) -> None:
+        """Refuse waiting requests at once, so that they are tried elsewhere.
+
+        Notes
+        -----
+        A slot granted later would be of no use: `_check_destination` refuses each
+        request that is granted one while the backend server is not ready.
+        """
+        if entry.state is not ServingState.READY:
+            message = f"backend server {entry.backend!r} is {entry.state.value}"
+            self.queue.refuse_waiting(ErrorCode.NO_BACKEND, message)
+
     async def handle_call(self, request: CallRequest) -> CallReply:
         """Run a request; return its result or error as a reply with the load."""
         try:
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -7,14 +7,14 @@
 SERVICE = "orders"
 
 
-def make_configuration(version=7, *, timeout=0.8, **changes):
+def make_configuration(version=7, *, timeout=0.8, target_latency=0.4, **changes):
     """Return a stored configuration with one repeatable route and one that is not."""
     route = {
         "name": "r-read",
         "path_prefix": "/read/",
         "route_type": "safe",
         "timeout_s": timeout,
-        "target_latency_s": 0.4,
+        "target_latency_s": target_latency,
         "priority": 2,
         "service": SERVICE,
         "max_attempts": 2,
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -14,6 +14,7 @@
 import msgspec
 from parameterized import parameterized
 
+from almondrouter_standins.platform_backend import SLOTS
 from almondrouter_standins.platform_fleet import (
     CONFIGURATION_KEY,
     STOP_GRACE_PERIOD_S,
@@ -27,6 +28,13 @@
 RECOVERY_TIMEOUT_S = 60.0
 """Seconds after the last fault within which requests have to be served again; long
 enough for a busy machine, because these tests do not check speed."""
+SHORT_GRACE_PERIOD_S = 3.5
+"""Seconds from the stop signal to the kill in tests whose requests outlast it."""
+LONG_RUN_S = 4.5
+"""Run time of a request that outlasts the short grace period."""
+LONG_TIMEOUT_S = 8.0
+QUEUEING_S = 0.3
+"""Seconds in which a request reaches the queue of a backend server."""
 TIMEOUT_S = 5.0
 """Seconds that routes allow a request; long enough for a busy machine."""
 
@@ -39,7 +47,14 @@
 class HostDaemonTest(unittest.IsolatedAsyncioTestCase):
     """Runs real daemon processes on loopback with simulated store and backends."""
 
-    async def start_fleet(self, *, hosts=3, seed=1):
+    async def start_fleet(
+        self,
+        *,
+        hosts=3,
+        seed=1,
+        stop_within=STOP_GRACE_PERIOD_S,
+        configuration=None,
+    ):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.random = random.Random(seed)
@@ -48,9 +63,39 @@
             hosts=hosts,
             random=self.random,
             network_octet=next(NETWORKS),
+            stop_within=stop_within,
         )
         self.addAsyncCleanup(self.fleet.close)
-        await self.fleet.start(make_configuration(1))
+        await self.fleet.start(configuration or make_configuration(1))
+
+    async def start_full_fleet(self, *, callers_of):
+        """Start two hosts; requests of callers hold all slots of the second one.
+
+        The backend server of the first host is draining, so that requests of its
+        callers wait for a slot of the second one.
+        """
+        configuration = make_document(
+            1, timeout=LONG_TIMEOUT_S, target_latency=LONG_TIMEOUT_S
+        )
+        await self.start_fleet(
+            hosts=2, stop_within=SHORT_GRACE_PERIOD_S, configuration=configuration
+        )
+        draining, full = self.fleet.backends
+        draining.state = "draining"
+        while not draining.acknowledged["draining"]:
+            await asyncio.sleep(0.02)
+        full.run_time = (LONG_RUN_S, LONG_RUN_S)
+        runs = self.fleet.ledger.runs.total() + SLOTS
+        running = self.start_requests(SLOTS, host=callers_of)
+        while self.fleet.ledger.runs.total() < runs:
+            await asyncio.sleep(0.02)
+        return running
+
+    def start_requests(self, count, *, host):
+        """Start requests that may run at most once; return their tasks."""
+        return [
+            asyncio.create_task(self.fleet.send(host, "/pay/1")) for _ in range(count)
+        ]
 
     async def send_requests(self, count, *, hosts, paths=PATHS):
         """Send requests to the hosts in turn; return the count of each status."""
@@ -171,6 +216,22 @@
         self.assertEqual({200: 12}, await self.send_requests(12, hosts=(1, 2)))
         self.assert_guarantees()
 
+    async def test_stop_refuses_requests_that_wait_for_the_local_server(self):
+        """Guards against unknown outcomes of requests that waited at a stopping host.
+
+        Only the requests that its backend server was running may have run.
+        """
+        running = await self.start_full_fleet(callers_of=0)
+        waiting = self.start_requests(2, host=0)
+        await asyncio.sleep(QUEUEING_S)
+        stop = asyncio.create_task(self.fleet.stop_daemon(1, signal.SIGTERM))
+        async with asyncio.timeout(SHORT_GRACE_PERIOD_S):
+            self.assertEqual([503, 503], await asyncio.gather(*waiting))
+            self.assertFalse(stop.done())
+            self.assertEqual(0, await stop)
+        self.assertEqual([504] * SLOTS, await asyncio.gather(*running))
+        self.assert_guarantees()
+
     async def test_draining_server_gets_no_new_requests(self):
         """Guards against new requests to a backend server that is draining."""
         await self.start_fleet()
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -22,6 +22,8 @@
 
 READY, LEAVING, DOWN = ServingState.READY, ServingState.LEAVING, ServingState.DOWN
 SIGNED = (("response-signature", "s"),)
+REFUSAL_TIMEOUT_S = 5.0
+"""Time limit for a refusal that should come at once."""
 
 
 class ScriptedSender(BackendSender):
@@ -203,6 +205,56 @@
             await asyncio.sleep(0)
         self.assertTrue(self.backend.queue.is_idle)
 
+    @parameterized.expand(
+        [
+            ("daemon stops", lambda t: t.change_state(LEAVING, reason="test")),
+            ("draining", lambda t: t.apply_announcement(make_entry(state=LEAVING))),
+            ("deregistered", lambda t: t.mark_leaving("b", None)),
+            ("down", lambda t: t.change_state(DOWN, reason="test")),
+        ]
+    )
+    async def test_waiting_requests_are_refused_when_the_server_leaves(self, _, leave):
+        """Guards against requests that wait for a slot and are refused only then.
+
+        Another backend server could run them meanwhile. What runs is not affected.
+        """
+        self.sender.release.clear()
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        running = asyncio.create_task(self.backend.run(self.request()))
+        while not self.sender.sent:
+            await asyncio.sleep(0)
+        waiting = asyncio.create_task(self.backend.handle_call(self.request()))
+        await asyncio.sleep(0)
+        leave(self.backend)
+        async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            refused = await waiting
+        self.assertEqual(
+            (ErrorCode.NO_BACKEND.value, Outcome.NOT_RUN, None),
+            (refused.code, refused.outcome, refused.load),
+        )
+        self.sender.release.set()
+        self.assertEqual(200, (await running).status)
+        self.assertEqual(1, len(self.sender.sent))
+
+    @parameterized.expand(
+        [
+            ("ready again", lambda t: t.apply_announcement(make_entry())),
+            ("changed back", lambda t: t.change_state(READY, reason="test")),
+        ]
+    )
+    async def test_leaving_server_grants_no_slot_later(self, _, announce):
+        """Guards against refusing a waiting request that would have run after all.
+
+        A backend server that leaves never becomes ready again without a restart, so
+        refusing its waiting requests at once takes no run from them.
+        """
+        self.backend.change_state(LEAVING, reason="test")
+        announce(self.backend)
+        self.assertEqual(LEAVING, self.backend.entry.state)
+        reply = await self.backend.handle_call(self.request())
+        self.assertEqual(ErrorCode.NO_BACKEND.value, reply.code)
+        self.assertEqual([], self.sender.sent)
+
     async def test_waiting_requests_end_with_a_restart(self):
         """Guards against requests that wait for a server that no longer runs."""
         self.sender.release.clear()
