Answer callers of a stopping daemon whose requests wait elsewhere

Cause: nothing bounds the wait by the end of the stop, and close() cancels what is left without learning whether it had begun.

Change: two parts, neither of which needs a new frame. - From the stop signal on, each attempt carries a useful_until that ends when the stop gives up. Its queue refuses it by then, earlier versions too. The deadline stays, so a request that runs is not broken off for it. No attempt starts after that time. - Calls that wait already are withdrawn when the stop gives up: the link sends Cancel and keeps the call open for 0.2 s. A daemon that gets a Cancel for a call in its slot queue takes it out and replies not-run; a call with a granted slot is cancelled as before and gets no reply, so its outcome stays unknown. A body offer is answered not-run, as it never runs. Earlier versions do not reply, which leaves the outcome unknown as before, and discard a reply to their own Cancel as a late one.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random as random_module
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -176,6 +177,17 @@
         self._is_running = is_running
         self._on_newer_version = on_newer_version
         self._on_finished = on_finished
+        self._answers_until = math.inf
+
+    def stop_answering(self, at: float) -> None:
+        """Set the time at which this daemon stops answering its callers.
+
+        Notes
+        -----
+        A later response is of no use, so no attempt is made after that time, and a
+        request that would wait for a slot until then is refused as not run.
+        """
+        self._answers_until = at
 
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Serve a caller's request and return its response."""
@@ -267,14 +279,19 @@
             result = reply if result is None or is_server_error(reply) else result
             if not self._may_retry(pending):
                 break
-        return result or refusal or make_reply(ErrorCode.NO_BACKEND)
+        return result or refusal or make_reply(self._explain_no_attempt())
 
     def _choose_destination(
         self, pending: _PendingRequest, excluded: set[str]
     ) -> Destination | None:
         now = self._clock.monotonic()
-        if now >= pending.call.deadline:
+        call = pending.call
+        if now >= min(call.deadline, self._answers_until):
             return None
+        if call.useful_until > self._answers_until:
+            pending.call = msgspec.structs.replace(
+                call, useful_until=self._answers_until
+            )
         return self._balancer.choose(
             self._directory.find_destinations(pending.service),
             now=now,
@@ -282,6 +299,11 @@
             demand=make_demand(pending, now),
         )
 
+    def _explain_no_attempt(self) -> ErrorCode:
+        if self._clock.monotonic() >= self._answers_until:
+            return ErrorCode.STOPPING
+        return ErrorCode.NO_BACKEND
+
     def _find_max_wait(
         self, destination: Destination, pending: _PendingRequest
     ) -> float:
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -17,7 +17,13 @@
 from almondrouter.coordination.slots import Grant, SlotQueue
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
-from almondrouter.protocol.calls import BodyOffer, CallReply, CallRequest, Load
+from almondrouter.protocol.calls import (
+    BodyOffer,
+    CallReply,
+    CallRequest,
+    LinkRequest,
+    Load,
+)
 from almondrouter.protocol.dialect import Dialect
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, make_reply
@@ -33,6 +39,9 @@
 """Limit of stored departures, one per backend server name; a host has one backend
 server at a time."""
 
+_UNLOGGED_CODES = frozenset({ErrorCode.BUSIER_THAN_EXPECTED, ErrorCode.CALL_CANCELLED})
+"""Codes after which the sending daemon tries again, or logs why it withdrew."""
+
 _log = EventLogger("backend")
 
 
@@ -174,6 +183,10 @@
             reply = make_reply(error.code, error.outcome)
         return msgspec.structs.replace(reply, load=self.load)
 
+    def withdraw(self, request: LinkRequest) -> bool:
+        """Refuse a request that waits for a slot; return whether it was waiting."""
+        return self.queue.withdraw(request)
+
     async def run(self, request: CallRequest) -> CallReply:
         """Run a request and return its result.
 
@@ -186,7 +199,7 @@
         try:
             return await self._run_request(request)
         except CallError as error:
-            if error.code is ErrorCode.BUSIER_THAN_EXPECTED:
+            if error.code in _UNLOGGED_CODES:
                 raise
             load = self.queue.load()
             _log.request(
--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -19,7 +19,7 @@
 
 from almondrouter.clock import Clock
 from almondrouter.errors import ErrorCode
-from almondrouter.protocol.calls import CallRequest, Load
+from almondrouter.protocol.calls import CallRequest, LinkRequest, Load
 from almondrouter.protocol.outcomes import CallError
 
 SERVICE_TIME_WEIGHT = 0.1
@@ -185,6 +185,21 @@
         for waiter in tuple(self._queue):
             self._refuse_waiter(waiter, code, message)
 
+    def withdraw(self, request: LinkRequest) -> bool:
+        """Refuse a request because its sender withdraws it.
+
+        Returns
+        -------
+        bool
+            Whether the request was waiting. If so, it has not run and will not run.
+        """
+        for waiter in self._queue:
+            if waiter.request is request:
+                message = "the sender withdrew the request while it waited"
+                self._refuse_waiter(waiter, ErrorCode.CALL_CANCELLED, message)
+                return True
+        return False
+
     def estimate_run_time(self, class_name: str) -> float:
         """Return the expected run time of a request of a class in seconds."""
         average = self._class_service_times.get(class_name, self._service_time)
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -108,6 +108,10 @@
         Timeouts; the defaults of `LinkPolicy` if None.
     on_notice
         Called with each notice that a peer sends.
+    withdraw
+        Called with each call that its sender cancels. Returns whether the handler
+        will now reply that the call has not run; otherwise the handler is cancelled.
+        Body offers are always cancelled, as they never run.
 
     Notes
     -----
@@ -125,8 +129,10 @@
         clock: Clock,
         policy: LinkPolicy | None = None,
         on_notice: Callable[[Notice], None] | None = None,
+        withdraw: Callable[[LinkRequest], bool] = lambda request: False,
     ) -> None:
         self._on_notice = on_notice
+        self._withdraw = withdraw
         self._policy = policy or LinkPolicy()
         super().__init__(address, tick_interval=self._policy.ping_interval)
         self._hello = hello
@@ -210,7 +216,7 @@
         if isinstance(frame, LinkRequest):
             self._start_call(link, frame)
         elif isinstance(frame, Cancel):
-            link.cancel_call(frame.call_id)
+            self._cancel_call(link, frame.call_id)
         elif isinstance(frame, Notice) and self._on_notice is not None:
             self._on_notice(frame)
         else:
@@ -233,7 +239,24 @@
             link.stream.restart_silence_timer()
         request = convert_deadlines(frame, link.stream.offset)
         task = self._start_task(self._answer_call(link, request))
-        link.open_calls[frame.call_id] = (task, request.key)
+        link.open_calls[frame.call_id] = (task, request)
+
+    def _cancel_call(self, link: _InboundLink, call_id: int) -> None:
+        """Cancel a call; reply if it has certainly not run.
+
+        Notes
+        -----
+        The sender needs the reply if it still has a caller to answer. Otherwise it
+        discards the reply as a late one.
+        """
+        task, request = link.open_calls.get(call_id, (None, None))
+        if task is None:
+            return
+        if isinstance(request, BodyOffer):
+            task.cancel()
+            self._refuse_call(link, request, ErrorCode.CALL_CANCELLED)
+        elif not self._withdraw(request):
+            task.cancel()
 
     def _refuse_call(
         self, link: _InboundLink, frame: LinkRequest, code: ErrorCode
@@ -363,6 +386,11 @@
             )
         return await link.call(request)
 
+    def withdraw_calls(self) -> None:
+        """Cancel all calls in flight; see `OutboundLink.withdraw_calls`."""
+        for link in self._links.values():
+            link.withdraw_calls()
+
     def notify_all(self) -> None:
         """Send the current notice of this daemon to every peer with an open link."""
         for link_key in self._links:
@@ -483,15 +511,10 @@
 
     def __init__(self, stream: FrameStream) -> None:
         self.stream = stream
-        self.open_calls: dict[int, tuple[asyncio.Task, str]] = {}
-
-    def cancel_call(self, call_id: int) -> None:
-        task, _ = self.open_calls.get(call_id, (None, ""))
-        if task is not None:
-            task.cancel()
+        self.open_calls: dict[int, tuple[asyncio.Task, LinkRequest]] = {}
 
     def cancel_unkeyed_calls(self) -> None:
         """Cancel the calls without an idempotency key, which are not retried."""
-        for task, key in tuple(self.open_calls.values()):
-            if not key:
+        for task, request in tuple(self.open_calls.values()):
+            if not request.key:
                 task.cancel()
--- a/packages/almondrouter/src/almondrouter/transport/outbound_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/outbound_link.py
@@ -59,6 +59,7 @@
         self._counts = counts
         self._call_ids = itertools.count(1)
         self._lost = False
+        self._withdrawn = False
 
     async def call(self, request: LinkRequest) -> CallReply:
         """Send a call and return its reply; see `CallLinks.call`."""
@@ -97,9 +98,25 @@
             if not future.done():
                 future.set_exception(ConnectionResetError(f"link lost: {reason}"))
 
+    def withdraw_calls(self) -> None:
+        """Cancel all calls, but still accept replies that they have not run.
+
+        Notes
+        -----
+        A call that waits for a slot at the peer gets such a reply. Without one the
+        outcome stays unknown: the call may be running, or the peer may run a version
+        that does not reply to a `Cancel`. Calls that were not sent are not sent.
+        """
+        self._withdrawn = True
+        for call_id, future in self.pending.items():
+            if not future.done():
+                self.stream.send(Cancel(call_id))
+
     def _check_sendable(self, deadline: float) -> None:
         if self._lost:
             raise ConnectionResetError("link lost before the call was sent")
+        if self._withdrawn:
+            raise CallError(ErrorCode.STOPPING, "this daemon is stopping")
         if self._clock.monotonic() >= deadline:
             message = "the deadline passed before the call was sent"
             raise CallError(ErrorCode.DEADLINE_EXCEEDED, message)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -81,6 +81,9 @@
 """Seconds after which callers have stopped sending to a daemon that is not ready."""
 KILL_MARGIN_S = 0.5
 """Seconds before the platform's kill signal at which a graceful stop ends its wait."""
+WITHDRAWAL_TIMEOUT_S = 0.2
+"""Seconds after a graceful stop ended its wait in which peers may still reply that a
+request has not run; less than `KILL_MARGIN_S`."""
 MAX_BACKEND_CONNECTIONS = 100
 """Connections to the backend server, which accepts only a few more than these from
 all its clients together."""
@@ -243,6 +246,7 @@
             clock=clock,
             policy=LINK_POLICY,
             on_notice=self._peers.handle_notice,
+            withdraw=self.backend.withdraw,
         )
         self._ready_server = self._make_internal_server(
             settings.ready_address, self._handle_ready
@@ -314,6 +318,7 @@
         kill_at = now + self.settings.stop_within - KILL_MARGIN_S
         _log.info("daemon stopping", in_flight=self.callers.requests_in_flight)
         self.callers.disable_keep_alive()
+        self._forwarder.stop_answering(kill_at)
         self.backend.change_state(ServingState.LEAVING, reason="the daemon is stopping")
         self.registration.update()
         await asyncio.sleep(READINESS_PROPAGATION_S)
@@ -373,13 +378,26 @@
 
     async def _close_gracefully(self, kill_at: float) -> None:
         remaining = max(0.0, kill_at - self._clock.monotonic())
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(remaining):
                 await self.callers.drain()
                 await self.link_server.drain()
                 while self.backend.runs_in_flight:
                     await asyncio.sleep(0.02)
                 await self.registration.withdraw()
+        except TimeoutError:
+            _log.warning(
+                "graceful stop took too long; withdrawing requests that still wait",
+                in_flight=self.callers.requests_in_flight,
+            )
+            await self._withdraw_calls()
+
+    async def _withdraw_calls(self) -> None:
+        """Answer the callers whose requests wait for a slot on another host."""
+        self.links.withdraw_calls()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WITHDRAWAL_TIMEOUT_S):
+                await self.callers.drain()
 
     def _start_task(self, coroutine: Coroutine) -> None:
         task = asyncio.create_task(coroutine)
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -216,6 +216,25 @@
         self.assertEqual({200: 12}, await self.send_requests(12, hosts=(1, 2)))
         self.assert_guarantees()
 
+    @parameterized.expand([("sent before it", False), ("sent after it", True)])
+    async def test_stop_answers_requests_that_wait_elsewhere(self, _, sent_after):
+        """Guards against a stop that cuts requests waiting for a slot elsewhere.
+
+        They have not run, so their callers can be told so.
+        """
+        running = await self.start_full_fleet(callers_of=1)
+        waiting = [] if sent_after else self.start_requests(2, host=0)
+        await asyncio.sleep(QUEUEING_S)
+        stop = asyncio.create_task(self.fleet.stop_daemon(0, signal.SIGTERM))
+        if sent_after:
+            await asyncio.sleep(QUEUEING_S)
+            waiting = self.start_requests(2, host=0)
+        async with asyncio.timeout(SHORT_GRACE_PERIOD_S):
+            self.assertEqual(0, await stop)
+        self.assertEqual([503, 503], await asyncio.gather(*waiting))
+        self.assertEqual([200] * SLOTS, await asyncio.gather(*running))
+        self.assert_guarantees()
+
     async def test_stop_refuses_requests_that_wait_for_the_local_server(self):
         """Guards against unknown outcomes of requests that waited at a stopping host.
 
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -160,6 +160,32 @@
         left = self.links.calls[0].deadline - self.clock.monotonic()
         self.assertAlmostEqual(0.8, left)
 
+    async def test_stopping_daemon_bounds_the_wait_for_a_slot(self):
+        """Guards against requests that wait until their caller's daemon has ended.
+
+        The deadline is not changed: a request that runs is not broken off for it.
+        """
+        stops_at = self.clock.monotonic() + 0.3
+        self.forwarder.stop_answering(stops_at)
+        await self.send(script=[make_answer()])
+        call = self.links.calls[0]
+        self.assertAlmostEqual(stops_at, call.useful_until)
+        self.assertAlmostEqual(stops_at + 0.4, call.deadline)
+
+    async def test_no_attempt_after_answers_have_ended(self):
+        """Guards against attempts whose result this daemon can no longer send."""
+        self.forwarder.stop_answering(self.clock.monotonic())
+        response = await self.send(script=[make_answer()])
+        self.assertEqual((503, []), (response.status, self.links.calls))
+        self.assertIn(("Almond-Code", "stopping"), response.headers)
+        self.assertIn("retry-after", dict(response.headers))
+
+    async def test_withdrawn_request_is_not_tried_elsewhere(self):
+        """Guards against a second attempt of a request that its daemon withdrew."""
+        withdrawn = make_reply(ErrorCode.CALL_CANCELLED)
+        response = await self.send("/pay/1", script=[withdrawn, make_answer()])
+        self.assertEqual((503, 1), (response.status, len(self.links.calls)))
+
     @parameterized.expand(
         [
             ("/none/", "shop.example", 404, "class_unknown"),
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -255,6 +255,42 @@
         self.assertEqual(ErrorCode.NO_BACKEND.value, reply.code)
         self.assertEqual([], self.sender.sent)
 
+    @parameterized.expand([("repeatable", True), ("at most once", False)])
+    async def test_only_a_waiting_request_is_withdrawn(self, _, repeatable):
+        """Guards against reporting a request as not run that runs, or runs later."""
+        self.sender.release.clear()
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        runs = self.request(repeatable=repeatable)
+        running = asyncio.create_task(self.backend.run(runs))
+        while not self.sender.sent:
+            await asyncio.sleep(0)
+        waits = self.request(repeatable=repeatable)
+        waiting = asyncio.create_task(self.backend.handle_call(waits))
+        await asyncio.sleep(0)
+        self.assertFalse(self.backend.withdraw(runs))
+        self.assertTrue(self.backend.withdraw(waits))
+        self.assertFalse(self.backend.withdraw(waits))
+        reply = await waiting
+        self.assertEqual(
+            (ErrorCode.CALL_CANCELLED.value, Outcome.NOT_RUN),
+            (reply.code, reply.outcome),
+        )
+        self.sender.release.set()
+        self.assertEqual(200, (await running).status)
+        self.assertEqual(1, len(self.sender.sent))
+        self.assertTrue(self.backend.queue.is_idle)
+
+    async def test_request_with_a_granted_slot_is_not_withdrawn(self):
+        """Guards against a withdrawal between the grant of a slot and the run."""
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        blocker = await self.backend.queue.acquire(self.request())
+        request = self.request()
+        waiting = asyncio.create_task(self.backend.run(request))
+        await asyncio.sleep(0)
+        self.backend.queue.release(blocker, measured=False)
+        self.assertFalse(self.backend.withdraw(request))
+        self.assertEqual(200, (await waiting).status)
+
     async def test_waiting_requests_end_with_a_restart(self):
         """Guards against requests that wait for a server that no longer runs."""
         self.sender.release.clear()
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -11,8 +11,10 @@
 from almondrouter.addresses import split_address
 from almondrouter.clock import ManualClock
 from almondrouter.errors import ErrorCode
-from almondrouter.protocol.calls import CALL_CODEC, Cancel, Pong
+from almondrouter.protocol.calls import CALL_CODEC, BodyOffer, Cancel, Pong
 from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.protocol.outcomes import make_reply as make_error_reply
 from almondrouter.transport.frames import ClockOffset, FrameStream
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
 from calls_support import (
@@ -30,6 +32,8 @@
     return len(data).to_bytes(4, "big") + data
 
 
+OFFER = b"offer"
+"""Key of an offer, which has no body, among the pending replies."""
 HELLO = encode_frame(make_hello("x"))
 
 
@@ -58,12 +62,14 @@
         self.pending_replies = {}
         self.arrived = []
         self.cancelled = []
+        self.waiting = set()
         self.pool = CallLinkPool(hello=make_hello("caller"), clock=self.clock)
         self.server = CallLinkServer(
             address="127.0.0.1:0",
             hello=make_hello("server"),
             handler=self.handle,
             clock=self.server_clock,
+            withdraw=self.withdraw,
         )
         await self.server.start()
         self.addAsyncCleanup(self.server.close)
@@ -71,13 +77,26 @@
 
     async def handle(self, request):
         self.arrived.append(request)
-        future = self.pending_replies[request.body] = asyncio.Future()
+        body = getattr(request, "body", OFFER)
+        future = self.pending_replies[body] = asyncio.Future()
+        if isinstance(request, BodyOffer):
+            return make_reply(await future)
         try:
             return make_reply(await future or request.body)
+        except CallError as error:
+            return make_error_reply(error.code, error.outcome)
         except asyncio.CancelledError:
             self.cancelled.append(request.body)
             raise
 
+    def withdraw(self, request):
+        """Refuse a call that waits for a slot."""
+        if request.body not in self.waiting:
+            return False
+        refusal = CallError(ErrorCode.CALL_CANCELLED, "withdrawn")
+        self.pending_replies[request.body].set_exception(refusal)
+        return True
+
     def start_call(self, body, *, address=None, key=""):
         request = make_request(body, deadline=self.clock.monotonic() + 60, key=key)
         address = address or self.server.address
@@ -244,6 +263,54 @@
         await wait_until(lambda: self.cancelled)
         self.assertEqual([b"1"], self.cancelled)
 
+    async def test_withdrawn_call_tells_whether_it_was_waiting(self):
+        """Guards against unknown outcomes of calls that wait at another host.
+
+        The call that runs there gets no reply: its outcome stays unknown.
+        """
+        self.waiting = {b"waits"}
+        waits, runs = self.start_call(b"waits"), self.start_call(b"runs")
+        await wait_until(lambda: len(self.pending_replies) == 2)
+        self.pool.withdraw_calls()
+        reply = await waits
+        self.assertEqual(
+            (Outcome.NOT_RUN, ErrorCode.CALL_CANCELLED), (reply.outcome, reply.code)
+        )
+        await wait_until(lambda: self.cancelled == [b"runs"])
+        self.assertFalse(runs.done())
+        refused = self.start_call(b"new")
+        await self.assert_fails(refused, ErrorCode.STOPPING, Outcome.NOT_RUN)
+        await self.pool.close()
+        await self.assert_fails(runs, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+
+    async def test_peer_that_ignores_a_withdrawal_leaves_the_outcome_unknown(self):
+        """Guards against assuming that a call has not run at an earlier version.
+
+        Daemons of earlier versions do not reply to a `Cancel`.
+        """
+        peer = Peer()
+        address = await peer.start()
+        task = self.start_call(b"1", address=address)
+        await wait_until(lambda: peer.streams)
+        request = await peer.streams[0].receive()
+        self.pool.withdraw_calls()
+        self.assertEqual(Cancel(request.call_id), await peer.streams[0].receive())
+        self.assertFalse(task.done())
+        await self.pool.close()
+        await self.assert_fails(task, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+
+    async def test_withdrawn_offer_has_not_run(self):
+        """Guards against an unknown outcome of a request that was only offered."""
+        deadline = self.clock.monotonic() + 60
+        offer = BodyOffer(0, "c", "b", 1, 9, deadline, deadline)
+        task = asyncio.create_task(self.pool.call(self.server.address, offer))
+        await wait_until(lambda: self.pending_replies)
+        self.pool.withdraw_calls()
+        reply = await task
+        self.assertEqual(
+            (Outcome.NOT_RUN, ErrorCode.CALL_CANCELLED), (reply.outcome, reply.code)
+        )
+
     async def test_drain_finishes_calls_and_refuses_new_ones(self):
         """Guards against aborting calls in flight at a planned stop."""
         task = self.start_call(b"1")
