Report a deadline that passed before the first attempt as such

Callers saw: 503 with Almond-Code no_backend for a request whose deadline had passed before its first attempt, as if no backend server of the service were known.

Change: deadline_exceeded if the deadline has passed. The status stays 503 and not run.

Measured: test_passed_deadline_is_not_reported_as_a_missing_server failed before: ('Almond-Code', 'deadline_exceeded') not found in the response's headers, which held no_backend. After: test_coordination_forwarding passes.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -279,7 +279,7 @@
             result = reply if result is None or is_server_error(reply) else result
             if not self._may_retry(pending):
                 break
-        return result or refusal or make_reply(self._explain_no_attempt())
+        return result or refusal or make_reply(self._explain_no_attempt(pending))
 
     def _choose_destination(
         self, pending: _PendingRequest, excluded: set[str]
@@ -299,8 +299,11 @@
             demand=make_demand(pending, now),
         )
 
-    def _explain_no_attempt(self) -> ErrorCode:
-        if self._clock.monotonic() >= self._answers_until:
+    def _explain_no_attempt(self, pending: _PendingRequest) -> ErrorCode:
+        now = self._clock.monotonic()
+        if now >= pending.call.deadline:
+            return ErrorCode.DEADLINE_EXCEEDED
+        if now >= self._answers_until:
             return ErrorCode.STOPPING
         return ErrorCode.NO_BACKEND
 
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -154,6 +154,17 @@
         )
         self.assertAlmostEqual(began_at + 0.7, self.links.calls[0].deadline)
 
+    async def test_passed_deadline_is_not_reported_as_a_missing_server(self):
+        """Guards against a search for missing servers when a deadline had passed."""
+        began_at = self.clock.monotonic()
+        self.clock.advance(1.0)
+        headers = (("host", "shop.example"), ("deadline-ms", "700"))
+        response = await self.forwarder.handle(
+            CallerRequest("GET", "/read/1", headers, b"", began_at=began_at)
+        )
+        self.assertEqual((503, []), (response.status, self.links.calls))
+        self.assertIn(("Almond-Code", "deadline_exceeded"), response.headers)
+
     async def test_route_bounds_the_wait(self):
         """Guards against deadlines beyond the route's limit for a response."""
         await self.send(script=[make_answer()], deadline_ms="9000")
