Serve the calls of requests that a stopping daemon still waits for

Callers saw: a request that its backend server was still running 2.3 s after the stop signal of the daemon failed if it then made a call of its own. The daemon refused the call or had stopped listening, while it waited for the request that made it.

Cause: callers.drain() ran first and refuses every new request; it knows nothing of nested calls. Where only other hosts' requests ran, it ended at once and stopped listening. Calls over links are no harm in this order: the backend server is leaving since the stop signal, so each is refused on arrival and tried elsewhere.

Change: while the local backend server runs requests, the forwarder refuses all but their calls (503, stopping, Retry-After); callers.drain() begins once none runs there. No run begins there after the stop signal. Without such runs the order is as before.

Measured: test_stop_serves_nested_calls_of_running_requests failed before for requests of its callers and of other hosts: the nested call got 0 (refused or no connection) in place of 200.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -250,6 +250,7 @@
         body: bytes = b"",
         time_limit: float = 8.0,
         reuse_connection: bool = False,
+        parent: str = "",
     ) -> int:
         """Send a request as a caller of a host; return the status, 0 if none."""
         status, _ = await self.send_with_attempt_id(
@@ -258,6 +259,7 @@
             body=body,
             time_limit=time_limit,
             reuse_connection=reuse_connection,
+            parent=parent,
         )
         return status
 
@@ -269,6 +271,7 @@
         body: bytes = b"",
         time_limit: float = 8.0,
         reuse_connection: bool = False,
+        parent: str = "",
     ) -> tuple[int, str]:
         """Send a request as a caller of a host.
 
@@ -278,6 +281,8 @@
             Deadline of the request, in seconds from now.
         reuse_connection
             Whether to use a pooled connection instead of a new one.
+        parent
+            Attempt id of the running request that makes this one; empty if none.
 
         Returns
         -------
@@ -286,6 +291,8 @@
         """
         self._attempts += 1
         attempt = f"a{os.getpid()}x{self._attempts}"
+        if parent:
+            attempt = f"{parent}.{attempt}"
         self.last_attempt_id = attempt
         method = "POST" if path.startswith("/pay/") else "GET"
         if method == "POST":
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -48,6 +48,8 @@
 MAX_RETRY_AFTER_SHARE = 0.45
 """Largest ``Retry-After``, as a share of the target latency; the values between are
 random so that refused callers do not all retry at the same time."""
+UNSERVED_RETRY_AFTER_S = 0.3
+"""``Retry-After`` in seconds of a daemon that has no routes yet or is stopping."""
 MAX_UNOFFERED_BYTES = 16_384
 """Longest body that is sent with its request; a longer one is sent after the other
 daemon has accepted a `BodyOffer`. A body of this length occupies a slow link for some
@@ -178,6 +180,7 @@
         self._on_newer_version = on_newer_version
         self._on_finished = on_finished
         self._answers_until = math.inf
+        self._refuses_new = False
 
     def stop_answering(self, at: float) -> None:
         """Set the time at which this daemon stops answering its callers.
@@ -189,6 +192,10 @@
         """
         self._answers_until = at
 
+    def refuse_new_requests(self) -> None:
+        """Refuse all requests except calls of requests that run on this host."""
+        self._refuses_new = True
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Serve a caller's request and return its response."""
         # The caller's timeout starts when it begins to send the request, not when a
@@ -199,7 +206,16 @@
         info = self._dialect.read_request(request.headers)
         table = self._table()
         if table is None:
-            return self._refuse_request(info, ErrorCode.NOT_READY, 0, retry_after=0.3)
+            return self._refuse_request(
+                info, ErrorCode.NOT_READY, 0, retry_after=UNSERVED_RETRY_AFTER_S
+            )
+        if self._refuses_new and not self._is_running(info.parent_id):
+            return self._refuse_request(
+                info,
+                ErrorCode.STOPPING,
+                table.version,
+                retry_after=UNSERVED_RETRY_AFTER_S,
+            )
         route = table.find(info.virtual_host, request.target.partition("?")[0])
         if route is None:
             return self._refuse_request(info, ErrorCode.CLASS_UNKNOWN, table.version)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -81,6 +81,9 @@
 """Seconds after which callers have stopped sending to a daemon that is not ready."""
 KILL_MARGIN_S = 0.5
 """Seconds before the platform's kill signal at which a graceful stop ends its wait."""
+RUNS_POLL_INTERVAL_S = 0.02
+"""Interval at which a graceful stop checks whether the backend server still runs
+requests."""
 WITHDRAWAL_TIMEOUT_S = 0.2
 """Seconds after a graceful stop ended its wait in which peers may still reply that a
 request has not run; less than `KILL_MARGIN_S`."""
@@ -380,10 +383,10 @@
         remaining = max(0.0, kill_at - self._clock.monotonic())
         try:
             async with asyncio.timeout(remaining):
+                self._forwarder.refuse_new_requests()
+                await self._wait_for_local_runs()
                 await self.callers.drain()
                 await self.link_server.drain()
-                while self.backend.runs_in_flight:
-                    await asyncio.sleep(0.02)
                 await self.registration.withdraw()
         except TimeoutError:
             _log.warning(
@@ -392,6 +395,11 @@
             )
             await self._withdraw_calls()
 
+    async def _wait_for_local_runs(self) -> None:
+        """Wait for the runs of the local backend server, which may make calls here."""
+        while self.backend.runs_in_flight:
+            await asyncio.sleep(RUNS_POLL_INTERVAL_S)
+
     async def _withdraw_calls(self) -> None:
         """Answer the callers whose requests wait for a slot on another host."""
         self.links.withdraw_calls()
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -21,6 +21,7 @@
     PlatformFleet,
 )
 from almondrouter_standins.platform_store import StoreFault
+from almondrouterd.hostdaemon import READINESS_PROPAGATION_S
 from platform_support import make_configuration as make_document
 
 NETWORKS = iter(range(20 + os.getpid() % 100, 255))
@@ -251,6 +252,36 @@
         self.assertEqual([504] * SLOTS, await asyncio.gather(*running))
         self.assert_guarantees()
 
+    @parameterized.expand([("of its callers", 0), ("of other hosts", 1)])
+    async def test_stop_serves_nested_calls_of_running_requests(self, _, callers_of):
+        """Guards against a stop that refuses the calls of requests it waits for.
+
+        New requests are refused meanwhile.
+        """
+        await self.start_fleet()
+        stopping = self.fleet.backends[0]
+        for backend in self.fleet.backends[1:]:
+            backend.state = "draining"
+            while not backend.acknowledged["draining"]:
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(QUEUEING_S)
+        stopping.run_time = (READINESS_PROPAGATION_S + 1.5,) * 2
+        runs = self.fleet.ledger.runs.total()
+        (parent,) = self.start_requests(1, host=callers_of)
+        while self.fleet.ledger.runs.total() == runs:
+            await asyncio.sleep(0.02)
+        parent_id = self.fleet.last_attempt_id
+        await self.fleet.replace_backend(2)
+        while not self.fleet.backends[2].acknowledged["ready"]:
+            await asyncio.sleep(0.02)
+        stop = asyncio.create_task(self.fleet.stop_daemon(0, signal.SIGTERM))
+        await asyncio.sleep(READINESS_PROPAGATION_S + 0.4)
+        self.assertEqual(200, await self.fleet.send(0, "/read/1", parent=parent_id))
+        self.assertEqual(503, await self.fleet.send(0, "/read/1"))
+        self.assertEqual(200, await parent)
+        self.assertEqual(0, await stop)
+        self.assert_guarantees()
+
     async def test_draining_server_gets_no_new_requests(self):
         """Guards against new requests to a backend server that is draining."""
         await self.start_fleet()
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -191,6 +191,17 @@
         self.assertIn(("Almond-Code", "stopping"), response.headers)
         self.assertIn("retry-after", dict(response.headers))
 
+    async def test_stopping_daemon_serves_only_nested_calls(self):
+        """Guards against refusing the calls of requests that a stop waits for."""
+        self.forwarder.refuse_new_requests()
+        self.running.add("parent")
+        refused = await self.send(script=[make_answer()])
+        self.assertEqual((503, []), (refused.status, self.links.calls))
+        self.assertIn(("Almond-Code", "stopping"), refused.headers)
+        self.assertIn("retry-after", dict(refused.headers))
+        nested = await self.send(script=[make_answer()], attempt_id="parent.child")
+        self.assertEqual(200, nested.status)
+
     async def test_withdrawn_request_is_not_tried_elsewhere(self):
         """Guards against a second attempt of a request that its daemon withdrew."""
         withdrawn = make_reply(ErrorCode.CALL_CANCELLED)
