Forget a call that is cancelled before its handler has started

Seen: a call link server counted a call as in flight for the life of its link if the call and its Cancel were read together, so that the load of in-flight calls was overstated and the link was watched for silence as if a call were open.

Cause: the call is removed in the `finally` of a task that never began to run when it is cancelled before its first step.

Change: the call is removed when it is cancelled.

Measured: test_call_that_is_cancelled_at_once_is_not_counted_on failed before with 2 calls in flight in place of 1. After: test_transport_links passes.

--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -252,11 +252,14 @@
         task, request = link.open_calls.get(call_id, (None, None))
         if task is None:
             return
-        if isinstance(request, BodyOffer):
-            task.cancel()
+        is_offer = isinstance(request, BodyOffer)
+        if not is_offer and self._withdraw(request):
+            return
+        # A task that is cancelled before it starts does not remove its call itself.
+        del link.open_calls[call_id]
+        task.cancel()
+        if is_offer:
             self._refuse_call(link, request, ErrorCode.CALL_CANCELLED)
-        elif not self._withdraw(request):
-            task.cancel()
 
     def _refuse_call(
         self, link: _InboundLink, frame: LinkRequest, code: ErrorCode
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -263,6 +263,23 @@
         await wait_until(lambda: self.cancelled)
         self.assertEqual([b"1"], self.cancelled)
 
+    async def test_call_that_is_cancelled_at_once_is_not_counted_on(self):
+        """Guards against calls that stay open because they were never started.
+
+        The frames of a call and of its cancellation may be read together.
+        """
+        stream = await FrameStream.connect(self.server.address, self.clock)
+        await stream.run_client_handshake(make_hello("caller"))
+        request = make_request(b"1", deadline=self.clock.monotonic() + 60)
+        stream._transport.write(encode_frame(request) + encode_frame(Cancel(0)))
+        stream._transport.write(
+            encode_frame(msgspec.structs.replace(request, call_id=1))
+        )
+        await wait_until(lambda: self.pending_replies)
+        self.assertEqual(1, self.server.calls_in_flight)
+        self.assertEqual(1, len(self.arrived))
+        stream.close()
+
     async def test_withdrawn_call_tells_whether_it_was_waiting(self):
         """Guards against unknown outcomes of calls that wait at another host.
 
