Refuse waiting body offers as soon as a backend server leaves

Seen: the offer of a long body that waited for its turn was accepted after the backend server had begun to leave. The body was transferred, then refused, and its request tried elsewhere only after that.

Cause: the state is checked when the offer arrives, but not when its turn comes.

Change: an offer waits for its turn or until the backend server is not ready, whichever is first, and the state is checked again.

Measured: test_waiting_offer_is_refused_when_the_server_leaves failed before with TimeoutError: no reply 5 s after the server began to leave. After: test_coordination_localbackend, _intake and _forwarding, 66 passed.

--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import Counter
 from collections.abc import Callable
 from http import HTTPStatus
@@ -80,6 +81,7 @@
         self._departures: dict[str, int] = {}
         self.entry: BackendEntry | None = None
         self.queue = SlotQueue(1, clock=clock)
+        self._not_ready = asyncio.Event()
         self.counts: Counter[str] = Counter()
 
     def apply_announcement(self, entry: BackendEntry) -> None:
@@ -115,7 +117,7 @@
             started_ms=entry.started_ms,
             slots=entry.slots,
         )
-        self._refuse_waiting_unless_ready(entry)
+        self._apply_readiness(entry)
         self._on_changed()
 
     def mark_leaving(self, backend: str, started_ms: int | None) -> None:
@@ -160,11 +162,13 @@
             state=state.value,
             reason=reason,
         )
-        self._refuse_waiting_unless_ready(self.entry)
+        self._apply_readiness(self.entry)
         self._on_changed()
 
-    def _refuse_waiting_unless_ready(self, entry: BackendEntry) -> None:
-        """Refuse waiting requests at once, so that they are tried elsewhere.
+    def _apply_readiness(self, entry: BackendEntry) -> None:
+        """Refuse what waits if the backend server is not ready.
+
+        Requests and offers of bodies are then tried elsewhere at once.
 
         Notes
         -----
@@ -174,6 +178,9 @@
         if entry.state is not ServingState.READY:
             message = f"backend server {entry.backend!r} is {entry.state.value}"
             self.queue.refuse_waiting(ErrorCode.NO_BACKEND, message)
+            self._not_ready.set()
+        else:
+            self._not_ready.clear()
 
     async def handle_call(self, request: CallRequest) -> CallReply:
         """Run a request; return its result or error as a reply with the load."""
@@ -265,13 +272,20 @@
         """
         try:
             self._check_destination(offer)
-            await self._clock.sleep_until(self._schedule_body(offer))
+            await self._wait_for_turn(self._schedule_body(offer))
+            self._check_destination(offer)
         except CallError as error:
             reply = make_reply(error.code, error.outcome)
             return msgspec.structs.replace(reply, load=self.load)
         status = HTTPStatus.CONTINUE
         return CallReply(0, Outcome.COMPLETE, status, (), b"", "", self.load)
 
+    async def _wait_for_turn(self, starts_at: float) -> None:
+        """Wait until a body may be sent, or the backend server stops being ready."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(starts_at - self._clock.monotonic()):
+                await self._not_ready.wait()
+
     def _schedule_body(self, offer: BodyOffer) -> float:
         run_time = self.queue.estimate_run_time(offer.class_name)
         starts_at = self._intake.reserve(
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -103,6 +103,28 @@
         self.assertEqual((code, outcome), (reply.code, reply.outcome))
         self.assertEqual([], self.sender.sent)
 
+    async def test_waiting_offer_is_refused_when_the_server_leaves(self):
+        """Guards against sending a long body to a server that will refuse it.
+
+        The offer waits for its turn meanwhile; another server could take the body.
+        """
+        now = self.clock.monotonic()
+        first, second = (
+            BodyOffer(0, "c", "b", 1, 20_000_000, now + 90.0, now + 90.0)
+            for _ in range(2)
+        )
+        accepted = await self.backend.answer_offer(first)
+        self.assertEqual(100, accepted.status)
+        waiting = asyncio.create_task(self.backend.answer_offer(second))
+        await asyncio.sleep(0)
+        self.backend.change_state(LEAVING, reason="test")
+        async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            refused = await waiting
+        self.assertEqual(
+            (ErrorCode.NO_BACKEND.value, Outcome.NOT_RUN),
+            (refused.code, refused.outcome),
+        )
+
     async def test_answer_is_passed_on(self):
         """Guards against responses that lose their status, headers or body."""
         self.sender.script = [BackendResponse(201, SIGNED, b"body")]
