--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -95,6 +95,8 @@
     proxied
         Whether daemons reach each other, the store and their backend servers
         through fault proxies.
+    stop_within
+        Seconds from the stop signal to the kill, as written to the settings.
 
     Notes
     -----
@@ -109,8 +111,10 @@
         random: random_module.Random,
         network_octet: int,
         proxied: bool = False,
+        stop_within: float = STOP_GRACE_PERIOD_S,
     ) -> None:
         self._directory = directory
+        self._stop_within = stop_within
         self._random = random
         self.ledger = RunLedger()
         self.store = PlatformStoreServer()
@@ -246,6 +250,7 @@
         body: bytes = b"",
         time_limit: float = 8.0,
         reuse_connection: bool = False,
+        parent: str = "",
     ) -> int:
         """Send a request as a caller of a host; return the status, 0 if none."""
         status, _ = await self.send_with_attempt_id(
@@ -254,6 +259,7 @@
             body=body,
             time_limit=time_limit,
             reuse_connection=reuse_connection,
+            parent=parent,
         )
         return status
 
@@ -265,6 +271,7 @@
         body: bytes = b"",
         time_limit: float = 8.0,
         reuse_connection: bool = False,
+        parent: str = "",
     ) -> tuple[int, str]:
         """Send a request as a caller of a host.
 
@@ -274,6 +281,8 @@
             Deadline of the request, in seconds from now.
         reuse_connection
             Whether to use a pooled connection instead of a new one.
+        parent
+            Attempt id of the running request that makes this one; empty if none.
 
         Returns
         -------
@@ -282,6 +291,8 @@
         """
         self._attempts += 1
         attempt = f"a{os.getpid()}x{self._attempts}"
+        if parent:
+            attempt = f"{parent}.{attempt}"
         self.last_attempt_id = attempt
         method = "POST" if path.startswith("/pay/") else "GET"
         if method == "POST":
@@ -374,5 +385,5 @@
             service="orders",
             store=f"{self.ips[number]}:7013" if self._proxied else self.store.address,
             backend=self._find_backend_address(number),
-            grace=STOP_GRACE_PERIOD_S,
+            grace=self._stop_within,
         )
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random as random_module
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -47,6 +48,8 @@
 MAX_RETRY_AFTER_SHARE = 0.45
 """Largest ``Retry-After``, as a share of the target latency; the values between are
 random so that refused callers do not all retry at the same time."""
+UNSERVED_RETRY_AFTER_S = 0.3
+"""``Retry-After`` in seconds of a daemon that has no routes yet or is stopping."""
 MAX_UNOFFERED_BYTES = 16_384
 """Longest body that is sent with its request; a longer one is sent after the other
 daemon has accepted a `BodyOffer`. A body of this length occupies a slow link for some
@@ -176,6 +179,22 @@
         self._is_running = is_running
         self._on_newer_version = on_newer_version
         self._on_finished = on_finished
+        self._answers_until = math.inf
+        self._refuses_new = False
+
+    def stop_answering(self, at: float) -> None:
+        """Set the time at which this daemon stops answering its callers.
+
+        Notes
+        -----
+        A later response is of no use, so no attempt is made after that time, and a
+        request that would wait for a slot until then is refused as not run.
+        """
+        self._answers_until = at
+
+    def refuse_new_requests(self) -> None:
+        """Refuse all requests except calls of requests that run on this host."""
+        self._refuses_new = True
 
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Serve a caller's request and return its response."""
@@ -187,7 +206,16 @@
         info = self._dialect.read_request(request.headers)
         table = self._table()
         if table is None:
-            return self._refuse_request(info, ErrorCode.NOT_READY, 0, retry_after=0.3)
+            return self._refuse_request(
+                info, ErrorCode.NOT_READY, 0, retry_after=UNSERVED_RETRY_AFTER_S
+            )
+        if self._refuses_new and not self._is_running(info.parent_id):
+            return self._refuse_request(
+                info,
+                ErrorCode.STOPPING,
+                table.version,
+                retry_after=UNSERVED_RETRY_AFTER_S,
+            )
         route = table.find(info.virtual_host, request.target.partition("?")[0])
         if route is None:
             return self._refuse_request(info, ErrorCode.CLASS_UNKNOWN, table.version)
@@ -267,14 +295,19 @@
             result = reply if result is None or is_server_error(reply) else result
             if not self._may_retry(pending):
                 break
-        return result or refusal or make_reply(ErrorCode.NO_BACKEND)
+        return result or refusal or make_reply(self._explain_no_attempt(pending))
 
     def _choose_destination(
         self, pending: _PendingRequest, excluded: set[str]
     ) -> Destination | None:
         now = self._clock.monotonic()
-        if now >= pending.call.deadline:
+        call = pending.call
+        if now >= min(call.deadline, self._answers_until):
             return None
+        if call.useful_until > self._answers_until:
+            pending.call = msgspec.structs.replace(
+                call, useful_until=self._answers_until
+            )
         return self._balancer.choose(
             self._directory.find_destinations(pending.service),
             now=now,
@@ -282,6 +315,14 @@
             demand=make_demand(pending, now),
         )
 
+    def _explain_no_attempt(self, pending: _PendingRequest) -> ErrorCode:
+        now = self._clock.monotonic()
+        if now >= pending.call.deadline:
+            return ErrorCode.DEADLINE_EXCEEDED
+        if now >= self._answers_until:
+            return ErrorCode.STOPPING
+        return ErrorCode.NO_BACKEND
+
     def _find_max_wait(
         self, destination: Destination, pending: _PendingRequest
     ) -> float:
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import Counter
 from collections.abc import Callable
 from http import HTTPStatus
@@ -17,7 +18,13 @@
 from almondrouter.coordination.slots import Grant, SlotQueue
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
-from almondrouter.protocol.calls import BodyOffer, CallReply, CallRequest, Load
+from almondrouter.protocol.calls import (
+    BodyOffer,
+    CallReply,
+    CallRequest,
+    LinkRequest,
+    Load,
+)
 from almondrouter.protocol.dialect import Dialect
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, make_reply
@@ -33,6 +40,9 @@
 """Limit of stored departures, one per backend server name; a host has one backend
 server at a time."""
 
+_UNLOGGED_CODES = frozenset({ErrorCode.BUSIER_THAN_EXPECTED, ErrorCode.CALL_CANCELLED})
+"""Codes after which the sending daemon tries again, or logs why it withdrew."""
+
 _log = EventLogger("backend")
 
 
@@ -71,6 +81,7 @@
         self._departures: dict[str, int] = {}
         self.entry: BackendEntry | None = None
         self.queue = SlotQueue(1, clock=clock)
+        self._not_ready = asyncio.Event()
         self.counts: Counter[str] = Counter()
 
     def apply_announcement(self, entry: BackendEntry) -> None:
@@ -106,6 +117,7 @@
             started_ms=entry.started_ms,
             slots=entry.slots,
         )
+        self._apply_readiness(entry)
         self._on_changed()
 
     def mark_leaving(self, backend: str, started_ms: int | None) -> None:
@@ -150,8 +162,26 @@
             state=state.value,
             reason=reason,
         )
+        self._apply_readiness(self.entry)
         self._on_changed()
 
+    def _apply_readiness(self, entry: BackendEntry) -> None:
+        """Refuse what waits if the backend server is not ready.
+
+        Requests and offers of bodies are then tried elsewhere at once.
+
+        Notes
+        -----
+        A slot granted later would be of no use: `_check_destination` refuses each
+        request that is granted one while the backend server is not ready.
+        """
+        if entry.state is not ServingState.READY:
+            message = f"backend server {entry.backend!r} is {entry.state.value}"
+            self.queue.refuse_waiting(ErrorCode.NO_BACKEND, message)
+            self._not_ready.set()
+        else:
+            self._not_ready.clear()
+
     async def handle_call(self, request: CallRequest) -> CallReply:
         """Run a request; return its result or error as a reply with the load."""
         try:
@@ -160,6 +190,10 @@
             reply = make_reply(error.code, error.outcome)
         return msgspec.structs.replace(reply, load=self.load)
 
+    def withdraw(self, request: LinkRequest) -> bool:
+        """Refuse a request that waits for a slot; return whether it was waiting."""
+        return self.queue.withdraw(request)
+
     async def run(self, request: CallRequest) -> CallReply:
         """Run a request and return its result.
 
@@ -172,7 +206,7 @@
         try:
             return await self._run_request(request)
         except CallError as error:
-            if error.code is ErrorCode.BUSIER_THAN_EXPECTED:
+            if error.code in _UNLOGGED_CODES:
                 raise
             load = self.queue.load()
             _log.request(
@@ -238,13 +272,20 @@
         """
         try:
             self._check_destination(offer)
-            await self._clock.sleep_until(self._schedule_body(offer))
+            await self._wait_for_turn(self._schedule_body(offer))
+            self._check_destination(offer)
         except CallError as error:
             reply = make_reply(error.code, error.outcome)
             return msgspec.structs.replace(reply, load=self.load)
         status = HTTPStatus.CONTINUE
         return CallReply(0, Outcome.COMPLETE, status, (), b"", "", self.load)
 
+    async def _wait_for_turn(self, starts_at: float) -> None:
+        """Wait until a body may be sent, or the backend server stops being ready."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(starts_at - self._clock.monotonic()):
+                await self._not_ready.wait()
+
     def _schedule_body(self, offer: BodyOffer) -> float:
         run_time = self.queue.estimate_run_time(offer.class_name)
         starts_at = self._intake.reserve(
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -14,12 +14,14 @@
 import msgspec
 from parameterized import parameterized
 
+from almondrouter_standins.platform_backend import SLOTS
 from almondrouter_standins.platform_fleet import (
     CONFIGURATION_KEY,
     STOP_GRACE_PERIOD_S,
     PlatformFleet,
 )
 from almondrouter_standins.platform_store import StoreFault
+from almondrouterd.hostdaemon import READINESS_PROPAGATION_S
 from platform_support import make_configuration as make_document
 
 NETWORKS = iter(range(20 + os.getpid() % 100, 255))
@@ -27,6 +29,13 @@
 RECOVERY_TIMEOUT_S = 60.0
 """Seconds after the last fault within which requests have to be served again; long
 enough for a busy machine, because these tests do not check speed."""
+SHORT_GRACE_PERIOD_S = 3.5
+"""Seconds from the stop signal to the kill in tests whose requests outlast it."""
+LONG_RUN_S = 4.5
+"""Run time of a request that outlasts the short grace period."""
+LONG_TIMEOUT_S = 8.0
+QUEUEING_S = 0.3
+"""Seconds in which a request reaches the queue of a backend server."""
 TIMEOUT_S = 5.0
 """Seconds that routes allow a request; long enough for a busy machine."""
 
@@ -39,7 +48,14 @@
 class HostDaemonTest(unittest.IsolatedAsyncioTestCase):
     """Runs real daemon processes on loopback with simulated store and backends."""
 
-    async def start_fleet(self, *, hosts=3, seed=1):
+    async def start_fleet(
+        self,
+        *,
+        hosts=3,
+        seed=1,
+        stop_within=STOP_GRACE_PERIOD_S,
+        configuration=None,
+    ):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.random = random.Random(seed)
@@ -48,9 +64,39 @@
             hosts=hosts,
             random=self.random,
             network_octet=next(NETWORKS),
+            stop_within=stop_within,
         )
         self.addAsyncCleanup(self.fleet.close)
-        await self.fleet.start(make_configuration(1))
+        await self.fleet.start(configuration or make_configuration(1))
+
+    async def start_full_fleet(self, *, callers_of):
+        """Start two hosts; requests of callers hold all slots of the second one.
+
+        The backend server of the first host is draining, so that requests of its
+        callers wait for a slot of the second one.
+        """
+        configuration = make_document(
+            1, timeout=LONG_TIMEOUT_S, target_latency=LONG_TIMEOUT_S
+        )
+        await self.start_fleet(
+            hosts=2, stop_within=SHORT_GRACE_PERIOD_S, configuration=configuration
+        )
+        draining, full = self.fleet.backends
+        draining.state = "draining"
+        while not draining.acknowledged["draining"]:
+            await asyncio.sleep(0.02)
+        full.run_time = (LONG_RUN_S, LONG_RUN_S)
+        runs = self.fleet.ledger.runs.total() + SLOTS
+        running = self.start_requests(SLOTS, host=callers_of)
+        while self.fleet.ledger.runs.total() < runs:
+            await asyncio.sleep(0.02)
+        return running
+
+    def start_requests(self, count, *, host):
+        """Start requests that may run at most once; return their tasks."""
+        return [
+            asyncio.create_task(self.fleet.send(host, "/pay/1")) for _ in range(count)
+        ]
 
     async def send_requests(self, count, *, hosts, paths=PATHS):
         """Send requests to the hosts in turn; return the count of each status."""
@@ -171,6 +217,75 @@
         self.assertEqual({200: 12}, await self.send_requests(12, hosts=(1, 2)))
         self.assert_guarantees()
 
+    @parameterized.expand([("sent before it", False), ("sent after it", True)])
+    async def test_stop_answers_requests_that_wait_elsewhere(self, _, sent_after):
+        """Guards against a stop that cuts requests waiting for a slot elsewhere.
+
+        They have not run, so their callers can be told so.
+        """
+        running = await self.start_full_fleet(callers_of=1)
+        waiting = [] if sent_after else self.start_requests(2, host=0)
+        await asyncio.sleep(QUEUEING_S)
+        stop = asyncio.create_task(self.fleet.stop_daemon(0, signal.SIGTERM))
+        if sent_after:
+            await asyncio.sleep(QUEUEING_S)
+            waiting = self.start_requests(2, host=0)
+        async with asyncio.timeout(SHORT_GRACE_PERIOD_S):
+            self.assertEqual(0, await stop)
+        self.assertEqual([503, 503], await asyncio.gather(*waiting))
+        self.assertEqual([200] * SLOTS, await asyncio.gather(*running))
+        self.assert_guarantees()
+
+    @parameterized.expand([("of other hosts", 0, 504), ("of its callers", 1, 0)])
+    async def test_stop_refuses_requests_that_wait_for_the_local_server(
+        self, _, callers_of, status
+    ):
+        """Guards against unknown outcomes of requests that waited at a stopping host.
+
+        Only the requests that its backend server was running may have run. They
+        outlast the stop and end without a result.
+        """
+        running = await self.start_full_fleet(callers_of=callers_of)
+        waiting = self.start_requests(2, host=callers_of)
+        await asyncio.sleep(QUEUEING_S)
+        stop = asyncio.create_task(self.fleet.stop_daemon(1, signal.SIGTERM))
+        async with asyncio.timeout(SHORT_GRACE_PERIOD_S):
+            self.assertEqual([503, 503], await asyncio.gather(*waiting))
+            self.assertFalse(stop.done())
+            self.assertEqual(0, await stop)
+        self.assertEqual([status] * SLOTS, await asyncio.gather(*running))
+        self.assert_guarantees()
+
+    @parameterized.expand([("of its callers", 0), ("of other hosts", 1)])
+    async def test_stop_serves_nested_calls_of_running_requests(self, _, callers_of):
+        """Guards against a stop that refuses the calls of requests it waits for.
+
+        New requests are refused meanwhile.
+        """
+        await self.start_fleet()
+        stopping = self.fleet.backends[0]
+        for backend in self.fleet.backends[1:]:
+            backend.state = "draining"
+            while not backend.acknowledged["draining"]:
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(QUEUEING_S)
+        stopping.run_time = (READINESS_PROPAGATION_S + 2.2,) * 2
+        runs = self.fleet.ledger.runs.total()
+        (parent,) = self.start_requests(1, host=callers_of)
+        while self.fleet.ledger.runs.total() == runs:
+            await asyncio.sleep(0.02)
+        parent_id = self.fleet.last_attempt_id
+        await self.fleet.replace_backend(2)
+        while not self.fleet.backends[2].acknowledged["ready"]:
+            await asyncio.sleep(0.02)
+        stop = asyncio.create_task(self.fleet.stop_daemon(0, signal.SIGTERM))
+        await asyncio.sleep(READINESS_PROPAGATION_S + 0.4)
+        self.assertEqual(200, await self.fleet.send(0, "/read/1", parent=parent_id))
+        self.assertEqual(503, await self.fleet.send(0, "/read/1"))
+        self.assertEqual(200, await parent)
+        self.assertEqual(0, await stop)
+        self.assert_guarantees()
+
     async def test_draining_server_gets_no_new_requests(self):
         """Guards against new requests to a backend server that is draining."""
         await self.start_fleet()
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -154,12 +154,60 @@
         )
         self.assertAlmostEqual(began_at + 0.7, self.links.calls[0].deadline)
 
+    async def test_passed_deadline_is_not_reported_as_a_missing_server(self):
+        """Guards against a search for missing servers when a deadline had passed."""
+        began_at = self.clock.monotonic()
+        self.clock.advance(1.0)
+        headers = (("host", "shop.example"), ("deadline-ms", "700"))
+        response = await self.forwarder.handle(
+            CallerRequest("GET", "/read/1", headers, b"", began_at=began_at)
+        )
+        self.assertEqual((503, []), (response.status, self.links.calls))
+        self.assertIn(("Almond-Code", "deadline_exceeded"), response.headers)
+
     async def test_route_bounds_the_wait(self):
         """Guards against deadlines beyond the route's limit for a response."""
         await self.send(script=[make_answer()], deadline_ms="9000")
         left = self.links.calls[0].deadline - self.clock.monotonic()
         self.assertAlmostEqual(0.8, left)
 
+    async def test_stopping_daemon_bounds_the_wait_for_a_slot(self):
+        """Guards against requests that wait until their caller's daemon has ended.
+
+        The deadline is not changed: a request that runs is not broken off for it.
+        """
+        stops_at = self.clock.monotonic() + 0.3
+        self.forwarder.stop_answering(stops_at)
+        await self.send(script=[make_answer()])
+        call = self.links.calls[0]
+        self.assertAlmostEqual(stops_at, call.useful_until)
+        self.assertAlmostEqual(stops_at + 0.4, call.deadline)
+
+    async def test_no_attempt_after_answers_have_ended(self):
+        """Guards against attempts whose result this daemon can no longer send."""
+        self.forwarder.stop_answering(self.clock.monotonic())
+        response = await self.send(script=[make_answer()])
+        self.assertEqual((503, []), (response.status, self.links.calls))
+        self.assertIn(("Almond-Code", "stopping"), response.headers)
+        self.assertIn("retry-after", dict(response.headers))
+
+    async def test_stopping_daemon_serves_only_nested_calls(self):
+        """Guards against refusing the calls of requests that a stop waits for."""
+        self.forwarder.refuse_new_requests()
+        self.running.add("parent")
+        refused = await self.send(script=[make_answer()])
+        self.assertEqual((503, []), (refused.status, self.links.calls))
+        self.assertIn(("Almond-Code", "stopping"), refused.headers)
+        self.assertIn("retry-after", dict(refused.headers))
+        nested = await self.send(script=[make_answer()], attempt_id="parent.child")
+        self.assertEqual(200, nested.status)
+
+    async def test_withdrawn_request_is_not_tried_elsewhere(self):
+        """Guards against a second attempt of a request that its daemon withdrew."""
+        withdrawn = make_reply(ErrorCode.CALL_CANCELLED)
+        response = await self.send("/pay/1", script=[withdrawn, make_answer()])
+        self.assertEqual((503, 1), (response.status, len(self.links.calls)))
+
     @parameterized.expand(
         [
             ("/none/", "shop.example", 404, "class_unknown"),
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -22,6 +22,8 @@
 
 READY, LEAVING, DOWN = ServingState.READY, ServingState.LEAVING, ServingState.DOWN
 SIGNED = (("response-signature", "s"),)
+REFUSAL_TIMEOUT_S = 5.0
+"""Time limit for a refusal that should come at once."""
 
 
 class ScriptedSender(BackendSender):
@@ -101,6 +103,28 @@
         self.assertEqual((code, outcome), (reply.code, reply.outcome))
         self.assertEqual([], self.sender.sent)
 
+    async def test_waiting_offer_is_refused_when_the_server_leaves(self):
+        """Guards against sending a long body to a server that will refuse it.
+
+        The offer waits for its turn meanwhile; another server could take the body.
+        """
+        now = self.clock.monotonic()
+        first, second = (
+            BodyOffer(0, "c", "b", 1, 20_000_000, now + 90.0, now + 90.0)
+            for _ in range(2)
+        )
+        accepted = await self.backend.answer_offer(first)
+        self.assertEqual(100, accepted.status)
+        waiting = asyncio.create_task(self.backend.answer_offer(second))
+        await asyncio.sleep(0)
+        self.backend.change_state(LEAVING, reason="test")
+        async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            refused = await waiting
+        self.assertEqual(
+            (ErrorCode.NO_BACKEND.value, Outcome.NOT_RUN),
+            (refused.code, refused.outcome),
+        )
+
     async def test_answer_is_passed_on(self):
         """Guards against responses that lose their status, headers or body."""
         self.sender.script = [BackendResponse(201, SIGNED, b"body")]
@@ -203,6 +227,92 @@
             await asyncio.sleep(0)
         self.assertTrue(self.backend.queue.is_idle)
 
+    @parameterized.expand(
+        [
+            ("daemon stops", lambda t: t.change_state(LEAVING, reason="test")),
+            ("draining", lambda t: t.apply_announcement(make_entry(state=LEAVING))),
+            ("deregistered", lambda t: t.mark_leaving("b", None)),
+            ("down", lambda t: t.change_state(DOWN, reason="test")),
+        ]
+    )
+    async def test_waiting_requests_are_refused_when_the_server_leaves(self, _, leave):
+        """Guards against requests that wait for a slot and are refused only then.
+
+        Another backend server could run them meanwhile. What runs is not affected.
+        """
+        self.sender.release.clear()
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        running = asyncio.create_task(self.backend.run(self.request()))
+        while not self.sender.sent:
+            await asyncio.sleep(0)
+        waiting = asyncio.create_task(self.backend.handle_call(self.request()))
+        await asyncio.sleep(0)
+        leave(self.backend)
+        async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            refused = await waiting
+        self.assertEqual(
+            (ErrorCode.NO_BACKEND.value, Outcome.NOT_RUN, None),
+            (refused.code, refused.outcome, refused.load),
+        )
+        self.sender.release.set()
+        self.assertEqual(200, (await running).status)
+        self.assertEqual(1, len(self.sender.sent))
+
+    @parameterized.expand(
+        [
+            ("ready again", lambda t: t.apply_announcement(make_entry())),
+            ("changed back", lambda t: t.change_state(READY, reason="test")),
+        ]
+    )
+    async def test_leaving_server_grants_no_slot_later(self, _, announce):
+        """Guards against refusing a waiting request that would have run after all.
+
+        A backend server that leaves never becomes ready again without a restart, so
+        refusing its waiting requests at once takes no run from them.
+        """
+        self.backend.change_state(LEAVING, reason="test")
+        announce(self.backend)
+        self.assertEqual(LEAVING, self.backend.entry.state)
+        reply = await self.backend.handle_call(self.request())
+        self.assertEqual(ErrorCode.NO_BACKEND.value, reply.code)
+        self.assertEqual([], self.sender.sent)
+
+    @parameterized.expand([("repeatable", True), ("at most once", False)])
+    async def test_only_a_waiting_request_is_withdrawn(self, _, repeatable):
+        """Guards against reporting a request as not run that runs, or runs later."""
+        self.sender.release.clear()
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        runs = self.request(repeatable=repeatable)
+        running = asyncio.create_task(self.backend.run(runs))
+        while not self.sender.sent:
+            await asyncio.sleep(0)
+        waits = self.request(repeatable=repeatable)
+        waiting = asyncio.create_task(self.backend.handle_call(waits))
+        await asyncio.sleep(0)
+        self.assertFalse(self.backend.withdraw(runs))
+        self.assertTrue(self.backend.withdraw(waits))
+        self.assertFalse(self.backend.withdraw(waits))
+        reply = await waiting
+        self.assertEqual(
+            (ErrorCode.CALL_CANCELLED.value, Outcome.NOT_RUN),
+            (reply.code, reply.outcome),
+        )
+        self.sender.release.set()
+        self.assertEqual(200, (await running).status)
+        self.assertEqual(1, len(self.sender.sent))
+        self.assertTrue(self.backend.queue.is_idle)
+
+    async def test_request_with_a_granted_slot_is_not_withdrawn(self):
+        """Guards against a withdrawal between the grant of a slot and the run."""
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        blocker = await self.backend.queue.acquire(self.request())
+        request = self.request()
+        waiting = asyncio.create_task(self.backend.run(request))
+        await asyncio.sleep(0)
+        self.backend.queue.release(blocker, measured=False)
+        self.assertFalse(self.backend.withdraw(request))
+        self.assertEqual(200, (await waiting).status)
+
     async def test_waiting_requests_end_with_a_restart(self):
         """Guards against requests that wait for a server that no longer runs."""
         self.sender.release.clear()
