Test backend servers that send bytes without end

Cause: a backend server in trouble may send bytes that are no response, in a head or a body, until the client closes the connection. No test showed that a request to such a server ends by a bounded number of bytes or at its deadline.

Change: a server in a thread floods or drips garbage, status lines, headers, interim responses, chunks, bodies with and without a length, stray responses and bytes after a complete response, on new and reused connections, on the event loop of asyncio and on uvloop. Each request has to end as unknown, close its connection, hold at most a response at its limits twice, receive at most a response and a head, leave the event loop its turn within half a ping interval, and leave the client usable.

--- /dev/null
+++ b/tests/test_transport_backends_endless.py
@@ -0,0 +1,237 @@
+"""Tests of the backend client: servers that send bytes without end."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+import tracemalloc
+import unittest
+from contextlib import suppress
+from unittest import mock
+
+import uvloop
+from parameterized import parameterized
+
+from almondrouter.clock import SystemClock
+from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport import backends
+from almondrouter.transport.backends import (
+    MAX_HEADER_BYTES,
+    MAX_RESPONSE_BYTES,
+    BackendClient,
+)
+from calls_support import wait_until
+
+OK = b"HTTP/1.1 200 OK\r\nAttempt: own\r\nContent-Length: 4\r\n\r\nbody"
+STRAY = OK.replace(b"own", b"other")
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt: own\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+HUGE = HEAD + b"Content-Length: 999999999999\r\n\r\n"
+BLOCK_BYTES = 65_536
+DRIP_INTERVAL_S = 0.01
+FLOOD_SECONDS = 5.0
+DRIP_SECONDS = 0.3
+READ_BYTES = 262_144
+"""Largest number of bytes that an event loop passes on at once."""
+MAX_LAG_S = 0.5
+"""Half of the interval of pings, which a daemon must not miss."""
+MAX_HELD_BYTES = 2 * (MAX_RESPONSE_BYTES + MAX_HEADER_BYTES + READ_BYTES)
+"""A response at its limits while its parts are being joined."""
+MAX_RECEIVED_BYTES = MAX_RESPONSE_BYTES + MAX_HEADER_BYTES + 2 * READ_BYTES
+
+ENDLESS = [
+    ("garbage", b"", b"\x00garbage"),
+    ("empty lines", b"", b"\r\n"),
+    ("status line", b"HTTP/1.1 200 ", b"OK"),
+    ("header name", HEAD, b"x"),
+    ("header value", HEAD + b"name: ", b"x"),
+    ("folded header", HEAD + b"name: x\r\n", b" x\r\n"),
+    ("small headers", HEAD, b"aa: bb\r\n"),
+    ("100 Continue", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ("102 Processing", b"", b"HTTP/1.1 102 Processing\r\na: b\r\n\r\n"),
+    ("body without length", HEAD + b"\r\n", b"x"),
+    ("large chunks", CHUNKED, b"4000\r\n" + bytes(0x4000) + b"\r\n"),
+    ("one chunk", CHUNKED + b"fffffffffff\r\n", b"x"),
+    ("body far above the limit", HUGE, b"x"),
+    ("stray responses", b"", STRAY),
+    ("stray responses without body", b"", STRAY.replace(b"4", b"0")[:-4]),
+]
+
+
+def is_own(headers):
+    """Return whether a response belongs to the request."""
+    return ("attempt", "own") in headers
+
+
+class EndlessServer:
+    """Server that sends a prefix and then a unit without end; answers while calm."""
+
+    def __init__(self):
+        self.calm = False
+        self.prefix = self.unit = b""
+        self.dripping = False
+        self.ended = 0
+        self._stopping = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=200)
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self):
+        """Stop accepting and sending."""
+        self._stopping.set()
+        self._listener.close()
+
+    def _accept(self):
+        with suppress(OSError):
+            while True:
+                peer, _ = self._listener.accept()
+                threading.Thread(target=self._serve, args=(peer,), daemon=True).start()
+
+    def _serve(self, peer):
+        with peer, suppress(OSError):
+            while self._read_request(peer):
+                if not self.calm:
+                    try:
+                        self._send_without_end(peer)
+                    finally:
+                        self.ended += 1
+                peer.sendall(OK)
+
+    def _read_request(self, peer):
+        received = b""
+        while not received.endswith(b"\r\n\r\n"):
+            part = peer.recv(65_536)
+            if not part:
+                return False
+            received += part
+        return True
+
+    def _send_without_end(self, peer):
+        peer.sendall(self.prefix)
+        block = self.unit
+        if not self.dripping:
+            block *= BLOCK_BYTES // len(self.unit) + 1
+        while not self._stopping.wait(DRIP_INTERVAL_S if self.dripping else 0):
+            peer.sendall(block)
+
+
+class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Requests to a server that sends without end until the client closes."""
+
+    policy = asyncio.DefaultEventLoopPolicy
+
+    @classmethod
+    def setUpClass(cls):
+        asyncio.set_event_loop_policy(cls.policy())
+
+    @classmethod
+    def tearDownClass(cls):
+        asyncio.set_event_loop_policy(None)
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        self.server = EndlessServer()
+        self.addCleanup(self.server.stop)
+        self.use_client(connections=1)
+        self.received = 0
+        self.watch_received_bytes()
+        self.lag = 0.0
+        ticker = asyncio.create_task(self.measure_lag())
+        self.addCleanup(ticker.cancel)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    def use_client(self, *, connections):
+        self.client = BackendClient(
+            self.server.address,
+            connections=connections,
+            clock=SystemClock(),
+            accept_unframed=True,
+        )
+        self.addAsyncCleanup(self.client.close)
+
+    def watch_received_bytes(self):
+        original = backends._Connection.data_received
+
+        def count(connection, data):
+            self.received += len(data)
+            original(connection, data)
+
+        patch = mock.patch.object(backends._Connection, "data_received", count)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def measure_lag(self):
+        clock = SystemClock()
+        while True:
+            due = clock.monotonic() + 0.01
+            await asyncio.sleep(0.01)
+            self.lag = max(self.lag, clock.monotonic() - due)
+
+    def send(self, *, seconds=FLOOD_SECONDS):
+        deadline = SystemClock().monotonic() + seconds
+        return self.client.send("GET", "/", (), b"", deadline=deadline, matches=is_own)
+
+    async def assert_ends(self, *, seconds):
+        """Check that the request fails in time and leaves nothing behind."""
+        clock = SystemClock()
+        started = clock.monotonic()
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        with self.assertRaises(CallError) as caught:
+            await self.send(seconds=seconds)
+        self.assertEqual(Outcome.UNKNOWN, caught.exception.outcome)
+        self.assertLess(clock.monotonic() - started, seconds + MAX_LAG_S)
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak - held, MAX_HELD_BYTES)
+        await wait_until(lambda: self.server.ended)
+        self.assertEqual(0, self.client.connections)
+        await self.assert_next_request_succeeds(opened=2)
+
+    async def assert_next_request_succeeds(self, *, opened):
+        self.server.calm = True
+        self.assertEqual(b"body", (await self.send()).body)
+        self.assertEqual(opened, self.client.counts["connections_opened"])
+        self.assertLess(self.lag, MAX_LAG_S)
+
+    @parameterized.expand(ENDLESS)
+    async def test_flood_ends_the_request(self, _, prefix, unit):
+        """Guards against a flood that occupies a request, the memory or the loop."""
+        self.server.prefix, self.server.unit = prefix, unit
+        await self.assert_ends(seconds=FLOOD_SECONDS)
+        self.assertLess(self.received, MAX_RECEIVED_BYTES)
+
+    @parameterized.expand([*ENDLESS, ("valid body", HUGE.replace(b"99", b"9"), b"x")])
+    async def test_drip_ends_the_request(self, _, prefix, unit):
+        """Guards against a slow response that outlives the request's deadline."""
+        self.server.prefix, self.server.unit = prefix, unit
+        self.server.dripping = True
+        await self.assert_ends(seconds=DRIP_SECONDS)
+
+    @parameterized.expand([("garbage", b"x"), ("another", OK), ("lines", b"\r\n")])
+    async def test_flood_after_a_response_closes_the_connection(self, _, unit):
+        """Guards against reading from a server that goes on after its response."""
+        self.server.prefix, self.server.unit = OK, unit
+        self.assertEqual(b"body", (await self.send()).body)
+        await wait_until(lambda: self.server.ended)
+        self.assertLess(self.received, MAX_HEADER_BYTES + 2 * READ_BYTES)
+        await self.assert_next_request_succeeds(opened=2)
+
+    @parameterized.expand([("garbage", b"x"), ("strays", STRAY), ("lines", b"\r\n")])
+    async def test_flood_on_a_reused_connection_ends_the_request(self, _, unit):
+        """Guards against bytes of no response that count as the next response."""
+        self.server.calm = True
+        await self.send()
+        self.server.calm = False
+        self.server.unit = unit
+        await self.assert_ends(seconds=FLOOD_SECONDS)
+        self.assertLess(self.received, MAX_RESPONSE_BYTES + MAX_HEADER_BYTES)
+
+
+class EndlessResponseUvloopTest(EndlessResponseTest):
+    """The same on the event loop of the daemon."""
+
+    policy = uvloop.EventLoopPolicy
