Let others have their turn between full reads of a response

What callers saw: with a backend server that floods a response in small chunks, all other requests, timers and pings of the daemon waited for more than a second.

Cause: uvloop repeats a read of one connection up to 32 times as long as each fills its buffer. The client parsed eight megabytes before the event loop served anything else.

Change: after a read of 64 KB the connection pauses reading until the next turn of the event loop. Smaller responses are not affected.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -50,6 +50,11 @@
 MAX_RESPONSE_BYTES = 7_500_000
 """Longest response body; it has to fit into one call frame with the headers."""
 MAX_HEADER_BYTES = 131_072
+YIELD_AFTER_BYTES = 65_536
+"""Size of a read after which the event loop serves others before the next read.
+
+uvloop otherwise repeats full reads of one connection many times without a break.
+"""
 
 _OUTCOME_HEADER = OUTCOME.lower()
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
@@ -375,10 +380,17 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._abort_with_error(f"malformed HTTP response: {error}")
+        if len(data) >= YIELD_AFTER_BYTES and not self._transport.is_closing():
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._resume_reading)
         self._header_bytes += 0 if self._headers_done else len(data)
         if self._header_bytes > MAX_HEADER_BYTES:
             self._abort_with_error(f"response headers exceed {MAX_HEADER_BYTES} bytes")
 
+    def _resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; the name is converted to lower case."""
         self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
--- a/tests/test_transport_backends_endless.py
+++ b/tests/test_transport_backends_endless.py
@@ -204,6 +204,14 @@
         await self.assert_ends(seconds=FLOOD_SECONDS)
         self.assertLess(self.received, MAX_RECEIVED_BYTES)
 
+    async def test_flood_of_chunks_leaves_others_their_turn(self):
+        """Guards against a flood that keeps timers and other connections waiting."""
+        self.server.prefix, self.server.unit = CHUNKED, b"2\r\nxy\r\n"
+        with self.assertRaises(CallError):
+            await self.send()
+        await wait_until(lambda: self.server.ended)
+        await self.assert_next_request_succeeds(opened=2)
+
     @parameterized.expand([*ENDLESS, ("valid body", HUGE.replace(b"99", b"9"), b"x")])
     async def test_drip_ends_the_request(self, _, prefix, unit):
         """Guards against a slow response that outlives the request's deadline."""
