Discard trailers of a response instead of adding them to its headers

What callers saw: the trailer "Almond-Outcome: not-run" of a complete 503 response turned it into "refused without running it", after which the request may run again elsewhere. A trailer could also carry the id by which a response is matched. Trailers without end were all kept.

Cause: the parser reports trailers by the same callback as headers, and it stored both.

Change: after the end of the head nothing is stored. A recipient may discard trailers (RFC 9110, section 6.5.1), and no header that the daemon reads is defined as one.

Measured: the new test fails on the code before with "[backend_refused] the backend server refused the request without running it" and passes with the change.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -392,7 +392,9 @@
             self._transport.resume_reading()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; the name is converted to lower case."""
+        """Store a header with its name in lower case; trailers are discarded."""
+        if self._headers_done:
+            return
         self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -20,6 +20,9 @@
 LATE = OK.replace(b"\r\n\r\n", b"\r\nAttempt: other\r\n\r\n")
 OWN = LATE.replace(b"other", b"own").replace(b"body", b"mine")
 SHED = b"HTTP/1.1 503 x\r\nAlmond-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+SHED_IN_TRAILER = (
+    CHUNKED.replace(b"200 OK", b"503 x") + b"0\r\nAlmond-Outcome: not-run\r\n\r\n"
+)
 SHED_200 = OK.replace(b"\r\n\r\n", b"\r\nAlmond-Outcome: not-run\r\n\r\n")
 
 
@@ -175,6 +178,13 @@
         self.script = (SHED, False)
         await self.assert_fails(self.send(), ErrorCode.BACKEND_REFUSED, Outcome.NOT_RUN)
 
+    async def test_trailer_is_not_a_header(self):
+        """Guards against a trailer that marks a response as not run or as another's."""
+        self.script = (SHED_IN_TRAILER, False)
+        response = await self.send()
+        self.assertEqual(503, response.status)
+        self.assertEqual((("transfer-encoding", "chunked"),), response.headers)
+
     async def test_response_too_large_for_a_frame_is_unknown(self):
         """Guards against responses that exhaust memory."""
         size = MAX_RESPONSE_BYTES + 1
