Bound the bytes of a response that are not its body

What callers saw: a request whose response had an endless chunk size, chunk extension or trailer went on until its deadline, while the daemon received gigabytes. An endless trailer value was kept whole; on uvloop a request with endless trailers ended 4 s after its deadline of 5 s.

Cause: bytes other than the body were counted only until the end of the head.

Change: all received bytes that are not the body are counted, against the limit for headers and an allowance for the framing of each part of the body.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -50,6 +50,10 @@
 MAX_RESPONSE_BYTES = 7_500_000
 """Longest response body; it has to fit into one call frame with the headers."""
 MAX_HEADER_BYTES = 131_072
+"""Limit on the bytes of a response that are not its body: heads of interim responses,
+its own head, chunk sizes and extensions, and trailers."""
+CHUNK_FRAMING_BYTES = 32
+"""Additional bytes of that kind for each part of the body."""
 YIELD_AFTER_BYTES = 65_536
 """Size of a read after which the event loop serves others before the next read.
 
@@ -383,9 +387,15 @@
         if len(data) >= YIELD_AFTER_BYTES and not self._transport.is_closing():
             self._transport.pause_reading()
             asyncio.get_running_loop().call_soon(self._resume_reading)
-        self._header_bytes += 0 if self._headers_done else len(data)
-        if self._header_bytes > MAX_HEADER_BYTES:
-            self._abort_with_error(f"response headers exceed {MAX_HEADER_BYTES} bytes")
+        self._received_bytes += len(data)
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        framing = self._received_bytes - self._body_size
+        limit = MAX_HEADER_BYTES + CHUNK_FRAMING_BYTES * self._body_parts
+        if framing > limit:
+            message = f"head, chunk framing and trailers exceed {limit} bytes"
+            self._abort_with_error(message)
 
     def _resume_reading(self) -> None:
         if not self._transport.is_closing():
@@ -417,6 +427,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self._body_size += len(body)
+        self._body_parts += 1
         if self._body_size > MAX_RESPONSE_BYTES:
             self._abort_with_error(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
         elif not self._body:
@@ -472,8 +483,9 @@
         self._headers: list[tuple[str, str]] = []
         self._headers_done = False
         self._body: bytes | bytearray = b""
-        self._header_bytes = 0
+        self._received_bytes = 0
         self._body_size = 0
+        self._body_parts = 0
         self._complete = False
         self._framed = True
 
--- a/tests/test_transport_backends_endless.py
+++ b/tests/test_transport_backends_endless.py
@@ -29,6 +29,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt: own\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 HUGE = HEAD + b"Content-Length: 999999999999\r\n\r\n"
+TRAILERS = CHUNKED + b"4\r\nbody\r\n0\r\n"
 BLOCK_BYTES = 65_536
 DRIP_INTERVAL_S = 0.01
 FLOOD_SECONDS = 5.0
@@ -54,6 +55,12 @@
     ("small chunks", CHUNKED, b"2\r\nxy\r\n"),
     ("large chunks", CHUNKED, b"4000\r\n" + bytes(0x4000) + b"\r\n"),
     ("one chunk", CHUNKED + b"fffffffffff\r\n", b"x"),
+    ("chunk size", CHUNKED, b"0"),
+    ("chunk extension", CHUNKED + b"4;", b"x"),
+    ("chunk extension value", CHUNKED + b"4;name=", b"x"),
+    ("long chunk extensions", CHUNKED, b"1;" + b"x" * 9_000 + b"\r\nx\r\n"),
+    ("trailers", TRAILERS, b"aa: bb\r\n"),
+    ("trailer value", TRAILERS + b"name: ", b"x"),
     ("body far above the limit", HUGE, b"x"),
     ("stray responses", b"", STRAY),
     ("stray responses without body", b"", STRAY.replace(b"4", b"0")[:-4]),
