Count discarded responses against the limits of their request

What callers saw: a backend server that sends responses of other requests without end occupied a request, its slot and its connection until the deadline.

Cause: each discarded response set the counts of received bytes back to zero. A flood was ended by chance, when a long read stopped within a head.

Change: the counts are set back by the next request only. Within a read they no longer mix a discarded response with the one that follows it.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -48,7 +48,9 @@
 TCP_USER_TIMEOUT_S = 1.0
 """Time without TCP acknowledgement of sent data after which a connection fails."""
 MAX_RESPONSE_BYTES = 7_500_000
-"""Longest response body; it has to fit into one call frame with the headers."""
+"""Longest response body; it has to fit into one call frame with the headers.
+
+The bodies of discarded responses to the same request count, too."""
 MAX_HEADER_BYTES = 131_072
 """Limit on the bytes of a response that are not its body: heads of interim responses,
 its own head, chunk sizes and extensions, and trailers."""
@@ -308,7 +310,10 @@
         self.idle_since = 0.0
         self.reusable_until = 0.0
         self.announced_idle = float("inf")
-        self._reset_response()
+        self._received_bytes = 0
+        self._body_size = 0
+        self._body_parts = 0
+        self._discard_response()
 
     def send_request(
         self, data: bytes, *, is_head: bool, matches: Matcher | None = None
@@ -321,7 +326,10 @@
             Responses for which it returns False belong to an earlier request and
             are discarded. The connection is then closed after the right one.
         """
-        self._reset_response()
+        self._discard_response()
+        self._received_bytes = 0
+        self._body_size = 0
+        self._body_parts = 0
         self._parser = httptools.HttpResponseParser(self)
         self._is_head = is_head
         self._matches = matches
@@ -451,7 +459,7 @@
         if self._matches is not None and not self._matches(tuple(self._headers)):
             self._discarded_response_count += 1
             self.reusable = False
-            self._reset_response()
+            self._discard_response()
             return
         self._complete = True
         # A server that responds before it has read the whole request still has the
@@ -479,13 +487,11 @@
                 CallError(code, message, outcome=Outcome.UNKNOWN)
             )
 
-    def _reset_response(self) -> None:
+    def _discard_response(self) -> None:
+        # The counts of bytes go on: the limits apply to all responses to one request.
         self._headers: list[tuple[str, str]] = []
         self._headers_done = False
         self._body: bytes | bytearray = b""
-        self._received_bytes = 0
-        self._body_size = 0
-        self._body_parts = 0
         self._complete = False
         self._framed = True
 
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -18,6 +18,7 @@
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 LATE = OK.replace(b"\r\n\r\n", b"\r\nAttempt: other\r\n\r\n")
+LONG_LATE = LATE.replace(b"Length: 4", b"Length: 240000") + bytes(239_996)
 OWN = LATE.replace(b"other", b"own").replace(b"body", b"mine")
 SHED = b"HTTP/1.1 503 x\r\nAlmond-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
 SHED_IN_TRAILER = (
@@ -144,6 +145,8 @@
         [
             ("one stray response", LATE + OWN, 1),
             ("two stray responses", LATE + LATE + OWN, 2),
+            ("long stray response", LONG_LATE + OWN, 1),
+            ("many long stray responses", LONG_LATE * 20 + OWN, 20),
         ]
     )
     async def test_response_to_an_earlier_request_is_discarded(
--- a/tests/test_transport_backends_endless.py
+++ b/tests/test_transport_backends_endless.py
@@ -63,6 +63,7 @@
     ("trailer value", TRAILERS + b"name: ", b"x"),
     ("body far above the limit", HUGE, b"x"),
     ("stray responses", b"", STRAY),
+    ("large stray responses", b"", STRAY.replace(b"4", b"65536") + bytes(65_532)),
     ("stray responses without body", b"", STRAY.replace(b"4", b"0")[:-4]),
 ]
 
@@ -78,7 +79,8 @@
     def __init__(self):
         self.calm = False
         self.prefix = self.unit = b""
-        self.dripping = False
+        self.interval = 0.0
+        self.block_bytes = BLOCK_BYTES
         self.ended = 0
         self._stopping = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=200)
@@ -118,10 +120,8 @@
 
     def _send_without_end(self, peer):
         peer.sendall(self.prefix)
-        block = self.unit
-        if not self.dripping:
-            block *= BLOCK_BYTES // len(self.unit) + 1
-        while not self._stopping.wait(DRIP_INTERVAL_S if self.dripping else 0):
+        block = self.unit * (self.block_bytes // len(self.unit) + 1)
+        while not self._stopping.wait(self.interval):
             peer.sendall(block)
 
 
@@ -213,6 +213,16 @@
         limit = framing * MAX_RESPONSE_BYTES + MAX_HEADER_BYTES + 2 * READ_BYTES
         self.assertLess(self.received, limit)
 
+    @parameterized.expand([("small", 4), ("large", 60_000)])
+    async def test_stray_responses_in_whole_writes_end_the_request(self, _, size):
+        """Guards against limits that begin anew with each discarded response."""
+        stray = STRAY.replace(b"Length: 4", b"Length: %d" % size)
+        self.server.unit = stray + bytes(size - len(b"body"))
+        self.server.interval, self.server.block_bytes = 0.001, 6_000
+        await self.assert_ends(seconds=FLOOD_SECONDS)
+        limit = MAX_RESPONSE_BYTES + MAX_HEADER_BYTES + 2 * READ_BYTES
+        self.assertLess(self.received, limit)
+
     async def test_flood_of_chunks_leaves_others_their_turn(self):
         """Guards against a flood that keeps timers and other connections waiting."""
         self.server.prefix, self.server.unit = CHUNKED, b"2\r\nxy\r\n"
@@ -225,7 +235,7 @@
     async def test_drip_ends_the_request(self, _, prefix, unit):
         """Guards against a slow response that outlives the request's deadline."""
         self.server.prefix, self.server.unit = prefix, unit
-        self.server.dripping = True
+        self.server.interval, self.server.block_bytes = DRIP_INTERVAL_S, 0
         await self.assert_ends(seconds=DRIP_SECONDS)
 
     @parameterized.expand([("garbage", b"x"), ("another", OK), ("lines", b"\r\n")])
