--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -48,8 +48,19 @@
 TCP_USER_TIMEOUT_S = 1.0
 """Time without TCP acknowledgement of sent data after which a connection fails."""
 MAX_RESPONSE_BYTES = 7_500_000
-"""Longest response body; it has to fit into one call frame with the headers."""
+"""Longest response body; it has to fit into one call frame with the headers.
+
+The bodies of discarded responses to the same request count, too."""
 MAX_HEADER_BYTES = 131_072
+"""Limit on the bytes of a response that are not its body: heads of interim responses,
+its own head, chunk sizes and extensions, and trailers."""
+CHUNK_FRAMING_BYTES = 32
+"""Additional bytes of that kind for each part of the body."""
+YIELD_AFTER_BYTES = 65_536
+"""Size of a read after which the event loop serves others before the next read.
+
+uvloop otherwise repeats full reads of one connection many times without a break.
+"""
 
 _OUTCOME_HEADER = OUTCOME.lower()
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
@@ -299,7 +310,10 @@
         self.idle_since = 0.0
         self.reusable_until = 0.0
         self.announced_idle = float("inf")
-        self._reset_response()
+        self._received_bytes = 0
+        self._body_size = 0
+        self._body_parts = 0
+        self._discard_response()
 
     def send_request(
         self, data: bytes, *, is_head: bool, matches: Matcher | None = None
@@ -312,7 +326,10 @@
             Responses for which it returns False belong to an earlier request and
             are discarded. The connection is then closed after the right one.
         """
-        self._reset_response()
+        self._discard_response()
+        self._received_bytes = 0
+        self._body_size = 0
+        self._body_parts = 0
         self._parser = httptools.HttpResponseParser(self)
         self._is_head = is_head
         self._matches = matches
@@ -375,12 +392,27 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._abort_with_error(f"malformed HTTP response: {error}")
-        self._header_bytes += 0 if self._headers_done else len(data)
-        if self._header_bytes > MAX_HEADER_BYTES:
-            self._abort_with_error(f"response headers exceed {MAX_HEADER_BYTES} bytes")
+        if len(data) >= YIELD_AFTER_BYTES and not self._transport.is_closing():
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._resume_reading)
+        self._received_bytes += len(data)
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        framing = self._received_bytes - self._body_size
+        limit = MAX_HEADER_BYTES + CHUNK_FRAMING_BYTES * self._body_parts
+        if framing > limit:
+            message = f"head, chunk framing and trailers exceed {limit} bytes"
+            self._abort_with_error(message)
+
+    def _resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; the name is converted to lower case."""
+        """Store a header with its name in lower case; trailers are discarded."""
+        if self._headers_done:
+            return
         self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -403,10 +435,16 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self._body_size += len(body)
+        self._body_parts += 1
         if self._body_size > MAX_RESPONSE_BYTES:
             self._abort_with_error(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
+        elif not self._body:
+            self._body = body
         else:
-            self._body.append(body)
+            # One buffer, since each small object would cost a multiple of its bytes.
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Complete the response; discard an interim one (status 1xx)."""
@@ -421,7 +459,7 @@
         if self._matches is not None and not self._matches(tuple(self._headers)):
             self._discarded_response_count += 1
             self.reusable = False
-            self._reset_response()
+            self._discard_response()
             return
         self._complete = True
         # A server that responds before it has read the whole request still has the
@@ -430,9 +468,9 @@
         if unread or not self._parser.should_keep_alive():
             self.reusable = False
         self._read_keep_alive()
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
         status = self._parser.get_status_code()
         if self._future is not None and not self._future.done():
+            body = bytes(self._body)
             response = BackendResponse(status, tuple(self._headers), body, self._framed)
             self._future.set_result(response)
 
@@ -449,12 +487,11 @@
                 CallError(code, message, outcome=Outcome.UNKNOWN)
             )
 
-    def _reset_response(self) -> None:
+    def _discard_response(self) -> None:
+        # The counts of bytes go on: the limits apply to all responses to one request.
         self._headers: list[tuple[str, str]] = []
         self._headers_done = False
-        self._body: list[bytes] = []
-        self._header_bytes = 0
-        self._body_size = 0
+        self._body: bytes | bytearray = b""
         self._complete = False
         self._framed = True
 
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -18,8 +18,12 @@
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 LATE = OK.replace(b"\r\n\r\n", b"\r\nAttempt: other\r\n\r\n")
+LONG_LATE = LATE.replace(b"Length: 4", b"Length: 240000") + bytes(239_996)
 OWN = LATE.replace(b"other", b"own").replace(b"body", b"mine")
 SHED = b"HTTP/1.1 503 x\r\nAlmond-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+SHED_IN_TRAILER = (
+    CHUNKED.replace(b"200 OK", b"503 x") + b"0\r\nAlmond-Outcome: not-run\r\n\r\n"
+)
 SHED_200 = OK.replace(b"\r\n\r\n", b"\r\nAlmond-Outcome: not-run\r\n\r\n")
 
 
@@ -75,6 +79,7 @@
             ("whole", OK),
             ("whole and closed", OK, True),
             ("chunked", CHUNKED + b"4\r\nbody\r\n0\r\n\r\n"),
+            ("chunks", CHUNKED + b"1\r\nb\r\n2\r\nod\r\n1\r\ny\r\n0\r\n\r\n"),
             ("after an interim one", INTERIM + OK),
             ("followed by another", OK + OK),
             ("marked not run but answered", SHED_200),
@@ -140,6 +145,8 @@
         [
             ("one stray response", LATE + OWN, 1),
             ("two stray responses", LATE + LATE + OWN, 2),
+            ("long stray response", LONG_LATE + OWN, 1),
+            ("many long stray responses", LONG_LATE * 20 + OWN, 20),
         ]
     )
     async def test_response_to_an_earlier_request_is_discarded(
@@ -174,6 +181,13 @@
         self.script = (SHED, False)
         await self.assert_fails(self.send(), ErrorCode.BACKEND_REFUSED, Outcome.NOT_RUN)
 
+    async def test_trailer_is_not_a_header(self):
+        """Guards against a trailer that marks a response as not run or as another's."""
+        self.script = (SHED_IN_TRAILER, False)
+        response = await self.send()
+        self.assertEqual(503, response.status)
+        self.assertEqual((("transfer-encoding", "chunked"),), response.headers)
+
     async def test_response_too_large_for_a_frame_is_unknown(self):
         """Guards against responses that exhaust memory."""
         size = MAX_RESPONSE_BYTES + 1
