Check the count of unreadable lines in the JSON of almondctl logs

What was seen: test_json compared the literal 1 with 1, so a wrong count of unreadable lines in the JSON output passed.

Change: the test compares the field `unreadable` of the document.

--- a/tests/test_almondctl_logs.py
+++ b/tests/test_almondctl_logs.py
@@ -83,7 +83,8 @@
             "request", "a", *self.write_request_logs(), output="json"
         )
         document = json.loads(text)
-        self.assertEqual((0, 5, 1), (code, len(document["lines"]), 1))
+        found = (code, len(document["lines"]), document["unreadable"])
+        self.assertEqual((0, 5, 1), found)
 
     def test_version(self):
         """Guards against a host that is left out because it skipped the version."""
