Remove three names that nothing uses

SlotQueue.estimate_wait, StoreFeed.last_response_at and HostDaemon._catch_up_task were written or defined and never read, in the packages, tests, benches or pages.

Evidence: a search for each name finds no other use; test_coordination_slots, test_coordination_storefeed and test_almondrouterd_host: 39 passed. There is no behaviour that a test could guard.

--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -175,11 +175,6 @@
             queued_by_rank=tuple(ranks[rank] for rank in range(depth)),
         )
 
-    def estimate_wait(self) -> float:
-        """Return the expected seconds until a new request would get a slot."""
-        busy = len(self._running) + len(self._queue) + 1 - self.slots
-        return max(0.0, busy * self._get_release_interval())
-
     def refuse_waiting(self, code: ErrorCode, message: str) -> None:
         """Refuse all waiting requests."""
         for waiter in tuple(self._queue):
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -108,7 +108,6 @@
         self._backoff_s = INITIAL_BACKOFF_S
         self._connected: bool | None = None
         self.loaded = asyncio.Event()
-        self.last_response_at = 0.0
         self.counts: Counter[str] = Counter()
 
     def request_reread(self) -> None:
@@ -232,7 +231,6 @@
                 subscriber.apply(event)
 
     def _record_response(self) -> None:
-        self.last_response_at = self._clock.monotonic()
         self._backoff_s = INITIAL_BACKOFF_S
         if self._connected is not True:
             self._connected = True
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -118,7 +118,6 @@
         self._incarnation = int(self._clock.wall() * 1000)
         self._record_revision = 0
         self._tasks: list[asyncio.Task] = []
-        self._catch_up_task: asyncio.Task | None = None
         self._dialect = PlatformDialect()
         self._metrics = DaemonMetrics()
         self._build_state()
