Drop requests outside the retry window as they are counted

What operators saw: nothing yet; a daemon kept an entry for each half second in which it took requests for a service, until the next retry for that service.

Cause: FleetRetryBudget dropped entries outside the window only in try_spend, and a service whose requests never fail never gets there.

Change: each request drops the entries before the window.

Evidence: the new test counts one request in each of 1,000 half seconds. It failed before: 1000 entries where 21 cover the window.

--- a/packages/almondrouter/src/almondrouter/coordination/fleetretries.py
+++ b/packages/almondrouter/src/almondrouter/coordination/fleetretries.py
@@ -69,17 +69,20 @@
 
     def record_request(self, service: str) -> None:
         """Count the first attempt of a request."""
-        self._requests[service].add(self._clock.monotonic())
+        now = self._clock.monotonic()
+        requests = self._requests[service]
+        requests.add(now)
+        requests.drop_before(now - self.limits.window)
 
     def try_spend(self, service: str) -> bool:
         """Take one retry from the budget; return whether one was left."""
         now = self._clock.monotonic()
-        since = now - self.limits.window
-        retries = self._retries[service]
-        requests = self._requests[service].total(since)
+        retries, requests = self._retries[service], self._requests[service]
+        for count in (retries, requests):
+            count.drop_before(now - self.limits.window)
         extra = self.limits.extra * USABLE_EXTRA_SHARE / max(1, self._count_hosts())
-        allowed = requests * self.limits.ratio * USABLE_RATIO_SHARE + extra
-        if retries.total(since) + 1 > allowed:
+        allowed = requests.total * self.limits.ratio * USABLE_RATIO_SHARE + extra
+        if retries.total + 1 > allowed:
             self.counts["denied"] += 1
             return False
         retries.add(now)
@@ -92,7 +95,7 @@
 
     def __init__(self) -> None:
         self._buckets: deque[list[float]] = deque()
-        self._total = 0
+        self.total = 0
 
     def add(self, now: float) -> None:
         bucket = now - now % BUCKET_S
@@ -100,10 +103,9 @@
             self._buckets[-1][1] += 1
         else:
             self._buckets.append([bucket, 1])
-        self._total += 1
+        self.total += 1
 
-    def total(self, since: float) -> int:
-        """Return the events since a time; drops the earlier ones."""
+    def drop_before(self, since: float) -> None:
+        """Drop the events before a time."""
         while self._buckets and self._buckets[0][0] < since:
-            self._total -= int(self._buckets.popleft()[1])
-        return self._total
+            self.total -= int(self._buckets.popleft()[1])
--- a/tests/test_coordination_fleetretries.py
+++ b/tests/test_coordination_fleetretries.py
@@ -10,7 +10,11 @@
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
-from almondrouter.coordination.fleetretries import FleetRetryBudget, FleetRetryLimits
+from almondrouter.coordination.fleetretries import (
+    BUCKET_S,
+    FleetRetryBudget,
+    FleetRetryLimits,
+)
 
 LIMITS = FleetRetryLimits(ratio=0.2, extra=60.0, window=10.0)
 
@@ -74,3 +78,13 @@
         budget.limits = replace(LIMITS, window=after)
         clock.advance(5.0)
         self.assertEqual(is_allowed, budget.try_spend("s"))
+
+    def test_requests_outside_the_window_are_dropped(self):
+        """Guards against memory that grows with each request that needs no retry."""
+        clock = ManualClock()
+        budget = FleetRetryBudget(LIMITS, count_hosts=lambda: 1, clock=clock)
+        for _ in range(1000):
+            clock.advance(BUCKET_S)
+            budget.record_request("s")
+        buckets = budget._requests["s"]._buckets
+        self.assertLessEqual(len(buckets), LIMITS.window / BUCKET_S + 1)
