Compare whole metrics in the soak and the fleet

The soak took version 1 for in force while a daemon had version 15, and a fleet of two hosts counted as complete where a daemon knew 20: both looked for the start of a line of the metrics. They now parse the line of the metric and compare its value, so a version that begins with the digits of another one no longer passes.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -29,6 +29,7 @@
 DISCOVERY_TIMEOUT_S = 90.0
 """Seconds in which all daemons must discover each other; allows for a busy machine."""
 CONFIGURATION_KEY = "op/config"
+VERSION_METRIC = "almond_configuration_version"
 
 _SETTINGS = """\
 node = "{name}"
@@ -219,14 +220,29 @@
         )
 
     async def _wait_until_all_hosts_known(self, number: int) -> None:
-        wanted = f"almond_hosts {len(self.ips)}"
         async with asyncio.timeout(DISCOVERY_TIMEOUT_S):
-            while wanted not in (await self.read_metrics(number)):
+            while not await self.knows_all_hosts(number):
                 await asyncio.sleep(0.05)
 
-    async def read_metrics(self, number: int) -> str:
-        """Return the metrics of a host's daemon in text format."""
-        return (await self.fetch(number, 9464, "/metrics")).body.decode()
+    async def knows_all_hosts(self, number: int) -> bool:
+        """Return whether a host's daemon knows exactly the hosts of this fleet."""
+        return await self.read_metric(number, "almond_hosts") == len(self.ips)
+
+    async def is_in_force_everywhere(self, version: int) -> bool:
+        """Return whether all daemons use a configuration version."""
+        for number in range(len(self.ips)):
+            if await self.read_metric(number, VERSION_METRIC) != version:
+                return False
+        return True
+
+    async def read_metric(self, number: int, name: str) -> float | None:
+        """Return a metric without labels of a host's daemon; None if there is none."""
+        metrics = (await self.fetch(number, 9464, "/metrics")).body.decode()
+        for line in metrics.splitlines():
+            metric, _, value = line.partition(" ")
+            if metric == name:
+                return float(value)
+        return None
 
     async def fetch(self, number: int, port: int, path: str) -> BackendResponse:
         """Return the response of a host to a GET request at any of its ports."""
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -125,7 +125,7 @@
             async with asyncio.timeout(RECOVERY_TIMEOUT_S):
                 for number in range(HOSTS):
                     await self.fleet.wait_until_ready(number)
-                while not await self._is_in_force_everywhere(version):
+                while not await self.fleet.is_in_force_everywhere(version):
                     await asyncio.sleep(0.05)
         except TimeoutError:
             self._violations.append(
@@ -133,11 +133,6 @@
                 f"{RECOVERY_TIMEOUT_S:g} s after the last fault"
             )
 
-    async def _is_in_force_everywhere(self, version: int) -> bool:
-        lines = [await self.fleet.read_metrics(number) for number in range(HOSTS)]
-        wanted = f"almond_configuration_version {version}"
-        return all(wanted in text for text in lines)
-
     async def _check_final_requests(self) -> None:
         statuses = [
             await self.fleet.send(number % HOSTS, "/pay/1")
