Split the soak; let the seed alone decide its faults

Faults, callers and backend servers of a soak run drew from one random source, so the number of requests before a fault decided which fault came next: a seed did not play the same faults twice. Each user now has its own source derived from the seed, and each injector chooses its faults alone.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -112,7 +112,7 @@
         proxied: bool = False,
     ) -> None:
         self._directory = directory
-        self._random = random
+        self.random = random
         self.ledger = RunLedger()
         self.store = PlatformStoreServer()
         self.ips = [f"127.{network_octet}.0.{number + 1}" for number in range(hosts)]
@@ -365,7 +365,7 @@
             ip,
             address=self._find_backend_address(number),
             ledger=self.ledger,
-            random=self._random,
+            random=self.random,
         )
 
     def _find_backend_address(self, number: int) -> str:
--- /dev/null
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
@@ -0,0 +1,216 @@
+"""Random faults of the soak test: signals, network, store and backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import random as random_module
+import signal
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+
+from almondrouter_standins.faultproxy import Direction, FaultProxy
+from almondrouter_standins.platform_fleet import (
+    CONFIGURATION_KEY,
+    STOP_GRACE_PERIOD_S,
+    PlatformFleet,
+)
+from almondrouter_standins.platform_store import StoreFault
+
+EXIT_MARGIN_S = 6.0
+"""Seconds beyond the grace period until an exit must be seen, for a busy machine."""
+
+MAX_FAULT_DELAY_S = 0.5
+"""Longest pause before a fault, in seconds."""
+
+
+@dataclass(slots=True)
+class HostState:
+    """Faults of a host that affect the requests of its callers.
+
+    Parameters
+    ----------
+    killed_at
+        Monotonic seconds of the last kill.
+    lock
+        Held while the daemon's process is stopped, started or signalled.
+    """
+
+    killed_at: float = 0.0
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault to be injected.
+
+    Parameters
+    ----------
+    number
+        Number of its host.
+    delay
+        Seconds until it is injected.
+    inject
+        Injects it at a host and ends it.
+    """
+
+    number: int
+    delay: float
+    inject: Callable[[int], Awaitable[None]]
+
+
+class FaultInjector:
+    """Injects one random fault after the other.
+
+    Parameters
+    ----------
+    fleet
+        Daemons, proxies, store and backend servers.
+    states
+        States of the hosts, shared by all injectors.
+    random
+        Source of the faults, their hosts and their times; used by this injector only,
+        so that the seed alone decides its sequence of faults.
+    violations
+        Receives descriptions of violated guarantees.
+    """
+
+    def __init__(
+        self,
+        fleet: PlatformFleet,
+        states: Sequence[HostState],
+        *,
+        random: random_module.Random,
+        violations: list[str],
+    ) -> None:
+        self._fleet = fleet
+        self._states = states
+        self._random = random
+        self._violations = violations
+
+    async def inject_fault(self) -> None:
+        """Inject a random fault at a random host, and end it if it can be ended.
+
+        Silenced connections and deleted keys are not restored.
+        """
+        fault = self.choose_fault()
+        await asyncio.sleep(fault.delay)
+        await fault.inject(fault.number)
+
+    def choose_fault(self) -> Fault:
+        """Return the next random fault."""
+        number = self._random.randrange(len(self._states))
+        kinds: Sequence[Callable[[int], Awaitable[None]]] = (
+            self._kill,
+            self._stop,
+            self._freeze,
+            self._reload,
+            self._inject_store_fault,
+            self._delete_host_record,
+            self._replace_backend,
+            self._drain_backend,
+            self._inject_network_fault,
+            self._inject_network_fault,
+            self._inject_network_fault,
+        )
+        delay = self._random.uniform(0.0, MAX_FAULT_DELAY_S)
+        return Fault(number, delay, self._random.choice(kinds))
+
+    async def _kill(self, number: int) -> None:
+        async with self._states[number].lock:
+            self._states[number].killed_at = time.monotonic()
+            await self._fleet.stop_daemon(number, signal.SIGKILL)
+            self._states[number].killed_at = time.monotonic()
+            await self._fleet.start_daemon(number)
+
+    async def _stop(self, number: int) -> None:
+        async with self._states[number].lock:
+            # Before the daemon installs its handler, the signal itself ends the
+            # process, with a nonzero exit code.
+            started = self._fleet.is_started(number)
+            try:
+                async with asyncio.timeout(STOP_GRACE_PERIOD_S + EXIT_MARGIN_S):
+                    code = await self._fleet.stop_daemon(number, signal.SIGTERM)
+                if code and started:
+                    self._violations.append(
+                        f"daemon of host {number} exited with code {code} after SIGTERM"
+                    )
+            except TimeoutError:
+                self._violations.append(
+                    f"daemon of host {number} did not exit within "
+                    f"{STOP_GRACE_PERIOD_S + EXIT_MARGIN_S:g} s of SIGTERM"
+                )
+                await self._fleet.stop_daemon(number, signal.SIGKILL)
+            await self._fleet.start_daemon(number)
+
+    async def _freeze(self, number: int) -> None:
+        async with self._states[number].lock:
+            process = self._fleet.daemons[number]
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self._random.uniform(0.2, 2.5))
+            process.send_signal(signal.SIGCONT)
+
+    async def _reload(self, number: int) -> None:
+        async with self._states[number].lock:
+            if self._fleet.is_started(number):
+                self._fleet.daemons[number].send_signal(signal.SIGHUP)
+
+    async def _inject_store_fault(self, _: int) -> None:
+        store = self._fleet.store
+        store.fault = self._random.choice(list(StoreFault))
+        if self._random.random() < 0.5:
+            await store.forget_history()
+        await asyncio.sleep(self._random.uniform(0.3, 2.5))
+        store.fault = StoreFault.NONE
+
+    async def _delete_host_record(self, number: int) -> None:
+        store = self._fleet.store
+        for key in list(store.keys):
+            if key != CONFIGURATION_KEY and key.endswith(f"-{number}"):
+                await store.remove(key)
+
+    async def _replace_backend(self, number: int) -> None:
+        await self._fleet.replace_backend(number)
+
+    async def _drain_backend(self, number: int) -> None:
+        backend = self._fleet.backends[number]
+        backend.state = "draining"
+        await asyncio.sleep(self._random.uniform(1.0, 4.0))
+        if self._fleet.backends[number] is backend:
+            await self._fleet.replace_backend(number)
+
+    async def _inject_network_fault(self, number: int) -> None:
+        proxy = self._random.choice(self._fleet.proxies[number].all)
+        directions = (proxy.to_target, proxy.to_client)
+        fault_kind = self._random.choice(
+            ("delay", "cut", "one_way", "reset", "silence")
+        )
+        if fault_kind in ("cut", "one_way"):
+            await self._cut_directions(
+                directions
+                if fault_kind == "cut"
+                else (self._random.choice(directions),)
+            )
+        elif fault_kind == "delay":
+            for direction in directions:
+                direction.delay = self._random.uniform(0.01, 0.3)
+            await asyncio.sleep(self._random.uniform(0.5, 2.0))
+            proxy.heal()
+        else:
+            await self._break_connections(proxy, fault_kind)
+
+    async def _cut_directions(self, directions: Sequence[Direction]) -> None:
+        for direction in directions:
+            direction.cut()
+        await asyncio.sleep(self._random.uniform(0.3, 4.0))
+        for direction in directions:
+            direction.heal()
+
+    async def _break_connections(self, proxy: FaultProxy, fault_kind: str) -> None:
+        if fault_kind == "silence":
+            proxy.silence_connections()
+            return
+        proxy.refusing = self._random.random() < 0.5
+        proxy.reset_connections()
+        await asyncio.sleep(self._random.uniform(0.0, 1.5))
+        proxy.refusing = False
