--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from almondrouter.clock import Clock, SystemClock
-from almondrouter.transport.callers import CallerServer
+from almondrouter.transport.callers import CallerServer, EndReason
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 
 PATH = "/almondrouter/"
@@ -135,7 +135,7 @@
     def cut_connections(self) -> None:
         """Reset every connection."""
         for connection in tuple(self.server.connections):
-            connection.abort()
+            connection.abort(EndReason.CLOSED)
 
     async def _expire_leases_forever(self) -> None:
         while True:
