Let callers of the soak use a connection until the daemon closes it

The soak's callers left a connection with the first response that announces a close, sent one request at a time, and gave up after the deadline. A request on a kept connection that a stopping daemon had accepted and dropped was only noticed if it ran and one of these callers had sent it.

Each host now has two more callers. One sends requests, repeatable or not, after each response; the other pipelines safe requests, also while the daemon stops, and reads its responses with pauses. Both go on until the connection ends and check that each request that reached a backend server is answered, that one which the daemon could start at once is answered unless the connection ends within 0.2 s (measured from the last iteration of the event loop that saw it open, so that a late iteration cannot break it), that responses come in order, and that none comes without a request. The former callers and their checks stay.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import random as random_module
 import time
 from collections import Counter
@@ -16,7 +17,7 @@
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.callers import CallerServer
-from almondrouter.transport.calls import CallerRequest, CallerResponse
+from almondrouter.transport.calls import BackendResponse, CallerRequest, CallerResponse
 
 HEARTBEAT_INTERVAL_S = 0.3
 SLOTS = 4
@@ -34,6 +35,8 @@
 
     Parameters
     ----------
+    arrivals
+        Number of requests that reached a backend server, by attempt id.
     runs
         Number of runs by attempt id.
     reported_not_run
@@ -46,11 +49,39 @@
         Number of responses by status, and of failed requests by error code.
     """
 
+    arrivals: Counter[str] = field(default_factory=Counter)
     runs: Counter[str] = field(default_factory=Counter)
     reported_not_run: set[str] = field(default_factory=set)
     non_repeatable: set[str] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
+    _attempts: int = 0
+
+    def begin_attempt(self, method: str) -> str:
+        """Return the id of a new attempt."""
+        self._attempts += 1
+        attempt = f"a{os.getpid()}x{self._attempts}"
+        if method == "POST":
+            self.non_repeatable.add(attempt)
+        return attempt
+
+    def record_response(
+        self,
+        attempt: str,
+        method: str,
+        path: str,
+        body: bytes,
+        response: BackendResponse,
+    ) -> None:
+        """Record what a caller was told about an attempt, and check it."""
+        status = response.status
+        self.outcomes[str(status)] += 1
+        refused = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+        if status == HTTPStatus.OK:
+            if response.body != make_response_body(attempt, path, body):
+                self.violations.append(f"{attempt} got the response of another attempt")
+        elif status in refused and method == "POST":
+            self.reported_not_run.add(attempt)
 
     def find_violations(self) -> list[str]:
         """Return descriptions of all violated guarantees."""
@@ -136,6 +167,7 @@
     async def _handle(self, request: CallerRequest) -> CallerResponse:
         headers = dict(request.headers)
         attempt = headers.get("attempt-id", "")
+        self._ledger.arrivals[attempt] += 1
         echo_headers = (("attempt-id", attempt), ("instance-id", self.name))
         if headers.get("expected-instance") != self.name:
             return CallerResponse(HTTPStatus.MISDIRECTED_REQUEST, echo_headers, b"")
--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random as random_module
 import signal
 import sys
@@ -17,11 +16,7 @@
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.calls import BackendResponse
 from almondrouter_standins.faultproxy import FaultProxy
-from almondrouter_standins.platform_backend import (
-    PlatformBackend,
-    RunLedger,
-    make_response_body,
-)
+from almondrouter_standins.platform_backend import PlatformBackend, RunLedger
 from almondrouter_standins.platform_store import PlatformStoreServer
 
 STOP_GRACE_PERIOD_S = 6.0
@@ -29,6 +24,7 @@
 DISCOVERY_TIMEOUT_S = 90.0
 """Seconds in which all daemons must discover each other; allows for a busy machine."""
 CONFIGURATION_KEY = "op/config"
+CALLER_PORT = 7003
 VERSION_METRIC = "almond_configuration_version"
 
 _SETTINGS = """\
@@ -42,7 +38,7 @@
 port_range = [7100, 7110]
 [listen]
 inbound = "{ip}:7002"
-outbound = "{ip}:7003"
+outbound = "{ip}:{caller_port}"
 ready_address = "{ip}:7004"
 control = "{ip}:7005"
 [limits]
@@ -123,7 +119,6 @@
         self.backend_replacements = [0] * hosts
         self._log_starts = [0] * hosts
         self.backends = [self._make_backend(number) for number in range(hosts)]
-        self._attempts = 0
         self.last_attempt_id = ""
 
     async def start(self, configuration: bytes) -> None:
@@ -296,12 +291,9 @@
         tuple
             HTTP status, 0 if there was no response, and the attempt id.
         """
-        self._attempts += 1
-        attempt = f"a{os.getpid()}x{self._attempts}"
-        self.last_attempt_id = attempt
         method = "POST" if path.startswith("/pay/") else "GET"
-        if method == "POST":
-            self.ledger.non_repeatable.add(attempt)
+        attempt = self.ledger.begin_attempt(method)
+        self.last_attempt_id = attempt
         client = (
             self._get_shared_client(number)
             if reuse_connection
@@ -326,35 +318,16 @@
         finally:
             if not reuse_connection:
                 await client.close()
-        self._record_response(attempt, method, path, body, response)
+        self.ledger.record_response(attempt, method, path, body, response)
         return response.status, attempt
 
-    def _record_response(
-        self,
-        attempt: str,
-        method: str,
-        path: str,
-        body: bytes,
-        response: BackendResponse,
-    ) -> None:
-        status = response.status
-        self.ledger.outcomes[str(status)] += 1
-        refused = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
-        if status == HTTPStatus.OK:
-            if response.body != make_response_body(attempt, path, body):
-                self.ledger.violations.append(
-                    f"{attempt} got the response of another attempt"
-                )
-        elif status in refused and method == "POST":
-            self.ledger.reported_not_run.add(attempt)
-
     def _get_shared_client(self, number: int) -> BackendClient:
         if number not in self._clients:
             self._clients[number] = self._make_client(number, connections=8)
         return self._clients[number]
 
     def _make_client(self, number: int, *, connections: int = 1) -> BackendClient:
-        address = f"{self.ips[number]}:7003"
+        address = f"{self.ips[number]}:{CALLER_PORT}"
         return BackendClient(address, connections=connections, clock=SystemClock())
 
     def _make_backend(self, number: int) -> PlatformBackend:
@@ -387,6 +360,7 @@
             zone=number,
             region=number % 2,
             ip=self.ips[number],
+            caller_port=CALLER_PORT,
             service="orders",
             store=f"{self.ips[number]}:7013" if self._proxied else self.store.address,
             backend=self._find_backend_address(number),
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -16,8 +16,19 @@
 
 import msgspec
 
-from almondrouter_standins.platform_fleet import CONFIGURATION_KEY, PlatformFleet
+from almondrouter_standins.platform_fleet import (
+    CALLER_PORT,
+    CONFIGURATION_KEY,
+    PlatformFleet,
+)
 from almondrouter_standins.platform_store import StoreFault
+from almondrouter_standins.soak_callers import (
+    BIG_BODY_BYTES,
+    REQUEST_TIMEOUT_S,
+    KeptConnectionCaller,
+    PipeliningCaller,
+    SequentialCaller,
+)
 from almondrouter_standins.soak_checks import find_version_regressions
 from almondrouter_standins.soak_faults import FaultInjector, HostState
 
@@ -27,8 +38,8 @@
 """Injectors of faults; their faults overlap."""
 SENDERS_PER_HOST = 2
 """Callers at each host; each sends one request at a time."""
-REQUEST_TIMEOUT_S = 3.0
-"""Deadline that callers give to each request."""
+MAX_CALLER_PAUSE_S = 0.03
+"""Longest pause of a caller before its next request, in seconds."""
 RECOVERY_TIMEOUT_S = 60.0
 """Seconds after the last fault within which all hosts must serve and be up to date."""
 FINAL_REQUESTS = 40
@@ -41,7 +52,6 @@
 """First of the second octets of the loopback addresses that seeds use in turn."""
 NETWORK_OCTET_COUNT = 100
 PATHS = ("/read/1", "/pay/1", "/pay/big")
-BIG_BODY_BYTES = 100_000
 
 
 class Soak:
@@ -78,6 +88,21 @@
             )
             for position in range(INJECTORS)
         ]
+        self._callers = self._make_callers()
+
+    def _make_callers(self) -> list[KeptConnectionCaller]:
+        return [
+            kind(
+                f"{ip}:{CALLER_PORT}",
+                host=number,
+                state=self._states[number],
+                ledger=self.fleet.ledger,
+                random=self._make_random(f"{kind.__name__} {number}"),
+                max_pause=MAX_CALLER_PAUSE_S,
+            )
+            for number, ip in enumerate(self.fleet.ips)
+            for kind in (SequentialCaller, PipeliningCaller)
+        ]
 
     def _make_random(self, user: str) -> random_module.Random:
         """Return a source for one user, whose values depend on the seed only."""
@@ -96,6 +121,9 @@
             for number in range(HOSTS)
             for position in range(SENDERS_PER_HOST)
         ]
+        senders += [
+            asyncio.create_task(caller.run(self._stopping)) for caller in self._callers
+        ]
         for step in range(STEPS):
             await asyncio.gather(*(i.inject_fault() for i in self.injectors))
             value = make_configuration(FIRST_VERSION + step)
@@ -108,6 +136,7 @@
         return (
             fleet.ledger.find_violations()
             + self._violations
+            + [text for caller in self._callers for text in caller.find_violations()]
             + find_version_regressions(fleet.list_log_paths())
         )
 
@@ -162,7 +191,7 @@
         self, number: int, attempt: str, began: float
     ) -> bool:
         """Return whether a request without response ran and its host was not killed."""
-        killed = self._states[number].killed_at >= began
+        killed = self._states[number].was_killed_since(began)
         return bool(self.fleet.ledger.runs[attempt]) and not killed
 
 
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random as random_module
 import signal
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from almondrouter_standins.faultproxy import Direction, FaultProxy
@@ -23,6 +24,9 @@
 MAX_FAULT_DELAY_S = 0.5
 """Longest pause before a fault, in seconds."""
 
+MAX_PAUSE_S = 2.5
+"""Longest time for which a daemon's process is stopped, in seconds."""
+
 
 @dataclass(slots=True)
 class HostState:
@@ -30,15 +34,32 @@
 
     Parameters
     ----------
+    killing
+        Whether the daemon is being killed.
     killed_at
         Monotonic seconds of the last kill.
     lock
         Held while the daemon's process is stopped, started or signalled.
     """
 
+    killing: bool = False
     killed_at: float = 0.0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
+    @contextlib.contextmanager
+    def mark_killed(self) -> Iterator[None]:
+        """Record that the daemon is killed while the context is active."""
+        self.killing = True
+        try:
+            yield
+        finally:
+            self.killed_at = time.monotonic()
+            self.killing = False
+
+    def was_killed_since(self, moment: float) -> bool:
+        """Return whether the daemon has been killed since a monotonic time."""
+        return self.killing or self.killed_at >= moment
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
@@ -118,36 +139,45 @@
 
     async def _kill(self, number: int) -> None:
         async with self._states[number].lock:
-            self._states[number].killed_at = time.monotonic()
-            await self._fleet.stop_daemon(number, signal.SIGKILL)
-            self._states[number].killed_at = time.monotonic()
+            await self._kill_daemon(number)
             await self._fleet.start_daemon(number)
 
+    async def _kill_daemon(self, number: int) -> None:
+        with self._states[number].mark_killed():
+            await self._fleet.stop_daemon(number, signal.SIGKILL)
+
     async def _stop(self, number: int) -> None:
         async with self._states[number].lock:
             # Before the daemon installs its handler, the signal itself ends the
             # process, with a nonzero exit code.
-            started = self._fleet.is_started(number)
-            try:
-                async with asyncio.timeout(STOP_GRACE_PERIOD_S + EXIT_MARGIN_S):
-                    code = await self._fleet.stop_daemon(number, signal.SIGTERM)
-                if code and started:
+            if self._fleet.is_started(number):
+                if code := await self._stop_daemon(number):
                     self._violations.append(
                         f"daemon of host {number} exited with code {code} after SIGTERM"
                     )
-            except TimeoutError:
-                self._violations.append(
-                    f"daemon of host {number} did not exit within "
-                    f"{STOP_GRACE_PERIOD_S + EXIT_MARGIN_S:g} s of SIGTERM"
-                )
-                await self._fleet.stop_daemon(number, signal.SIGKILL)
+            else:
+                with self._states[number].mark_killed():
+                    await self._stop_daemon(number)
             await self._fleet.start_daemon(number)
 
+    async def _stop_daemon(self, number: int) -> int:
+        """Stop a daemon; kill it if it does not exit in time; return its exit code."""
+        limit = STOP_GRACE_PERIOD_S + EXIT_MARGIN_S
+        try:
+            async with asyncio.timeout(limit):
+                return await self._fleet.stop_daemon(number, signal.SIGTERM)
+        except TimeoutError:
+            self._violations.append(
+                f"daemon of host {number} did not exit within {limit:g} s of SIGTERM"
+            )
+            await self._kill_daemon(number)
+        return 0
+
     async def _freeze(self, number: int) -> None:
         async with self._states[number].lock:
             process = self._fleet.daemons[number]
             process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(self._random.uniform(0.2, 2.5))
+            await asyncio.sleep(self._random.uniform(0.2, MAX_PAUSE_S))
             process.send_signal(signal.SIGCONT)
 
     async def _reload(self, number: int) -> None:
