Let the soak's signals and changes come in series and overlap

Until now a soak step played two faults and then stored one version, and a host that stopped or reloaded got no second signal. Now three injectors play their faults independently of each other while an operator stores version after version, some of them invalid. A stopping daemon gets further SIGTERMs, SIGHUPs and pauses; several hosts are stopped one after the other or overlapping; settings are changed (one change is invalid) and reloaded up to four times in a row; backend servers are replaced up to three times in a row, one replacement at a time. A daemon that exits by itself is a violation.

tests/test_standins_soak_faults.py: 5 cases, four of them new; they could not pass before, as no signal followed a stop signal.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random as random_module
 import signal
 import sys
@@ -165,11 +166,17 @@
         """Return the path of a host's settings file."""
         return self._directory / f"host-{number}.toml"
 
+    def send_signal(self, number: int, signal_number: signal.Signals) -> None:
+        """Send a signal to a daemon unless it has exited."""
+        process = self.daemons[number]
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal_number)
+
     async def stop_daemon(self, number: int, stop_signal: signal.Signals) -> int:
         """Send a signal to a daemon and wait for its exit; return its exit code."""
-        process = self.daemons[number]
-        process.send_signal(stop_signal)
-        return await process.wait()
+        self.send_signal(number, stop_signal)
+        return await self.daemons[number].wait()
 
     async def close(self) -> None:
         """Kill all daemons and close all stand-ins."""
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -33,9 +33,13 @@
 from almondrouter_standins.soak_faults import FaultInjector, HostState
 
 HOSTS = 4
-STEPS = 6
-INJECTORS = 2
+INJECTORS = 3
 """Injectors of faults; their faults overlap."""
+FAULTS_PER_INJECTOR = 5
+MAX_CHANGE_PAUSE_S = 1.0
+"""Longest pause between two versions of the configuration, in seconds."""
+INVALID_CHANGE_PROBABILITY = 0.2
+INVALID_CONFIGURATION = b'{"version": "r'
 SENDERS_PER_HOST = 2
 """Callers at each host; each sends one request at a time."""
 MAX_CALLER_PAUSE_S = 0.03
@@ -124,15 +128,21 @@
         senders += [
             asyncio.create_task(caller.run(self._stopping)) for caller in self._callers
         ]
-        for step in range(STEPS):
-            await asyncio.gather(*(i.inject_fault() for i in self.injectors))
-            value = make_configuration(FIRST_VERSION + step)
-            await fleet.store.put(CONFIGURATION_KEY, value)
-        last_version = FIRST_VERSION + STEPS - 1
-        await self._recover(last_version)
+        faults_ended = asyncio.Event()
+        operator = asyncio.create_task(self._change_configuration(faults_ended))
+        await asyncio.gather(
+            *(
+                injector.inject_faults(FAULTS_PER_INJECTOR)
+                for injector in self.injectors
+            )
+        )
+        faults_ended.set()
+        await self._recover(await operator)
         self._stopping.set()
         await asyncio.gather(*senders)
         await self._check_final_requests()
+        for number in range(HOSTS):
+            self.injectors[0].check_running(number)
         return (
             fleet.ledger.find_violations()
             + self._violations
@@ -140,6 +150,20 @@
             + find_version_regressions(fleet.list_log_paths())
         )
 
+    async def _change_configuration(self, faults_ended: asyncio.Event) -> int:
+        """Store one version after the other; return the last one."""
+        random = self._make_random("operator")
+        version = FIRST_VERSION
+        while not faults_ended.is_set():
+            if random.random() < INVALID_CHANGE_PROBABILITY:
+                await self.fleet.store.put(CONFIGURATION_KEY, INVALID_CONFIGURATION)
+                await asyncio.sleep(random.uniform(0.0, MAX_CHANGE_PAUSE_S))
+            version += 1
+            value = make_configuration(version)
+            await self.fleet.store.put(CONFIGURATION_KEY, value)
+            await asyncio.sleep(random.uniform(0.0, MAX_CHANGE_PAUSE_S))
+        return version
+
     async def _recover(self, version: int) -> None:
         self.fleet.store.fault = StoreFault.NONE
         for proxies in self.fleet.proxies:
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
@@ -23,6 +23,20 @@
 
 MAX_FAULT_DELAY_S = 0.5
 """Longest pause before a fault, in seconds."""
+MAX_STOPPED_HOSTS = 3
+"""Most hosts that one fault stops in series."""
+MAX_STOP_GAP_S = 1.5
+"""Longest time between the stop signals of overlapping stops, in seconds."""
+MAX_LATER_SIGNALS = 3
+MAX_SIGNAL_DELAY_S = 2.0
+"""Longest time between two signals to a stopping daemon, in seconds."""
+MAX_SHORT_PAUSE_S = 1.0
+"""Longest time for which a stopping daemon's process is paused, in seconds."""
+MAX_RELOADS = 3
+MAX_REPLACEMENTS = 3
+MAX_REPLACEMENT_PAUSE_S = 0.5
+SETTINGS_CHANGES = ("", "retry_budget_ratio = 0.3\n", "budget_extra = 10.0\n", "= x\n")
+"""Lines added to the settings of a host; the last one makes them invalid."""
 
 MAX_PAUSE_S = 2.5
 """Longest time for which a daemon's process is stopped, in seconds."""
@@ -40,11 +54,14 @@
         Monotonic seconds of the last kill.
     lock
         Held while the daemon's process is stopped, started or signalled.
+    backend_lock
+        Held while the backend server is replaced.
     """
 
     killing: bool = False
     killed_at: float = 0.0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    backend_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     @contextlib.contextmanager
     def mark_killed(self) -> Iterator[None]:
@@ -80,6 +97,23 @@
     inject: Callable[[int], Awaitable[None]]
 
 
+@dataclass(frozen=True, slots=True)
+class LaterSignal:
+    """A signal to a daemon that is already stopping.
+
+    Parameters
+    ----------
+    delay
+        Seconds after the signal before it.
+    pause
+        Seconds from SIGSTOP to SIGCONT; unused for other signals.
+    """
+
+    number: signal.Signals
+    delay: float
+    pause: float
+
+
 class FaultInjector:
     """Injects one random fault after the other.
 
@@ -109,6 +143,11 @@
         self._random = random
         self._violations = violations
 
+    async def inject_faults(self, count: int) -> None:
+        """Inject random faults one after the other."""
+        for _ in range(count):
+            await self.inject_fault()
+
     async def inject_fault(self) -> None:
         """Inject a random fault at a random host, and end it if it can be ended.
 
@@ -124,6 +163,7 @@
         kinds: Sequence[Callable[[int], Awaitable[None]]] = (
             self._kill,
             self._stop,
+            self._stop_hosts,
             self._freeze,
             self._reload,
             self._inject_store_fault,
@@ -139,6 +179,7 @@
 
     async def _kill(self, number: int) -> None:
         async with self._states[number].lock:
+            self.check_running(number)
             await self._kill_daemon(number)
             await self._fleet.start_daemon(number)
 
@@ -147,11 +188,46 @@
             await self._fleet.stop_daemon(number, signal.SIGKILL)
 
     async def _stop(self, number: int) -> None:
+        await self.restart(number, self._draw_signals())
+
+    async def _stop_hosts(self, number: int) -> None:
+        """Restart several hosts, one after the other or overlapping."""
+        hosts = len(self._states)
+        count = self._random.randint(2, min(hosts, MAX_STOPPED_HOSTS))
+        gap = self._random.uniform(0.0, MAX_STOP_GAP_S)
+        overlapping = self._random.random() < 0.5
+        plans = [
+            ((number + position) % hosts, self._draw_signals())
+            for position in range(count)
+        ]
+        async with asyncio.TaskGroup() as group:
+            for host, signals in plans:
+                task = group.create_task(self.restart(host, signals))
+                await (asyncio.sleep(gap) if overlapping else task)
+
+    def _draw_signals(self) -> list[LaterSignal]:
+        """Return random signals for a daemon that is already stopping."""
+        return [
+            LaterSignal(
+                self._random.choice((signal.SIGTERM, signal.SIGHUP, signal.SIGSTOP)),
+                self._random.uniform(0.0, MAX_SIGNAL_DELAY_S),
+                self._random.uniform(0.0, MAX_SHORT_PAUSE_S),
+            )
+            for _ in range(self._random.randint(0, MAX_LATER_SIGNALS))
+        ]
+
+    async def restart(self, number: int, signals: Sequence[LaterSignal]) -> None:
+        """Stop a daemon, sending it further signals meanwhile; start it again."""
         async with self._states[number].lock:
+            self.check_running(number)
             # Before the daemon installs its handler, the signal itself ends the
             # process, with a nonzero exit code.
             if self._fleet.is_started(number):
-                if code := await self._stop_daemon(number):
+                sender = asyncio.create_task(self._send_signals(number, signals))
+                code = await self._stop_daemon(number)
+                sender.cancel()
+                await asyncio.wait({sender})
+                if code:
                     self._violations.append(
                         f"daemon of host {number} exited with code {code} after SIGTERM"
                     )
@@ -160,6 +236,22 @@
                     await self._stop_daemon(number)
             await self._fleet.start_daemon(number)
 
+    async def _send_signals(self, number: int, signals: Sequence[LaterSignal]) -> None:
+        for later in signals:
+            await asyncio.sleep(later.delay)
+            self._fleet.send_signal(number, later.number)
+            if later.number == signal.SIGSTOP:
+                await asyncio.sleep(later.pause)
+                self._fleet.send_signal(number, signal.SIGCONT)
+
+    def check_running(self, number: int) -> None:
+        """Record a violation if a daemon has exited by itself."""
+        code = self._fleet.daemons[number].returncode
+        if code is not None:
+            self._violations.append(
+                f"daemon of host {number} exited by itself with code {code}"
+            )
+
     async def _stop_daemon(self, number: int) -> int:
         """Stop a daemon; kill it if it does not exit in time; return its exit code."""
         limit = STOP_GRACE_PERIOD_S + EXIT_MARGIN_S
@@ -174,16 +266,26 @@
         return 0
 
     async def _freeze(self, number: int) -> None:
+        pause = self._random.uniform(0.2, MAX_PAUSE_S)
         async with self._states[number].lock:
-            process = self._fleet.daemons[number]
-            process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(self._random.uniform(0.2, MAX_PAUSE_S))
-            process.send_signal(signal.SIGCONT)
+            self._fleet.send_signal(number, signal.SIGSTOP)
+            await asyncio.sleep(pause)
+            self._fleet.send_signal(number, signal.SIGCONT)
 
     async def _reload(self, number: int) -> None:
+        """Change the settings file and have it reloaded, several times in series."""
+        changes = [
+            (self._random.choice(SETTINGS_CHANGES), self._random.uniform(0.0, 0.3))
+            for _ in range(self._random.randint(1, MAX_RELOADS))
+        ]
+        path = self._fleet.get_settings_path(number)
         async with self._states[number].lock:
-            if self._fleet.is_started(number):
-                self._fleet.daemons[number].send_signal(signal.SIGHUP)
+            original = path.read_text()
+            for change, pause in [*changes, ("", 0.0)]:
+                path.write_text(original + change)
+                if self._fleet.is_started(number):
+                    self._fleet.send_signal(number, signal.SIGHUP)
+                await asyncio.sleep(pause)
 
     async def _inject_store_fault(self, _: int) -> None:
         store = self._fleet.store
@@ -200,14 +302,23 @@
                 await store.remove(key)
 
     async def _replace_backend(self, number: int) -> None:
-        await self._fleet.replace_backend(number)
+        """Replace a backend server, possibly several times in series."""
+        pauses = [
+            self._random.uniform(0.0, MAX_REPLACEMENT_PAUSE_S)
+            for _ in range(self._random.randint(1, MAX_REPLACEMENTS))
+        ]
+        async with self._states[number].backend_lock:
+            for pause in pauses:
+                await self._fleet.replace_backend(number)
+                await asyncio.sleep(pause)
 
     async def _drain_backend(self, number: int) -> None:
         backend = self._fleet.backends[number]
         backend.state = "draining"
         await asyncio.sleep(self._random.uniform(1.0, 4.0))
-        if self._fleet.backends[number] is backend:
-            await self._fleet.replace_backend(number)
+        async with self._states[number].backend_lock:
+            if self._fleet.backends[number] is backend:
+                await self._fleet.replace_backend(number)
 
     async def _inject_network_fault(self, number: int) -> None:
         proxy = self._random.choice(self._fleet.proxies[number].all)
--- a/tests/test_standins_soak_faults.py
+++ b/tests/test_standins_soak_faults.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
+import random
+import signal
 import tempfile
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
+
+from parameterized import parameterized
 
 from almondrouter_standins.soak import Soak
+from almondrouter_standins.soak_faults import FaultInjector, HostState, LaterSignal
 
 NETWORK_OCTET = 110 + os.getpid() % 10
 FAULTS = 30
@@ -34,3 +41,69 @@
         self.assertEqual(faults, self.list_faults(second))
         self.assertNotEqual(faults, self.list_faults(other))
         self.assertNotEqual(faults[:FAULTS], faults[FAULTS : 2 * FAULTS])
+
+
+class FakeFleet:
+    """One daemon that exits some time after SIGTERM; records its signals."""
+
+    def __init__(self, *, started=True, code=0):
+        self.daemons = [SimpleNamespace(returncode=None)]
+        self.signals = []
+        self._started = started
+        self._code = code
+
+    def is_started(self, number):
+        return self._started
+
+    def send_signal(self, number, signal_number):
+        self.signals.append(signal_number)
+
+    async def stop_daemon(self, number, stop_signal):
+        self.send_signal(number, stop_signal)
+        await asyncio.sleep(0.3)
+        return self._code
+
+    async def start_daemon(self, number):
+        self.signals.append("start")
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Stops a simulated daemon."""
+
+    def make_injector(self, fleet):
+        self.violations = []
+        self.state = HostState()
+        return FaultInjector(
+            fleet, [self.state], random=random.Random(1), violations=self.violations
+        )
+
+    async def test_signals_during_a_stop(self):
+        """Guards against a soak that leaves a stopping daemon alone."""
+        fleet = FakeFleet()
+        signals = [
+            LaterSignal(signal.SIGTERM, 0.02, 0.0),
+            LaterSignal(signal.SIGSTOP, 0.02, 0.02),
+            LaterSignal(signal.SIGHUP, 0.02, 0.0),
+            LaterSignal(signal.SIGHUP, 9.0, 0.0),
+        ]
+        await self.make_injector(fleet).restart(0, signals)
+        expected = ["SIGTERM", "SIGTERM", "SIGSTOP", "SIGCONT", "SIGHUP", "start"]
+        names = [getattr(item, "name", item) for item in fleet.signals]
+        self.assertEqual(expected, names)
+        self.assertEqual([], self.violations)
+        self.assertFalse(self.state.was_killed_since(0.1))
+
+    @parameterized.expand([(True, 1), (False, 0)])
+    async def test_exit_code(self, started, violations):
+        """Guards against a daemon that fails to stop, or a start counted as that."""
+        fleet = FakeFleet(started=started, code=3)
+        await self.make_injector(fleet).restart(0, [])
+        self.assertEqual(violations, len(self.violations))
+        self.assertEqual(not started, self.state.was_killed_since(0.1))
+
+    async def test_exit_without_a_signal(self):
+        """Guards against a daemon whose own exit goes unnoticed."""
+        fleet = FakeFleet()
+        fleet.daemons[0].returncode = 1
+        self.make_injector(fleet).check_running(0)
+        self.assertIn("exited by itself with code 1", self.violations[0])
