Check the log for accepted requests that a daemon dropped

The soak sees a lost request from outside only if it reached a backend server or stayed open for 0.2 s. The daemons' logs name each request whose connection ended before its response: one that was first on its connection, or that a backend server received, and that no caller left, is now a violation.

--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -29,7 +29,11 @@
     PipeliningCaller,
     SequentialCaller,
 )
-from almondrouter_standins.soak_checks import find_version_regressions
+from almondrouter_standins.soak_checks import (
+    find_dropped_requests,
+    find_log_lines,
+    find_version_regressions,
+)
 from almondrouter_standins.soak_faults import FaultInjector, HostState
 
 HOSTS = 4
@@ -148,6 +152,7 @@
             + self._violations
             + [text for caller in self._callers for text in caller.find_violations()]
             + find_version_regressions(fleet.list_log_paths())
+            + find_dropped_requests(fleet.list_log_paths(), fleet.ledger)
         )
 
     async def _change_configuration(self, faults_ended: asyncio.Event) -> int:
@@ -266,7 +271,8 @@
         )
     )
     if violations:
-        (folder / "faults.txt").write_text("\n".join(violations) + "\n")
+        lines = [*violations, *find_log_lines(sorted(folder.glob("*.log")), violations)]
+        (folder / "faults.txt").write_text("\n".join(lines) + "\n")
     else:
         shutil.rmtree(folder)
     return violations
@@ -288,9 +294,11 @@
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.count):
+        began = time.monotonic()
         violations = run_seed_keeping_logs(seed, arguments.logs)
         failed += bool(violations)
-        print(f"seed {seed}: {violations or 'passed'}", flush=True)
+        elapsed = time.monotonic() - began
+        print(f"seed {seed}: {violations or 'passed'} in {elapsed:.1f} s", flush=True)
     return 1 if failed else 0
 
 
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_checks.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_checks.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
 
+from almondrouter_standins.platform_backend import RunLedger
+
+DROPPED_EVENT = "connection of the caller ended before the response"
+CALLER_LEFT = "caller_left"
+ATTEMPT_ID = re.compile(r"\ba\d+x\d+\b")
+
 
 def find_version_regressions(paths: Sequence[Path]) -> list[str]:
     """Return the log files in which a configuration version did not increase."""
@@ -27,6 +34,38 @@
     return found
 
 
+def find_dropped_requests(paths: Sequence[Path], ledger: RunLedger) -> list[str]:
+    """Return the accepted requests of callers whose connections the daemon ended.
+
+    Not counted are requests behind others on their connections that reached no
+    backend server; their callers may safely send them again.
+    """
+    found = []
+    for path in paths:
+        for line in path.read_bytes().splitlines():
+            fields = parse_log_line(line)
+            if fields.get("event") != DROPPED_EVENT or not fields["request"]:
+                continue
+            accepted = not fields["position"] or ledger.arrivals[fields["request"]]
+            if accepted and fields["reason"] != CALLER_LEFT:
+                found.append(
+                    f"{path.name}: {fields['request']} was accepted, but its "
+                    f"connection was ended: {fields['reason']}"
+                )
+    return found
+
+
+def find_log_lines(paths: Sequence[Path], violations: Sequence[str]) -> list[str]:
+    """Return the log lines about the attempts that violations name."""
+    attempts = set(ATTEMPT_ID.findall(" ".join(violations)))
+    return [
+        f"{path.name}: {line}"
+        for path in paths
+        for line in path.read_text(errors="replace").splitlines()
+        if attempts.intersection(ATTEMPT_ID.findall(line))
+    ]
+
+
 def parse_log_line(line: bytes) -> dict:
     """Return the fields of a log line; none if it was truncated by a kill."""
     try:
