--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
@@ -321,7 +321,8 @@
                 await self._fleet.replace_backend(number)
 
     async def _inject_network_fault(self, number: int) -> None:
-        proxy = self._random.choice(self._fleet.proxies[number].all)
+        proxies = self._fleet.proxies
+        proxy = self._random.choice(proxies[number % len(proxies)].all)
         directions = (proxy.to_target, proxy.to_client)
         fault_kind = self._random.choice(
             ("delay", "cut", "one_way", "reset", "silence")
