Add the time of a pause to the time limit of a response in the soak

Trace: two injectors paused the process of that host one after the other; its log has no line between 1796408521.09 and 1796408526.08, and at its resumption the daemon answered all waiting requests at once. A paused process cannot answer, so the case is allowed; two overlapping injectors make it likely where one pause of 2.5 s fitted into the limit.

Callers now wait longer and a request that ran must have its response within 4 s plus the time for which its daemon was paused; without a pause the limit is as before, and a connection that ends without a response is a violation after any time. The callers that keep a connection add the same time instead of three pauses.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -285,6 +285,7 @@
         *,
         body: bytes = b"",
         time_limit: float = 8.0,
+        patience: float = 1.0,
         reuse_connection: bool = False,
     ) -> tuple[int, str]:
         """Send a request as a caller of a host.
@@ -293,6 +294,8 @@
         ----------
         time_limit
             Deadline of the request, in seconds from now.
+        patience
+            Seconds after the deadline for which the caller waits for a response.
         reuse_connection
             Whether to use a pooled connection instead of a new one.
 
@@ -313,7 +316,7 @@
             ("attempt-id", attempt),
             ("deadline-ms", str(int(time_limit * 1000))),
         )
-        deadline = time.monotonic() + time_limit + 1.0
+        deadline = time.monotonic() + time_limit + patience
         try:
             response = await client.send(
                 method,
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -52,6 +52,11 @@
 SENDERS_PER_HOST = 2
 """Callers at each host; each sends one request at a time."""
 SENDER_PAUSE_S = 0.02
+RESPONSE_TIMEOUT_S = REQUEST_TIMEOUT_S + 1.0
+"""Seconds within which a request that ran has its response; the time for which the
+daemon was paused is added."""
+PATIENCE_S = 30.0
+"""Seconds after their deadlines for which callers wait for responses."""
 MAX_CALLER_PAUSE_S = 0.03
 """Longest pause of a caller before its next request, in seconds."""
 RECOVERY_TIMEOUT_S = 60.0
@@ -220,22 +225,21 @@
                 path,
                 body=body,
                 time_limit=REQUEST_TIMEOUT_S,
+                patience=PATIENCE_S,
                 reuse_connection=True,
             )
-            if not status and self._lost_response_without_kill(number, attempt, began):
-                after = time.monotonic() - began
+            ended = time.monotonic()
+            state = self._states[number]
+            limit = RESPONSE_TIMEOUT_S + state.sum_pauses_since(began)
+            missing = not status or ended - began > limit
+            ran = bool(self.fleet.ledger.runs[attempt])
+            if missing and ran and not state.was_killed_since(began):
                 self._violations.append(
-                    f"{attempt} ran but got no response in {after} s"
+                    f"{attempt} at host {number} ran, but got no response within "
+                    f"{limit:.1f} s; status {status} after {ended - began:.1f} s"
                 )
             await asyncio.sleep(SENDER_PAUSE_S * self._hosts / HOSTS)
 
-    def _lost_response_without_kill(
-        self, number: int, attempt: str, began: float
-    ) -> bool:
-        """Return whether a request without response ran and its host was not killed."""
-        killed = self._states[number].was_killed_since(began)
-        return bool(self.fleet.ledger.runs[attempt]) and not killed
-
 
 def make_configuration(version: int) -> bytes:
     """Return a configuration with one route for reads and one for payments."""
@@ -262,12 +266,17 @@
 async def run_seed(
     seed: int, directory: Path, *, network_octet: int, hosts: int = HOSTS
 ) -> list[str]:
-    """Run one seed and clean up; return descriptions of the violated guarantees."""
+    """Run one seed and clean up; return descriptions of the violated guarantees.
+
+    The file ``injected.txt`` in the directory lists the faults.
+    """
     soak = Soak(directory, seed=seed, network_octet=network_octet, hosts=hosts)
     try:
         return await soak.run()
     finally:
         await soak.fleet.close()
+        events = sorted(event for i in soak.injectors for event in i.events)
+        (directory / "injected.txt").write_text("\n".join(events) + "\n")
 
 
 def run_seed_keeping_logs(seed: int, logs: Path, *, hosts: int = HOSTS) -> list[str]:
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_callers.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_callers.py
@@ -14,7 +14,7 @@
 from almondrouter.transport.backends import encode_request
 from almondrouter.transport.calls import BackendResponse
 from almondrouter_standins.platform_backend import RunLedger
-from almondrouter_standins.soak_faults import MAX_PAUSE_S, HostState
+from almondrouter_standins.soak_faults import HostState
 
 CONNECT_TIMEOUT_S = 5.0
 RECONNECT_INTERVAL_S = 0.05
@@ -23,12 +23,11 @@
 LOSS_SLACK_S = 0.2
 """Seconds for which a connection stays open after a request at most if the daemon
 closed it before the request arrived."""
-MAX_PAUSES = 3
-"""Pauses of a daemon that may delay one response; one of each injector."""
 BUSY_MARGIN_S = 6.0
 """Seconds by which a response may come later than its deadline on a busy machine."""
-ANSWER_TIMEOUT_S = REQUEST_TIMEOUT_S + MAX_PAUSES * MAX_PAUSE_S + BUSY_MARGIN_S
-"""Seconds after which a request has no response although its connection is open."""
+ANSWER_TIMEOUT_S = REQUEST_TIMEOUT_S + BUSY_MARGIN_S
+"""Seconds after which a request has no response although its connection is open; the
+time for which the daemon was paused is added."""
 MAX_PENDING = 8
 """Limit on the pipelined requests of a connection."""
 MAX_BURST = 3
@@ -268,10 +267,12 @@
         if not connection.pending or not connection.is_open:
             return
         request = connection.pending[0]
-        if connection.open_at - request.sent_at > ANSWER_TIMEOUT_S:
+        waited = connection.open_at - request.sent_at
+        limit = ANSWER_TIMEOUT_S + self._state.sum_pauses_since(request.sent_at)
+        if waited > limit:
             self._ledger.violations.append(
                 f"{request.attempt} at host {self._host} got no response within "
-                f"{ANSWER_TIMEOUT_S:g} s on an open connection"
+                f"{limit:.1f} s on an open connection"
             )
             connection.pending.clear()
 
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
@@ -62,6 +62,8 @@
     killed_at: float = 0.0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     backend_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _pauses: list[tuple[float, float]] = field(default_factory=list)
+    _pause_began: float | None = None
 
     @contextlib.contextmanager
     def mark_killed(self) -> Iterator[None]:
@@ -73,6 +75,23 @@
             self.killed_at = time.monotonic()
             self.killing = False
 
+    @contextlib.contextmanager
+    def mark_paused(self) -> Iterator[None]:
+        """Record that the daemon's process is paused while the context is active."""
+        began = time.monotonic()
+        self._pause_began = began
+        try:
+            yield
+        finally:
+            self._pauses.append((began, time.monotonic()))
+            self._pause_began = None
+
+    def sum_pauses_since(self, moment: float) -> float:
+        """Return for how many seconds the daemon has been paused since a time."""
+        now = time.monotonic()
+        pauses = [*self._pauses, (self._pause_began or now, now)]
+        return sum(max(0.0, end - max(begin, moment)) for begin, end in pauses)
+
     def was_killed_since(self, moment: float) -> bool:
         """Return whether the daemon has been killed since a monotonic time."""
         return self.killing or self.killed_at >= moment
@@ -128,6 +147,11 @@
         so that the seed alone decides its sequence of faults.
     violations
         Receives descriptions of violated guarantees.
+
+    Attributes
+    ----------
+    events
+        Descriptions of the injected faults, each with its Unix time.
     """
 
     def __init__(
@@ -142,6 +166,7 @@
         self._states = states
         self._random = random
         self._violations = violations
+        self.events: list[str] = []
 
     async def inject_faults(self, count: int) -> None:
         """Inject random faults one after the other."""
@@ -155,7 +180,13 @@
         """
         fault = self.choose_fault()
         await asyncio.sleep(fault.delay)
+        name = fault.inject.__name__.strip("_")
+        self._record(fault.number, f"{name} begins")
         await fault.inject(fault.number)
+        self._record(fault.number, f"{name} ended")
+
+    def _record(self, number: int, event: str) -> None:
+        self.events.append(f"{time.time():.4f} host {number}: {event}")
 
     def choose_fault(self) -> Fault:
         """Return the next random fault."""
@@ -239,10 +270,10 @@
     async def _send_signals(self, number: int, signals: Sequence[LaterSignal]) -> None:
         for later in signals:
             await asyncio.sleep(later.delay)
-            self._fleet.send_signal(number, later.number)
             if later.number == signal.SIGSTOP:
-                await asyncio.sleep(later.pause)
-                self._fleet.send_signal(number, signal.SIGCONT)
+                await self._pause_daemon(number, later.pause)
+            else:
+                self._send_signal(number, later.number)
 
     def check_running(self, number: int) -> None:
         """Record a violation if a daemon has exited by itself."""
@@ -257,6 +288,7 @@
         limit = STOP_GRACE_PERIOD_S + EXIT_MARGIN_S
         try:
             async with asyncio.timeout(limit):
+                self._record(number, signal.SIGTERM.name)
                 return await self._fleet.stop_daemon(number, signal.SIGTERM)
         except TimeoutError:
             self._violations.append(
@@ -268,9 +300,17 @@
     async def _freeze(self, number: int) -> None:
         pause = self._random.uniform(0.2, MAX_PAUSE_S)
         async with self._states[number].lock:
-            self._fleet.send_signal(number, signal.SIGSTOP)
+            await self._pause_daemon(number, pause)
+
+    async def _pause_daemon(self, number: int, pause: float) -> None:
+        with self._states[number].mark_paused():
+            self._send_signal(number, signal.SIGSTOP)
             await asyncio.sleep(pause)
-            self._fleet.send_signal(number, signal.SIGCONT)
+            self._send_signal(number, signal.SIGCONT)
+
+    def _send_signal(self, number: int, signal_number: signal.Signals) -> None:
+        self._record(number, signal_number.name)
+        self._fleet.send_signal(number, signal_number)
 
     async def _reload(self, number: int) -> None:
         """Change the settings file and have it reloaded, several times in series."""
@@ -284,7 +324,7 @@
             for change, pause in [*changes, ("", 0.0)]:
                 path.write_text(original + change)
                 if self._fleet.is_started(number):
-                    self._fleet.send_signal(number, signal.SIGHUP)
+                    self._send_signal(number, signal.SIGHUP)
                 await asyncio.sleep(pause)
 
     async def _inject_store_fault(self, _: int) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,9 @@
             # Failed where a stopping daemon reads on after the last response of a
             # connection: a pipelined request is dropped at the end of the stop.
             (60, 4),
+            # Failed where the time for which a daemon was paused, twice in a row, was
+            # not added to the time limit of a response.
+            (65, 4),
             (200, 12),
         ]
     )
--- a/tests/test_standins_soak_callers.py
+++ b/tests/test_standins_soak_callers.py
@@ -7,9 +7,11 @@
 import re
 import time
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
+from almondrouter_standins import soak_callers
 from almondrouter_standins.platform_backend import RunLedger, make_response_body
 from almondrouter_standins.soak_callers import (
     LOSS_SLACK_S,
@@ -29,6 +31,7 @@
         self.ledger = ledger
         self._serve = serve
         self.received = []
+        self._connections = set()
 
     async def start(self):
         self._server = await asyncio.start_server(self._read, "127.0.0.1", 0)
@@ -38,8 +41,11 @@
     async def close(self):
         self._server.close()
         await self._server.wait_closed()
+        if self._connections:
+            await asyncio.wait(self._connections)
 
     async def _read(self, reader, writer):
+        self._connections.add(asyncio.current_task())
         try:
             while not writer.is_closing():
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -164,3 +170,17 @@
         violations = await self.run_caller(answer_third_request, kind=PipeliningCaller)
         self.assertEqual([], violations)
         self.assertGreater(self.ledger.outcomes["200"], 3)
+
+    @parameterized.expand([(0.0, True), (60.0, False)])
+    async def test_overdue_response(self, paused, expected):
+        """Guards against a response that never comes on an open connection."""
+
+        async def hold(server, writer):
+            await asyncio.sleep(2 * RUN_S)
+            writer.close()
+
+        pauses = mock.patch.object(HostState, "sum_pauses_since", return_value=paused)
+        with pauses, mock.patch.object(soak_callers, "ANSWER_TIMEOUT_S", RUN_S):
+            violations = await self.run_caller(hold)
+        overdue = [text for text in violations if "on an open connection" in text]
+        self.assertEqual(expected, bool(overdue))
--- a/tests/test_standins_soak_faults.py
+++ b/tests/test_standins_soak_faults.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
@@ -107,3 +108,23 @@
         fleet.daemons[0].returncode = 1
         self.make_injector(fleet).check_running(0)
         self.assertIn("exited by itself with code 1", self.violations[0])
+
+    async def test_pauses(self):
+        """Guards against a paused daemon that is expected to answer at once."""
+        injector = self.make_injector(FakeFleet())
+        began = time.monotonic()
+        with self.state.mark_paused():
+            await asyncio.sleep(0.1)
+            self.assertGreater(self.state.sum_pauses_since(began), 0.05)
+        middle = time.monotonic()
+        await asyncio.sleep(0.1)
+        await injector.restart(0, [LaterSignal(signal.SIGSTOP, 0.0, 0.1)])
+        ended = time.monotonic()
+        first, second = 0.1, 0.1
+        total = self.state.sum_pauses_since(began)
+        later = self.state.sum_pauses_since(middle)
+        self.assertGreaterEqual(total, first + second - 0.01)
+        self.assertAlmostEqual(total - later, first, delta=0.09)
+        self.assertEqual(0.0, self.state.sum_pauses_since(ended))
+        events = [event.partition(": ")[2] for event in injector.events]
+        self.assertEqual(["SIGTERM", "SIGSTOP", "SIGCONT"], events)
