--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import os
+import contextlib
 import random as random_module
 import signal
 import sys
@@ -17,11 +17,7 @@
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.calls import BackendResponse
 from almondrouter_standins.faultproxy import FaultProxy
-from almondrouter_standins.platform_backend import (
-    PlatformBackend,
-    RunLedger,
-    make_response_body,
-)
+from almondrouter_standins.platform_backend import PlatformBackend, RunLedger
 from almondrouter_standins.platform_store import PlatformStoreServer
 
 STOP_GRACE_PERIOD_S = 6.0
@@ -29,6 +25,8 @@
 DISCOVERY_TIMEOUT_S = 90.0
 """Seconds in which all daemons must discover each other; allows for a busy machine."""
 CONFIGURATION_KEY = "op/config"
+CALLER_PORT = 7003
+VERSION_METRIC = "almond_configuration_version"
 
 _SETTINGS = """\
 node = "{name}"
@@ -41,7 +39,7 @@
 port_range = [7100, 7110]
 [listen]
 inbound = "{ip}:7002"
-outbound = "{ip}:7003"
+outbound = "{ip}:{caller_port}"
 ready_address = "{ip}:7004"
 control = "{ip}:7005"
 [limits]
@@ -92,9 +90,9 @@
     network_octet
         Second octet of the loopback addresses; fleets that run at the same time need
         different ones.
-    proxied
-        Whether daemons reach each other, the store and their backend servers
-        through fault proxies.
+    proxied_hosts
+        Number of hosts, the first ones, whose daemons reach the store and their
+        backend servers, and are reached by others, through fault proxies.
     stop_within
         Seconds from the stop signal to the kill, as written to the settings.
 
@@ -110,23 +108,21 @@
         hosts: int,
         random: random_module.Random,
         network_octet: int,
-        proxied: bool = False,
+        proxied_hosts: int = 0,
         stop_within: float = STOP_GRACE_PERIOD_S,
     ) -> None:
         self._directory = directory
         self._stop_within = stop_within
-        self._random = random
+        self.random = random
         self.ledger = RunLedger()
         self.store = PlatformStoreServer()
         self.ips = [f"127.{network_octet}.0.{number + 1}" for number in range(hosts)]
         self.daemons: list[asyncio.subprocess.Process | None] = [None] * hosts
-        self._proxied = proxied
-        self.proxies = [self._make_proxies(ip) for ip in self.ips] if proxied else []
+        self.proxies = [self._make_proxies(ip) for ip in self.ips[:proxied_hosts]]
         self._clients: dict[int, BackendClient] = {}
         self.backend_replacements = [0] * hosts
         self._log_starts = [0] * hosts
         self.backends = [self._make_backend(number) for number in range(hosts)]
-        self._attempts = 0
         self.last_attempt_id = ""
 
     async def start(self, configuration: bytes) -> None:
@@ -152,7 +148,11 @@
             self.daemons[number] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *("-m", "almondrouterd.platform.main", "--settings", str(path)),
-                *(("--advertise", f"{self.ips[number]}:7012") if self._proxied else ()),
+                *(
+                    ("--advertise", f"{self.ips[number]}:7012")
+                    if self._is_proxied(number)
+                    else ()
+                ),
                 stdout=log,
                 stderr=log,
             )
@@ -173,11 +173,17 @@
         """Return the path of a host's settings file."""
         return self._directory / f"host-{number}.toml"
 
+    def send_signal(self, number: int, signal_number: signal.Signals) -> None:
+        """Send a signal to a daemon unless it has exited."""
+        process = self.daemons[number]
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal_number)
+
     async def stop_daemon(self, number: int, stop_signal: signal.Signals) -> int:
         """Send a signal to a daemon and wait for its exit; return its exit code."""
-        process = self.daemons[number]
-        process.send_signal(stop_signal)
-        return await process.wait()
+        self.send_signal(number, stop_signal)
+        return await self.daemons[number].wait()
 
     async def close(self) -> None:
         """Kill all daemons and close all stand-ins."""
@@ -223,14 +229,29 @@
         )
 
     async def _wait_until_all_hosts_known(self, number: int) -> None:
-        wanted = f"almond_hosts {len(self.ips)}"
         async with asyncio.timeout(DISCOVERY_TIMEOUT_S):
-            while wanted not in (await self.read_metrics(number)):
+            while not await self.knows_all_hosts(number):
                 await asyncio.sleep(0.05)
 
-    async def read_metrics(self, number: int) -> str:
-        """Return the metrics of a host's daemon in text format."""
-        return (await self.fetch(number, 9464, "/metrics")).body.decode()
+    async def knows_all_hosts(self, number: int) -> bool:
+        """Return whether a host's daemon knows exactly the hosts of this fleet."""
+        return await self.read_metric(number, "almond_hosts") == len(self.ips)
+
+    async def is_in_force_everywhere(self, version: int) -> bool:
+        """Return whether all daemons use a configuration version."""
+        for number in range(len(self.ips)):
+            if await self.read_metric(number, VERSION_METRIC) != version:
+                return False
+        return True
+
+    async def read_metric(self, number: int, name: str) -> float | None:
+        """Return a metric without labels of a host's daemon; None if there is none."""
+        metrics = (await self.fetch(number, 9464, "/metrics")).body.decode()
+        for line in metrics.splitlines():
+            metric, _, value = line.partition(" ")
+            if metric == name:
+                return float(value)
+        return None
 
     async def fetch(self, number: int, port: int, path: str) -> BackendResponse:
         """Return the response of a host to a GET request at any of its ports."""
@@ -270,6 +291,7 @@
         *,
         body: bytes = b"",
         time_limit: float = 8.0,
+        patience: float = 1.0,
         reuse_connection: bool = False,
         parent: str = "",
     ) -> tuple[int, str]:
@@ -279,6 +301,8 @@
         ----------
         time_limit
             Deadline of the request, in seconds from now.
+        patience
+            Seconds after the deadline for which the caller waits for a response.
         reuse_connection
             Whether to use a pooled connection instead of a new one.
         parent
@@ -289,14 +313,9 @@
         tuple
             HTTP status, 0 if there was no response, and the attempt id.
         """
-        self._attempts += 1
-        attempt = f"a{os.getpid()}x{self._attempts}"
-        if parent:
-            attempt = f"{parent}.{attempt}"
-        self.last_attempt_id = attempt
         method = "POST" if path.startswith("/pay/") else "GET"
-        if method == "POST":
-            self.ledger.non_repeatable.add(attempt)
+        attempt = self.ledger.begin_attempt(method, parent=parent)
+        self.last_attempt_id = attempt
         client = (
             self._get_shared_client(number)
             if reuse_connection
@@ -306,7 +325,7 @@
             ("attempt-id", attempt),
             ("deadline-ms", str(int(time_limit * 1000))),
         )
-        deadline = time.monotonic() + time_limit + 1.0
+        deadline = time.monotonic() + time_limit + patience
         try:
             response = await client.send(
                 method,
@@ -321,35 +340,16 @@
         finally:
             if not reuse_connection:
                 await client.close()
-        self._record_response(attempt, method, path, body, response)
+        self.ledger.record_response(attempt, method, path, body, response)
         return response.status, attempt
 
-    def _record_response(
-        self,
-        attempt: str,
-        method: str,
-        path: str,
-        body: bytes,
-        response: BackendResponse,
-    ) -> None:
-        status = response.status
-        self.ledger.outcomes[str(status)] += 1
-        refused = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
-        if status == HTTPStatus.OK:
-            if response.body != make_response_body(attempt, path, body):
-                self.ledger.violations.append(
-                    f"{attempt} got the response of another attempt"
-                )
-        elif status in refused and method == "POST":
-            self.ledger.reported_not_run.add(attempt)
-
     def _get_shared_client(self, number: int) -> BackendClient:
         if number not in self._clients:
             self._clients[number] = self._make_client(number, connections=8)
         return self._clients[number]
 
     def _make_client(self, number: int, *, connections: int = 1) -> BackendClient:
-        address = f"{self.ips[number]}:7003"
+        address = f"{self.ips[number]}:{CALLER_PORT}"
         return BackendClient(address, connections=connections, clock=SystemClock())
 
     def _make_backend(self, number: int) -> PlatformBackend:
@@ -360,11 +360,14 @@
             ip,
             address=self._find_backend_address(number),
             ledger=self.ledger,
-            random=self._random,
+            random=self.random,
         )
 
     def _find_backend_address(self, number: int) -> str:
-        return f"{self.ips[number]}:{7011 if self._proxied else 7001}"
+        return f"{self.ips[number]}:{7011 if self._is_proxied(number) else 7001}"
+
+    def _is_proxied(self, number: int) -> bool:
+        return number < len(self.proxies)
 
     def _make_proxies(self, ip: str) -> HostProxies:
         return HostProxies(
@@ -382,8 +385,13 @@
             zone=number,
             region=number % 2,
             ip=self.ips[number],
+            caller_port=CALLER_PORT,
             service="orders",
-            store=f"{self.ips[number]}:7013" if self._proxied else self.store.address,
+            store=(
+                f"{self.ips[number]}:7013"
+                if self._is_proxied(number)
+                else self.store.address
+            ),
             backend=self._find_backend_address(number),
             grace=self._stop_within,
         )
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -9,32 +9,56 @@
 import asyncio
 import random as random_module
 import shutil
-import signal
 import sys
 import time
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
 from http import HTTPStatus
 from pathlib import Path
 
 import msgspec
 
-from almondrouter_standins.faultproxy import Direction, FaultProxy
 from almondrouter_standins.platform_fleet import (
+    CALLER_PORT,
     CONFIGURATION_KEY,
-    STOP_GRACE_PERIOD_S,
     PlatformFleet,
 )
 from almondrouter_standins.platform_store import StoreFault
+from almondrouter_standins.soak_callers import (
+    BIG_BODY_BYTES,
+    REQUEST_TIMEOUT_S,
+    KeptConnectionCaller,
+    PipeliningCaller,
+    SequentialCaller,
+)
+from almondrouter_standins.soak_checks import (
+    find_dropped_requests,
+    find_log_lines,
+    find_version_regressions,
+)
+from almondrouter_standins.soak_faults import FaultInjector, HostState
 
 HOSTS = 4
-STEPS = 6
+MAX_HOSTS = 100
+"""Most daemons of a run; they take less than half of the memory of a small server."""
+PROXIED_HOSTS = 8
+"""Hosts with fault proxies, which are served by one process."""
+INJECTORS = 3
+"""Fewest injectors of faults; their faults overlap."""
+HOSTS_PER_INJECTOR = 8
+FAULTS_PER_INJECTOR = 5
+MAX_CHANGE_PAUSE_S = 1.0
+"""Longest pause between two versions of the configuration, in seconds."""
+INVALID_CHANGE_PROBABILITY = 0.2
+INVALID_CONFIGURATION = b'{"version": "r'
 SENDERS_PER_HOST = 2
 """Callers at each host; each sends one request at a time."""
-REQUEST_TIMEOUT_S = 3.0
-"""Deadline that callers give to each request."""
-EXIT_MARGIN_S = 6.0
-"""Seconds beyond the grace period until an exit must be seen, for a busy machine."""
+SENDER_PAUSE_S = 0.02
+RESPONSE_TIMEOUT_S = REQUEST_TIMEOUT_S + 1.0
+"""Seconds within which a request that ran has its response; the time for which the
+daemon was paused is added."""
+PATIENCE_S = 30.0
+"""Seconds after their deadlines for which callers wait for responses."""
+MAX_CALLER_PAUSE_S = 0.03
+"""Longest pause of a caller before its next request, in seconds."""
 RECOVERY_TIMEOUT_S = 60.0
 """Seconds after the last fault within which all hosts must serve and be up to date."""
 FINAL_REQUESTS = 40
@@ -47,23 +71,6 @@
 """First of the second octets of the loopback addresses that seeds use in turn."""
 NETWORK_OCTET_COUNT = 100
 PATHS = ("/read/1", "/pay/1", "/pay/big")
-BIG_BODY_BYTES = 100_000
-
-
-@dataclass(slots=True)
-class _HostState:
-    """Faults of a host that affect the requests of its callers.
-
-    Parameters
-    ----------
-    killed_at
-        Monotonic seconds of the last kill.
-    lock
-        Held while the daemon's process is stopped, started or signalled.
-    """
-
-    killed_at: float = 0.0
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
 class Soak:
@@ -77,45 +84,109 @@
         Seed of the faults, their hosts and their times.
     network_octet
         Second octet of the loopback addresses.
+    hosts
+        Number of daemons; callers of more hosts each send fewer requests.
     """
 
-    def __init__(self, directory: Path, *, seed: int, network_octet: int) -> None:
-        self._random = random_module.Random(seed)
+    def __init__(
+        self, directory: Path, *, seed: int, network_octet: int, hosts: int = HOSTS
+    ) -> None:
+        self._hosts = hosts
+        self._max_pause = MAX_CALLER_PAUSE_S * hosts / HOSTS
+        self._seed = seed
         self._stopping = asyncio.Event()
-        self._states = [_HostState() for _ in range(HOSTS)]
+        self._states = [HostState() for _ in range(self._hosts)]
         self._violations: list[str] = []
         self.fleet = PlatformFleet(
             directory,
-            hosts=HOSTS,
-            random=self._random,
+            hosts=hosts,
+            random=self._make_random("backend servers"),
             network_octet=network_octet,
-            proxied=True,
+            proxied_hosts=min(hosts, PROXIED_HOSTS),
         )
+        injectors = max(INJECTORS, hosts // HOSTS_PER_INJECTOR)
+        self.injectors = [
+            FaultInjector(
+                self.fleet,
+                self._states,
+                random=self._make_random(f"faults {position}"),
+                violations=self._violations,
+            )
+            for position in range(injectors)
+        ]
+        self._callers = self._make_callers()
+
+    def _make_callers(self) -> list[KeptConnectionCaller]:
+        return [
+            kind(
+                f"{ip}:{CALLER_PORT}",
+                host=number,
+                state=self._states[number],
+                ledger=self.fleet.ledger,
+                random=self._make_random(f"{kind.__name__} {number}"),
+                max_pause=self._max_pause,
+            )
+            for number, ip in enumerate(self.fleet.ips)
+            for kind in (SequentialCaller, PipeliningCaller)
+        ]
+
+    def _make_random(self, user: str) -> random_module.Random:
+        """Return a source for one user, whose values depend on the seed only."""
+        return random_module.Random(f"{self._seed} {user}")
 
     async def run(self) -> list[str]:
         """Inject the faults; return descriptions of the violated guarantees."""
         fleet = self.fleet
         await fleet.start(make_configuration(1))
         senders = [
-            asyncio.create_task(self._send_forever(number))
-            for number in range(HOSTS)
-            for _ in range(SENDERS_PER_HOST)
+            asyncio.create_task(
+                self._send_forever(
+                    number, self._make_random(f"sender {number}.{position}")
+                )
+            )
+            for number in range(self._hosts)
+            for position in range(SENDERS_PER_HOST)
         ]
-        for step in range(STEPS):
-            await asyncio.gather(self._inject_fault(), self._inject_fault())
-            value = make_configuration(FIRST_VERSION + step)
-            await fleet.store.put(CONFIGURATION_KEY, value)
-        last_version = FIRST_VERSION + STEPS - 1
-        await self._recover(last_version)
+        senders += [
+            asyncio.create_task(caller.run(self._stopping)) for caller in self._callers
+        ]
+        faults_ended = asyncio.Event()
+        operator = asyncio.create_task(self._change_configuration(faults_ended))
+        await asyncio.gather(
+            *(
+                injector.inject_faults(FAULTS_PER_INJECTOR)
+                for injector in self.injectors
+            )
+        )
+        faults_ended.set()
+        await self._recover(await operator)
         self._stopping.set()
         await asyncio.gather(*senders)
         await self._check_final_requests()
+        for number in range(self._hosts):
+            self.injectors[0].check_running(number)
         return (
             fleet.ledger.find_violations()
             + self._violations
-            + self._find_version_regressions()
+            + [text for caller in self._callers for text in caller.find_violations()]
+            + find_version_regressions(fleet.list_log_paths())
+            + find_dropped_requests(fleet.list_log_paths(), fleet.ledger)
         )
 
+    async def _change_configuration(self, faults_ended: asyncio.Event) -> int:
+        """Store one version after the other; return the last one."""
+        random = self._make_random("operator")
+        version = FIRST_VERSION
+        while not faults_ended.is_set():
+            if random.random() < INVALID_CHANGE_PROBABILITY:
+                await self.fleet.store.put(CONFIGURATION_KEY, INVALID_CONFIGURATION)
+                await asyncio.sleep(random.uniform(0.0, MAX_CHANGE_PAUSE_S))
+            version += 1
+            value = make_configuration(version)
+            await self.fleet.store.put(CONFIGURATION_KEY, value)
+            await asyncio.sleep(random.uniform(0.0, MAX_CHANGE_PAUSE_S))
+        return version
+
     async def _recover(self, version: int) -> None:
         self.fleet.store.fault = StoreFault.NONE
         for proxies in self.fleet.proxies:
@@ -123,9 +194,9 @@
                 proxy.heal()
         try:
             async with asyncio.timeout(RECOVERY_TIMEOUT_S):
-                for number in range(HOSTS):
+                for number in range(self._hosts):
                     await self.fleet.wait_until_ready(number)
-                while not await self._is_in_force_everywhere(version):
+                while not await self.fleet.is_in_force_everywhere(version):
                     await asyncio.sleep(0.05)
         except TimeoutError:
             self._violations.append(
@@ -133,14 +204,9 @@
                 f"{RECOVERY_TIMEOUT_S:g} s after the last fault"
             )
 
-    async def _is_in_force_everywhere(self, version: int) -> bool:
-        lines = [await self.fleet.read_metrics(number) for number in range(HOSTS)]
-        wanted = f"almond_configuration_version {version}"
-        return all(wanted in text for text in lines)
-
     async def _check_final_requests(self) -> None:
         statuses = [
-            await self.fleet.send(number % HOSTS, "/pay/1")
+            await self.fleet.send(number % self._hosts, "/pay/1")
             for number in range(FINAL_REQUESTS)
         ]
         if statuses.count(HTTPStatus.OK) < MIN_FINAL_SUCCESSES:
@@ -149,9 +215,9 @@
                 f"succeeded after the last fault; statuses: {statuses}"
             )
 
-    async def _send_forever(self, number: int) -> None:
+    async def _send_forever(self, number: int, random: random_module.Random) -> None:
         while not self._stopping.is_set():
-            path = self._random.choice(PATHS)
+            path = random.choice(PATHS)
             body = bytes(BIG_BODY_BYTES) if path.endswith("big") else b""
             began = time.monotonic()
             status, attempt = await self.fleet.send_with_attempt_id(
@@ -159,168 +225,20 @@
                 path,
                 body=body,
                 time_limit=REQUEST_TIMEOUT_S,
+                patience=PATIENCE_S,
                 reuse_connection=True,
             )
-            if not status and self._lost_response_without_kill(number, attempt, began):
-                after = time.monotonic() - began
+            ended = time.monotonic()
+            state = self._states[number]
+            limit = RESPONSE_TIMEOUT_S + state.sum_pauses_since(began)
+            missing = not status or ended - began > limit
+            ran = bool(self.fleet.ledger.runs[attempt])
+            if missing and ran and not state.was_killed_since(began):
                 self._violations.append(
-                    f"{attempt} ran but got no response in {after} s"
+                    f"{attempt} at host {number} ran, but got no response within "
+                    f"{limit:.1f} s; status {status} after {ended - began:.1f} s"
                 )
-            await asyncio.sleep(0.02)
-
-    def _lost_response_without_kill(
-        self, number: int, attempt: str, began: float
-    ) -> bool:
-        """Return whether a request without response ran and its host was not killed."""
-        killed = self._states[number].killed_at >= began
-        return bool(self.fleet.ledger.runs[attempt]) and not killed
-
-    async def _inject_fault(self) -> None:
-        """Inject a random fault at a random host, and end it if it can be ended.
-
-        Silenced connections and deleted keys are not restored.
-        """
-        number = self._random.randrange(HOSTS)
-        kinds: Sequence[Callable[[int], Awaitable[None]]] = (
-            self._kill,
-            self._stop,
-            self._freeze,
-            self._reload,
-            self._inject_store_fault,
-            self._delete_host_record,
-            self._replace_backend,
-            self._drain_backend,
-            self._inject_network_fault,
-            self._inject_network_fault,
-            self._inject_network_fault,
-        )
-        await asyncio.sleep(self._random.uniform(0.0, 0.5))
-        await self._random.choice(kinds)(number)
-
-    async def _kill(self, number: int) -> None:
-        async with self._states[number].lock:
-            self._states[number].killed_at = time.monotonic()
-            await self.fleet.stop_daemon(number, signal.SIGKILL)
-            self._states[number].killed_at = time.monotonic()
-            await self.fleet.start_daemon(number)
-
-    async def _stop(self, number: int) -> None:
-        async with self._states[number].lock:
-            # Before the daemon installs its handler, the signal itself ends the
-            # process, with a nonzero exit code.
-            started = self.fleet.is_started(number)
-            try:
-                async with asyncio.timeout(STOP_GRACE_PERIOD_S + EXIT_MARGIN_S):
-                    code = await self.fleet.stop_daemon(number, signal.SIGTERM)
-                if code and started:
-                    self._violations.append(
-                        f"daemon of host {number} exited with code {code} after SIGTERM"
-                    )
-            except TimeoutError:
-                self._violations.append(
-                    f"daemon of host {number} did not exit within "
-                    f"{STOP_GRACE_PERIOD_S + EXIT_MARGIN_S:g} s of SIGTERM"
-                )
-                await self.fleet.stop_daemon(number, signal.SIGKILL)
-            await self.fleet.start_daemon(number)
-
-    async def _freeze(self, number: int) -> None:
-        async with self._states[number].lock:
-            process = self.fleet.daemons[number]
-            process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(self._random.uniform(0.2, 2.5))
-            process.send_signal(signal.SIGCONT)
-
-    async def _reload(self, number: int) -> None:
-        async with self._states[number].lock:
-            if self.fleet.is_started(number):
-                self.fleet.daemons[number].send_signal(signal.SIGHUP)
-
-    async def _inject_store_fault(self, _: int) -> None:
-        store = self.fleet.store
-        store.fault = self._random.choice(list(StoreFault))
-        if self._random.random() < 0.5:
-            await store.forget_history()
-        await asyncio.sleep(self._random.uniform(0.3, 2.5))
-        store.fault = StoreFault.NONE
-
-    async def _delete_host_record(self, number: int) -> None:
-        store = self.fleet.store
-        for key in list(store.keys):
-            if key != CONFIGURATION_KEY and key.endswith(f"-{number}"):
-                await store.remove(key)
-
-    async def _replace_backend(self, number: int) -> None:
-        await self.fleet.replace_backend(number)
-
-    async def _drain_backend(self, number: int) -> None:
-        backend = self.fleet.backends[number]
-        backend.state = "draining"
-        await asyncio.sleep(self._random.uniform(1.0, 4.0))
-        if self.fleet.backends[number] is backend:
-            await self.fleet.replace_backend(number)
-
-    async def _inject_network_fault(self, number: int) -> None:
-        proxy = self._random.choice(self.fleet.proxies[number].all)
-        directions = (proxy.to_target, proxy.to_client)
-        fault_kind = self._random.choice(
-            ("delay", "cut", "one_way", "reset", "silence")
-        )
-        if fault_kind in ("cut", "one_way"):
-            await self._cut_directions(
-                directions
-                if fault_kind == "cut"
-                else (self._random.choice(directions),)
-            )
-        elif fault_kind == "delay":
-            for direction in directions:
-                direction.delay = self._random.uniform(0.01, 0.3)
-            await asyncio.sleep(self._random.uniform(0.5, 2.0))
-            proxy.heal()
-        else:
-            await self._break_connections(proxy, fault_kind)
-
-    async def _cut_directions(self, directions: Sequence[Direction]) -> None:
-        for direction in directions:
-            direction.cut()
-        await asyncio.sleep(self._random.uniform(0.3, 4.0))
-        for direction in directions:
-            direction.heal()
-
-    async def _break_connections(self, proxy: FaultProxy, fault_kind: str) -> None:
-        if fault_kind == "silence":
-            proxy.silence_connections()
-            return
-        proxy.refusing = self._random.random() < 0.5
-        proxy.reset_connections()
-        await asyncio.sleep(self._random.uniform(0.0, 1.5))
-        proxy.refusing = False
-
-    def _find_version_regressions(self) -> list[str]:
-        """Return the log files in which a configuration version did not increase."""
-        found = []
-        for path in self.fleet.list_log_paths():
-            version = 0
-            for line in path.read_bytes().splitlines():
-                fields = parse_log_line(line)
-                if fields.get("event") == "daemon started":
-                    version = 0
-                elif fields.get("event") == "configuration in force":
-                    if fields["version"] <= version:
-                        found.append(
-                            f"{path.name}: configuration version {fields['version']} "
-                            f"in force after version {version}"
-                        )
-                    version = fields["version"]
-        return found
-
-
-def parse_log_line(line: bytes) -> dict:
-    """Return the fields of a log line; none if it was truncated by a kill."""
-    try:
-        return msgspec.json.decode(line, type=dict)
-    except msgspec.DecodeError:
-        return {}
+            await asyncio.sleep(SENDER_PAUSE_S * self._hosts / HOSTS)
 
 
 def make_configuration(version: int) -> bytes:
@@ -345,16 +263,23 @@
     return msgspec.json.encode(document)
 
 
-async def run_seed(seed: int, directory: Path, *, network_octet: int) -> list[str]:
-    """Run one seed and clean up; return descriptions of the violated guarantees."""
-    soak = Soak(directory, seed=seed, network_octet=network_octet)
+async def run_seed(
+    seed: int, directory: Path, *, network_octet: int, hosts: int = HOSTS
+) -> list[str]:
+    """Run one seed and clean up; return descriptions of the violated guarantees.
+
+    The file ``injected.txt`` in the directory lists the faults.
+    """
+    soak = Soak(directory, seed=seed, network_octet=network_octet, hosts=hosts)
     try:
         return await soak.run()
     finally:
         await soak.fleet.close()
+        events = sorted(event for i in soak.injectors for event in i.events)
+        (directory / "injected.txt").write_text("\n".join(events) + "\n")
 
 
-def run_seed_keeping_logs(seed: int, logs: Path) -> list[str]:
+def run_seed_keeping_logs(seed: int, logs: Path, *, hosts: int = HOSTS) -> list[str]:
     """Run one seed; keep its logs only if it violated a guarantee.
 
     Returns
@@ -364,13 +289,13 @@
     """
     folder = logs / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
+    network_octet = FIRST_NETWORK_OCTET + seed % NETWORK_OCTET_COUNT
     violations = asyncio.run(
-        run_seed(
-            seed, folder, network_octet=FIRST_NETWORK_OCTET + seed % NETWORK_OCTET_COUNT
-        )
+        run_seed(seed, folder, network_octet=network_octet, hosts=hosts)
     )
     if violations:
-        (folder / "faults.txt").write_text("\n".join(violations) + "\n")
+        lines = [*violations, *find_log_lines(sorted(folder.glob("*.log")), violations)]
+        (folder / "faults.txt").write_text("\n".join(lines) + "\n")
     else:
         shutil.rmtree(folder)
     return violations
@@ -383,6 +308,14 @@
     parser.add_argument(
         "--count", type=int, default=1, help="number of seeds (default: 1)"
     )
+    parser.add_argument(
+        "--hosts",
+        type=int,
+        default=HOSTS,
+        choices=range(2, MAX_HOSTS + 1),
+        metavar=f"2..{MAX_HOSTS}",
+        help=f"number of daemons (default: {HOSTS})",
+    )
     parser.add_argument(
         "--logs",
         type=Path,
@@ -392,9 +325,11 @@
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.count):
-        violations = run_seed_keeping_logs(seed, arguments.logs)
+        began = time.monotonic()
+        violations = run_seed_keeping_logs(seed, arguments.logs, hosts=arguments.hosts)
         failed += bool(violations)
-        print(f"seed {seed}: {violations or 'passed'}", flush=True)
+        elapsed = time.monotonic() - began
+        print(f"seed {seed}: {violations or 'passed'} in {elapsed:.1f} s", flush=True)
     return 1 if failed else 0
 
 
