Test that nested calls are refused on arrival as others are

A search for requests that wait although they can't be served found that the slot queue already refuses nested calls on arrival by their expected wait and run time. The test guards that; it passes before and after, as no logic changes.

Measured: test_coordination_slots passes; of 20 nested calls for 2 slots of 0.1 s runs with 0.4 s left, more than 10 are refused, all after 0.0 s.

--- a/tests/test_coordination_slots.py
+++ b/tests/test_coordination_slots.py
@@ -99,6 +99,36 @@
         self.assertGreaterEqual(len(served), 5)
         self.assertLessEqual(self.clock.monotonic() - started, 0.4 + 1e-6)
 
+    def test_nested_calls_that_cannot_be_answered_in_time_wait_for_nothing(self):
+        """Guards against nested calls that wait until their deadline for no slot.
+
+        Their parents hold slots meanwhile.
+        """
+        self.measure_service_time()
+        refused_after = []
+
+        async def acquire_and_run(request):
+            started = self.clock.monotonic()
+            try:
+                grant = await self.queue.acquire(request)
+            except CallError as error:
+                self.assertEqual(ErrorCode.OVERLOADED, error.code)
+                refused_after.append(self.clock.monotonic() - started)
+                return
+            await asyncio.sleep(RUN_S)
+            self.queue.release(grant, measured=True)
+
+        async def scenario():
+            nested = [
+                self.request(nested=True, useful_for=0.4, deadline=0.4)
+                for _ in range(20)
+            ]
+            await asyncio.gather(*map(acquire_and_run, nested))
+
+        run_virtual(scenario(), self.clock)
+        self.assertGreater(len(refused_after), 10)
+        self.assertEqual({0.0}, set(refused_after))
+
     def test_overtaken_rank_is_refused_on_arrival(self):
         """Guards against requests of low rank that are refused only after a long wait.
 
