Give up the calls on a silent link only if they are sent elsewhere

The peer was alive behind a congested network link.

Cause: silence of a link was taken for the end of every call on it. For a request that may not be repeated, or that has no retry left, giving up gains nothing: the caller gets an error, the run of the backend server is cut or its response dropped. TCP_USER_TIMEOUT ended the connection at the same time, and the peer cancelled calls after as long a silence of its own.

Change: a silent link takes no new calls, which open another connection, and is no destination meanwhile, as before. The sender of each call on it decides whether to give it up: the forwarder does so only if the retry budget grants another attempt. The rest waits for its reply until its deadline. Calls that were not sent fail at once as not run. A daemon cancels the calls of a silent host after 10 s.

On the code before, with the new argument removed from the calls, these fail: test_reply_after_a_silence_is_lost_only_if_abandoned (kept), test_silent_link_ends_at_the_deadline_of_its_calls (True is not false each), test_calls_of_a_silent_caller_are_kept (link lost), and three cases of test_silent_destination_is_abandoned_only_for_a_retry (200 != 504).

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -95,6 +95,8 @@
         Attempts whose destination had no backend server or could not be reached.
     corrections
         Attempts that a destination declined as busier than expected.
+    has_retry
+        Whether the retry budget has granted the next attempt already.
     """
 
     info: RequestInfo
@@ -106,6 +108,7 @@
     refusals: int = 0
     misses: int = 0
     corrections: int = 0
+    has_retry: bool = False
 
 
 class Forwarder:
@@ -351,8 +354,32 @@
         return True
 
     def _may_retry(self, pending: _PendingRequest) -> bool:
+        if pending.has_retry:
+            pending.has_retry = False
+            return True
+        return self._claim_retry(pending, sent=pending.sent)
+
+    def _abandon_silent(self, pending: _PendingRequest) -> bool:
+        """Return whether to give up an attempt because its destination is silent.
+
+        Notes
+        -----
+        Only another attempt makes that worthwhile. Without one the caller would get
+        an error while the backend server may be at work on the response.
+        """
+        pending.has_retry = self._claim_retry(pending, sent=pending.sent + 1)
+        return pending.has_retry
+
+    def _claim_retry(self, pending: _PendingRequest, *, sent: int) -> bool:
+        """Take a retry from the budget if a request may be sent again.
+
+        Parameters
+        ----------
+        sent
+            Attempts so far that may have reached a backend server.
+        """
         route = pending.route
-        if not route.repeatable or pending.sent >= route.max_attempts:
+        if not route.repeatable or sent >= route.max_attempts:
             return False
         needed = route.target_latency * MIN_RETRY_TIME_SHARE
         if self._clock.monotonic() + needed > pending.call.deadline:
@@ -375,7 +402,7 @@
             if destination.host == self._host:
                 reply = await self._run_locally(call)
             else:
-                reply = await self._send_over_link(destination, call)
+                reply = await self._send_over_link(destination, call, pending)
             outcome = reply.outcome
         except CallError as error:
             outcome = error.outcome
@@ -410,7 +437,7 @@
         return reply
 
     async def _send_over_link(
-        self, destination: Destination, call: CallRequest
+        self, destination: Destination, call: CallRequest, pending: _PendingRequest
     ) -> CallReply:
         """Send a call to another daemon, a long body only after its offer was accepted.
 
@@ -428,7 +455,9 @@
             # Once the body is transferred, waiting at this destination is cheaper than
             # transferring it again to one with a shorter queue.
             call = msgspec.structs.replace(call, max_wait=-1.0)
-        return await self._links.call(address, call)
+        return await self._links.call(
+            address, call, abandon_silent=lambda: self._abandon_silent(pending)
+        )
 
     def _record_result(self, pending: _PendingRequest, reply: CallReply) -> None:
         elapsed = self._clock.monotonic() - pending.arrived_at
--- a/packages/almondrouter/src/almondrouter/transport/calls.py
+++ b/packages/almondrouter/src/almondrouter/transport/calls.py
@@ -75,7 +75,13 @@
     """Sends calls to the daemons of other hosts."""
 
     @abstractmethod
-    async def call(self, peer_address: str, request: LinkRequest) -> CallReply:
+    async def call(
+        self,
+        peer_address: str,
+        request: LinkRequest,
+        *,
+        abandon_silent: Callable[[], bool] = lambda: True,
+    ) -> CallReply:
         """Send a call and return its reply.
 
         Parameters
@@ -85,6 +91,10 @@
         request
             Call to send. ``call_id`` is assigned by the link; ``deadline`` is in
             monotonic seconds of this host.
+        abandon_silent
+            Called if the daemon becomes silent after the call was sent. Returns
+            whether the call fails then; otherwise it waits on for its reply, as the
+            daemon may only be slow or its network congested.
 
         Raises
         ------
--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -27,6 +27,13 @@
 MAX_CLOCK_DRIFT = 200e-6
 """Bound on the drift between the clocks of two hosts, in seconds per second."""
 
+TCP_USER_TIMEOUT_S = 15.0
+"""Time without acknowledgement of sent data after which a connection fails.
+
+Longer than the deadlines of most calls: a reply may still arrive after a time without
+one. Silence is detected sooner by pings, and new calls then use another connection.
+"""
+
 _LENGTH_BYTES = 4
 
 
@@ -210,6 +217,10 @@
         """Wait until the write buffer has drained or the connection is closed."""
         await self._writable.wait()
 
+    def release_writers(self) -> None:
+        """Let those that wait until the connection is writable go on."""
+        self._writable.set()
+
     def restart_silence_timer(self) -> None:
         """Measure the silence of the peer from now on."""
         self._last_received_at = self._clock.monotonic()
@@ -303,7 +314,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
-        set_tcp_user_timeout(transport, self._max_silence)
+        set_tcp_user_timeout(transport, TCP_USER_TIMEOUT_S)
         if self._on_connect is not None:
             self._task = asyncio.create_task(self._on_connect(self))
 
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -64,8 +64,11 @@
     ping_interval
         Seconds between pings.
     max_silence
-        Seconds without received bytes after which a link with pending calls is
-        closed; idle links that are pinged are allowed a longer silence.
+        Seconds without received bytes after which a link with pending calls carries
+        no further calls; idle links that are pinged are allowed a longer silence.
+    max_inbound_silence
+        Seconds without received bytes after which a daemon closes a link on which
+        it has calls in progress, which cancels those that may be repeated.
     max_connect_wait
         Seconds that a call waits for a link to open. The attempt goes on for
         ``CONNECT_TIMEOUT_S`` if that is longer, as later calls can use the link.
@@ -82,6 +85,7 @@
 
     ping_interval: float = PING_INTERVAL_S
     max_silence: float = MAX_SILENCE_S
+    max_inbound_silence: float = MAX_SILENCE_S
     max_connect_wait: float = CONNECT_TIMEOUT_S
     ping_idle: bool = False
     max_short_bytes: int = MAX_CALL_FRAME_BYTES
@@ -187,7 +191,7 @@
         return FrameStream(
             self._clock,
             on_connect=self._serve_link,
-            max_silence=self._policy.max_silence,
+            max_silence=self._policy.max_inbound_silence,
         )
 
     async def _serve_link(self, stream: FrameStream) -> None:
@@ -358,6 +362,7 @@
         self._clock = clock
         self._deadlines = Deadlines(clock)
         self._links: dict[str, OutboundLink] = {}
+        self._silent_links: set[OutboundLink] = set()
         self._connecting: dict[str, asyncio.Task[OutboundLink]] = {}
         self._ticker: asyncio.Task | None = None
         self.counts: Counter[str] = Counter()
@@ -377,10 +382,16 @@
             task.cancel()
         for link_key, link in tuple(self._links.items()):
             self._drop_link(link_key, link, "closed by this daemon")
+        for link in tuple(self._silent_links):
+            self._drop_silent_link(link, "closed by this daemon")
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def call(  # noqa: D102
-        self, peer_address: str, request: LinkRequest
+        self,
+        peer_address: str,
+        request: LinkRequest,
+        *,
+        abandon_silent: Callable[[], bool] = lambda: True,
     ) -> CallReply:
         link_key = peer_address
         is_call = isinstance(request, CallRequest)
@@ -393,11 +404,11 @@
             link = await self._connect(
                 link_key, min(request.deadline, connect_deadline)
             )
-        return await link.call(request)
+        return await link.call(request, abandon_silent=abandon_silent)
 
     def withdraw_calls(self) -> None:
         """Cancel all calls in flight; see `OutboundLink.withdraw_calls`."""
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._silent_links):
             link.withdraw_calls()
 
     def notify_all(self) -> None:
@@ -438,17 +449,18 @@
         return link.stream.last_received_at > oldest
 
     def tick(self) -> None:
-        """Ping the peers of pending calls; close silent and idle links."""
+        """Ping the peers of pending calls; suspend silent links, close idle ones."""
         now = self._clock.monotonic()
         for link_key, link in tuple(self._links.items()):
             if link.pending or self._policy.ping_idle:
                 if link.stream.check_silence(idle=not link.pending):
                     self.counts["silent"] += 1
-                    self._drop_link(
-                        link_key, link, "peer sent no data within the allowed silence"
-                    )
+                    self._suspend_link(link_key, link)
             elif now - link.used_at > MAX_IDLE_S:
                 self._drop_link(link_key, link, "idle for too long")
+        for link in tuple(self._silent_links):
+            if not link.pending:
+                self._drop_silent_link(link, "no call waits for the silent peer")
 
     async def _connect(self, link_key: str, deadline: float) -> OutboundLink:
         task = self._connecting.get(link_key) or self._start_connecting(link_key)
@@ -512,8 +524,18 @@
     def _drop_link(self, link_key: str, link: OutboundLink, reason: str) -> None:
         if self._links.get(link_key) is link:
             del self._links[link_key]
+        self._drop_silent_link(link, reason)
+
+    def _drop_silent_link(self, link: OutboundLink, reason: str) -> None:
+        self._silent_links.discard(link)
         link.fail(reason)
 
+    def _suspend_link(self, link_key: str, link: OutboundLink) -> None:
+        """Use another connection for new calls; the calls on this one may wait on."""
+        del self._links[link_key]
+        self._silent_links.add(link)
+        link.suspend("peer sent no data within the allowed silence")
+
 
 class _InboundLink:
     """A link that another daemon opened, with its calls in progress."""
--- a/packages/almondrouter/src/almondrouter/transport/outbound_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/outbound_link.py
@@ -5,6 +5,8 @@
 import asyncio
 import itertools
 from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -29,6 +31,14 @@
 """
 
 
+@dataclass(slots=True, eq=False)
+class _PendingCall:
+    """A call without a reply; see `CallLinks.call` for ``abandon_silent``."""
+
+    reply: asyncio.Future[CallReply]
+    abandon_silent: Callable[[], bool]
+
+
 class OutboundLink:
     """Sends calls over one connection and matches the replies to them.
 
@@ -53,15 +63,21 @@
     ) -> None:
         self.stream = stream
         self.used_at = clock.monotonic()
-        self.pending: dict[int, asyncio.Future[CallReply]] = {}
+        self.pending: dict[int, _PendingCall] = {}
         self._clock = clock
         self._deadlines = deadlines
         self._counts = counts
         self._call_ids = itertools.count(1)
         self._lost = False
+        self._silent = False
         self._withdrawn = False
 
-    async def call(self, request: LinkRequest) -> CallReply:
+    async def call(
+        self,
+        request: LinkRequest,
+        *,
+        abandon_silent: Callable[[], bool] = lambda: True,
+    ) -> CallReply:
         """Send a call and return its reply; see `CallLinks.call`."""
         sent = False
         call_id = next(self._call_ids)
@@ -69,7 +85,7 @@
         if not self.pending:
             self.stream.restart_silence_timer()
         future = asyncio.get_running_loop().create_future()
-        self.pending[call_id] = future
+        self.pending[call_id] = _PendingCall(future, abandon_silent)
         try:
             if not self.stream.is_writable:
                 async with asyncio.timeout(deadline - self._clock.monotonic()):
@@ -94,9 +110,26 @@
         """Drop the connection and fail its pending calls."""
         self._lost = True
         self.stream.close()
-        for future in self.pending.values():
-            if not future.done():
-                future.set_exception(ConnectionResetError(f"link lost: {reason}"))
+        for call in self.pending.values():
+            self._fail_call(call, reason)
+
+    def suspend(self, reason: str) -> None:
+        """Send no more calls because the peer is silent; keep the connection.
+
+        Notes
+        -----
+        Calls that were not sent fail. Of the others, only those fail that their
+        senders abandon: a reply to the rest may still arrive.
+        """
+        self._silent = True
+        self.stream.release_writers()
+        for call in tuple(self.pending.values()):
+            if not call.reply.done() and call.abandon_silent():
+                self._fail_call(call, reason)
+
+    def _fail_call(self, call: _PendingCall, reason: str) -> None:
+        if not call.reply.done():
+            call.reply.set_exception(ConnectionResetError(f"link lost: {reason}"))
 
     def withdraw_calls(self) -> None:
         """Cancel all calls, but still accept replies that they have not run.
@@ -108,12 +141,12 @@
         that does not reply to a `Cancel`. Calls that were not sent are not sent.
         """
         self._withdrawn = True
-        for call_id, future in self.pending.items():
-            if not future.done():
+        for call_id, call in self.pending.items():
+            if not call.reply.done():
                 self.stream.send(Cancel(call_id))
 
     def _check_sendable(self, deadline: float) -> None:
-        if self._lost:
+        if self._lost or self._silent:
             raise ConnectionResetError("link lost before the call was sent")
         if self._withdrawn:
             raise CallError(ErrorCode.STOPPING, "this daemon is stopping")
@@ -144,11 +177,11 @@
             raise AlmondError(
                 ErrorCode.FRAME_MALFORMED, f"unexpected {type(frame).__name__} frame"
             )
-        future = self.pending.get(frame.call_id)
-        if future is None or future.done():
+        call = self.pending.get(frame.call_id)
+        if call is None or call.reply.done():
             self._counts["late"] += 1
             return
-        future.set_result(frame)
+        call.reply.set_result(frame)
 
 
 def has_result(future: asyncio.Future) -> bool:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -61,14 +61,17 @@
 LINK_POLICY = LinkPolicy(
     ping_interval=0.3,
     max_silence=1.0,
+    max_inbound_silence=10.0,
     max_connect_wait=0.3,
     ping_idle=True,
     max_short_bytes=16_384,
     max_bulk_silence=4.0,
 )
 """An unreachable peer is detected while most callers still have time for a retry on
-another host. Links for long bodies tolerate more silence, because a body may fill a
-narrow path for seconds, and most requests with one cannot be retried anyway."""
+another host. Requests that cannot be retried wait on, as a slow or congested peer is
+silent, too; the peer cancels calls of a silent host only after most deadlines. Links
+for long bodies tolerate more silence, because a body may fill a narrow path for
+seconds, and most requests with one cannot be retried anyway."""
 MAX_INTERNAL_BODY_BYTES = 65_536
 """Longest body of a heartbeat, readiness check or metrics request, in bytes."""
 PEER_MAINTENANCE_INTERVAL_S = 0.25
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -43,6 +43,7 @@
 OVERLOADED_REPLY = make_reply(ErrorCode.OVERLOADED)
 SECOND_OFFER_ACCEPTED = [BodyOffer, BodyOffer, CallRequest]
 REPLY_LOST = CallError(ErrorCode.PEER_TIMEOUT, "scripted", outcome=UNKNOWN)
+SILENCE = "the destination is silent, then replies if the call was not abandoned"
 
 
 class ScriptedLinks(CallLinks):
@@ -51,10 +52,14 @@
     def __init__(self):
         self.script = []
         self.calls = []
+        self.abandoned = []
 
-    async def call(self, peer_address, request):
+    async def call(self, peer_address, request, *, abandon_silent=lambda: True):
         self.calls.append(request)
         item = self.script.pop(0)
+        if item is SILENCE:
+            self.abandoned.append(abandon_silent())
+            item = REPLY_LOST if self.abandoned[-1] else make_answer()
         if isinstance(item, Exception):
             raise item
         return item
@@ -119,6 +124,27 @@
     def make_error(self, code, outcome=NOT_RUN):
         return CallError(code, "scripted", outcome=outcome)
 
+    @parameterized.expand(
+        [
+            ("may be repeated", "/read/1", [SILENCE, make_answer()], 0, [True], 2),
+            ("may not be repeated", "/pay/1", [SILENCE], 0, [False], 1),
+            ("retry budget spent", "/read/1", [SILENCE], 99, [False], 1),
+            ("last attempt", "/read/1", [REPLY_LOST, SILENCE], 0, [False], 2),
+        ]
+    )
+    async def test_silent_destination_is_abandoned_only_for_a_retry(
+        self, _, path, script, spent, abandoned, calls
+    ):
+        """Guards against an error in place of a response that is still to come."""
+        for _ in range(spent):
+            self.retry_budget.try_spend(SERVICE)
+        retries = self.retry_budget.counts["spent"]
+        response = await self.send(path, script=script)
+        self.assertEqual(200, response.status)
+        self.assertEqual(abandoned, self.links.abandoned)
+        self.assertEqual(calls, len(self.links.calls))
+        self.assertEqual(calls - 1, self.retry_budget.counts["spent"] - retries)
+
     async def test_answer_is_passed_on(self):
         """Guards against altered responses, and calls with wrong deadlines."""
         response = await self.send(script=[make_answer(framed=False)])
--- a/tests/test_load_replays.py
+++ b/tests/test_load_replays.py
@@ -101,7 +101,7 @@
     def __init__(self, host, fleet):
         self._host, self._fleet = host, fleet
 
-    async def call(self, peer_address, request):
+    async def call(self, peer_address, request, *, abandon_silent=lambda: True):
         peer = self._fleet[int(peer_address[1:-2])]
         delay = ONE_WAY_S[self._host.find_distance(peer)]
         await asyncio.sleep(delay)
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -19,6 +19,7 @@
 from almondrouter.transport import links
 from almondrouter.transport.frames import ClockOffset, FrameStream
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
+from almondrouter.transport.outbound_link import REPLY_GRACE_S
 from calls_support import (
     TIMEOUT_S,
     CallAssertions,
@@ -230,6 +231,75 @@
         await wait_until(lambda: len(peer.streams) == 2)
         again.cancel()
 
+    async def pass_silent_seconds(self, seconds=3):
+        """Let time pass in which no pong is read."""
+        self.pool.tick()
+        for _ in range(seconds):
+            self.clock.advance(1)
+            self.pool.tick()
+
+    @parameterized.expand([("abandoned", True), ("kept", False)])
+    async def test_reply_after_a_silence_is_lost_only_if_abandoned(self, _, abandon):
+        """Guards against an error for a call that a slow or congested peer still runs.
+
+        New calls use another connection meanwhile.
+        """
+        peer = Peer()
+        address = await peer.start()
+        request = make_request(b"1", deadline=self.clock.monotonic() + 60)
+        call = asyncio.create_task(
+            self.pool.call(address, request, abandon_silent=lambda: abandon)
+        )
+        await wait_until(lambda: peer.streams)
+        received = await peer.streams[0].receive()
+        await self.pass_silent_seconds()
+        self.assertFalse(self.pool.is_alive(address))
+        if abandon:
+            await self.assert_fails(call, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+        later = self.start_call(b"2", address=address)
+        await wait_until(lambda: len(peer.streams) == 2)
+        if not abandon:
+            self.assertFalse(call.done())
+            reply = make_reply(b"late")
+            peer.streams[0].send(
+                msgspec.structs.replace(reply, call_id=received.call_id)
+            )
+            self.assertEqual(b"late", (await call).body)
+        self.pool.tick()
+        await wait_until(lambda: peer.streams[0]._closed.is_set())
+        self.assertFalse(later.done())
+        later.cancel()
+
+    async def test_silent_link_ends_at_the_deadline_of_its_calls(self):
+        """Guards against a call that waits for a dead peer beyond its deadline."""
+        peer = Peer()
+        address = await peer.start()
+        request = make_request(b"1", deadline=self.clock.monotonic() + 5)
+        call = asyncio.create_task(
+            self.pool.call(address, request, abandon_silent=lambda: False)
+        )
+        await wait_until(lambda: peer.streams)
+        await self.pass_silent_seconds(4)
+        await asyncio.sleep(0.01)
+        self.assertFalse(call.done())
+        self.clock.advance(1 + REPLY_GRACE_S)
+        self.pool._deadlines._expire_due()
+        await self.assert_fails(call, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+
+    async def test_calls_of_a_silent_caller_are_kept(self):
+        """Guards against cancelling work for a caller whose network is congested."""
+        policy = LinkPolicy(max_silence=1.0, max_inbound_silence=10.0)
+        self.server._policy = policy
+        call = self.start_call(b"1")
+        await wait_until(lambda: self.arrived)
+        self.server.tick()
+        for _ in range(9):
+            self.server_clock.advance(1)
+            self.server.tick()
+        self.pending_replies[b"1"].set_result(None)
+        self.assertEqual(b"1", (await call).body)
+        self.assertEqual([], self.cancelled)
+
     async def test_long_body_on_a_slow_path_is_not_cut(self):
         """Guards against aborting an upload because pings queue behind its bytes.
 
