Give up a silent attempt only for a destination that was chosen

Cause: the attempt was given up as soon as the budget granted a retry. The retry then found no destination from which a response could be expected in time.

Change: the destination of the retry is chosen first, then the budget is asked, and the attempt is given up only if both agree.

Evidence: test_silent_destination_is_kept_if_there_is_no_other fails on the code before: 200 != 504.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -9,7 +9,7 @@
 import math
 import random as random_module
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import msgspec
@@ -95,8 +95,10 @@
         Attempts whose destination had no backend server or could not be reached.
     corrections
         Attempts that a destination declined as busier than expected.
-    has_retry
-        Whether the retry budget has granted the next attempt already.
+    excluded
+        Names of the backend servers that are not to be tried again.
+    retry
+        Destination of the next attempt, if the retry budget has granted it already.
     """
 
     info: RequestInfo
@@ -108,7 +110,8 @@
     refusals: int = 0
     misses: int = 0
     corrections: int = 0
-    has_retry: bool = False
+    excluded: set[str] = field(default_factory=set)
+    retry: Destination | None = None
 
 
 class Forwarder:
@@ -277,16 +280,15 @@
             refusal only if every attempt was refused: if an earlier attempt may have
             run, a later refusal must not be reported as ``NOT_RUN``.
         """
-        excluded: set[str] = set()
         result: CallReply | None = None
         refusal: CallReply | None = None
-        while destination := self._choose_destination(pending, excluded):
+        while destination := self._choose_destination(pending):
             reply = await self._send_attempt(destination, pending)
             if reply.code == ErrorCode.BUSIER_THAN_EXPECTED.value:
                 # The reply updated the load of this destination, so it stays eligible.
                 pending.corrections += 1
                 continue
-            excluded.add(destination.backend)
+            pending.excluded.add(destination.backend)
             if reply.outcome is Outcome.NOT_RUN:
                 refusal = reply
                 if not self._may_try_elsewhere(pending, reply):
@@ -300,9 +302,10 @@
                 break
         return result or refusal or make_reply(self._explain_no_attempt(pending))
 
-    def _choose_destination(
-        self, pending: _PendingRequest, excluded: set[str]
-    ) -> Destination | None:
+    def _choose_destination(self, pending: _PendingRequest) -> Destination | None:
+        if pending.retry is not None:
+            destination, pending.retry = pending.retry, None
+            return destination
         now = self._clock.monotonic()
         call = pending.call
         if now >= min(call.deadline, self._answers_until):
@@ -314,7 +317,7 @@
         return self._balancer.choose(
             self._directory.find_destinations(pending.service),
             now=now,
-            excluded=excluded,
+            excluded=pending.excluded,
             demand=make_demand(pending, now),
         )
 
@@ -354,12 +357,13 @@
         return True
 
     def _may_retry(self, pending: _PendingRequest) -> bool:
-        if pending.has_retry:
-            pending.has_retry = False
+        if pending.retry is not None:
             return True
         return self._claim_retry(pending, sent=pending.sent)
 
-    def _abandon_silent(self, pending: _PendingRequest) -> bool:
+    def _abandon_silent(
+        self, destination: Destination, pending: _PendingRequest
+    ) -> bool:
         """Return whether to give up an attempt because its destination is silent.
 
         Notes
@@ -367,8 +371,11 @@
         Only another attempt makes that worthwhile. Without one the caller would get
         an error while the backend server may be at work on the response.
         """
-        pending.has_retry = self._claim_retry(pending, sent=pending.sent + 1)
-        return pending.has_retry
+        pending.excluded.add(destination.backend)
+        other = self._choose_destination(pending)
+        if other is not None and self._claim_retry(pending, sent=pending.sent + 1):
+            pending.retry = other
+        return pending.retry is not None
 
     def _claim_retry(self, pending: _PendingRequest, *, sent: int) -> bool:
         """Take a retry from the budget if a request may be sent again.
@@ -456,7 +463,9 @@
             # transferring it again to one with a shorter queue.
             call = msgspec.structs.replace(call, max_wait=-1.0)
         return await self._links.call(
-            address, call, abandon_silent=lambda: self._abandon_silent(pending)
+            address,
+            call,
+            abandon_silent=lambda: self._abandon_silent(destination, pending),
         )
 
     def _record_result(self, pending: _PendingRequest, reply: CallReply) -> None:
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from unittest.mock import patch
 
 import msgspec
 from parameterized import parameterized
@@ -145,6 +146,21 @@
         self.assertEqual(calls, len(self.links.calls))
         self.assertEqual(calls - 1, self.retry_budget.counts["spent"] - retries)
 
+    async def test_silent_destination_is_kept_if_there_is_no_other(self):
+        """Guards against giving up an attempt for a retry that is never made."""
+        choose = self.balancer.choose
+
+        def choose_first(destinations, *, excluded, **details):
+            if excluded:
+                return None
+            return choose(destinations, excluded=excluded, **details)
+
+        with patch.object(self.balancer, "choose", choose_first):
+            response = await self.send(script=[SILENCE])
+        self.assertEqual(200, response.status)
+        self.assertEqual([False], self.links.abandoned)
+        self.assertEqual(0, self.retry_budget.counts["spent"])
+
     async def test_answer_is_passed_on(self):
         """Guards against altered responses, and calls with wrong deadlines."""
         response = await self.send(script=[make_answer(framed=False)])
