Log why a forwarding attempt failed

Cause: peer_timeout stands for a silent link, a lost one and a deadline that has passed.

Change: the line has the reason of the error.

Measured: test_coordination_forwarding passes; the field is new, no test reads it.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -403,7 +403,7 @@
         )
         started_at = self._clock.monotonic()
         outcome: Outcome | None = None
-        reply = make_reply(ErrorCode.CALL_CANCELLED)
+        reply, reason = make_reply(ErrorCode.CALL_CANCELLED), ""
         self._balancer.record_start(destination)
         try:
             if destination.host == self._host:
@@ -412,7 +412,7 @@
                 reply = await self._send_over_link(destination, call, pending)
             outcome = reply.outcome
         except CallError as error:
-            outcome = error.outcome
+            outcome, reason = error.outcome, error.message
             reply = make_reply(error.code, outcome)
         finally:
             now = self._clock.monotonic()
@@ -438,6 +438,7 @@
                 outcome=reply.outcome.value,
                 status=reply.status,
                 code=reply.code,
+                reason=reason,
                 after=round(now - pending.arrived_at, 4),
                 version=call.version,
             )
