Split reading and order of requests from the caller connection

Change: transport/readers.py (RequestReader, which passes requests and refusals to a RequestSink) and transport/pipelines.py (Pipeline). The reader keeps the time limit of a request being received apart from that of an idle connection, so the limit of a request that was received in part is no longer replaced when an earlier response is sent. No other decision changes.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
 
-import httptools
-
 from almondrouter.clock import Clock, SystemClock
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
@@ -20,11 +17,11 @@
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouter.transport.listeners import Listener
+from almondrouter.transport.pipelines import MAX_PIPELINED, Exchange, Pipeline
+from almondrouter.transport.readers import RequestReader, RequestSink
 
 HEADER_TIMEOUT_S = 10.0
 """Time limit for receiving the headers of a request."""
-BODY_TIMEOUT_S = 30.0
-"""Time limit for receiving the body of a request, after its headers."""
 WRITE_TIMEOUT_S = 30.0
 """Time limit for a caller to read a response."""
 KEEP_ALIVE_TIMEOUT_S = 75.0
@@ -38,8 +35,6 @@
 FLUSH_POLL_INTERVAL_S = 0.01
 """Interval at which a drain checks whether callers have read their responses."""
 MAX_HEADER_BYTES = 32_768
-MAX_PIPELINED = 16
-"""Limit on pipelined requests of a connection that wait for a response."""
 MAX_CONNECTIONS = 4_096
 
 _log = EventLogger("callers")
@@ -49,9 +44,6 @@
 }
 _BODYLESS = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
-_CONCURRENT_METHODS = frozenset({"GET", "HEAD"})
-"""Safe methods, whose pipelined requests are served concurrently."""
-
 CallerHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 
 
@@ -163,56 +155,36 @@
             connection.enforce_timeout(now)
 
 
-@dataclass(slots=True, eq=False)
-class _Exchange:
-    """A request and, once it is available, its response."""
-
-    request: CallerRequest
-    keep_alive: bool
-    task: asyncio.Task[None] | None = None
-    response: CallerResponse | None = None
-
-
-class CallerConnection(asyncio.Protocol):
-    """One connection of a caller; responses are sent in the order of requests.
-
-    Notes
-    -----
-    Pipelined requests run concurrently only if their methods are safe. Any other
-    request waits until the ones before it are answered: if one of their responses
-    closes the connection, the caller retries the request, which must not have run.
-    """
+class CallerConnection(asyncio.Protocol, RequestSink):
+    """One connection of a caller; responses are sent in the order of requests."""
 
     def __init__(self, server: CallerServer) -> None:
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._exchanges: deque[_Exchange] = deque()
-        limits = server.limits()
-        self._expires_at = server.clock.monotonic() + limits.header_timeout
-        self._peer = ""
+        self._pipeline = Pipeline()
+        self._reader = RequestReader(
+            sink=self, limits=server.limits, clock=server.clock
+        )
+        self._expires_at = self._reader.expires_at
         self._refused = False
-        self._reading = False
         self._closing = False
         self._accepting_requests = True
-        self._began_at = server.clock.monotonic()
         self._end_reason = EndReason.CALLER_LEFT
-        self._reset_request()
 
     @property
     def tasks(self) -> list[asyncio.Task[None]]:
         """Tasks of the requests in progress."""
-        return [e.task for e in self._exchanges if e.task is not None]
+        return self._pipeline.tasks
 
     @property
     def in_flight(self) -> int:
         """Number of requests that have no response yet."""
-        return len(self._exchanges)
+        return len(self._pipeline)
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
         peer = transport.get_extra_info("peername")
-        self._peer = peer[0] if peer else ""
+        self._reader.peer = peer[0] if peer else ""
         self._server.connections.add(self)
         if len(self._server.connections) > MAX_CONNECTIONS:
             self._server.counts["connections_refused"] += 1
@@ -224,86 +196,31 @@
         self._drop_requests()
 
     def data_received(self, data: bytes) -> None:  # noqa: D102
-        if self._refused:
-            return
-        if not self._reading:
-            self._reading = True
-            limits = self._server.limits()
-            self._expires_at = self._server.clock.monotonic() + limits.header_timeout
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse_request(ErrorCode.HEADER_INVALID)
-        except httptools.HttpParserError as error:
-            # If a callback has already refused the request, the parser error only
-            # follows from that.
-            if not self._refused:
-                self._server.counts[type(error).__name__] += 1
-                self._refuse_request(ErrorCode.HEADER_INVALID)
-        else:
-            if self._reading and not self._headers_done:
-                self._partial_header_bytes += len(data)
-                self._check_header_bytes(self._partial_header_bytes)
-
-    def on_message_begin(self) -> None:
-        """Record when the request began, as receiving a long body takes time."""
-        self._began_at = self._server.clock.monotonic()
-
-    def on_url(self, url: bytes) -> None:
-        """Store a part of the request target."""
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; the name is converted to lower case."""
-        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
-
-    def on_headers_complete(self) -> None:
-        """Check size, upgrade and body length; confirm ``Expect: 100-continue``."""
-        self._headers_done = True
-        self._expires_at = self._server.clock.monotonic() + BODY_TIMEOUT_S
-        size = sum(len(name) + len(value) for name, value in self._headers)
-        self._check_header_bytes(size + len(self._target))
-        if self._parser.should_upgrade():
-            self._refuse_request(ErrorCode.HEADER_INVALID)
-        for name, value in self._headers:
-            if name == "content-length" and int(value) > self._max_body_bytes:
-                self._refuse_request(ErrorCode.BODY_TOO_LARGE)
-            elif name == "expect" and not self._refused and not self._exchanges:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body."""
-        self._body_size += len(body)
-        if self._body_size > self._max_body_bytes:
-            self._refuse_request(ErrorCode.BODY_TOO_LARGE)
-        else:
-            self._body.append(body)
-
-    def on_message_complete(self) -> None:
+        self._reader.feed(data)
+
+    def confirm_expectation(self) -> None:  # noqa: D102
+        if not self._pipeline:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def accept_request(self, request: CallerRequest, *, keep_alive: bool) -> None:
         """Queue the complete request and start it if its turn has come."""
-        if self._refused or not self._accepting_requests:
+        if not self._accepting_requests:
             return
-        request = CallerRequest(
-            self._parser.get_method().decode("latin-1"),
-            self._target.decode("latin-1"),
-            tuple(self._headers),
-            self._body[0] if len(self._body) == 1 else b"".join(self._body),
-            self._peer,
-            self._began_at,
-        )
-        exchange = _Exchange(request, self._parser.should_keep_alive())
-        self._reading = False
-        self._reset_request()
-        if len(self._exchanges) > MAX_PIPELINED:
+        if len(self._pipeline) > MAX_PIPELINED:
             self._server.counts["pipeline_refused"] += 1
             self.abort(EndReason.TOO_MANY_PIPELINED)
             return
-        if not self._exchanges and self._server.draining:
-            self._refuse_request(ErrorCode.STOPPING)
+        if not self._pipeline and self._server.draining:
+            self.refuse_request(ErrorCode.STOPPING)
             return
-        self._exchanges.append(exchange)
+        self._pipeline.append(Exchange(request, keep_alive))
         self._start_ready_requests()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has been received in part."""
+        return self._reader.receiving
+
     @property
     def is_writing(self) -> bool:
         """Whether response data is still in the write buffer."""
@@ -311,7 +228,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being received or served."""
-        if not self._exchanges and not self._reading:
+        if not self._pipeline and not self.is_receiving:
             self._closing = True
             self._transport.close()
 
@@ -319,43 +236,26 @@
         """Close the connection at once and discard unsent data."""
         self._end_reason = reason
         self._refused = True
+        self._reader.stop()
         self._transport.abort()
 
     def enforce_timeout(self, now: float) -> None:
         """Refuse the request or close the connection if its time limit has passed."""
-        if now < self._expires_at or self._exchanges:
+        if self._pipeline:
             return
-        if self._reading and not self._refused:
-            self._server.counts["slow_callers"] += 1
-            self._refuse_request(ErrorCode.HEADER_INVALID)
-        else:
+        if self.is_receiving and not self._refused:
+            if now >= self._reader.expires_at:
+                self._server.counts["slow_callers"] += 1
+                self.refuse_request(ErrorCode.HEADER_INVALID)
+        elif now >= self._expires_at:
             self.abort(EndReason.CLOSED)
 
-    def _reset_request(self) -> None:
-        self._target = b""
-        self._headers: list[tuple[str, str]] = []
-        self._headers_done = False
-        self._partial_header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_size = 0
-        self._max_body_bytes = self._server.limits().max_body_bytes
-
-    def _check_header_bytes(self, size: int) -> None:
-        if size > self._server.limits().max_header_bytes:
-            self._refuse_request(ErrorCode.HEADER_INVALID)
-
     def _start_ready_requests(self) -> None:
         """Start the queued requests that need not wait for earlier ones."""
-        for position, exchange in enumerate(self._exchanges):
-            concurrent = exchange.request.method in _CONCURRENT_METHODS
-            if position and not concurrent:
-                return
-            if exchange.task is None and exchange.response is None:
-                exchange.task = asyncio.create_task(self._serve_request(exchange))
-            if not concurrent:
-                return
+        for exchange in self._pipeline.list_startable():
+            exchange.task = asyncio.create_task(self._serve_request(exchange))
 
-    async def _serve_request(self, exchange: _Exchange) -> None:
+    async def _serve_request(self, exchange: Exchange) -> None:
         try:
             exchange.response = await self._server.handler(exchange.request)
         except Exception as error:  # noqa: BLE001 - the server has to outlive a failed call
@@ -375,8 +275,7 @@
     def _send_ready_responses(self) -> None:
         """Send responses in the order of the requests, as far as they are complete."""
         server = self._server
-        while self._exchanges and self._exchanges[0].response is not None:
-            exchange = self._exchanges.popleft()
+        while (exchange := self._pipeline.pop_answered()) is not None:
             self._expires_at = server.clock.monotonic() + max(
                 WRITE_TIMEOUT_S, server.limits().idle_timeout
             )
@@ -384,7 +283,7 @@
                 # Requests that arrive from now on are ignored. Their caller may
                 # safely retry them elsewhere once the connection is closed.
                 self._accepting_requests = False
-            last = not self._accepting_requests and not self._exchanges
+            last = not self._accepting_requests and not self._pipeline
             keep_alive = exchange.keep_alive and not last
             keep_alive = keep_alive and exchange.response.framed
             self._transport.write(
@@ -400,13 +299,12 @@
 
     def _drop_requests(self) -> None:
         """Cancel the requests that get no response, as the connection has ended."""
-        for position, exchange in enumerate(self._exchanges):
+        for position, exchange in enumerate(self._pipeline.clear()):
             if exchange.task is not None:
                 exchange.task.cancel()
             self._log_unanswered(exchange, position)
-        self._exchanges.clear()
 
-    def _log_unanswered(self, exchange: _Exchange, position: int) -> None:
+    def _log_unanswered(self, exchange: Exchange, position: int) -> None:
         server, request = self._server, exchange.request
         server.counts[f"unanswered_{self._end_reason}"] += 1
         _log.request(
@@ -419,12 +317,15 @@
             after=round(server.clock.monotonic() - request.began_at, 4),
         )
 
-    def _refuse_request(self, code: ErrorCode) -> None:
+    def refuse_request(self, code: ErrorCode, *, event: str = "") -> None:
+        """Send an error response in place of the response to a request."""
         if self._refused or self._closing:
             return
         self._refused = True
-        self._server.counts[code.value] += 1
-        if self._exchanges:
+        self._reader.stop()
+        for name in (event, code.value) if event else (code.value,):
+            self._server.counts[name] += 1
+        if self._pipeline:
             # An error response now would be taken for that of an earlier request.
             self.abort(EndReason.REQUEST_REFUSED)
             return
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/transport/pipelines.py
@@ -0,0 +1,80 @@
+"""Requests of a caller's connection, in the order of their arrival."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from almondrouter.transport.calls import CallerRequest, CallerResponse
+
+MAX_PIPELINED = 16
+"""Limit on pipelined requests of a connection that wait for a response."""
+
+_CONCURRENT_METHODS = frozenset({"GET", "HEAD"})
+"""Safe methods, whose pipelined requests are served concurrently."""
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """A request and, once it is available, its response."""
+
+    request: CallerRequest
+    keep_alive: bool
+    task: asyncio.Task[None] | None = None
+    response: CallerResponse | None = None
+
+
+class Pipeline:
+    """Requests of a connection that wait for their responses, oldest first.
+
+    Notes
+    -----
+    Pipelined requests run concurrently only if their methods are safe. Any other
+    request waits until the ones before it are answered: if one of their responses
+    closes the connection, the caller retries the request, which must not have run.
+    """
+
+    def __init__(self) -> None:
+        self._exchanges: deque[Exchange] = deque()
+
+    def __len__(self) -> int:
+        return len(self._exchanges)
+
+    def __iter__(self) -> Iterator[Exchange]:
+        return iter(self._exchanges)
+
+    @property
+    def tasks(self) -> list[asyncio.Task[None]]:
+        """Tasks of the requests in progress."""
+        return [e.task for e in self._exchanges if e.task is not None]
+
+    def append(self, exchange: Exchange) -> None:
+        """Add the request that was received last."""
+        self._exchanges.append(exchange)
+
+    def list_startable(self) -> list[Exchange]:
+        """Return the requests that have not started and need not wait for others."""
+        startable = []
+        for position, exchange in enumerate(self._exchanges):
+            concurrent = exchange.request.method in _CONCURRENT_METHODS
+            if position and not concurrent:
+                break
+            if exchange.task is None and exchange.response is None:
+                startable.append(exchange)
+            if not concurrent:
+                break
+        return startable
+
+    def pop_answered(self) -> Exchange | None:
+        """Remove and return the oldest request if its response is available."""
+        if self._exchanges and self._exchanges[0].response is not None:
+            return self._exchanges.popleft()
+        return None
+
+    def clear(self) -> list[Exchange]:
+        """Remove and return all requests."""
+        removed = list(self._exchanges)
+        self._exchanges.clear()
+        return removed
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -0,0 +1,151 @@
+"""Reader of the HTTP/1.1 requests that arrive on a caller's connection."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import httptools
+
+from almondrouter.clock import Clock
+from almondrouter.errors import ErrorCode
+from almondrouter.state.routes import CallerLimits
+from almondrouter.transport.calls import CallerRequest
+
+BODY_TIMEOUT_S = 30.0
+"""Time limit for receiving the body of a request, after its headers."""
+
+
+class RequestSink(ABC):
+    """Takes what a ``RequestReader`` has read."""
+
+    @abstractmethod
+    def accept_request(self, request: CallerRequest, *, keep_alive: bool) -> None:
+        """Take a complete request."""
+
+    @abstractmethod
+    def refuse_request(self, code: ErrorCode, *, event: str = "") -> None:
+        """Refuse the request that is being read; ``event`` names a count to raise."""
+
+    @abstractmethod
+    def confirm_expectation(self) -> None:
+        """Let the caller send the body of a request with ``Expect: 100-continue``."""
+
+
+class RequestReader:
+    """Parses the bytes of a connection into requests.
+
+    Parameters
+    ----------
+    sink
+        Takes the requests and the refusals.
+    limits
+        Returns the limits in force.
+    clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self, *, sink: RequestSink, limits: Callable[[], CallerLimits], clock: Clock
+    ) -> None:
+        self.peer = ""
+        self.receiving = False
+        self.expires_at = clock.monotonic() + limits().header_timeout
+        self._sink = sink
+        self._limits = limits
+        self._clock = clock
+        self._parser = httptools.HttpRequestParser(self)
+        self._stopped = False
+        self._began_at = clock.monotonic()
+        self._reset_request()
+
+    def stop(self) -> None:
+        """Ignore all further bytes."""
+        self._stopped = True
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes."""
+        if self._stopped:
+            return
+        if not self.receiving:
+            self.receiving = True
+            self.expires_at = self._clock.monotonic() + self._limits().header_timeout
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(ErrorCode.HEADER_INVALID)
+        except httptools.HttpParserError as error:
+            self._refuse(ErrorCode.HEADER_INVALID, event=type(error).__name__)
+        else:
+            if self.receiving and not self._headers_done:
+                self._partial_header_bytes += len(data)
+                self._check_header_bytes(self._partial_header_bytes)
+
+    def on_message_begin(self) -> None:
+        """Record when the request began, as receiving a long body takes time."""
+        self._began_at = self._clock.monotonic()
+
+    def on_url(self, url: bytes) -> None:
+        """Store a part of the request target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; the name is converted to lower case."""
+        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Check size, upgrade and body length; confirm ``Expect: 100-continue``."""
+        self._headers_done = True
+        self.expires_at = self._clock.monotonic() + BODY_TIMEOUT_S
+        size = sum(len(name) + len(value) for name, value in self._headers)
+        self._check_header_bytes(size + len(self._target))
+        if self._parser.should_upgrade():
+            self._refuse(ErrorCode.HEADER_INVALID)
+        for name, value in self._headers:
+            if name == "content-length" and int(value) > self._max_body_bytes:
+                self._refuse(ErrorCode.BODY_TOO_LARGE)
+            elif name == "expect" and not self._stopped:
+                self._sink.confirm_expectation()
+
+    def on_body(self, body: bytes) -> None:
+        """Store a part of the body."""
+        self._body_size += len(body)
+        if self._body_size > self._max_body_bytes:
+            self._refuse(ErrorCode.BODY_TOO_LARGE)
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Pass on the complete request."""
+        if self._stopped:
+            return
+        request = CallerRequest(
+            self._parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+            tuple(self._headers),
+            self._body[0] if len(self._body) == 1 else b"".join(self._body),
+            self.peer,
+            self._began_at,
+        )
+        self.receiving = False
+        self._reset_request()
+        self._sink.accept_request(request, keep_alive=self._parser.should_keep_alive())
+
+    def _reset_request(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._headers_done = False
+        self._partial_header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._max_body_bytes = self._limits().max_body_bytes
+
+    def _check_header_bytes(self, size: int) -> None:
+        if size > self._limits().max_header_bytes:
+            self._refuse(ErrorCode.HEADER_INVALID)
+
+    def _refuse(self, code: ErrorCode, *, event: str = "") -> None:
+        # A parser error that follows from a refusal is not another refusal.
+        if not self._stopped:
+            self.stop()
+            self._sink.refuse_request(code, event=event)
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -10,7 +10,6 @@
 from almondrouter.addresses import split_address
 from almondrouter.clock import ManualClock
 from almondrouter.transport.callers import (
-    BODY_TIMEOUT_S,
     HEADER_TIMEOUT_S,
     KEEP_ALIVE_TIMEOUT_S,
     LINGER_TIMEOUT_S,
@@ -18,6 +17,7 @@
     CallerServer,
 )
 from almondrouter.transport.calls import CallerResponse
+from almondrouter.transport.readers import BODY_TIMEOUT_S
 from calls_support import TIMEOUT_S, wait_until
 
 MAX_BODY = 1000
@@ -123,7 +123,7 @@
     async def test_incomplete_request_times_out(self, _, data, seconds):
         """Guards against slow callers that hold connections forever."""
         reader, _ = await self.open(data)
-        await wait_until(lambda: any(c._reading for c in self.server.connections))
+        await wait_until(lambda: any(c.is_receiving for c in self.server.connections))
         self.clock.advance(seconds - 1)
         self.server.tick()
         self.assertFalse(self.server.counts["slow_callers"])
@@ -166,7 +166,7 @@
     async def test_start_of_a_request_is_recorded(self):
         """Guards against not counting the time that receiving a slow body takes."""
         reader, writer = await self.open(POST + b"Content-Length: 4\r\n\r\nab")
-        await wait_until(lambda: any(c._reading for c in self.server.connections))
+        await wait_until(lambda: any(c.is_receiving for c in self.server.connections))
         began_at = self.clock.monotonic()
         self.clock.advance(1)
         writer.write(b"cd")
--- /dev/null
+++ b/tests/test_transport_readers.py
@@ -0,0 +1,78 @@
+"""Tests of the reader of requests: pieces of any size, limits, what is refused."""
+
+from __future__ import annotations
+
+import unittest
+
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.state.routes import CallerLimits
+from almondrouter.transport.readers import RequestReader, RequestSink
+
+GET = b"GET /a?b HTTP/1.1\r\nHost: x\r\n\r\n"
+POST = b"POST /c HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789"
+CHUNKED = b"PUT /d HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+MIXED = GET + POST + CHUNKED + GET
+TARGETS = ["/a?b", "/c", "/d", "/a?b"]
+MAX_HEADERS = 200
+MAX_BODY = 10
+
+
+class ListSink(RequestSink):
+    """Keeps what the reader passes on."""
+
+    def __init__(self):
+        self.requests = []
+        self.refusals = []
+
+    def accept_request(self, request, *, keep_alive):
+        """Keep a request."""
+        self.requests.append(request)
+
+    def refuse_request(self, code, *, event=""):
+        """Keep the code of a refusal."""
+        self.refusals.append(code.value)
+
+    def confirm_expectation(self):
+        """Do nothing."""
+
+
+class RequestReaderTest(unittest.TestCase):
+    """Bytes are fed directly; no connection and no event loop."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.sink = ListSink()
+        limits = CallerLimits(MAX_HEADERS, MAX_BODY, 10.0, 75.0)
+        self.reader = RequestReader(
+            sink=self.sink, limits=lambda: limits, clock=self.clock
+        )
+
+    @parameterized.expand([(1,), (7,), (64,), (1000,)])
+    def test_pieces_of_any_size_give_the_same_requests(self, size):
+        """Guards against requests that depend on how TCP splits them."""
+        for start in range(0, len(MIXED), size):
+            self.reader.feed(MIXED[start : start + size])
+        self.assertEqual(TARGETS, [r.target for r in self.sink.requests])
+        self.assertEqual(
+            [b"", b"123456789", b"ab", b""], [r.body for r in self.sink.requests]
+        )
+        self.assertFalse(self.reader.receiving)
+
+    @parameterized.expand(
+        [
+            ("malformed", GET + b"\x00\r\n\r\n", 1, "header_invalid"),
+            ("headers", GET + b"GET /" + b"x" * MAX_HEADERS, 1, "header_invalid"),
+            ("body", POST.replace(b"h: 9", b"h: 11") + GET, 0, "body_too_large"),
+            ("chunks", CHUNKED.replace(b"2\r\nab", b"b\r\nabcdefghijk"), 0),
+        ]
+    )
+    def test_refused_request_ends_the_reading(
+        self, _, data, before, code="body_too_large"
+    ):
+        """Guards against reading on in bytes whose meaning is unknown."""
+        self.reader.feed(data)
+        self.reader.feed(GET)
+        self.assertEqual(before, len(self.sink.requests))
+        self.assertEqual([code], self.sink.refusals)
