Notice the beginning of a request behind the end of another

Callers saw: a connection with a half-received request closed as idle by a stopping daemon, and a request that stays incomplete kept for the idle limit (75 s) in place of the header limit (10 s), without a 400.

Cause: "receiving" was set when data arrived and reset when a request was complete. If the beginning of a request came in the same data as the end of the one before, it stayed reset until more data came. The limit on header bytes was not applied either.

Change: the start of a request, as the parser reports it, sets "receiving" and its time limit. Data that holds the end of one request and the beginning of another does not count for the limit on header bytes, as its parts cannot be told apart; the exact check of complete headers remains.

Measured: the new tests of test_transport_callers fail on the code before (..._is_noticed: "False is not true"; ..._times_out: TimeoutError, no 400); the new test of test_transport_readers passes there and guards the count of header bytes. tests/run.py test_transport_readers test_transport_callers: 38 passed.

--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -56,6 +56,7 @@
         self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
         self._stopped = False
+        self._requests_read = 0
         self._began_at = clock.monotonic()
         self._reset_request()
 
@@ -67,9 +68,7 @@
         """Parse received bytes."""
         if self._stopped:
             return
-        if not self.receiving:
-            self.receiving = True
-            self.expires_at = self._clock.monotonic() + self._limits().header_timeout
+        requests_read = self._requests_read
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -77,13 +76,17 @@
         except httptools.HttpParserError as error:
             self._refuse(ErrorCode.HEADER_INVALID, event=type(error).__name__)
         else:
-            if self.receiving and not self._headers_done:
+            # The bytes of an earlier request in this data are not told apart.
+            unmixed = requests_read == self._requests_read
+            if unmixed and self.receiving and not self._headers_done:
                 self._partial_header_bytes += len(data)
                 self._check_header_bytes(self._partial_header_bytes)
 
     def on_message_begin(self) -> None:
         """Record when the request began, as receiving a long body takes time."""
+        self.receiving = True
         self._began_at = self._clock.monotonic()
+        self.expires_at = self._began_at + self._limits().header_timeout
 
     def on_url(self, url: bytes) -> None:
         """Store a part of the request target."""
@@ -128,6 +131,7 @@
             self._began_at,
         )
         self.receiving = False
+        self._requests_read += 1
         self._reset_request()
         self._sink.accept_request(request, keep_alive=self._parser.should_keep_alive())
 
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -246,6 +246,24 @@
         await wait_until(lambda: not self.server.connections)
         self.assertEqual(count, self.server.counts[f"unanswered_{reason}"])
 
+    async def test_beginning_of_a_request_behind_another_is_noticed(self):
+        """Guards against closing a connection that is receiving a request as idle."""
+        reader, writer = await self.open(GET + POST)
+        await self.read_response(reader)
+        (connection,) = self.server.connections
+        self.assertTrue(connection.is_receiving)
+        connection.close_if_idle()
+        writer.write(b"Content-Length: 1\r\n\r\nx")
+        self.assertEqual(b"/x", (await self.read_response(reader))[2])
+
+    async def test_beginning_of_a_request_behind_another_times_out(self):
+        """Guards against the idle limit for a request that is received in part."""
+        reader, _ = await self.open(GET + POST)
+        await self.read_response(reader)
+        self.clock.advance(HEADER_TIMEOUT_S)
+        self.server.tick()
+        await self.assert_refused(reader, "400", "header_invalid")
+
     async def test_failure_of_the_handler_is_unknown(self):
         """Guards against reporting not run after an internal error.
 
--- a/tests/test_transport_readers.py
+++ b/tests/test_transport_readers.py
@@ -60,6 +60,14 @@
         )
         self.assertFalse(self.reader.receiving)
 
+    def test_body_does_not_count_as_headers_of_the_next_request(self):
+        """Guards against refusing a request for the length of the one before it."""
+        self.reader.feed(POST[:-1])
+        self.reader.feed(b"9" + GET * MAX_HEADERS + GET[:10])
+        self.reader.feed(GET[10:])
+        self.assertEqual([], self.sink.refusals)
+        self.assertEqual(MAX_HEADERS + 2, len(self.sink.requests))
+
     @parameterized.expand(
         [
             ("malformed", GET + b"\x00\r\n\r\n", 1, "header_invalid"),
