Answer the accepted requests before a refusal on the same connection

Callers saw: requests in progress whose connection was reset because a later request on it was malformed, too long or an upgrade.

Cause: an error response sent at once would be taken for that of an earlier request, so the connection was aborted with all requests on it.

Change: a refusal stops the reading and is kept until the accepted requests have been answered in order; then it is sent as the last response and the connection is closed. Whatever the caller sends meanwhile is discarded, also the rest of a body that is too long. The reason request_refused can no longer end a connection with requests on it, so it is gone; its case in test_unanswered_request_is_counted_by_reason demanded the loss and is replaced by the new test, which demands the responses.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -55,7 +55,6 @@
     RESPONSE_UNFRAMED = "response_unframed"
     STOPPING = "stopping"
     CLOSED = "closed"
-    REQUEST_REFUSED = "request_refused"
     TOO_MANY_PIPELINED = "too_many_pipelined"
 
 
@@ -167,6 +166,7 @@
         )
         self._expires_at = self._reader.expires_at
         self._refused = False
+        self._refusal: CallerResponse | None = None
         self._closing = False
         self._accepting_requests = True
         self._end_reason = EndReason.CALLER_LEFT
@@ -283,7 +283,7 @@
                 # Requests that arrive from now on are ignored. Their caller may
                 # safely retry them elsewhere once the connection is closed.
                 self._accepting_requests = False
-            last = not self._accepting_requests and not self._pipeline
+            last = not (self._accepting_requests or self._pipeline or self._refusal)
             keep_alive = exchange.keep_alive and not last
             keep_alive = keep_alive and exchange.response.framed
             self._transport.write(
@@ -295,6 +295,9 @@
                 self._drop_requests()
                 self._transport.close()
                 return
+        if self._refusal is not None and not self._pipeline:
+            self._send_refusal()
+            return
         self._start_ready_requests()
 
     def _drop_requests(self) -> None:
@@ -318,19 +321,21 @@
         )
 
     def refuse_request(self, code: ErrorCode, *, event: str = "") -> None:
-        """Send an error response in place of the response to a request."""
+        """Read no further, and send an error response after the pending responses."""
         if self._refused or self._closing:
             return
         self._refused = True
         self._reader.stop()
         for name in (event, code.value) if event else (code.value,):
             self._server.counts[name] += 1
-        if self._pipeline:
-            # An error response now would be taken for that of an earlier request.
-            self.abort(EndReason.REQUEST_REFUSED)
-            return
-        response = self._make_error_response(Outcome.NOT_RUN, code)
-        self._transport.write(encode_response(response, keep_alive=False))
+        self._refusal = self._make_error_response(Outcome.NOT_RUN, code)
+        if not self._pipeline:
+            self._send_refusal()
+
+    def _send_refusal(self) -> None:
+        """Send the error response and discard input until the caller closes."""
+        self._closing = True
+        self._transport.write(encode_response(self._refusal, keep_alive=False))
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._expires_at = self._server.clock.monotonic() + LINGER_TIMEOUT_S
--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -111,7 +111,9 @@
                 self._sink.confirm_expectation()
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body."""
+        """Store a part of the body unless the request has been refused."""
+        if self._stopped:
+            return
         self._body_size += len(body)
         if self._body_size > self._max_body_bytes:
             self._refuse(ErrorCode.BODY_TOO_LARGE)
