Ignore what follows a request with Connection: close

Callers saw: a connection that was reset, with all requests on it, when further bytes followed a request with `Connection: close` (or of HTTP/1.0).

Cause: the parser reports data behind the closing message as an error, and the error was taken for a malformed request.

Change: the reader stops with the closing request, and what follows is ignored (RFC 9112 section 9.6). The closing request and all before it get their responses.

--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -135,7 +135,11 @@
         self.receiving = False
         self._requests_read += 1
         self._reset_request()
-        self._sink.accept_request(request, keep_alive=self._parser.should_keep_alive())
+        keep_alive = self._parser.should_keep_alive()
+        if not keep_alive:
+            # Bytes behind the last request are to be ignored (RFC 9112 section 9.6).
+            self.stop()
+        self._sink.accept_request(request, keep_alive=keep_alive)
 
     def _reset_request(self) -> None:
         self._target = b""
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -25,6 +25,8 @@
 POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"258\r\n%s\r\n" % (b"x" * 600)
+CLOSE = b"Connection: close\r\n"
+CLOSING_GET = GET.replace(b"Host", CLOSE + b"Host")
 BIG = 30_000_000
 BIG_INPUT = 1_000_000
 TOO_LARGE = "body_too_large"
@@ -290,6 +292,28 @@
         self.assertEqual(3, len(self.requests))
         self.assertEqual(0, self.server.requests_in_flight)
 
+    @parameterized.expand(
+        [
+            ("in one piece", GET, b""),
+            ("later", b"", GET),
+            ("no request", b"\x00\r\n\r\n", b"\x00\r\n\r\n"),
+        ]
+    )
+    async def test_bytes_after_the_closing_request_are_ignored(self, _, data, later):
+        """Guards against dropping requests for bytes behind Connection: close."""
+        self.release.clear()
+        reader, writer = await self.open(GET + CLOSING_GET + data)
+        await wait_until(lambda: len(self.requests) == 2)
+        writer.write(later)
+        await asyncio.sleep(0.05)
+        self.release.set()
+        heads = [(await self.read_response(reader))[1] for _ in range(2)]
+        closing = ["connection: close" in head for head in heads]
+        self.assertEqual([False, True], closing)
+        self.assertEqual(b"", await reader.read())
+        self.assertEqual(2, len(self.requests))
+        self.assertFalse(self.server.counts["header_invalid"])
+
     async def test_failure_of_the_handler_is_unknown(self):
         """Guards against reporting not run after an internal error.
 
--- a/tests/test_transport_readers.py
+++ b/tests/test_transport_readers.py
@@ -68,6 +68,16 @@
         self.assertEqual([], self.sink.refusals)
         self.assertEqual(MAX_HEADERS + 2, len(self.sink.requests))
 
+    @parameterized.expand([("close", b"1.1\r\nConnection: close"), ("old", b"1.0")])
+    def test_bytes_behind_the_last_request_are_ignored(self, _, protocol):
+        """Guards against refusing what is not to be read."""
+        closing = b"GET / HTTP/" + protocol + b"\r\n\r\n"
+        self.reader.feed(GET + closing + GET)
+        self.reader.feed(b"\x00" + GET)
+        self.assertEqual(["/a?b", "/"], [r.target for r in self.sink.requests])
+        self.assertEqual([], self.sink.refusals)
+        self.assertFalse(self.reader.receiving)
+
     @parameterized.expand(
         [
             ("malformed", GET + b"\x00\r\n\r\n", 1, "header_invalid"),
