Let pipelined requests beyond the limit wait unparsed

Callers saw: a connection that was reset, with up to 17 requests in progress, when one more request was pipelined on it.

Cause: the limit was enforced by an abort, as the parser reports every request in the data that it gets. The comparison also let one request more in than MAX_PIPELINED.

Change: bytes are parsed in parts in which no more requests can end than the pipeline has room for; the rest waits in the reader. From 65,536 waiting bytes on the connection is not read until responses have been sent, so a read that holds thousands of small requests is bounded too. Below that reading goes on, so that a caller that leaves is noticed at once. The time in which nothing is parsed does not count for the limits of a request that was received in part. As parts are small, the limit on incomplete headers now also holds behind other requests in the same read.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -17,8 +17,12 @@
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouter.transport.listeners import Listener
-from almondrouter.transport.pipelines import MAX_PIPELINED, Exchange, Pipeline
-from almondrouter.transport.readers import RequestReader, RequestSink
+from almondrouter.transport.pipelines import Exchange, Pipeline
+from almondrouter.transport.readers import (
+    MAX_WAITING_BYTES,
+    RequestReader,
+    RequestSink,
+)
 
 HEADER_TIMEOUT_S = 10.0
 """Time limit for receiving the headers of a request."""
@@ -55,7 +59,6 @@
     RESPONSE_UNFRAMED = "response_unframed"
     STOPPING = "stopping"
     CLOSED = "closed"
-    TOO_MANY_PIPELINED = "too_many_pipelined"
 
 
 class CallerServer(Listener):
@@ -155,7 +158,15 @@
 
 
 class CallerConnection(asyncio.Protocol, RequestSink):
-    """One connection of a caller; responses are sent in the order of requests."""
+    """One connection of a caller; responses are sent in the order of requests.
+
+    Notes
+    -----
+    Requests beyond the limit on pipelined requests wait unparsed. Reading goes on
+    meanwhile, so that the end of the connection is noticed and cancels its requests.
+    Once ``MAX_WAITING_BYTES`` wait, reading is paused until responses have been sent;
+    a caller that leaves then is noticed only with the next response.
+    """
 
     def __init__(self, server: CallerServer) -> None:
         self._server = server
@@ -165,10 +176,9 @@
             sink=self, limits=server.limits, clock=server.clock
         )
         self._expires_at = self._reader.expires_at
-        self._refused = False
+        self._paused = False
         self._refusal: CallerResponse | None = None
         self._closing = False
-        self._accepting_requests = True
         self._end_reason = EndReason.CALLER_LEFT
 
     @property
@@ -197,6 +207,14 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: D102
         self._reader.feed(data)
+        if self._reader.waiting_bytes >= MAX_WAITING_BYTES and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    @property
+    def request_room(self) -> int:
+        """Number of requests that may be added to those waiting for a response."""
+        return self._pipeline.room
 
     def confirm_expectation(self) -> None:  # noqa: D102
         if not self._pipeline:
@@ -204,12 +222,6 @@
 
     def accept_request(self, request: CallerRequest, *, keep_alive: bool) -> None:
         """Queue the complete request and start it if its turn has come."""
-        if not self._accepting_requests:
-            return
-        if len(self._pipeline) > MAX_PIPELINED:
-            self._server.counts["pipeline_refused"] += 1
-            self.abort(EndReason.TOO_MANY_PIPELINED)
-            return
         if not self._pipeline and self._server.draining:
             self.refuse_request(ErrorCode.STOPPING)
             return
@@ -235,7 +247,7 @@
     def abort(self, reason: EndReason) -> None:
         """Close the connection at once and discard unsent data."""
         self._end_reason = reason
-        self._refused = True
+        self._closing = True
         self._reader.stop()
         self._transport.abort()
 
@@ -243,7 +255,7 @@
         """Refuse the request or close the connection if its time limit has passed."""
         if self._pipeline:
             return
-        if self.is_receiving and not self._refused:
+        if self.is_receiving:
             if now >= self._reader.expires_at:
                 self._server.counts["slow_callers"] += 1
                 self.refuse_request(ErrorCode.HEADER_INVALID)
@@ -282,8 +294,8 @@
             if server.draining or server.keep_alive_disabled:
                 # Requests that arrive from now on are ignored. Their caller may
                 # safely retry them elsewhere once the connection is closed.
-                self._accepting_requests = False
-            last = not (self._accepting_requests or self._pipeline or self._refusal)
+                self._reader.stop()
+            last = self._reader.stopped and not (self._pipeline or self._refusal)
             keep_alive = exchange.keep_alive and not last
             keep_alive = keep_alive and exchange.response.framed
             self._transport.write(
@@ -299,6 +311,14 @@
             self._send_refusal()
             return
         self._start_ready_requests()
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Parse the requests that waited; read on if enough of them fitted."""
+        self._reader.resume()
+        if self._paused and self._reader.waiting_bytes < MAX_WAITING_BYTES:
+            self._paused = False
+            self._transport.resume_reading()
 
     def _drop_requests(self) -> None:
         """Cancel the requests that get no response, as the connection has ended."""
@@ -322,9 +342,8 @@
 
     def refuse_request(self, code: ErrorCode, *, event: str = "") -> None:
         """Read no further, and send an error response after the pending responses."""
-        if self._refused or self._closing:
+        if self._refusal is not None or self._closing:
             return
-        self._refused = True
         self._reader.stop()
         for name in (event, code.value) if event else (code.value,):
             self._server.counts[name] += 1
--- a/packages/almondrouter/src/almondrouter/transport/pipelines.py
+++ b/packages/almondrouter/src/almondrouter/transport/pipelines.py
@@ -45,6 +45,11 @@
     def __iter__(self) -> Iterator[Exchange]:
         return iter(self._exchanges)
 
+    @property
+    def room(self) -> int:
+        """Number of requests that may be added."""
+        return MAX_PIPELINED - len(self._exchanges)
+
     @property
     def tasks(self) -> list[asyncio.Task[None]]:
         """Tasks of the requests in progress."""
--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -14,11 +14,22 @@
 
 BODY_TIMEOUT_S = 30.0
 """Time limit for receiving the body of a request, after its headers."""
+MAX_WAITING_BYTES = 65_536
+"""Unparsed bytes of a connection from which on it is not read."""
+PARSE_BYTES = 4_096
+"""Most bytes to parse at once, except in a body of known length."""
+MIN_REQUEST_BYTES = 16
+"""Lower bound of the length of a request with its empty line."""
 
 
 class RequestSink(ABC):
     """Takes what a ``RequestReader`` has read."""
 
+    @property
+    @abstractmethod
+    def request_room(self) -> int:
+        """Number of requests that may be passed on now."""
+
     @abstractmethod
     def accept_request(self, request: CallerRequest, *, keep_alive: bool) -> None:
         """Take a complete request."""
@@ -43,6 +54,11 @@
         Returns the limits in force.
     clock
         Source of monotonic time.
+
+    Notes
+    -----
+    The parser cannot be stopped between two requests. It gets the bytes in parts in
+    which no more requests can end than the sink has room for; the rest waits.
     """
 
     def __init__(
@@ -50,24 +66,70 @@
     ) -> None:
         self.peer = ""
         self.receiving = False
+        self.stopped = False
         self.expires_at = clock.monotonic() + limits().header_timeout
         self._sink = sink
         self._limits = limits
         self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
-        self._stopped = False
+        self._waiting = bytearray()
         self._requests_read = 0
         self._began_at = clock.monotonic()
         self._reset_request()
 
     def stop(self) -> None:
         """Ignore all further bytes."""
-        self._stopped = True
+        self.stopped = True
+        self.receiving = False
+        self._waiting.clear()
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Number of bytes that wait until the sink has room for requests."""
+        return len(self._waiting)
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes."""
-        if self._stopped:
-            return
+        """Parse received bytes as far as the sink has room for their requests."""
+        if not self.stopped:
+            self._waiting += data
+            self._parse_waiting()
+
+    def resume(self) -> None:
+        """Parse the waiting bytes when the sink has room again."""
+        if self._waiting and not self.stopped:
+            # The caller did not cause the time that has passed meanwhile.
+            self.expires_at = self._clock.monotonic() + (
+                BODY_TIMEOUT_S if self._headers_done else self._limits().header_timeout
+            )
+            self._parse_waiting()
+
+    def _parse_waiting(self) -> None:
+        while self._waiting and (room := self._sink.request_room) > 0:
+            size = self._choose_size(room)
+            data = bytes(self._waiting[:size])
+            del self._waiting[:size]
+            self._parse(data)
+
+    def _choose_size(self, room: int) -> int:
+        """Return how many bytes to parse so that at most ``room`` requests end.
+
+        Notes
+        -----
+        Besides the request that is being received, only those can end whose headers
+        end in these bytes.
+        """
+        if self._body_left:
+            return self._body_left
+        size = min(PARSE_BYTES, len(self._waiting))
+        while size > room * MIN_REQUEST_BYTES and self._count_ends(size) >= room:
+            size //= 2
+        return size
+
+    def _count_ends(self, size: int) -> int:
+        """Return at least the number of headers that end in the next bytes."""
+        return sum(self._waiting.count(end, 0, size) for end in (b"\n\r\n", b"\n\n"))
+
+    def _parse(self, data: bytes) -> None:
         requests_read = self._requests_read
         try:
             self._parser.feed_data(data)
@@ -84,6 +146,8 @@
 
     def on_message_begin(self) -> None:
         """Record when the request began, as receiving a long body takes time."""
+        if self.stopped:
+            return
         self.receiving = True
         self._began_at = self._clock.monotonic()
         self.expires_at = self._began_at + self._limits().header_timeout
@@ -105,16 +169,19 @@
         if self._parser.should_upgrade():
             self._refuse(ErrorCode.HEADER_INVALID)
         for name, value in self._headers:
-            if name == "content-length" and int(value) > self._max_body_bytes:
-                self._refuse(ErrorCode.BODY_TOO_LARGE)
-            elif name == "expect" and not self._stopped:
+            if name == "content-length":
+                self._body_left = int(value)
+                if self._body_left > self._max_body_bytes:
+                    self._refuse(ErrorCode.BODY_TOO_LARGE)
+            elif name == "expect" and not self.stopped:
                 self._sink.confirm_expectation()
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body unless the request has been refused."""
-        if self._stopped:
+        if self.stopped:
             return
         self._body_size += len(body)
+        self._body_left = max(0, self._body_left - len(body))
         if self._body_size > self._max_body_bytes:
             self._refuse(ErrorCode.BODY_TOO_LARGE)
         else:
@@ -122,7 +189,7 @@
 
     def on_message_complete(self) -> None:
         """Pass on the complete request."""
-        if self._stopped:
+        if self.stopped:
             return
         request = CallerRequest(
             self._parser.get_method().decode("latin-1"),
@@ -148,6 +215,7 @@
         self._partial_header_bytes = 0
         self._body: list[bytes] = []
         self._body_size = 0
+        self._body_left = 0
         self._max_body_bytes = self._limits().max_body_bytes
 
     def _check_header_bytes(self, size: int) -> None:
@@ -156,6 +224,6 @@
 
     def _refuse(self, code: ErrorCode, *, event: str = "") -> None:
         # A parser error that follows from a refusal is not another refusal.
-        if not self._stopped:
+        if not self.stopped:
             self.stop()
             self._sink.refuse_request(code, event=event)
--- a/tests/test_transport_pipelines.py
+++ b/tests/test_transport_pipelines.py
@@ -7,7 +7,7 @@
 from parameterized import parameterized
 
 from almondrouter.transport.calls import CallerRequest, CallerResponse
-from almondrouter.transport.pipelines import Exchange, Pipeline
+from almondrouter.transport.pipelines import MAX_PIPELINED, Exchange, Pipeline
 
 ANSWER = CallerResponse(200, (), b"")
 
@@ -49,3 +49,10 @@
         self.assertIsNone(pipeline.pop_answered())
         self.assertEqual(1, len(pipeline.clear()))
         self.assertFalse(pipeline)
+
+    def test_limit_is_exact(self):
+        """Guards against one request more than the limit allows."""
+        pipeline = self.make_pipeline("GET " * (MAX_PIPELINED - 1))
+        self.assertEqual(1, pipeline.room)
+        pipeline.append(Exchange(CallerRequest("GET", "/", (), b""), keep_alive=True))
+        self.assertEqual(0, pipeline.room)
