Let a connection linger after its last response

Callers saw: a last response (`Connection: close`, without a length, or of a stopping daemon) that breaks off with a reset when they sent anything while it was on its way.

Cause: the connection was closed at once. If bytes of the caller are unread then or arrive later, the kernel resets it and discards what the caller has not received (RFC 9112 section 9.6). Only refusals did a staged close.

Change: one mechanism for all last responses. The output is ended, input is discarded, and the connection is closed with the caller's end or LINGER_TIMEOUT_S after the last byte has left the write buffer. A drain waits for these connections, also for those that it closes itself within LINGER_TIMEOUT_S of a response; a caller that has been idle for longer is closed at once, as before. Lingering connections hold no requests, and give way to new ones at MAX_CONNECTIONS. Reasons that can no longer end a connection with requests on it (caller_closes, stopping) are gone.

Tests: test_drain and test_drain_waits_for_slow_readers expected a drain that ends while a caller has not closed its connection yet. Both now demand that it waits, and that it ends once the callers have closed. The cases of test_unanswered_request_is_counted_by_reason are all reasons that remain.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -31,10 +31,10 @@
 KEEP_ALIVE_TIMEOUT_S = 75.0
 """Idle time after which a keep-alive connection is closed."""
 LINGER_TIMEOUT_S = 2.0
-"""Time for which a connection stays open after an error response.
+"""Time that a caller gets for closing its connection after the last response.
 
-The rest of the request is discarded meanwhile. Closing at once would reset the
-connection, and the caller could lose the response.
+What it sends meanwhile is discarded. Closing at once would reset the connection if it
+sends anything, and the caller could lose the response (RFC 9112 section 9.6).
 """
 FLUSH_POLL_INTERVAL_S = 0.01
 """Interval at which a drain checks whether callers have read their responses."""
@@ -52,12 +52,10 @@
 
 
 class EndReason(StrEnum):
-    """Why a connection of a caller ended or reads no further requests."""
+    """Why a connection of a caller ended with requests that have no response."""
 
     CALLER_LEFT = "caller_left"
-    CALLER_CLOSES = "caller_closes"
     RESPONSE_UNFRAMED = "response_unframed"
-    STOPPING = "stopping"
     CLOSED = "closed"
 
 
@@ -125,7 +123,8 @@
 
         Notes
         -----
-        Callers get at most ``WRITE_TIMEOUT_S`` for reading their responses.
+        Callers get at most ``WRITE_TIMEOUT_S`` for reading their responses, and at
+        most ``LINGER_TIMEOUT_S`` for closing their connections after that.
         """
         self.draining = True
         for connection in tuple(self.connections):
@@ -136,7 +135,7 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
         expires_at = self.clock.monotonic() + WRITE_TIMEOUT_S
-        while any(connection.is_writing for connection in self.connections):
+        while any(connection.is_ending for connection in self.connections):
             if self.clock.monotonic() >= expires_at:
                 break
             await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
@@ -150,6 +149,14 @@
             connection.abort(EndReason.CLOSED)
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def close_lingering(self) -> bool:
+        """Close a connection that waits only for its caller; False if there is none."""
+        for connection in self.connections:
+            if connection.is_lingering:
+                connection.abort(EndReason.CLOSED)
+                return True
+        return False
+
     def tick(self) -> None:
         """Close the connections that exceed a time limit."""
         now = self.clock.monotonic()
@@ -179,6 +186,8 @@
         self._paused = False
         self._refusal: CallerResponse | None = None
         self._closing = False
+        self._half_closed = False
+        self._linger_until = self._write_expires_at = server.clock.monotonic()
         self._end_reason = EndReason.CALLER_LEFT
 
     @property
@@ -195,8 +204,10 @@
         self._transport = transport
         peer = transport.get_extra_info("peername")
         self._reader.peer = peer[0] if peer else ""
-        self._server.connections.add(self)
-        if len(self._server.connections) > MAX_CONNECTIONS:
+        connections = self._server.connections
+        full = len(connections) >= MAX_CONNECTIONS
+        connections.add(self)
+        if full and not self._server.close_lingering():
             self._server.counts["connections_refused"] += 1
             transport.abort()
 
@@ -238,21 +249,40 @@
         """Whether response data is still in the write buffer."""
         return self._transport.get_write_buffer_size() > 0
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the last response has been sent and the caller has yet to close."""
+        return self._half_closed and not self.is_writing
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether the caller may not have received all that was sent."""
+        now = self._server.clock.monotonic()
+        return self.is_writing or (self._half_closed and now < self._expires_at)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being received or served."""
-        if not self._pipeline and not self.is_receiving:
-            self._closing = True
-            self._transport.close()
+        if not self._closing and not self._pipeline and not self.is_receiving:
+            if self.is_writing or self._server.clock.monotonic() < self._linger_until:
+                self._half_close()
+            else:
+                self._closing = True
+                self._transport.close()
 
     def abort(self, reason: EndReason) -> None:
         """Close the connection at once and discard unsent data."""
         self._end_reason = reason
         self._closing = True
+        self._half_closed = False
         self._reader.stop()
         self._transport.abort()
 
     def enforce_timeout(self, now: float) -> None:
         """Refuse the request or close the connection if its time limit has passed."""
+        if self._half_closed and self.is_writing:
+            # The caller gets its time after the last byte has left the buffer.
+            self._linger_until = now + LINGER_TIMEOUT_S
+            self._expires_at = min(self._linger_until, self._write_expires_at)
         if self._pipeline:
             return
         if self.is_receiving:
@@ -288,9 +318,6 @@
         """Send responses in the order of the requests, as far as they are complete."""
         server = self._server
         while (exchange := self._pipeline.pop_answered()) is not None:
-            self._expires_at = server.clock.monotonic() + max(
-                WRITE_TIMEOUT_S, server.limits().idle_timeout
-            )
             if server.draining or server.keep_alive_disabled:
                 # Requests that arrive from now on are ignored. Their caller may
                 # safely retry them elsewhere once the connection is closed.
@@ -298,14 +325,10 @@
             last = self._reader.stopped and not (self._pipeline or self._refusal)
             keep_alive = exchange.keep_alive and not last
             keep_alive = keep_alive and exchange.response.framed
-            self._transport.write(
-                encode_response(exchange.response, keep_alive=keep_alive)
-            )
+            self._write_response(exchange.response, keep_alive=keep_alive)
             if not keep_alive:
-                self._closing = True
-                self._end_reason = find_end_reason(exchange.response, last=last)
-                self._drop_requests()
-                self._transport.close()
+                self._end_reason = EndReason.RESPONSE_UNFRAMED
+                self._half_close()
                 return
         if self._refusal is not None and not self._pipeline:
             self._send_refusal()
@@ -352,12 +375,37 @@
             self._send_refusal()
 
     def _send_refusal(self) -> None:
-        """Send the error response and discard input until the caller closes."""
-        self._closing = True
-        self._transport.write(encode_response(self._refusal, keep_alive=False))
-        if self._transport.can_write_eof():
+        self._write_response(self._refusal, keep_alive=False)
+        self._half_close()
+
+    def _write_response(self, response: CallerResponse, *, keep_alive: bool) -> None:
+        now = self._server.clock.monotonic()
+        self._linger_until = now + LINGER_TIMEOUT_S
+        self._write_expires_at = now + WRITE_TIMEOUT_S
+        self._expires_at = now + max(
+            WRITE_TIMEOUT_S, self._server.limits().idle_timeout
+        )
+        self._transport.write(encode_response(response, keep_alive=keep_alive))
+
+    def _half_close(self) -> None:
+        """End the output and discard input until the caller closes the connection.
+
+        Notes
+        -----
+        Closing the connection while bytes of the caller are unread, or before they
+        arrive, would reset it, and the caller could lose what it has not received.
+        """
+        self._closing = self._half_closed = True
+        self._reader.stop()
+        self._drop_requests()
+        self._expires_at = self._linger_until
+        if self._paused:
+            self._transport.resume_reading()
+        try:
             self._transport.write_eof()
-        self._expires_at = self._server.clock.monotonic() + LINGER_TIMEOUT_S
+        except OSError as error:
+            _log.info("connection ended before its half-close", error=repr(error))
+            self._transport.abort()
 
     def _make_error_response(self, outcome: Outcome, code: ErrorCode) -> CallerResponse:
         headers = (
@@ -368,19 +416,6 @@
         return CallerResponse(choose_status(outcome, code), headers, b"")
 
 
-def find_end_reason(response: CallerResponse, *, last: bool) -> EndReason:
-    """Return why a connection ends with a response.
-
-    Parameters
-    ----------
-    last
-        Whether the server reads no further request on the connection.
-    """
-    if last:
-        return EndReason.STOPPING
-    return EndReason.CALLER_CLOSES if response.framed else EndReason.RESPONSE_UNFRAMED
-
-
 def encode_response(response: CallerResponse, *, keep_alive: bool) -> bytes:
     """Return an HTTP/1.1 response as bytes."""
     line = _STATUS_LINES.get(response.status)
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
 from almondrouter.addresses import split_address
 from almondrouter.clock import ManualClock
+from almondrouter.transport import callers
 from almondrouter.transport.callers import (
     HEADER_TIMEOUT_S,
     KEEP_ALIVE_TIMEOUT_S,
@@ -28,8 +32,10 @@
 CHUNK = b"258\r\n%s\r\n" % (b"x" * 600)
 CLOSE = b"Connection: close\r\n"
 CLOSING_GET = GET.replace(b"Host", CLOSE + b"Host")
+CLOSING_BIG_GET = CLOSING_GET.replace(b"a?b", b"big")
 TINY = b"GET / HTTP/1.1\r\n\r\n"
 BIG = 30_000_000
+SMALL_BUFFER = 200_000
 BIG_INPUT = 1_000_000
 MAX_READ_BYTES = 262_144
 """Most bytes that an event loop passes on at once."""
@@ -66,14 +72,19 @@
         if request.target == "/fail":
             raise RuntimeError
         if request.target == "/big":
-            return CallerResponse(200, (), bytes(BIG))
+            return CallerResponse(200, (), bytes(BIG), self.framed)
         headers = (("Almond-Outcome", "complete"),)
         body = request.target.encode() + request.body
         return CallerResponse(200, headers, body, self.framed)
 
-    async def open(self, data):
+    async def open(self, data, *, receive_buffer=0):
+        connected = socket.socket()
+        if receive_buffer:
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        connected.setblocking(False)
         address = split_address(self.server.address)
-        reader, writer = await asyncio.open_connection(*address)
+        await asyncio.get_running_loop().sock_connect(connected, address)
+        reader, writer = await asyncio.open_connection(sock=connected)
         self.addCleanup(writer.close)
         writer.write(data)
         return reader, writer
@@ -237,19 +248,27 @@
 
     @parameterized.expand(
         [
-            ("caller_left", b"", 1),
+            ("caller_left", 1),
+            ("response_unframed", 2),
+            ("closed", 3),
         ]
     )
-    async def test_unanswered_request_is_counted_by_reason(self, reason, data, count):
+    async def test_unanswered_request_is_counted_by_reason(self, reason, count):
         """Guards against connections that end with requests and leave no trace."""
         self.release.clear()
-        _, writer = await self.open(GET)
-        await wait_until(lambda: self.requests)
-        writer.write(data)
-        if not data:
+        _, writer = await self.open(GET * count)
+        await wait_until(lambda: len(self.requests) == count)
+        if reason == "caller_left":
             writer.close()
-        await wait_until(lambda: not self.server.connections)
-        self.assertEqual(count, self.server.counts[f"unanswered_{reason}"])
+        elif reason == "response_unframed":
+            self.framed = False
+            self.release.set()
+        else:
+            await self.server.close()
+        counter = f"unanswered_{reason}"
+        await wait_until(lambda: self.server.counts[counter])
+        unframed = reason == "response_unframed"
+        self.assertEqual(count - unframed, self.server.counts[counter])
 
     async def test_beginning_of_a_request_behind_another_is_noticed(self):
         """Guards against closing a connection that is receiving a request as idle."""
@@ -357,6 +376,46 @@
         await asyncio.sleep(0.01)
         self.assertEqual(MAX_PIPELINED, len(self.requests))
 
+    @parameterized.expand(
+        [
+            ("close", CLOSING_BIG_GET, True),
+            ("unframed", CLOSING_BIG_GET.replace(CLOSE, b""), False),
+            ("stop", CLOSING_BIG_GET.replace(CLOSE, b""), True),
+        ]
+    )
+    async def test_input_during_the_last_response_does_not_truncate_it(
+        self, name, data, framed
+    ):
+        """Guards against a reset that discards what the caller has not read yet."""
+        self.framed = framed
+        if name == "stop":
+            self.server.disable_keep_alive()
+        reader, writer = await self.open(data, receive_buffer=SMALL_BUFFER)
+        received = await reader.read(1)
+        while any(c.is_writing for c in self.server.connections):
+            writer.write(b"x")
+            received += await reader.read(100_000)
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        async with asyncio.timeout(TIMEOUT_S):
+            received += await reader.read()
+        self.assertEqual(BIG, len(received.partition(b"\r\n\r\n")[2]))
+        self.assertEqual(1, len(self.requests))
+        self.assertEqual(0, self.server.requests_in_flight)
+
+    async def test_caller_that_does_not_close_is_closed(self):
+        """Guards against connections that linger forever after their last response."""
+        reader, _ = await self.open(CLOSING_GET)
+        await self.read_response(reader)
+        self.assertEqual(b"", await reader.read())
+        self.clock.advance(LINGER_TIMEOUT_S - 0.1)
+        self.server.tick()
+        await asyncio.sleep(0.01)
+        self.assertTrue(self.server.connections)
+        self.clock.advance(0.1)
+        self.server.tick()
+        await wait_until(lambda: not self.server.connections)
+
     async def test_failure_of_the_handler_is_unknown(self):
         """Guards against reporting not run after an internal error.
 
@@ -368,29 +427,79 @@
     async def test_drain(self):
         """Guards against aborting a request in flight at a planned stop."""
         self.release.clear()
-        reader, _ = await self.open(GET)
+        reader, writer = await self.open(GET)
         idle, _ = await self.open(b"")
         await wait_until(lambda: self.requests and len(self.server.connections) == 2)
         draining = asyncio.create_task(self.server.drain())
         self.assertEqual(b"", await idle.read())
-        late, _ = await self.open(GET)
+        late, late_writer = await self.open(GET)
         await self.assert_refused(late, "503", "stopping")
         self.assertFalse(draining.done())
         self.release.set()
         _, head, body = await self.read_response(reader)
         self.assertEqual(b"/a?b", body)
         self.assertIn("connection: close", head)
+        await asyncio.sleep(0.05)
+        self.assertFalse(draining.done())
+        for connected in (writer, late_writer):
+            connected.close()
         await draining
         with self.assertRaises(ConnectionError):
             await self.open(GET)
 
     async def test_drain_waits_for_slow_readers(self):
         """Guards against truncating a response that its caller is still reading."""
-        reader, _ = await self.open(GET.replace(b"/a?b", b"/big"))
+        reader, writer = await self.open(GET.replace(b"/a?b", b"/big"))
         await wait_until(lambda: any(c.is_writing for c in self.server.connections))
         draining = asyncio.create_task(self.server.drain())
         await asyncio.sleep(0)
         self.assertFalse(draining.done())
         _, _, body = await self.read_response(reader)
         self.assertEqual(BIG, len(body))
+        await asyncio.sleep(0.05)
+        self.assertFalse(draining.done())
+        writer.close()
         await draining
+
+    @parameterized.expand(
+        [
+            ("after its last response", CLOSING_GET, 0, LINGER_TIMEOUT_S),
+            ("just answered", GET, 0, LINGER_TIMEOUT_S),
+            ("idle for a second", GET, 1, LINGER_TIMEOUT_S - 1),
+            ("idle", GET, LINGER_TIMEOUT_S, 0),
+            ("never used", b"", 0, 0),
+        ]
+    )
+    async def test_drain_waits_only_shortly_for_callers(self, _, data, idle, waits):
+        """Guards against a stop that callers delay, or that takes their responses."""
+        reader, _ = await self.open(data)
+        await wait_until(lambda: self.server.connections)
+        if data:
+            await self.read_response(reader)
+        self.clock.advance(idle)
+        draining = asyncio.create_task(self.server.drain())
+        if waits:
+            self.clock.advance(waits - 0.1)
+            await asyncio.sleep(0.05)
+            self.assertFalse(draining.done())
+            self.assertEqual(0, self.server.requests_in_flight)
+            self.clock.advance(0.1)
+        async with asyncio.timeout(TIMEOUT_S):
+            await draining
+            self.assertEqual(b"", await reader.read())
+
+    async def test_lingering_connections_give_way(self):
+        """Guards against refusing callers for connections that only wait to close."""
+        with mock.patch.object(callers, "MAX_CONNECTIONS", 2):
+            lingering, _ = await self.open(CLOSING_GET)
+            await self.read_response(lingering)
+            await self.open(b"")
+            await self.assert_serves()
+            await wait_until(lambda: len(self.server.connections) == 2)
+            refused, _ = await self.open(GET)
+            await self.assert_ended(refused)
+        self.assertEqual(1, self.server.counts["connections_refused"])
+
+    async def assert_ended(self, reader):
+        with contextlib.suppress(ConnectionError):
+            self.assertEqual(b"", await reader.read())
