Never run a request again whose task was cancelled

Callers saw: a request that ran twice, if its handler ended with a cancellation while an earlier request of the connection was in progress, or that got no response.

Cause: "has neither a task nor a response" was taken for "has not started". A request whose task was cancelled by anything but the end of its connection was in that state.

Change: an exchange records that it was started. A cancellation that does not come from the connection is answered like any other failure of the handler: 502, outcome unknown.

Measured: test_request_whose_task_is_cancelled_runs_once fails on the code before in both cases (TimeoutError: the second request gets no response). tests/run.py test_transport_readers test_transport_callers test_transport_pipelines: 94 passed.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -295,25 +295,32 @@
     def _start_ready_requests(self) -> None:
         """Start the queued requests that need not wait for earlier ones."""
         for exchange in self._pipeline.list_startable():
+            exchange.started = True
             exchange.task = asyncio.create_task(self._serve_request(exchange))
 
     async def _serve_request(self, exchange: Exchange) -> None:
         try:
             exchange.response = await self._server.handler(exchange.request)
+        except asyncio.CancelledError as error:
+            if self._closing:
+                raise
+            # Not cancelled by this connection: its caller still waits.
+            exchange.response = self._report_failure(error)
         except Exception as error:  # noqa: BLE001 - the server has to outlive a failed call
-            self._server.counts["failed"] += 1
-            _log.error(
-                "request handler raised an exception; the outcome is unknown",
-                error=repr(error),
-            )
-            exchange.response = self._make_error_response(
-                Outcome.UNKNOWN, ErrorCode.BACKEND_FAILED
-            )
+            exchange.response = self._report_failure(error)
         finally:
             exchange.task = None
         if not self._closing:
             self._send_ready_responses()
 
+    def _report_failure(self, error: BaseException) -> CallerResponse:
+        self._server.counts["failed"] += 1
+        _log.error(
+            "request handler raised an exception; the outcome is unknown",
+            error=repr(error),
+        )
+        return self._make_error_response(Outcome.UNKNOWN, ErrorCode.BACKEND_FAILED)
+
     def _send_ready_responses(self) -> None:
         """Send responses in the order of the requests, as far as they are complete."""
         server = self._server
--- a/packages/almondrouter/src/almondrouter/transport/pipelines.py
+++ b/packages/almondrouter/src/almondrouter/transport/pipelines.py
@@ -18,10 +18,17 @@
 
 @dataclass(slots=True, eq=False)
 class Exchange:
-    """A request and, once it is available, its response."""
+    """A request and, once it is available, its response.
+
+    Parameters
+    ----------
+    started
+        Whether the request has been passed on; it must not be passed on again.
+    """
 
     request: CallerRequest
     keep_alive: bool
+    started: bool = False
     task: asyncio.Task[None] | None = None
     response: CallerResponse | None = None
 
@@ -66,7 +73,7 @@
             concurrent = exchange.request.method in _CONCURRENT_METHODS
             if position and not concurrent:
                 break
-            if exchange.task is None and exchange.response is None:
+            if not exchange.started:
                 startable.append(exchange)
             if not concurrent:
                 break
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -416,6 +416,33 @@
         self.server.tick()
         await wait_until(lambda: not self.server.connections)
 
+    @parameterized.expand([("raised by the handler", True), ("from outside", False)])
+    async def test_request_whose_task_is_cancelled_runs_once(self, _, raised):
+        """Guards against a second run of a request whose handler was cancelled."""
+
+        async def handle(request):
+            self.requests.append(request)
+            if request.target == "/slow":
+                await self.release.wait()
+                return CallerResponse(200, (), b"")
+            if raised:
+                raise asyncio.CancelledError
+            return await asyncio.Event().wait()
+
+        self.release.clear()
+        self.server.handler = handle
+        reader, _ = await self.open(GET.replace(b"a?b", b"slow") + GET)
+        await wait_until(lambda: len(self.requests) == 2)
+        if not raised:
+            (connection,) = self.server.connections
+            connection.tasks[1].cancel()
+        await asyncio.sleep(0.01)
+        self.release.set()
+        self.assertEqual("200", (await self.read_response(reader))[0])
+        await self.assert_refused(reader, "502", "backend_failed", "unknown")
+        self.assertEqual(2, len(self.requests))
+        self.assertEqual(1, self.server.counts["failed"])
+
     async def test_failure_of_the_handler_is_unknown(self):
         """Guards against reporting not run after an internal error.
 
--- a/tests/test_transport_pipelines.py
+++ b/tests/test_transport_pipelines.py
@@ -50,6 +50,14 @@
         self.assertEqual(1, len(pipeline.clear()))
         self.assertFalse(pipeline)
 
+    def test_request_starts_once(self):
+        """Guards against a second run of a request whose task has ended."""
+        pipeline = self.make_pipeline("GET POST")
+        self.assertEqual(1, len(pipeline.list_startable()))
+        for exchange in pipeline:
+            exchange.started = True
+        self.assertEqual([], pipeline.list_startable())
+
     def test_limit_is_exact(self):
         """Guards against one request more than the limit allows."""
         pipeline = self.make_pipeline("GET " * (MAX_PIPELINED - 1))
