--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -6,7 +6,6 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
-from http import HTTPStatus
 
 from almondrouter.clock import Clock, SystemClock
 from almondrouter.errors import ErrorCode
@@ -23,6 +22,7 @@
     RequestReader,
     RequestSink,
 )
+from almondrouter.transport.responses import encode_response
 
 HEADER_TIMEOUT_S = 10.0
 """Time limit for receiving the headers of a request."""
@@ -42,12 +42,6 @@
 MAX_CONNECTIONS = 4_096
 
 _log = EventLogger("callers")
-_STATUS_LINES = {
-    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-    for status in HTTPStatus
-}
-_BODYLESS = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
-
 CallerHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 
 
@@ -421,19 +415,3 @@
             (VERSION, str(self._server.version())),
         )
         return CallerResponse(choose_status(outcome, code), headers, b"")
-
-
-def encode_response(response: CallerResponse, *, keep_alive: bool) -> bytes:
-    """Return an HTTP/1.1 response as bytes."""
-    line = _STATUS_LINES.get(response.status)
-    parts = [line or f"HTTP/1.1 {response.status} \r\n"]
-    parts += [f"{name}: {value}\r\n" for name, value in response.headers]
-    if not keep_alive:
-        parts.append("Connection: close\r\n")
-    if response.status in _BODYLESS:
-        parts.append("\r\n")
-        return "".join(parts).encode("latin-1")
-    if response.framed:
-        parts.append(f"Content-Length: {len(response.body)}\r\n")
-    parts.append("\r\n")
-    return "".join(parts).encode("latin-1") + response.body
