Bound the memory of unfinished responses over all connections

What callers saw: nothing yet; 30 responses below the limit that never ended occupied about 240 MB until their deadlines. A small host has 128 MB, in which the daemon is killed with all of its requests.

Cause: the limit of 7.5 MB applies to one response, and a client has up to 100 connections.

Change: a connection may hold 64 KB of an unfinished body; what it holds beyond comes out of 32 MB for all connections of the client. A response that finds none left ends as unknown and its connection is closed, so ordinary responses pass meanwhile.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -19,6 +19,11 @@
 from almondrouter.transport.calls import BackendResponse, BackendSender
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.listeners import set_tcp_user_timeout
+from almondrouter.transport.receivebudget import (
+    CONNECTION_SHARE_BYTES,
+    MAX_SHARED_BYTES,
+    ReceiveBudget,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_S = 30.0
@@ -104,6 +109,7 @@
         self._accept_unframed = accept_unframed
         self.counts: Counter[str] = Counter()
         self._deadlines = Deadlines(clock)
+        self._budget = ReceiveBudget()
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
         self._connecting = 0
@@ -224,7 +230,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(accept_unframed=self._accept_unframed),
+                    lambda: _Connection(
+                        self._budget, accept_unframed=self._accept_unframed
+                    ),
                     host,
                     port,
                 )
@@ -295,7 +303,9 @@
         Keep-alive timeout in seconds that the backend server announced.
     """
 
-    def __init__(self, *, accept_unframed: bool) -> None:
+    def __init__(self, budget: ReceiveBudget, *, accept_unframed: bool) -> None:
+        self._budget = budget
+        self._reserved_bytes = 0
         self._accept_unframed = accept_unframed
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -359,7 +369,7 @@
     def abort(self) -> None:
         """Close the connection at once, which cancels its request."""
         self.reusable = False
-        self._body = b""
+        self._drop_body()
         self._transport.abort()
 
     def pop_discarded_response_count(self) -> int:
@@ -441,6 +451,9 @@
         self._body_parts += 1
         if self._body_size > MAX_RESPONSE_BYTES:
             self._abort_with_error(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
+        elif not self._reserve_memory(len(self._body) + len(body)):
+            message = f"unfinished responses exceed {MAX_SHARED_BYTES} bytes in total"
+            self._abort_with_error(message)
         elif not self._body:
             self._body = body
         else:
@@ -449,6 +462,20 @@
                 self._body = bytearray(self._body)
             self._body += body
 
+    def _reserve_memory(self, size: int) -> bool:
+        missing = size - CONNECTION_SHARE_BYTES - self._reserved_bytes
+        if missing <= 0:
+            return True
+        if not self._budget.reserve(missing):
+            return False
+        self._reserved_bytes += missing
+        return True
+
+    def _drop_body(self) -> None:
+        self._body: bytes | bytearray = b""
+        self._budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def on_message_complete(self) -> None:
         """Complete the response; discard an interim one (status 1xx)."""
         if not self._headers_done:
@@ -472,7 +499,8 @@
             self.reusable = False
         self._read_keep_alive()
         status = self._parser.get_status_code()
-        body, self._body = bytes(self._body), b""
+        body = bytes(self._body)
+        self._drop_body()
         if self._future is not None and not self._future.done():
             response = BackendResponse(status, tuple(self._headers), body, self._framed)
             self._future.set_result(response)
@@ -494,7 +522,7 @@
         # The counts of bytes go on: the limits apply to all responses to one request.
         self._headers: list[tuple[str, str]] = []
         self._headers_done = False
-        self._body: bytes | bytearray = b""
+        self._drop_body()
         self._complete = False
         self._framed = True
 
--- a/tests/test_transport_backends_endless.py
+++ b/tests/test_transport_backends_endless.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 import threading
 import tracemalloc
@@ -22,6 +23,7 @@
     MAX_RESPONSE_BYTES,
     BackendClient,
 )
+from almondrouter.transport.receivebudget import MAX_SHARED_BYTES
 from calls_support import wait_until
 
 OK = b"HTTP/1.1 200 OK\r\nAttempt: own\r\nContent-Length: 4\r\n\r\nbody"
@@ -40,6 +42,7 @@
 """Half of the interval of pings, which a daemon must not miss."""
 MAX_HELD_BYTES = 2 * (MAX_RESPONSE_BYTES + MAX_HEADER_BYTES + READ_BYTES)
 """A response at its limits while its parts are being joined."""
+SMALL_HOST_BYTES = 128_000_000
 
 ENDLESS = [
     ("garbage", b"", b"\x00garbage"),
@@ -81,6 +84,7 @@
         self.prefix = self.unit = b""
         self.interval = 0.0
         self.block_bytes = BLOCK_BYTES
+        self.blocks = None
         self.ended = 0
         self._stopping = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=200)
@@ -121,8 +125,12 @@
     def _send_without_end(self, peer):
         peer.sendall(self.prefix)
         block = self.unit * (self.block_bytes // len(self.unit) + 1)
-        while not self._stopping.wait(self.interval):
+        blocks = itertools.count() if self.blocks is None else range(self.blocks)
+        for _ in blocks:
+            if self._stopping.wait(self.interval):
+                return
             peer.sendall(block)
+        peer.recv(1)
 
 
 class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
@@ -203,6 +211,7 @@
         self.assertEqual(b"body", (await self.send()).body)
         self.assertEqual(opened, self.client.counts["connections_opened"])
         self.assertLess(self.lag, MAX_LAG_S)
+        self.assertTrue(self.client._budget.reserve(MAX_SHARED_BYTES))
 
     @parameterized.expand(ENDLESS)
     async def test_flood_ends_the_request(self, _, prefix, unit):
@@ -257,6 +266,36 @@
         await self.assert_ends(seconds=FLOOD_SECONDS)
         self.assertLess(self.received, MAX_RESPONSE_BYTES + MAX_HEADER_BYTES)
 
+    async def test_many_unfinished_responses_fit_into_a_small_host(self):
+        """Guards against responses that exceed the memory together, not one by one."""
+        self.use_client(connections=100)
+        self.server.prefix, self.server.unit = HEAD + b"\r\n", b"x"
+        self.server.blocks = MAX_RESPONSE_BYTES // BLOCK_BYTES - 1
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        sending = (self.send() for _ in range(30))
+        results = await asyncio.gather(*sending, return_exceptions=True)
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak - held, SMALL_HOST_BYTES / 2)
+        for error in results:
+            self.assertIsInstance(error, CallError)
+            self.assertEqual(Outcome.UNKNOWN, error.outcome)
+        self.assertEqual(0, self.client.connections)
+        await self.assert_next_request_succeeds(opened=31)
+
+    async def test_short_responses_pass_while_long_ones_hold_the_memory(self):
+        """Guards against failing ordinary requests because of a flood of others."""
+        self.use_client(connections=100)
+        self.server.prefix, self.server.unit = HEAD + b"\r\n", b"x"
+        self.server.blocks = MAX_RESPONSE_BYTES // BLOCK_BYTES - 1
+        floods = [asyncio.create_task(self.send()) for _ in range(30)]
+        await wait_until(lambda: self.received > SMALL_HOST_BYTES / 4)
+        self.server.calm = True
+        for _ in range(10):
+            self.assertEqual(b"body", (await self.send()).body)
+        await asyncio.gather(*floods, return_exceptions=True)
+        self.assertEqual(1, self.client.connections)
+
 
 class EndlessResponseUvloopTest(EndlessResponseTest):
     """The same on the event loop of the daemon."""
