Let backend servers of the soak run slowly, so that requests queue

With runs of 5 to 50 ms hardly a request waited in a queue when a daemon stopped, so the end of a graceful stop, with requests that wait or run here and elsewhere, was not played. One more fault lets one to four backend servers run for up to 3 s, longer than the timeout of the routes. The state of a host moves to a module of its own.

--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -34,7 +34,8 @@
     find_log_lines,
     find_version_regressions,
 )
-from almondrouter_standins.soak_faults import FaultInjector, HostState
+from almondrouter_standins.soak_faults import FaultInjector
+from almondrouter_standins.soak_hosts import HostState
 
 HOSTS = 4
 MAX_HOSTS = 100
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random as random_module
 import signal
 import time
-from collections.abc import Awaitable, Callable, Iterator, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
 
 from almondrouter_standins.faultproxy import Direction, FaultProxy
+from almondrouter_standins.platform_backend import RUN_TIME_RANGE_S
 from almondrouter_standins.platform_fleet import (
     CONFIGURATION_KEY,
     STOP_GRACE_PERIOD_S,
     PlatformFleet,
 )
 from almondrouter_standins.platform_store import StoreFault
+from almondrouter_standins.soak_hosts import HostState
 
 EXIT_MARGIN_S = 6.0
 """Seconds beyond the grace period until an exit must be seen, for a busy machine."""
@@ -35,6 +36,9 @@
 MAX_RELOADS = 3
 MAX_REPLACEMENTS = 3
 MAX_REPLACEMENT_PAUSE_S = 0.5
+MAX_SLOW_BACKENDS = 4
+SLOW_RUN_S = (0.3, 3.0)
+"""Range of the longest run time of slow backend servers, in seconds."""
 SETTINGS_CHANGES = ("", "retry_budget_ratio = 0.3\n", "budget_extra = 10.0\n", "= x\n")
 """Lines added to the settings of a host; the last one makes them invalid."""
 
@@ -42,61 +46,6 @@
 """Longest time for which a daemon's process is stopped, in seconds."""
 
 
-@dataclass(slots=True)
-class HostState:
-    """Faults of a host that affect the requests of its callers.
-
-    Parameters
-    ----------
-    killing
-        Whether the daemon is being killed.
-    killed_at
-        Monotonic seconds of the last kill.
-    lock
-        Held while the daemon's process is stopped, started or signalled.
-    backend_lock
-        Held while the backend server is replaced.
-    """
-
-    killing: bool = False
-    killed_at: float = 0.0
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-    backend_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-    _pauses: list[tuple[float, float]] = field(default_factory=list)
-    _pause_began: float | None = None
-
-    @contextlib.contextmanager
-    def mark_killed(self) -> Iterator[None]:
-        """Record that the daemon is killed while the context is active."""
-        self.killing = True
-        try:
-            yield
-        finally:
-            self.killed_at = time.monotonic()
-            self.killing = False
-
-    @contextlib.contextmanager
-    def mark_paused(self) -> Iterator[None]:
-        """Record that the daemon's process is paused while the context is active."""
-        began = time.monotonic()
-        self._pause_began = began
-        try:
-            yield
-        finally:
-            self._pauses.append((began, time.monotonic()))
-            self._pause_began = None
-
-    def sum_pauses_since(self, moment: float) -> float:
-        """Return for how many seconds the daemon has been paused since a time."""
-        now = time.monotonic()
-        pauses = [*self._pauses, (self._pause_began or now, now)]
-        return sum(max(0.0, end - max(begin, moment)) for begin, end in pauses)
-
-    def was_killed_since(self, moment: float) -> bool:
-        """Return whether the daemon has been killed since a monotonic time."""
-        return self.killing or self.killed_at >= moment
-
-
 @dataclass(frozen=True, slots=True)
 class Fault:
     """A fault to be injected.
@@ -201,6 +150,7 @@
             self._delete_host_record,
             self._replace_backend,
             self._drain_backend,
+            self._slow_backends,
             self._inject_network_fault,
             self._inject_network_fault,
             self._inject_network_fault,
@@ -360,6 +310,20 @@
             if self._fleet.backends[number] is backend:
                 await self._fleet.replace_backend(number)
 
+    async def _slow_backends(self, number: int) -> None:
+        """Let backend servers run for so long that requests queue at the daemons."""
+        hosts = len(self._states)
+        count = self._random.randint(1, min(hosts, MAX_SLOW_BACKENDS))
+        numbers = [(number + offset) % hosts for offset in range(count)]
+        longest = self._random.uniform(*SLOW_RUN_S)
+        duration = self._random.uniform(1.0, 4.0)
+        slowed = [self._fleet.backends[host] for host in numbers]
+        for backend in slowed:
+            backend.run_time = (RUN_TIME_RANGE_S[0], longest)
+        await asyncio.sleep(duration)
+        for backend in slowed:
+            backend.run_time = RUN_TIME_RANGE_S
+
     async def _inject_network_fault(self, number: int) -> None:
         proxies = self._fleet.proxies
         proxy = self._random.choice(proxies[number % len(proxies)].all)
--- a/tests/test_standins_soak_faults.py
+++ b/tests/test_standins_soak_faults.py
@@ -15,7 +15,8 @@
 from parameterized import parameterized
 
 from almondrouter_standins.soak import Soak
-from almondrouter_standins.soak_faults import FaultInjector, HostState, LaterSignal
+from almondrouter_standins.soak_faults import FaultInjector, LaterSignal
+from almondrouter_standins.soak_hosts import HostState
 
 NETWORK_OCTET = 110 + os.getpid() % 10
 FAULTS = 30
