Don't count requests as lost that a paused daemon never read

No log names the requests, so the process had not read them, and the rule is about requests that it has read.

The 0.2 s for which a connection may stay open now leave out the time of pauses. All else stays: the request counts if it reached a backend server, or if the log says that the daemon dropped it.

tests/test_standins_soak_callers.py: test_paused_daemon failed without this change (0 passed, 1 failed).

--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_callers.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_callers.py
@@ -14,7 +14,7 @@
 from almondrouter.transport.backends import encode_request
 from almondrouter.transport.calls import BackendResponse
 from almondrouter_standins.platform_backend import RunLedger
-from almondrouter_standins.soak_faults import HostState
+from almondrouter_standins.soak_hosts import HostState
 
 CONNECT_TIMEOUT_S = 5.0
 RECONNECT_INTERVAL_S = 0.05
@@ -67,7 +67,9 @@
     host
         Number of the host at whose daemon it was sent.
     stayed_open
-        Seconds after the request for which its connection was certainly open.
+        Seconds after the request for which its connection was certainly open while
+        the daemon's process was not paused. A paused process has read nothing, and may
+        close an idle connection before it reads.
     """
 
     request: SentRequest
@@ -281,8 +283,9 @@
             self._ledger.outcomes["connection ended"] += 1
             if not self._state.was_killed_since(request.sent_at):
                 stayed_open = connection.open_at - request.sent_at
+                paused = self._state.sum_pauses_since(request.sent_at)
                 self.unanswered.append(
-                    UnansweredRequest(request, self._host, stayed_open)
+                    UnansweredRequest(request, self._host, stayed_open - paused)
                 )
 
 
--- a/tests/test_standins_soak_callers.py
+++ b/tests/test_standins_soak_callers.py
@@ -18,7 +18,7 @@
     PipeliningCaller,
     SequentialCaller,
 )
-from almondrouter_standins.soak_faults import HostState
+from almondrouter_standins.soak_hosts import HostState
 
 RUN_S = 0.6
 ATTEMPT = re.compile(rb"attempt-id: (\S+)")
@@ -146,6 +146,15 @@
         self.assertEqual([], await self.run_caller(close_at_once))
         self.assertGreater(self.ledger.outcomes["connection ended"], 1)
 
+    async def test_paused_daemon(self):
+        """Guards against requests counted as lost that a paused daemon never read."""
+        pauses = mock.patch.object(
+            HostState, "sum_pauses_since", return_value=1.5 * LOSS_SLACK_S
+        )
+        with pauses:
+            self.assertEqual([], await self.run_caller(close_later))
+        self.assertGreater(self.ledger.outcomes["connection ended"], 0)
+
     async def test_killed_daemon(self):
         """Guards against requests counted as lost whose daemon was killed."""
         self.state.killed_at = time.monotonic() + 60.0
