Leave the settings of a starting daemon alone in the soak

Trace: at 1796409092.33 the daemon of host 2 was started; at 092.61 the reload fault truncated and changed its settings file, which the process had not read yet; it exited with "Object missing required field `node`", as it should with such a file. The reload fault now touches only settings of a daemon that has logged its start.

--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_faults.py
@@ -145,7 +145,7 @@
             self._stop,
             self._stop_hosts,
             self._freeze,
-            self._reload,
+            self.reload,
             self._inject_store_fault,
             self._delete_host_record,
             self._replace_backend,
@@ -262,7 +262,7 @@
         self._record(number, signal_number.name)
         self._fleet.send_signal(number, signal_number)
 
-    async def _reload(self, number: int) -> None:
+    async def reload(self, number: int) -> None:
         """Change the settings file and have it reloaded, several times in series."""
         changes = [
             (self._random.choice(SETTINGS_CHANGES), self._random.uniform(0.0, 0.3))
@@ -270,11 +270,13 @@
         ]
         path = self._fleet.get_settings_path(number)
         async with self._states[number].lock:
+            # A daemon that reads invalid settings at its start exits.
+            if not self._fleet.is_started(number):
+                return
             original = path.read_text()
             for change, pause in [*changes, ("", 0.0)]:
                 path.write_text(original + change)
-                if self._fleet.is_started(number):
-                    self._send_signal(number, signal.SIGHUP)
+                self._send_signal(number, signal.SIGHUP)
                 await asyncio.sleep(pause)
 
     async def _inject_store_fault(self, _: int) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,10 +28,14 @@
             # Failed where a stopping daemon reads on after the last response of a
             # connection: a pipelined request is dropped at the end of the stop.
             (60, 4),
+            (4, 4),
             # Failed where the time for which a daemon was paused, twice in a row, was
             # not added to the time limit of a response.
             (65, 4),
+            # Failed where a request that a paused daemon had not read counted as lost.
             (200, 12),
+            # Failed where a starting daemon read settings that were being changed.
+            (402, 4),
         ]
     )
     def test_seed(self, seed, hosts):
