Send signals to a daemon of the fleet without reaping it

Process.send_signal of asyncio polls the process first. If it has just exited, the poll reaps it, the child watcher finds no process, and the exit code becomes 255. A soak that signals a stopping daemon repeatedly could so report a wrong exit code.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import random as random_module
 import signal
 import sys
@@ -173,8 +174,9 @@
         """Send a signal to a daemon unless it has exited."""
         process = self.daemons[number]
         if process.returncode is None:
+            # Process.send_signal may reap the process, and its exit code is lost.
             with contextlib.suppress(ProcessLookupError):
-                process.send_signal(signal_number)
+                os.kill(process.pid, signal_number)
 
     async def stop_daemon(self, number: int, stop_signal: signal.Signals) -> int:
         """Send a signal to a daemon and wait for its exit; return its exit code."""
