Begin all floods of a test before its server turns calm

Cause: test_short_responses_pass_while_long_ones_hold_the_memory failed once in seven runs, beside load, with "1 != 14" connections. Floods whose request the server had not read when it turned calm got an ordinary response, and kept their connections.

Change: the test waits until the server has begun all 30 floods. No check changes.

--- a/tests/test_transport_backends_endless.py
+++ b/tests/test_transport_backends_endless.py
@@ -85,6 +85,7 @@
         self.interval = 0.0
         self.block_bytes = BLOCK_BYTES
         self.blocks = None
+        self.started = []
         self.ended = 0
         self._stopping = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=200)
@@ -107,6 +108,7 @@
         with peer, suppress(OSError):
             while self._read_request(peer):
                 if not self.calm:
+                    self.started.append(peer.fileno())
                     try:
                         self._send_without_end(peer)
                     finally:
@@ -289,6 +291,7 @@
         self.server.prefix, self.server.unit = HEAD + b"\r\n", b"x"
         self.server.blocks = MAX_RESPONSE_BYTES // BLOCK_BYTES - 1
         floods = [asyncio.create_task(self.send()) for _ in range(30)]
+        await wait_until(lambda: len(self.server.started) == len(floods))
         await wait_until(lambda: self.received > SMALL_HOST_BYTES / 4)
         self.server.calm = True
         for _ in range(10):
