Count the headers of unfinished responses in their memory

What callers saw: nothing yet; 100 heads of 64 KB in headers of eight bytes occupied 143 MB until their deadlines, more than a small host has.

Cause: a stored header occupies a multiple of its characters, and the shared budget counted bodies only.

Change: each header counts with its overhead. A callback of the parser that finds a limit exceeded raises, so the rest of the read is not parsed.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -61,6 +61,8 @@
 its own head, chunk sizes and extensions, and trailers."""
 CHUNK_FRAMING_BYTES = 32
 """Additional bytes of that kind for each part of the body."""
+HEADER_OVERHEAD_BYTES = 200
+"""Memory of a stored header beyond its characters."""
 YIELD_AFTER_BYTES = 65_536
 """Size of a read after which the event loop serves others before the next read.
 
@@ -369,7 +371,6 @@
     def abort(self) -> None:
         """Close the connection at once, which cancels its request."""
         self.reusable = False
-        self._drop_body()
         self._transport.abort()
 
     def pop_discarded_response_count(self) -> int:
@@ -401,6 +402,8 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            self._abort_with_error(str(error.__context__))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._abort_with_error(f"malformed HTTP response: {error}")
         if len(data) >= YIELD_AFTER_BYTES and not self._transport.is_closing():
@@ -424,13 +427,18 @@
         """Store a header with its name in lower case; trailers are discarded."""
         if self._headers_done:
             return
-        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+        self._header_memory += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        self._reserve_memory()
+        self._header_texts.append(name.decode("latin-1").lower())
+        self._header_texts.append(value.decode("latin-1"))
 
     def on_headers_complete(self) -> None:
         """Check for a body length; complete a response to HEAD, which has no body."""
         if self._parser.get_status_code() < HTTPStatus.OK:
             return
         self._headers_done = True
+        names, values = self._header_texts[::2], self._header_texts[1::2]
+        self._headers = tuple(zip(names, values, strict=True))
         self._framed = any(
             name in ("content-length", "transfer-encoding") for name, _ in self._headers
         )
@@ -444,17 +452,15 @@
             self.reusable = False
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body, unless the response is complete or aborted."""
-        if self._complete or self._transport.is_closing():
+        """Store a part of the body, unless the response is already complete."""
+        if self._complete:
             return
         self._body_size += len(body)
         self._body_parts += 1
         if self._body_size > MAX_RESPONSE_BYTES:
-            self._abort_with_error(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
-        elif not self._reserve_memory(len(self._body) + len(body)):
-            message = f"unfinished responses exceed {MAX_SHARED_BYTES} bytes in total"
-            self._abort_with_error(message)
-        elif not self._body:
+            raise ValueError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
+        self._reserve_memory(len(body))
+        if not self._body:
             self._body = body
         else:
             # One buffer, since each small object would cost a multiple of its bytes.
@@ -462,16 +468,22 @@
                 self._body = bytearray(self._body)
             self._body += body
 
-    def _reserve_memory(self, size: int) -> bool:
+    def _reserve_memory(self, added_body: int = 0) -> None:
+        size = self._header_memory + len(self._body) + added_body
         missing = size - CONNECTION_SHARE_BYTES - self._reserved_bytes
         if missing <= 0:
-            return True
+            return
         if not self._budget.reserve(missing):
-            return False
+            message = f"unfinished responses exceed {MAX_SHARED_BYTES} bytes in total"
+            raise ValueError(message)
         self._reserved_bytes += missing
-        return True
 
-    def _drop_body(self) -> None:
+    def _drop_parts(self) -> None:
+        self._headers: HeaderList = ()
+        # Names and values in turn: a pair for each header of an unfinished head would
+        # be one more object for the garbage collector to visit.
+        self._header_texts: list[str] = []
+        self._header_memory = 0
         self._body: bytes | bytearray = b""
         self._budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
@@ -479,14 +491,14 @@
     def on_message_complete(self) -> None:
         """Complete the response; discard an interim one (status 1xx)."""
         if not self._headers_done:
-            self._headers = []
+            self._drop_parts()
         elif not self._complete:
             self._complete_response()
         else:
             self.reusable = False
 
     def _complete_response(self) -> None:
-        if self._matches is not None and not self._matches(tuple(self._headers)):
+        if self._matches is not None and not self._matches(self._headers):
             self._discarded_response_count += 1
             self.reusable = False
             self._discard_response()
@@ -499,10 +511,10 @@
             self.reusable = False
         self._read_keep_alive()
         status = self._parser.get_status_code()
-        body = bytes(self._body)
-        self._drop_body()
+        headers, body = self._headers, bytes(self._body)
+        self._drop_parts()
         if self._future is not None and not self._future.done():
-            response = BackendResponse(status, tuple(self._headers), body, self._framed)
+            response = BackendResponse(status, headers, body, self._framed)
             self._future.set_result(response)
 
     def _read_keep_alive(self) -> None:
@@ -517,12 +529,12 @@
             self._future.set_exception(
                 CallError(code, message, outcome=Outcome.UNKNOWN)
             )
+        self._drop_parts()
 
     def _discard_response(self) -> None:
         # The counts of bytes go on: the limits apply to all responses to one request.
-        self._headers: list[tuple[str, str]] = []
+        self._drop_parts()
         self._headers_done = False
-        self._drop_body()
         self._complete = False
         self._framed = True
 
--- a/tests/test_transport_backends_endless.py
+++ b/tests/test_transport_backends_endless.py
@@ -285,6 +285,31 @@
         self.assertEqual(0, self.client.connections)
         await self.assert_next_request_succeeds(opened=31)
 
+    async def flood_with_unfinished_heads(self):
+        self.use_client(connections=100)
+        self.server.prefix, self.server.unit = HEAD, b"a1: b2\r\n"
+        self.server.blocks = MAX_HEADER_BYTES // BLOCK_BYTES - 1
+        sending = (self.send() for _ in range(100))
+        for error in await asyncio.gather(*sending, return_exceptions=True):
+            self.assertIsInstance(error, CallError)
+            self.assertEqual(Outcome.UNKNOWN, error.outcome)
+        self.assertEqual(0, self.client.connections)
+
+    async def test_many_unfinished_heads_fit_into_a_small_host(self):
+        """Guards against short headers that occupy a multiple of their bytes."""
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        await self.flood_with_unfinished_heads()
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak - held, SMALL_HOST_BYTES / 2)
+
+    async def test_many_unfinished_heads_leave_others_their_turn(self):
+        """Guards against floods on all connections that stop the event loop."""
+        # Tracing multiplies the time that each of a million small objects takes.
+        tracemalloc.stop()
+        await self.flood_with_unfinished_heads()
+        await self.assert_next_request_succeeds(opened=101)
+
     async def test_short_responses_pass_while_long_ones_hold_the_memory(self):
         """Guards against failing ordinary requests because of a flood of others."""
         self.use_client(connections=100)
