Say so when a request found no connection before its deadline

What callers saw: "no response before the deadline" in the log for a request that was never sent, since all connections were taken or none could be opened in time. That points to the backend server where the limit on connections is the cause.

Cause: one message for both cases; the outcome, not run or unknown, was right.

Change: a message of its own for a request that was not sent.

Measured: the new case "waiting" fails on the code before ("no connection" does not match "[deadline_exceeded] no response before the deadline"); the case "sent" passed.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -158,11 +158,12 @@
             self._deadlines.add(future, deadline)
             response = await connection.wait_for_response(future)
         except TimeoutError as error:
-            outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
             code = ErrorCode.DEADLINE_EXCEEDED
-            raise CallError(
-                code, "no response before the deadline", outcome=outcome
-            ) from error
+            if not sent:
+                message = "no connection was free or could be opened in time"
+                raise CallError(code, message) from error
+            message = "no response before the deadline"
+            raise CallError(code, message, outcome=Outcome.UNKNOWN) from error
         finally:
             if connection is not None:
                 self._release_connection(connection)
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -11,6 +11,7 @@
 from almondrouter.clock import SystemClock
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.backends import MAX_RESPONSE_BYTES, BackendClient
 from calls_support import TIMEOUT_S, CallAssertions, wait_until
 
@@ -246,6 +247,18 @@
             self.assertEqual(b"body", response.body)
         self.assertEqual(2, self.client.connections)
 
+    @parameterized.expand([("waiting", 2, "no connection"), ("sent", 0, "no response")])
+    async def test_deadline_error_names_its_cause(self, _, others, message):
+        """Guards against blaming the backend server for a lack of connections."""
+        tasks = [asyncio.create_task(self.send()) for _ in range(others)]
+        await wait_until(lambda: len(self.requests) == others)
+        with self.assertRaisesRegex(CallError, message) as caught:
+            await self.send(seconds=0.05)
+        outcome = Outcome.NOT_RUN if others else Outcome.UNKNOWN
+        self.assertEqual(outcome, caught.exception.outcome)
+        self.release.set()
+        await asyncio.gather(*tasks)
+
     async def test_cancelled_request_closes_its_connection(self):
         """Guards against work that continues after its caller has disconnected."""
         task = asyncio.create_task(self.send())
