Let BackendMonitor.close finish closing removed clients

What callers saw: nothing yet; a backend server that was removed right before the monitor closed kept its connections, and its requests ran on to their deadlines.

Cause: close() cancelled the tasks that close clients, which had not begun.

Change: close() waits for them.

Measured: the new test fails on the code before ("False is not true : the connection is still open") and passes with the change.

--- a/packages/almondrouterd/src/almondrouterd/backendmonitor.py
+++ b/packages/almondrouterd/src/almondrouterd/backendmonitor.py
@@ -163,8 +163,8 @@
 
     async def close(self) -> None:
         """Close the connections to the backend servers."""
-        for task in list(self._close_tasks):
-            task.cancel()
+        if self._close_tasks:
+            await asyncio.wait(self._close_tasks)
         for client in self.clients.values():
             with suppress(OSError):
                 await client.close()
