--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -443,6 +443,16 @@
         self.assertEqual(2, len(self.requests))
         self.assertEqual(1, self.server.counts["failed"])
 
+    async def test_half_close_ends_the_requests(self):
+        """Guards against work that goes on, as a half-close looks like a full one."""
+        self.release.clear()
+        reader, writer = await self.open(GET)
+        await wait_until(lambda: self.requests)
+        writer.write_eof()
+        await wait_until(lambda: self.cancelled == 1)
+        self.assertEqual(b"", await reader.read())
+        self.assertEqual(1, self.server.counts["unanswered_caller_left"])
+
     async def test_failure_of_the_handler_is_unknown(self):
         """Guards against reporting not run after an internal error.
 
