Let backend servers of the soak send responses without a length

`--unframed-share` sets the share of responses to safe requests without a length.

Trace: each dropped request has a log line with the reason `response_unframed`; pipelined safe requests run concurrently, the first response has no length, and the connection ends with it although backend servers run those behind.

The check of the log no longer counts a request that was behind such a response and reached no backend server: its position on the connection starts at the first request that is left. test_standins_soak_checks.py has a case for each.

The callers read bodies that are chunked or end with their connections, too.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
@@ -115,6 +115,8 @@
 
     Attributes
     ----------
+    unframed_share
+        Share of the responses to safe requests that have no length.
     sends_heartbeats
         Whether heartbeats are sent; a test may pause them.
     draining_since
@@ -140,6 +142,7 @@
         self.sends_heartbeats = True
         self.state = "ready"
         self.run_time = RUN_TIME_RANGE_S
+        self.unframed_share = 0.0
         self._service = service
         self._ip = ip
         self._ledger = ledger
@@ -165,11 +168,11 @@
         await self.server.close()
 
     async def _handle(self, request: CallerRequest) -> CallerResponse:
-        headers = dict(request.headers)
-        attempt = headers.get("attempt-id", "")
+        received = dict(request.headers)
+        attempt = received.get("attempt-id", "")
         self._ledger.arrivals[attempt] += 1
         echo_headers = (("attempt-id", attempt), ("instance-id", self.name))
-        if headers.get("expected-instance") != self.name:
+        if received.get("expected-instance") != self.name:
             return CallerResponse(HTTPStatus.MISDIRECTED_REQUEST, echo_headers, b"")
         if self._running >= SLOTS:
             refusal = (*echo_headers, ("not-executed", "1"))
@@ -182,7 +185,11 @@
         finally:
             self._running -= 1
         body = make_response_body(attempt, request.target, request.body)
-        return CallerResponse(200, (*echo_headers, ("response-signature", "s")), body)
+        headers = (*echo_headers, ("response-signature", "s"))
+        unframed = (
+            request.method == "GET" and self._random.random() < self.unframed_share
+        )
+        return CallerResponse(HTTPStatus.OK, headers, body, framed=not unframed)
 
     def _check_not_drained(self, attempt: str) -> None:
         since = self.draining_since
--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -95,6 +95,11 @@
         Number of hosts, the first ones, whose daemons reach the store and their
         backend servers, and are reached by others, through fault proxies.
 
+    Attributes
+    ----------
+    unframed_share
+        Share of the responses of backend servers to safe requests that have no length.
+
     Notes
     -----
     Methods take the number of a host, counted from 0.
@@ -118,6 +123,7 @@
         self.proxies = [self._make_proxies(ip) for ip in self.ips[:proxied_hosts]]
         self._clients: dict[int, BackendClient] = {}
         self.backend_replacements = [0] * hosts
+        self.unframed_share = 0.0
         self._log_starts = [0] * hosts
         self.backends = [self._make_backend(number) for number in range(hosts)]
         self.last_attempt_id = ""
@@ -129,6 +135,7 @@
         for proxy in self._list_proxies():
             await proxy.start()
         for backend in self.backends:
+            backend.unframed_share = self.unframed_share
             await backend.start()
         await asyncio.gather(*map(self.start_daemon, range(len(self.ips))))
         await asyncio.gather(*map(self.wait_until_ready, range(len(self.ips))))
@@ -159,6 +166,7 @@
         await self.backends[number].close()
         self.backend_replacements[number] += 1
         self.backends[number] = self._make_backend(number)
+        self.backends[number].unframed_share = self.unframed_share
         await self.backends[number].start()
 
     def is_started(self, number: int) -> bool:
@@ -343,7 +351,12 @@
 
     def _make_client(self, number: int, *, connections: int = 1) -> BackendClient:
         address = f"{self.ips[number]}:{CALLER_PORT}"
-        return BackendClient(address, connections=connections, clock=SystemClock())
+        return BackendClient(
+            address,
+            connections=connections,
+            clock=SystemClock(),
+            accept_unframed=True,
+        )
 
     def _make_backend(self, number: int) -> PlatformBackend:
         ip, replacements = self.ips[number], self.backend_replacements[number]
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -87,10 +87,18 @@
         Second octet of the loopback addresses.
     hosts
         Number of daemons; callers of more hosts each send fewer requests.
+    unframed_share
+        Share of the responses to safe requests that end with their connections.
     """
 
     def __init__(
-        self, directory: Path, *, seed: int, network_octet: int, hosts: int = HOSTS
+        self,
+        directory: Path,
+        *,
+        seed: int,
+        network_octet: int,
+        hosts: int = HOSTS,
+        unframed_share: float = 0.0,
     ) -> None:
         self._hosts = hosts
         self._max_pause = MAX_CALLER_PAUSE_S * hosts / HOSTS
@@ -105,6 +113,7 @@
             network_octet=network_octet,
             proxied_hosts=min(hosts, PROXIED_HOSTS),
         )
+        self.fleet.unframed_share = unframed_share
         injectors = max(INJECTORS, hosts // HOSTS_PER_INJECTOR)
         self.injectors = [
             FaultInjector(
@@ -265,13 +274,24 @@
 
 
 async def run_seed(
-    seed: int, directory: Path, *, network_octet: int, hosts: int = HOSTS
+    seed: int,
+    directory: Path,
+    *,
+    network_octet: int,
+    hosts: int = HOSTS,
+    unframed_share: float = 0.0,
 ) -> list[str]:
     """Run one seed and clean up; return descriptions of the violated guarantees.
 
     The file ``injected.txt`` in the directory lists the faults.
     """
-    soak = Soak(directory, seed=seed, network_octet=network_octet, hosts=hosts)
+    soak = Soak(
+        directory,
+        seed=seed,
+        network_octet=network_octet,
+        hosts=hosts,
+        unframed_share=unframed_share,
+    )
     try:
         return await soak.run()
     finally:
@@ -280,7 +300,9 @@
         (directory / "injected.txt").write_text("\n".join(events) + "\n")
 
 
-def run_seed_keeping_logs(seed: int, logs: Path, *, hosts: int = HOSTS) -> list[str]:
+def run_seed_keeping_logs(
+    seed: int, logs: Path, *, hosts: int = HOSTS, unframed_share: float = 0.0
+) -> list[str]:
     """Run one seed; keep its logs only if it violated a guarantee.
 
     Returns
@@ -292,7 +314,13 @@
     folder.mkdir(parents=True, exist_ok=True)
     network_octet = FIRST_NETWORK_OCTET + seed % NETWORK_OCTET_COUNT
     violations = asyncio.run(
-        run_seed(seed, folder, network_octet=network_octet, hosts=hosts)
+        run_seed(
+            seed,
+            folder,
+            network_octet=network_octet,
+            hosts=hosts,
+            unframed_share=unframed_share,
+        )
     )
     if violations:
         lines = [*violations, *find_log_lines(sorted(folder.glob("*.log")), violations)]
@@ -317,6 +345,12 @@
         metavar=f"2..{MAX_HOSTS}",
         help=f"number of daemons (default: {HOSTS})",
     )
+    parser.add_argument(
+        "--unframed-share",
+        type=float,
+        default=0.0,
+        help="share of the responses to safe requests without a length (default: 0)",
+    )
     parser.add_argument(
         "--logs",
         type=Path,
@@ -327,7 +361,12 @@
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.count):
         began = time.monotonic()
-        violations = run_seed_keeping_logs(seed, arguments.logs, hosts=arguments.hosts)
+        violations = run_seed_keeping_logs(
+            seed,
+            arguments.logs,
+            hosts=arguments.hosts,
+            unframed_share=arguments.unframed_share,
+        )
         failed += bool(violations)
         elapsed = time.monotonic() - began
         print(f"seed {seed}: {violations or 'passed'} in {elapsed:.1f} s", flush=True)
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_callers.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_callers.py
@@ -170,14 +170,31 @@
 
 
 async def read_response(reader: asyncio.StreamReader) -> BackendResponse:
-    """Read a response with a ``Content-Length``."""
+    """Read a response whose body has a length, is chunked, or ends with its connection.
+
+    A response of the last kind is not framed.
+    """
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     status_line, *lines = head.rstrip("\r\n").split("\r\n")
     pairs = (line.partition(":") for line in lines)
     headers = tuple((name.lower(), value.strip()) for name, _, value in pairs)
-    length = int(dict(headers).get("content-length", "0"))
-    body = await reader.readexactly(length)
-    return BackendResponse(int(status_line.split()[1]), headers, body)
+    status, fields = int(status_line.split()[1]), dict(headers)
+    if "content-length" in fields:
+        body = await reader.readexactly(int(fields["content-length"]))
+    elif "transfer-encoding" in fields:
+        body = await read_chunks(reader)
+    else:
+        return BackendResponse(status, headers, await reader.read(-1), framed=False)
+    return BackendResponse(status, headers, body)
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """Read a chunked body without trailers."""
+    body = b""
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readuntil(b"\r\n")
+    return body
 
 
 class KeptConnectionCaller(ABC):
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_checks.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_checks.py
@@ -12,6 +12,8 @@
 
 DROPPED_EVENT = "connection of the caller ended before the response"
 CALLER_LEFT = "caller_left"
+RESPONSE_ENDS = frozenset({"caller_closes", "response_unframed"})
+"""Reasons for which a connection ends with the response to an earlier request."""
 ATTEMPT_ID = re.compile(r"\ba\d+x\d+\b")
 
 
@@ -46,7 +48,8 @@
             fields = parse_log_line(line)
             if fields.get("event") != DROPPED_EVENT or not fields["request"]:
                 continue
-            accepted = not fields["position"] or ledger.arrivals[fields["request"]]
+            first = not fields["position"] and fields["reason"] not in RESPONSE_ENDS
+            accepted = first or ledger.arrivals[fields["request"]]
             if accepted and fields["reason"] != CALLER_LEFT:
                 found.append(
                     f"{path.name}: {fields['request']} was accepted, but its "
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,14 +40,22 @@
     )
     def test_seed(self, seed, hosts):
         """Guards against guarantees that fail when several faults coincide."""
+        self.assertEqual([], self.run_seed(seed, hosts=hosts))
+
+    def test_responses_without_a_length(self):
+        """Guards against responses that end the requests behind them.
+
+        Seed 700 failed where a response without a length closed the connection
+        although backend servers already ran pipelined requests behind it.
+        """
+        self.assertEqual([], self.run_seed(700, unframed_share=0.01))
+
+    def run_seed(self, seed, **options):
+        """Return the violations of a seed."""
         with tempfile.TemporaryDirectory() as folder:
             # The debug mode of asynchronous test cases would take most of the time.
-            violations = asyncio.run(
+            return asyncio.run(
                 run_seed(
-                    seed,
-                    Path(folder),
-                    network_octet=next(NETWORK_OCTETS),
-                    hosts=hosts,
+                    seed, Path(folder), network_octet=next(NETWORK_OCTETS), **options
                 )
             )
-        self.assertEqual([], violations)
--- a/tests/test_standins_soak_callers.py
+++ b/tests/test_standins_soak_callers.py
@@ -193,3 +193,29 @@
             violations = await self.run_caller(hold)
         overdue = [text for text in violations if "on an open connection" in text]
         self.assertEqual(expected, bool(overdue))
+
+
+class ResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Reads responses from bytes."""
+
+    @parameterized.expand(
+        [
+            ("length", "Content-Length: 3\r\n\r\nabcHTTP", b"abc", True),
+            (
+                "chunks",
+                "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\nHTTP",
+                b"abc",
+                True,
+            ),
+            ("end", "X: y\r\n\r\nabc", b"abc", False),
+        ]
+    )
+    async def test_body(self, _name, rest, body, framed):
+        """Guards against bodies that are read too far or not to their end."""
+        reader = asyncio.StreamReader()
+        reader.feed_data(f"HTTP/1.1 200 OK\r\n{rest}".encode())
+        reader.feed_eof()
+        response = await soak_callers.read_response(reader)
+        self.assertEqual((200, body), (response.status, response.body))
+        self.assertEqual(framed, response.framed)
+        self.assertEqual(b"HTTP" if framed else b"", await reader.read())
--- a/tests/test_standins_soak_checks.py
+++ b/tests/test_standins_soak_checks.py
@@ -37,6 +37,8 @@
             ("closed", 0, True, True),
             ("stopping", 2, True, True),
             ("stopping", 2, False, False),
+            ("response_unframed", 0, True, True),
+            ("response_unframed", 0, False, False),
             ("caller_left", 0, True, False),
         ]
     )
