--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -39,7 +39,7 @@
 
 HOSTS = 4
 MAX_HOSTS = 100
-"""Most daemons of a run; they take less than half of the memory of a small server."""
+"""Most daemons of a run."""
 PROXIED_HOSTS = 8
 """Hosts with fault proxies, which are served by one process."""
 INJECTORS = 3
@@ -53,6 +53,7 @@
 SENDERS_PER_HOST = 2
 """Callers at each host; each sends one request at a time."""
 SENDER_PAUSE_S = 0.02
+"""Pause of these callers after a response, in seconds."""
 RESPONSE_TIMEOUT_S = REQUEST_TIMEOUT_S + 1.0
 """Seconds within which a request that ran has its response; the time for which the
 daemon was paused is added."""
