Answer all remaining callers when a graceful stop gives up

Cause: calls whose destination did not reply to the withdrawal in time were left to close(), which closes the connections of callers first.

Change: after the withdrawal the links and the connections to the backend server are closed while the callers' connections are open. Calls that were not sent, and offers, are refused as not run, the others end as unknown, and their callers are told so.

Evidence: test_stop_answers_requests_whose_destination_is_silent failed before: [504, 504] != [0, 0], connections closed.

Measured: test_stop_, 7 passed.

--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -90,6 +90,8 @@
 WITHDRAWAL_TIMEOUT_S = 0.2
 """Seconds after a graceful stop ended its wait in which peers may still reply that a
 request has not run; less than `KILL_MARGIN_S`."""
+LAST_ANSWERS_TIMEOUT_S = 0.1
+"""Seconds after that for sending the answers to the remaining callers."""
 MAX_BACKEND_CONNECTIONS = 100
 """Connections to the backend server, which accepts only a few more than these from
 all its clients together."""
@@ -393,18 +395,31 @@
                 "graceful stop took too long; withdrawing requests that still wait",
                 in_flight=self.callers.requests_in_flight,
             )
-            await self._withdraw_calls()
+            await self._answer_remaining()
 
     async def _wait_for_local_runs(self) -> None:
         """Wait for the runs of the local backend server, which may make calls here."""
         while self.backend.runs_in_flight:
             await asyncio.sleep(RUNS_POLL_INTERVAL_S)
 
-    async def _withdraw_calls(self) -> None:
-        """Answer the callers whose requests wait for a slot on another host."""
+    async def _answer_remaining(self) -> None:
+        """Answer the callers whose requests are not finished when the stop gives up.
+
+        Notes
+        -----
+        Requests that wait for a slot on another host are withdrawn and refused as not
+        run. Then all calls that are left fail, so that their callers get an answer as
+        well: the outcome of a request that was sent is unknown.
+        """
         self.links.withdraw_calls()
+        await self._drain_callers(WITHDRAWAL_TIMEOUT_S)
+        await self.links.close()
+        await self.backend_client.close()
+        await self._drain_callers(LAST_ANSWERS_TIMEOUT_S)
+
+    async def _drain_callers(self, seconds: float) -> None:
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(WITHDRAWAL_TIMEOUT_S):
+            async with asyncio.timeout(seconds):
                 await self.callers.drain()
 
     def _start_task(self, coroutine: Coroutine) -> None:
