Ignore signals once a daemon has stopped gracefully

What operators saw: exit code -15 or -1 of a daemon that had stopped gracefully, if a further SIGTERM or SIGHUP came while the interpreter was exiting.

Cause: closing the event loop restores the default action of the signals.

Change: when the daemon has closed, its signal handlers are removed and the signals are ignored; they are blocked meanwhile.

--- a/packages/almondrouterd/src/almondrouterd/platform/main.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/main.py
@@ -24,6 +24,8 @@
 )
 
 _log = EventLogger("settings")
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 EXIT_OK = 0
 EXIT_USAGE = 2
 
@@ -96,7 +98,7 @@
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
     daemon = HostDaemon(settings, log_writer=writer)
     loop.add_signal_handler(signal.SIGHUP, reload_settings, daemon, path)
@@ -106,6 +108,21 @@
         await daemon.drain()
     finally:
         await daemon.close()
+        ignore_signals(loop)
+
+
+def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore the signals that the event loop handled.
+
+    Notes
+    -----
+    Their default action ends the process. An event loop restores it when it is closed,
+    while the interpreter has yet to exit with the exit code.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    for number in HANDLED_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def reload_settings(daemon: HostDaemon, path: str) -> None:
