Compress the configuration that answers a peer's query

Callers got 504 without a response of a backend server: requests that a healthy host was running, or had forwarded, were given up with peer_timeout by many daemons at once, as all links of that host had fallen silent for over a second.

Cause: a daemon that has a later version than its peers and sends its record to all of them, after a start or when it stops, tells them of that version. Each peer that is still behind 0.6 s later sends it a RoutesQuery, and each reply held the whole configuration. They fill the link of a narrow host for seconds; replies, pongs and store calls queue behind them.

A daemon now says in its query that it accepts the compressed form; daemons of an earlier release do not, and get it as before. It is compressed once per version.

test_replies_to_many_queries_fit_a_narrow_link failed before: 40 replies took 1.10 s of a link of 1.5 MB/s, with 1.0 s of silence allowed. It passes now.

--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -187,11 +187,15 @@
         Time until which the sender waits, on its monotonic clock in seconds.
     key
         Always empty, so that the query may be cancelled when the link closes.
+    accepts_compressed
+        Whether the body of the reply may be compressed with zlib; its header
+        ``content-encoding`` then says so.
     """
 
     call_id: int
     deadline: float
     key: str = ""
+    accepts_compressed: bool = False
 
 
 class HostNotice(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -473,7 +473,7 @@
 
     async def _handle_peer_call(self, request: LinkRequest) -> CallReply:
         if isinstance(request, RoutesQuery):
-            return self._peers.answer_routes_query()
+            return self._peers.answer_routes_query(request)
         if isinstance(request, BodyOffer):
             return await self.backend.answer_offer(request)
         if isinstance(request, ClaimQuery):
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -39,6 +39,7 @@
 ROUTES_QUERY_TIMEOUT_S = 1.0
 """Seconds within which a peer has to send its configuration."""
 
+_COMPRESSED = (("content-encoding", "deflate"),)
 _log = EventLogger("peers")
 
 
@@ -88,6 +89,7 @@
         self._logged_isolated = False
         self._hosts_without_store: set[str] = set()
         self._catch_up_task: asyncio.Task | None = None
+        self._compressed_routes = (-1, b"")
 
     def make_notice(self) -> HostNotice:
         """Return a notice with this host's record, version and store reachability."""
@@ -130,10 +132,12 @@
             if self._is_region_peer(entry):
                 self._links.send_notice(entry.peer_address, notice)
 
-    def answer_routes_query(self) -> CallReply:
+    def answer_routes_query(self, query: RoutesQuery) -> CallReply:
         """Return the configuration in force as the reply to a peer's query."""
-        body = self._routes.stored_form
-        return CallReply(0, Outcome.COMPLETE, HTTPStatus.OK, (), body, "", None)
+        headers, body = (), self._routes.stored_form
+        if query.accepts_compressed:
+            headers, body = _COMPRESSED, self._compress_routes()
+        return CallReply(0, Outcome.COMPLETE, HTTPStatus.OK, headers, body, "", None)
 
     def catch_up_to(self, version: int, peer_address: str | None = None) -> None:
         """Start to fetch the configuration if a peer has a later version.
@@ -225,9 +229,16 @@
 
     def _make_full_routes_notice(self) -> RoutesNotice:
         """Return a notice with the full configuration in force."""
-        compressed = zlib.compress(self._routes.stored_form, zlib.Z_BEST_SPEED)
         address = self._make_entry().peer_address
-        return RoutesNotice(compressed, self._routes.version, 0, address)
+        return RoutesNotice(self._compress_routes(), self._routes.version, 0, address)
+
+    def _compress_routes(self) -> bytes:
+        """Return the configuration in force, compressed once for all peers."""
+        version, compressed = self._compressed_routes
+        if version != self._routes.version:
+            compressed = zlib.compress(self._routes.stored_form, zlib.Z_BEST_SPEED)
+            self._compressed_routes = (self._routes.version, compressed)
+        return compressed
 
     def _make_routes_delta_notice(self) -> RoutesNotice:
         """Return a notice with the difference from the previous configuration."""
@@ -247,15 +258,28 @@
             return
         deadline = self._clock.monotonic() + ROUTES_QUERY_TIMEOUT_S
         try:
-            reply = await self._links.call(peer_address, RoutesQuery(0, deadline))
+            query = RoutesQuery(0, deadline, accepts_compressed=True)
+            reply = await self._links.call(peer_address, query)
         except CallError as error:
             _log.info(
                 "fetching the configuration from a peer failed; rereading the store",
                 reason=error.message,
             )
             return
-        if reply.body:
-            self._routes.activate(reply.body)
+        self._activate_reply(reply)
+
+    def _activate_reply(self, reply: CallReply) -> None:
+        body = reply.body
+        if reply.headers == _COMPRESSED:
+            try:
+                body = zlib.decompress(body)
+            except zlib.error as error:
+                _log.warning(
+                    "undecodable configuration of a peer ignored", reason=str(error)
+                )
+                return
+        if body:
+            self._routes.activate(body)
 
     def _finish_catch_up(self, task: asyncio.Task) -> None:
         self._catch_up_task = None
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
 import zlib
 
+import msgspec
 from parameterized import parameterized
 
 from almondrouter.clock import SystemClock
@@ -13,17 +15,23 @@
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.isolation import ISOLATION_DELAY_S
 from almondrouter.protocol.calls import (
+    CALL_CODEC,
     HostNotice,
     RoutesNotice,
     RoutesQuery,
 )
 from almondrouter.state.hosts import encode_host
 from almondrouterd import peers as peers_module
+from almondrouterd.hostdaemon import LINK_POLICY
 from almondrouterd.peers import Peers
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
 from platform_support import SERVICE, make_configuration
 from test_coordination_directory import make_entry
 
+QUERYING_PEERS = 40
+NARROW_LINK_RATE = 1.5e6
+"""Bytes per second of the narrowest links that hosts have."""
+
 
 class FakeLinks:
     """Records what is sent; every peer is alive unless a test says otherwise."""
@@ -170,6 +178,55 @@
         self.assertEqual(1, len(self.links.queries))
         self.assertIsInstance(self.links.queries[0][1], RoutesQuery)
 
+    async def test_replies_to_many_queries_fit_a_narrow_link(self):
+        """Guards against a host that seems dead while it sends its configuration."""
+        names = random.Random(1)
+        many = [{"name": f"s{names.getrandbits(24)}"} for _ in range(2000)]
+        services = [*many, {"name": SERVICE}]
+        source = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        source.activate(make_configuration(9, services=services))
+        data = CALL_CODEC.encode(make_routes_reply(source))
+        self.links.reply = CALL_CODEC.decode(data)
+        sent = QUERYING_PEERS * len(data)
+        self.assertLess(sent / NARROW_LINK_RATE, LINK_POLICY.max_silence)
+        self.peers.catch_up_to(9, "h6:1")
+        await asyncio.sleep(0.05)
+        self.assertEqual(source.stored_form, self.routes.stored_form)
+
+    async def test_malformed_reply_is_ignored(self):
+        """Guards against a daemon that stays outdated after a truncated reply."""
+        self.routes.activate(make_configuration(4))
+        source = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        source.activate(make_configuration(9))
+        reply = make_routes_reply(source)
+        truncated = msgspec.structs.replace(reply, body=reply.body[:-9])
+        for self.links.reply, version in ((truncated, 4), (reply, 9)):
+            self.peers.catch_up_to(9, "h6:1")
+            await asyncio.sleep(0.05)
+            self.assertEqual(version, self.routes.version)
+
+    @parameterized.expand([("earlier sender", False), ("current sender", True)])
+    async def test_reply_is_compressed_on_request(self, _, accepted):
+        """Guards against replies that a daemon of an earlier release cannot read."""
+        self.routes.activate(make_configuration(9))
+        query = RoutesQuery(0, 0.0, accepts_compressed=accepted)
+        reply = self.peers.answer_routes_query(query)
+        self.assertEqual(accepted, reply.body != self.routes.stored_form)
+
+    async def test_peer_without_routes(self):
+        """Guards against a malformed reply of a daemon that has just started."""
+        reply = make_routes_reply(self.routes)
+        self.assertEqual(b"", zlib.decompress(reply.body))
+
+    async def test_reply_of_an_earlier_release(self):
+        """Guards against ignoring a peer that sends its configuration as it is."""
+        source = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        source.activate(make_configuration(9))
+        self.links.reply = make_peers(source).answer_routes_query(RoutesQuery(0, 0.0))
+        self.peers.catch_up_to(9, "h6:1")
+        await asyncio.sleep(0.05)
+        self.assertEqual(9, self.routes.version)
+
     async def test_version_that_arrives_in_time_is_not_fetched(self):
         """Guards against every daemon querying its peers at each change."""
         self.peers.catch_up_to(9, "h6:1")
@@ -198,7 +255,8 @@
 
 def make_routes_reply(routes):
     """Return the reply to a routes query of a peer with these routes in force."""
-    return make_peers(routes).answer_routes_query()
+    query = RoutesQuery(0, 0.0, accepts_compressed=True)
+    return make_peers(routes).answer_routes_query(query)
 
 
 def make_peers(routes):
