Query a peer only for versions that the store does not deliver

A daemon now waits 0.4 s for the store after it has asked for the reread, and queries the peer if the version is still missing. If the store did not answer the last call, it queries the peer at once as before. Measured from the announcement the query is sent after 1.0 s at the latest, within the 2.5 s in which a version has to be in force.

test_version_that_the_store_delivers_is_not_fetched failed before: one query was sent although the store had delivered the version.

--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -36,6 +36,10 @@
 CATCH_UP_DELAY_S = 0.6
 """Seconds from a peer's report of a later version to this daemon's own attempt to fetch
 it; usually the relay or the watch on the store delivers it within that time."""
+REREAD_DELAY_S = 0.4
+"""Seconds from rereading the store to the query of a peer. Usually the store delivers
+the version within that time; many daemons that query the same peer at once fill its
+link."""
 ROUTES_QUERY_TIMEOUT_S = 1.0
 """Seconds within which a peer has to send its configuration."""
 
@@ -256,6 +260,10 @@
         self._feed.request_reread()
         if peer_address is None:
             return
+        if self._feed.reaches_store:
+            await asyncio.sleep(REREAD_DELAY_S)
+            if version <= self._routes.version:
+                return
         deadline = self._clock.monotonic() + ROUTES_QUERY_TIMEOUT_S
         try:
             query = RoutesQuery(0, deadline, accepts_compressed=True)
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -65,8 +65,12 @@
     reaches_store = True
     rereads = 0
 
+    def __init__(self):
+        self.on_reread = lambda: None
+
     def request_reread(self):
         self.rereads += 1
+        self.on_reread()
 
     def set_watching(self, watching):
         self.watching = watching
@@ -98,6 +102,9 @@
         delay = peers_module.CATCH_UP_DELAY_S
         peers_module.CATCH_UP_DELAY_S = 0.01
         self.addCleanup(setattr, peers_module, "CATCH_UP_DELAY_S", delay)
+        delay = getattr(peers_module, "REREAD_DELAY_S", 0.0)
+        peers_module.REREAD_DELAY_S = 0.01
+        self.addCleanup(setattr, peers_module, "REREAD_DELAY_S", delay)
 
     def receive_notice(self, host="h6", *, version=0, reaches_store=True, **entry):
         record = encode_host(make_entry(host, **entry))
@@ -178,6 +185,27 @@
         self.assertEqual(1, len(self.links.queries))
         self.assertIsInstance(self.links.queries[0][1], RoutesQuery)
 
+    async def test_version_that_the_store_delivers_is_not_fetched(self):
+        """Guards against a host that all its peers query for the same version."""
+        loop = asyncio.get_running_loop()
+        value = make_configuration(9)
+        self.feed.on_reread = lambda: loop.call_soon(self.routes.activate, value)
+        self.peers.catch_up_to(9, "h6:1")
+        await asyncio.sleep(0.05)
+        self.assertEqual((9, 1), (self.routes.version, self.feed.rereads))
+        self.assertEqual([], self.links.queries)
+
+    async def test_unreachable_store_is_not_waited_for(self):
+        """Guards against a late version where only peers can deliver it."""
+        peers_module.REREAD_DELAY_S = 10.0
+        self.feed.reaches_store = False
+        source = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        source.activate(make_configuration(9))
+        self.links.reply = make_routes_reply(source)
+        self.peers.catch_up_to(9, "h6:1")
+        await asyncio.sleep(0.05)
+        self.assertEqual(9, self.routes.version)
+
     async def test_replies_to_many_queries_fit_a_narrow_link(self):
         """Guards against a host that seems dead while it sends its configuration."""
         names = random.Random(1)
