Show faults in the handling of silent peers and slow backend servers

Each test fails on the code of this commit: - a call that was not sent takes a retry from the budget when its link is silent; - a silent attempt is given up without another destination, and during a stop, so that the caller gets 504 while a backend server runs the request; - a pause of this process of 0.8 s counts as silence of its peers; - a reply that cannot be written to a dead peer is kept beyond the silence limit; - a backend server that reads a long body late for 1 s loses its connection.

--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -53,11 +53,13 @@
         self.script = []
         self.calls = []
         self.abandoned = []
+        self.on_silence = lambda: None
 
     async def call(self, peer_address, request, *, abandon_silent=lambda: True):
         self.calls.append(request)
         item = self.script.pop(0)
         if item is SILENCE:
+            self.on_silence()
             self.abandoned.append(abandon_silent())
             item = REPLY_LOST if self.abandoned[-1] else make_answer()
         if isinstance(item, Exception):
@@ -145,6 +147,32 @@
         self.assertEqual(calls, len(self.links.calls))
         self.assertEqual(calls - 1, self.retry_budget.counts["spent"] - retries)
 
+    async def test_silent_destination_is_kept_if_there_is_no_other(self):
+        """Guards against an error, and a retry spent, without another attempt."""
+        misses = [self.make_error(ErrorCode.NO_BACKEND)] * (HOSTS - 1)
+        response = await self.send(script=[*misses, SILENCE])
+        self.assertEqual((200, [False]), (response.status, self.links.abandoned))
+        self.assertEqual(0, self.retry_budget.counts["spent"])
+
+    @parameterized.expand(
+        [
+            ("no time for another attempt", 0.0, []),
+            ("others may refuse it", 10.0, [OVERLOADED_REPLY] * MAX_REFUSALS),
+        ]
+    )
+    async def test_stopping_daemon_does_not_abandon_a_silent_destination(
+        self, _, seconds, script
+    ):
+        """Guards against breaking off, during a stop, a request that is being run."""
+        clock = self.clock
+
+        def stop():
+            self.forwarder.stop_answering(clock.monotonic() + seconds)
+
+        self.links.on_silence = stop
+        response = await self.send(script=[SILENCE, *script])
+        self.assertEqual((200, [False]), (response.status, self.links.abandoned))
+
     async def test_answer_is_passed_on(self):
         """Guards against altered responses, and calls with wrong deadlines."""
         response = await self.send(script=[make_answer(framed=False)])
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 
 from parameterized import parameterized
@@ -10,7 +11,11 @@
 from almondrouter.clock import SystemClock
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.headers import Outcome
-from almondrouter.transport.backends import MAX_RESPONSE_BYTES, BackendClient
+from almondrouter.transport.backends import (
+    MAX_RESPONSE_BYTES,
+    TCP_USER_TIMEOUT_S,
+    BackendClient,
+)
 from calls_support import TIMEOUT_S, CallAssertions, wait_until
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
@@ -219,6 +224,30 @@
         self.release.set()
         await wait_until(lambda: self.closed == 1)
 
+    async def test_body_that_is_read_late_is_not_cut(self):
+        """Guards against an error for a long body that a backend server reads slowly.
+
+        Its full receive buffer is no sign that the server has failed.
+        """
+        body = bytes(2_000_000)
+
+        async def read_late(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(3 * TCP_USER_TIMEOUT_S)
+            await reader.readexactly(len(body))
+            writer.write(OK)
+
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        server = await asyncio.start_server(read_late, sock=listener)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        client = BackendClient(f"{host}:{port}", connections=1, clock=SystemClock())
+        self.addAsyncCleanup(client.close)
+        deadline = SystemClock().monotonic() + TIMEOUT_S
+        response = await client.send("POST", "/x", (), body, deadline=deadline)
+        self.assertEqual(b"body", response.body)
+
     async def test_connections_are_bounded(self):
         """Guards against more connections than the backend server allows."""
         tasks = [asyncio.create_task(self.send()) for _ in range(5)]
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -270,6 +270,66 @@
         self.assertFalse(later.done())
         later.cancel()
 
+    async def test_unsent_call_on_a_silent_link_is_not_offered_for_abandonment(self):
+        """Guards against a retry that is taken for a call that has not been sent.
+
+        The call fails as not run and is sent elsewhere without the retry budget.
+        """
+        peer = Peer()
+        address = await peer.start()
+        sent = self.start_call(b"1", address=address)
+        await wait_until(lambda: peer.streams and self.pool._links)
+        self.pool._links[address].stream.pause_writing()
+        asked = []
+        held = asyncio.create_task(
+            self.pool.call(
+                address,
+                make_request(b"2", deadline=self.clock.monotonic() + 60),
+                abandon_silent=lambda: asked.append(1) is None,
+            )
+        )
+        await asyncio.sleep(0)
+        await self.pass_silent_seconds()
+        await self.assert_fails(held, ErrorCode.PEER_UNAVAILABLE, Outcome.NOT_RUN)
+        await self.assert_fails(sent, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+        self.assertEqual([], asked)
+
+    async def test_pause_of_this_process_is_not_silence_of_its_peers(self):
+        """Guards against giving up calls after a short suspension of this process.
+
+        The pong may have been received by the kernel and not been read yet.
+        """
+        policy = LinkPolicy(ping_interval=0.3, max_silence=1.0)
+        self.pool = CallLinkPool(
+            hello=make_hello("caller"), clock=self.clock, policy=policy
+        )
+        self.addAsyncCleanup(self.pool.close)
+        peer = Peer()
+        address = await peer.start()
+        call = self.start_call(b"1", address=address)
+        await wait_until(lambda: peer.streams)
+        for seconds in (0.3, 0.8):
+            self.pool.tick()
+            self.clock.advance(seconds)
+        self.pool.tick()
+        self.assertEqual(0, self.pool.counts["silent"])
+        call.cancel()
+
+    async def test_unsent_reply_to_a_dead_caller_does_not_delay_a_stop(self):
+        """Guards against a graceful stop that waits for a caller that reads nothing."""
+        call = self.start_call(b"1")
+        await wait_until(lambda: self.arrived)
+        (link,) = self.server._links
+        link.stream.pause_writing()
+        self.pending_replies[b"1"].set_result(None)
+        await wait_until(lambda: not link.open_calls)
+        for _ in range(30):
+            self.server.tick()
+            self.server_clock.advance(1)
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, len(self.server._tasks))
+        call.cancel()
+
     async def test_silent_link_ends_at_the_deadline_of_its_calls(self):
         """Guards against a call that waits for a dead peer beyond its deadline."""
         peer = Peer()
