Test withdrawing and closing with silent links, and a call that waits for its link

The last one fails: withdraw_calls reaches only links that are open, so a call that waits for its link is sent after its daemon has given up.

--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -315,6 +315,49 @@
         self.assertEqual(0, self.pool.counts["silent"])
         call.cancel()
 
+    async def test_call_that_waits_for_its_link_is_withdrawn(self):
+        """Guards against sending a call after its daemon has given up its calls."""
+        peer = Peer(handshake_delay=0.2)
+        address = await peer.start()
+        call = self.start_call(b"1", address=address)
+        await asyncio.sleep(0.05)
+        self.pool.withdraw_calls()
+        await wait_until(lambda: call.done() or peer.streams)
+        async with asyncio.timeout(1.0):
+            await self.assert_fails(call, ErrorCode.STOPPING, Outcome.NOT_RUN)
+
+    async def test_calls_on_a_silent_link_end_with_the_pool(self):
+        """Guards against calls that are left behind when the pool is closed."""
+        peer = Peer()
+        address = await peer.start()
+        request = make_request(b"1", deadline=self.clock.monotonic() + 60)
+        call = asyncio.create_task(
+            self.pool.call(address, request, abandon_silent=lambda: False)
+        )
+        await wait_until(lambda: peer.streams)
+        await self.pass_silent_seconds()
+        self.assertFalse(call.done())
+        await self.pool.close()
+        async with asyncio.timeout(1.0):
+            await self.assert_fails(call, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
+
+    async def test_call_on_a_silent_link_can_be_withdrawn(self):
+        """Guards against waiting calls that a stopping daemon does not withdraw."""
+        peer = Peer()
+        address = await peer.start()
+        request = make_request(b"1", deadline=self.clock.monotonic() + 60)
+        call = asyncio.create_task(
+            self.pool.call(address, request, abandon_silent=lambda: False)
+        )
+        await wait_until(lambda: peer.streams)
+        received = await peer.streams[0].receive()
+        await self.pass_silent_seconds()
+        self.pool.withdraw_calls()
+        async with asyncio.timeout(1.0):
+            cancel = await peer.streams[0].receive()
+        self.assertEqual(Cancel(received.call_id), cancel)
+        call.cancel()
+
     async def test_unsent_reply_to_a_dead_caller_does_not_delay_a_stop(self):
         """Guards against a graceful stop that waits for a caller that reads nothing."""
         call = self.start_call(b"1")
