Keep attempts on silent links while the daemon stops

Callers saw: 504 from a stopping daemon for a request that a backend server was running: its attempt was given up for another destination, which refused it.

Change: from the stop signal on no attempt is given up for the silence of a link.

Evidence (review): test_stopping_daemon_does_not_abandon_a_silent_destination failed before, (504, [True]) != (200, [False]). After: test_coordination_forwarding passes.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -369,8 +369,11 @@
         Notes
         -----
         Only another attempt makes that worthwhile. Without one the caller would get
-        an error while the backend server may be at work on the response.
+        an error while the backend server may be at work on the response. A stopping
+        daemon keeps the attempt, as no other may succeed in the time that is left.
         """
+        if self._answers_until < math.inf:
+            return False
         pending.excluded.add(destination.backend)
         other = self._choose_destination(pending)
         if other is not None and self._claim_retry(pending, sent=pending.sent + 1):
