Let a backend server read a long request late

Callers saw: backend_failed, outcome unknown, for a body of 1 MB or more that a live backend server did not read for about a second.

Cause: a full receive buffer acknowledges nothing, and the TCP user timeout of 1 s, meant for connections that went silent, ended the connection.

Change: the timeout is 15 s for requests of 64 KB or more.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -52,6 +52,10 @@
 """
 TCP_USER_TIMEOUT_S = 1.0
 """Time without TCP acknowledgement of sent data after which a connection fails."""
+LONG_REQUEST_BYTES = 65_536
+"""Length of a request that may fill the receive buffer of the backend server."""
+LONG_TCP_USER_TIMEOUT_S = 15.0
+"""Like `TCP_USER_TIMEOUT_S` for long requests: a full receive buffer is no failure."""
 MAX_RESPONSE_BYTES = 7_500_000
 """Longest response body; it has to fit into one call frame with the headers.
 
@@ -348,6 +352,8 @@
         self._matches = matches
         self._received_data = False
         self._future = asyncio.get_running_loop().create_future()
+        if len(data) >= LONG_REQUEST_BYTES:
+            set_tcp_user_timeout(self._transport, LONG_TCP_USER_TIMEOUT_S)
         self._transport.write(data)
         return self._future
 
