Keep calls on silent links in the daemon for clusters, too

Change: the ingress gives up a call on a silent link only if it may send it again; the 10 s after which a server cancels the calls of a silent caller are the default of all links.

No test of its own shows it for this daemon.

--- a/packages/almondrouter-standins/src/almondrouter_standins/call_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/call_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from types import MappingProxyType
 
 from almondrouter.clock import Clock, ManualClock
@@ -131,7 +131,11 @@
         )
 
     async def call(  # noqa: D102
-        self, peer_address: str, request: CallRequest | ClaimQuery
+        self,
+        peer_address: str,
+        request: CallRequest | ClaimQuery,
+        *,
+        abandon_silent: Callable[[], bool] = lambda: True,
     ) -> CallReply:
         host = peer_address.partition(":")[0]
         if host in self.unreachable:
@@ -157,7 +161,11 @@
         }
 
     async def call(  # noqa: D102
-        self, peer_address: str, request: CallRequest | ClaimQuery
+        self,
+        peer_address: str,
+        request: CallRequest | ClaimQuery,
+        *,
+        abandon_silent: Callable[[], bool] = lambda: True,
     ) -> CallReply:
         host = peer_address.partition(":")[0]
         reply = asyncio.get_running_loop().create_future()
--- a/packages/almondrouter/src/almondrouter/coordination/ingress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/ingress.py
@@ -203,8 +203,7 @@
 
     def _may_retry(self, call: Call) -> bool:
         return (
-            call.route.repeatable
-            and call.attempt == 0
+            can_retry(call)
             and self._clock.monotonic() < call.request.deadline
             and self._retries.try_spend(call.route.class_name)
         )
@@ -228,7 +227,12 @@
             if destination.host == self._host:
                 reply = await self._egress(request)
             else:
-                reply = await self._links.call(destination.peer_address, request)
+                reply = await self._links.call(
+                    destination.peer_address,
+                    request,
+                    # Without a retry, an error would only replace a late response.
+                    abandon_silent=lambda: can_retry(call) and not retried,
+                )
             outcome, load = reply.outcome, reply.load
             failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR and (
                 outcome is Outcome.COMPLETE
@@ -247,6 +251,11 @@
         return reply
 
 
+def can_retry(call: Call) -> bool:
+    """Return whether a call may be sent again; its caller's own retries may not."""
+    return call.route.repeatable and call.attempt == 0
+
+
 def read_call(request: CallerRequest, snapshot: Snapshot, clock: Clock) -> Call:
     """Parse the call of a caller's request.
 
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -45,6 +45,11 @@
 
 These take two round trips; one to a distant region takes 20 ms.
 """
+MAX_INBOUND_SILENCE_S = 10.0
+"""Silence of a calling daemon after which its calls are cancelled.
+
+Longer than the deadlines of most calls: a slow or congested caller is silent, too.
+"""
 MAX_IDLE_S = 60.0
 """Time after the last call at which an outbound link is closed."""
 MAX_OPEN_CALLS = 10_000
@@ -85,7 +90,7 @@
 
     ping_interval: float = PING_INTERVAL_S
     max_silence: float = MAX_SILENCE_S
-    max_inbound_silence: float = MAX_SILENCE_S
+    max_inbound_silence: float = MAX_INBOUND_SILENCE_S
     max_connect_wait: float = CONNECT_TIMEOUT_S
     ping_idle: bool = False
     max_short_bytes: int = MAX_CALL_FRAME_BYTES
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -61,7 +61,6 @@
 LINK_POLICY = LinkPolicy(
     ping_interval=0.3,
     max_silence=1.0,
-    max_inbound_silence=10.0,
     max_connect_wait=0.3,
     ping_idle=True,
     max_short_bytes=16_384,
