Send no call after the calls of a daemon have been withdrawn

Cause: withdrawing marked open links only; a call that waited for its link to open was sent on it later, while the daemon was ending.

--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -375,6 +375,7 @@
     async def start(self) -> None:
         """Start to ping peers and to close silent and idle links."""
         self._ticker = asyncio.create_task(
+        self._withdrawn = False
             run_periodically(self.tick, self._policy.ping_interval)
         )
 
@@ -412,10 +413,13 @@
         return await link.call(request, abandon_silent=abandon_silent)
 
     def withdraw_calls(self) -> None:
-        """Cancel all calls in flight; see `OutboundLink.withdraw_calls`."""
+        """Cancel all calls and send none; see `OutboundLink.withdraw_calls`."""
+        self._withdrawn = True
         for link in (*self._links.values(), *self._silent_links):
             link.withdraw_calls()
 
+        if self._withdrawn:
+            raise CallError(ErrorCode.STOPPING, "this daemon is stopping")
     def notify_all(self) -> None:
         """Send the current notice of this daemon to every peer with an open link."""
         for link_key in self._links:
