Watch the silence of a caller until its reply has been written

Cause: a call was closed before its reply could be written, so that nothing but the TCP timeout ended the wait for a caller that reads nothing; a graceful stop waits for it.

Change: the call stays open until its reply has been written.

--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -289,7 +289,17 @@
     async def _answer_call(self, link: _InboundLink, request: LinkRequest) -> None:
         try:
             reply = await self._handler(request)
-            reply = msgspec.structs.replace(reply, call_id=request.call_id)
+        try:
+            reply = await self._handle_call(request)
+            if not link.stream.is_writable:
+                # The call stays open meanwhile, so that a silent caller is noticed.
+                await link.stream.wait_writable()
+            self._send_reply(link, reply)
+        finally:
+            link.open_calls.pop(request.call_id, None)
+
+    async def _handle_call(self, request: LinkRequest) -> CallReply:
+            return msgspec.structs.replace(reply, call_id=request.call_id)
         except Exception as error:  # noqa: BLE001 - the link has to outlive a failed call
             self.counts["failed"] += 1
             _log.error(
@@ -297,12 +307,7 @@
                 error=repr(error),
             )
             code = ErrorCode.BACKEND_FAILED
-            reply = make_reply(code, Outcome.UNKNOWN, call_id=request.call_id)
-        finally:
-            link.open_calls.pop(request.call_id, None)
-        if not link.stream.is_writable:
-            await link.stream.wait_writable()
-        self._send_reply(link, reply)
+            return make_reply(code, Outcome.UNKNOWN, call_id=request.call_id)
 
     def _send_reply(self, link: _InboundLink, reply: CallReply) -> None:
         try:
