Ask whether to give up calls on a silent link again, but only sent ones

Callers saw: retries of the budget taken for calls that had not been sent and needed none; and a call to a dead host that waited until its deadline, as the budget was empty at the moment when its link became silent.

Change: only calls that were sent are offered, and again with each check of the link.

The second question has no test of its own.

--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -55,6 +55,7 @@
 MAX_OPEN_CALLS = 10_000
 """Limit on concurrent calls of one inbound link; further calls are refused."""
 
+SILENCE_REASON = "peer sent no data within the allowed silence"
 _BULK_SUFFIX = "#bulk"
 """Suffix of the peer address in the key of a link that carries long bodies."""
 _log = EventLogger("links")
@@ -298,6 +299,8 @@
         finally:
             link.open_calls.pop(request.call_id, None)
 
+        try:
+            reply = await self._handler(request)
     async def _handle_call(self, request: LinkRequest) -> CallReply:
             return msgspec.structs.replace(reply, call_id=request.call_id)
         except Exception as error:  # noqa: BLE001 - the link has to outlive a failed call
@@ -380,7 +383,6 @@
     async def start(self) -> None:
         """Start to ping peers and to close silent and idle links."""
         self._ticker = asyncio.create_task(
-        self._withdrawn = False
             run_periodically(self.tick, self._policy.ping_interval)
         )
 
--- a/packages/almondrouter/src/almondrouter/transport/outbound_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/outbound_link.py
@@ -37,6 +37,7 @@
 
     reply: asyncio.Future[CallReply]
     abandon_silent: Callable[[], bool]
+    sent: bool = False
 
 
 class OutboundLink:
@@ -79,31 +80,30 @@
         abandon_silent: Callable[[], bool] = lambda: True,
     ) -> CallReply:
         """Send a call and return its reply; see `CallLinks.call`."""
-        sent = False
         call_id = next(self._call_ids)
         deadline = request.deadline + REPLY_GRACE_S
         if not self.pending:
             self.stream.restart_silence_timer()
         future = asyncio.get_running_loop().create_future()
-        self.pending[call_id] = _PendingCall(future, abandon_silent)
+        call = self.pending[call_id] = _PendingCall(future, abandon_silent)
         try:
             if not self.stream.is_writable:
                 async with asyncio.timeout(deadline - self._clock.monotonic()):
                     await self.stream.wait_writable()
             self._check_sendable(request.deadline)
             self.stream.send(msgspec.structs.replace(request, call_id=call_id))
-            sent = True
+            call.sent = True
             self._deadlines.add(future, deadline)
             return await future
         except (ConnectionError, TimeoutError) as error:
-            raise self._make_call_error(sent, str(error)) from error
+            raise self._make_call_error(call.sent, str(error)) from error
         except AlmondError as error:
             raise CallError(error.code, error.message) from error
         finally:
             self.used_at = self._clock.monotonic()
             self.pending.pop(call_id, None)
             self._deadlines.discard(future)
-            if sent and not self._lost and not has_result(future):
+            if call.sent and not self._lost and not has_result(future):
                 self.stream.send(Cancel(call_id))
 
     def fail(self, reason: str) -> None:
@@ -119,12 +119,13 @@
         Notes
         -----
         Calls that were not sent fail. Of the others, only those fail that their
-        senders abandon: a reply to the rest may still arrive.
+        senders abandon: a reply to the rest may still arrive. This may be called again
+        while the peer stays silent.
         """
         self._silent = True
         self.stream.release_writers()
         for call in tuple(self.pending.values()):
-            if not call.reply.done() and call.abandon_silent():
+            if call.sent and not call.reply.done() and call.abandon_silent():
                 self._fail_call(call, reason)
 
     def _fail_call(self, call: _PendingCall, reason: str) -> None:
