Tell a pause of this process from silence of its peers

Cause: a process that was paused for less than the allowed silence took its peers for silent, as their bytes had not been read yet.

Change: a check that is later than two intervals of pings counts as a pause.

--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -20,6 +20,8 @@
 PING_INTERVAL_S = 1.0
 MAX_SILENCE_S = 3.0
 """Time without received bytes after which a peer counts as silent."""
+MAX_CHECK_GAP = 2.0
+"""Ping intervals between two checks of a peer above which this process was paused."""
 IDLE_SILENCE_FACTOR = 3.0
 """Factor by which a peer may be silent for longer while no reply is pending."""
 IDLE_PINGS_PER_SILENCE = 3
@@ -99,6 +101,8 @@
         use it for the handshake.
     max_silence
         Seconds without received bytes after which the peer counts as silent.
+    ping_interval
+        Seconds between calls of `check_silence`.
 
     Notes
     -----
@@ -114,9 +118,11 @@
         *,
         on_connect: Callable[..., Coroutine] | None = None,
         max_silence: float = MAX_SILENCE_S,
+        ping_interval: float = PING_INTERVAL_S,
     ) -> None:
         self._clock = clock
         self._max_silence = max_silence
+        self._max_check_gap = MAX_CHECK_GAP * ping_interval
         self._on_connect = on_connect
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -136,13 +142,20 @@
 
     @classmethod
     async def connect(
-        cls, address: str, clock: Clock, *, max_silence: float = MAX_SILENCE_S
+        cls,
+        address: str,
+        clock: Clock,
+        *,
+        max_silence: float = MAX_SILENCE_S,
+        ping_interval: float = PING_INTERVAL_S,
     ) -> FrameStream:
         """Connect to ``ip:port``; the handshake is left to the caller."""
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         _, stream = await loop.create_connection(
-            lambda: cls(clock, max_silence=max_silence), host, port
+            lambda: cls(clock, max_silence=max_silence, ping_interval=ping_interval),
+            host,
+            port,
         )
         return stream
 
@@ -238,14 +251,15 @@
         Notes
         -----
         This must be called at regular intervals while a reply is pending. If the
-        previous call is longer ago than the allowed silence, this process itself
-        was suspended, which says nothing about the peer. The silence is then measured
-        from now on.
+        previous call is too long ago, this process itself was paused, which says
+        nothing about the peer: its data may wait to be read. The silence is then
+        measured from now on.
         """
         now = self._clock.monotonic()
         factor = IDLE_SILENCE_FACTOR if idle else 1.0
         max_silence = self._max_silence * factor
-        if self._checked_at is not None and now - self._checked_at > max_silence:
+        gap = 0.0 if self._checked_at is None else now - self._checked_at
+        if gap > self._max_check_gap:
             self._last_received_at = now
         self._checked_at = now
         if now - self._last_received_at >= max_silence:
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -198,6 +198,7 @@
             self._clock,
             on_connect=self._serve_link,
             max_silence=self._policy.max_inbound_silence,
+            ping_interval=self._policy.ping_interval,
         )
 
     async def _serve_link(self, stream: FrameStream) -> None:
@@ -288,8 +289,6 @@
         link.stream.send(make_reply(code, outcome, call_id=frame.call_id, status=503))
 
     async def _answer_call(self, link: _InboundLink, request: LinkRequest) -> None:
-        try:
-            reply = await self._handler(request)
         try:
             reply = await self._handle_call(request)
             if not link.stream.is_writable:
@@ -299,9 +298,9 @@
         finally:
             link.open_calls.pop(request.call_id, None)
 
+    async def _handle_call(self, request: LinkRequest) -> CallReply:
         try:
             reply = await self._handler(request)
-    async def _handle_call(self, request: LinkRequest) -> CallReply:
             return msgspec.structs.replace(reply, call_id=request.call_id)
         except Exception as error:  # noqa: BLE001 - the link has to outlive a failed call
             self.counts["failed"] += 1
@@ -376,6 +375,7 @@
         self._deadlines = Deadlines(clock)
         self._links: dict[str, OutboundLink] = {}
         self._silent_links: set[OutboundLink] = set()
+        self._withdrawn = False
         self._connecting: dict[str, asyncio.Task[OutboundLink]] = {}
         self._ticker: asyncio.Task | None = None
         self.counts: Counter[str] = Counter()
@@ -417,6 +417,8 @@
             link = await self._connect(
                 link_key, min(request.deadline, connect_deadline)
             )
+        if self._withdrawn:
+            raise CallError(ErrorCode.STOPPING, "this daemon is stopping")
         return await link.call(request, abandon_silent=abandon_silent)
 
     def withdraw_calls(self) -> None:
@@ -425,8 +427,6 @@
         for link in (*self._links.values(), *self._silent_links):
             link.withdraw_calls()
 
-        if self._withdrawn:
-            raise CallError(ErrorCode.STOPPING, "this daemon is stopping")
     def notify_all(self) -> None:
         """Send the current notice of this daemon to every peer with an open link."""
         for link_key in self._links:
@@ -475,7 +475,9 @@
             elif now - link.used_at > MAX_IDLE_S:
                 self._drop_link(link_key, link, "idle for too long")
         for link in tuple(self._silent_links):
-            if not link.pending:
+            if link.pending:
+                link.suspend(SILENCE_REASON)
+            else:
                 self._drop_silent_link(link, "no call waits for the silent peer")
 
     async def _connect(self, link_key: str, deadline: float) -> OutboundLink:
@@ -508,6 +510,7 @@
                     link_key.removesuffix(_BULK_SUFFIX),
                     self._clock,
                     max_silence=self._get_max_silence(link_key),
+                    ping_interval=self._policy.ping_interval,
                 )
                 await stream.run_client_handshake(self._hello)
         except BaseException as error:
@@ -550,7 +553,7 @@
         """Use another connection for new calls; the calls on this one may wait on."""
         del self._links[link_key]
         self._silent_links.add(link)
-        link.suspend("peer sent no data within the allowed silence")
+        link.suspend(SILENCE_REASON)
 
 
 class _InboundLink:
