Keep seed 448 of the soak; list what failed and is not mended

test_almondrouterd_host test_soak_0 (seed 11) failed in a run of 74 tests: version 14 was not in force everywhere after 60 s. It passed in three runs before; it is not traced.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,6 +36,8 @@
             (200, 12),
             # Failed where a starting daemon read settings that were being changed.
             (402, 4),
+            # Failed where a signal after a graceful stop changed the exit code.
+            (448, 4),
         ]
     )
     def test_seed(self, seed, hosts):
