Let idle links fail soon again when a notice is not acknowledged

Change: a link outlasts a silence only while calls are open on it.

Evidence: test_idle_link_fails_soon_if_a_notice_is_not_acknowledged failed before, 15.0 not less than or equal to 3.0. test_kernel_does_not_end_a_silent_link_with_calls keeps the check of the test that it replaces, for a link with a call.

--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -29,8 +29,8 @@
 MAX_CLOCK_DRIFT = 200e-6
 """Bound on the drift between the clocks of two hosts, in seconds per second."""
 
-TCP_USER_TIMEOUT_S = 15.0
-"""Time without acknowledgement of sent data after which a connection fails.
+PATIENT_TCP_USER_TIMEOUT_S = 15.0
+"""Time without acknowledgement of sent data after which a connection with calls fails.
 
 Longer than the deadlines of most calls: a reply may still arrive after a time without
 one. Silence is detected sooner by pings, and new calls then use another connection.
@@ -230,6 +230,18 @@
         """Wait until the write buffer has drained or the connection is closed."""
         await self._writable.wait()
 
+    def set_patient(self, patient: bool) -> None:
+        """Set whether the connection outlasts a silence of the peer.
+
+        Notes
+        -----
+        Without calls it must not: a notice that is not acknowledged is lost, and the
+        next connection delivers the current one.
+        """
+        limit = PATIENT_TCP_USER_TIMEOUT_S if patient else self._max_silence
+        if not self._transport.is_closing():
+            set_tcp_user_timeout(self._transport, limit)
+
     def release_writers(self) -> None:
         """Let those that wait until the connection is writable go on."""
         self._writable.set()
@@ -328,7 +340,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
-        set_tcp_user_timeout(transport, TCP_USER_TIMEOUT_S)
+        self.set_patient(self._on_connect is not None)
         if self._on_connect is not None:
             self._task = asyncio.create_task(self._on_connect(self))
 
--- a/packages/almondrouter/src/almondrouter/transport/outbound_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/outbound_link.py
@@ -84,6 +84,7 @@
         deadline = request.deadline + REPLY_GRACE_S
         if not self.pending:
             self.stream.restart_silence_timer()
+            self.stream.set_patient(True)
         future = asyncio.get_running_loop().create_future()
         call = self.pending[call_id] = _PendingCall(future, abandon_silent)
         try:
@@ -103,6 +104,8 @@
             self.used_at = self._clock.monotonic()
             self.pending.pop(call_id, None)
             self._deadlines.discard(future)
+            if not self.pending and not self._lost:
+                self.stream.set_patient(False)
             if call.sent and not self._lost and not has_result(future):
                 self.stream.send(Cancel(call_id))
 
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -18,7 +18,7 @@
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.protocol.outcomes import make_reply as make_error_reply
 from almondrouter.transport import links
-from almondrouter.transport.frames import ClockOffset, FrameStream
+from almondrouter.transport.frames import MAX_SILENCE_S, ClockOffset, FrameStream
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
 from almondrouter.transport.outbound_link import REPLY_GRACE_S
 from calls_support import (
@@ -390,19 +390,34 @@
         self.pool._deadlines._expire_due()
         await self.assert_fails(call, ErrorCode.PEER_TIMEOUT, Outcome.UNKNOWN)
 
-    async def test_kernel_does_not_end_a_silent_link(self):
+    def get_tcp_user_timeout(self, stream):
+        """Return the TCP user timeout of a link in seconds."""
+        connected = stream._transport.get_extra_info("socket")
+        option = socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        return connected.getsockopt(*option) / 1000
+
+    async def test_kernel_does_not_end_a_silent_link_with_calls(self):
         """Guards against a TCP timeout that ends calls which wait on a silent link."""
-        peer = Peer()
-        self.start_call(b"1", address=await peer.start()).add_done_callback(
-            lambda task: task.cancelled() or task.exception()
-        )
-        await wait_until(lambda: peer.streams)
-        for stream in (peer.streams[0], *(x.stream for x in self.pool._links.values())):
-            connected = stream._transport.get_extra_info("socket")
-            milliseconds = connected.getsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
-            )
-            self.assertGreater(milliseconds, 10_000)
+        call = self.start_call(b"1")
+        await wait_until(lambda: self.arrived)
+        (link,) = self.server._links
+        self.assertGreater(self.get_tcp_user_timeout(link.stream), 10)
+        stream = self.pool._links[self.server.address].stream
+        self.assertGreater(self.get_tcp_user_timeout(stream), 10)
+        self.pending_replies[b"1"].set_result(None)
+        await call
+
+    async def test_idle_link_fails_soon_if_a_notice_is_not_acknowledged(self):
+        """Guards against notices that are lost on a connection which went silent.
+
+        The next connection delivers the current notice.
+        """
+        call = self.start_call(b"1")
+        await wait_until(lambda: self.arrived)
+        self.pending_replies[b"1"].set_result(None)
+        await call
+        stream = self.pool._links[self.server.address].stream
+        self.assertLessEqual(self.get_tcp_user_timeout(stream), MAX_SILENCE_S)
 
     async def test_calls_of_a_silent_caller_are_kept(self):
         """Guards against cancelling work for a caller whose network is congested."""
