Believe a response only if it certainly belongs to its request

Cause: on a kept connection a response without an attempt id was taken for that of the request in progress. A backend server that sends an earlier response once more then made a request that it runs count as refused (503, "not run"), or gave its caller the body of another one. An attempt that is sent twice over one connection could not tell a copy of its first refusal, which has its id.

Change: a response without an id counts only as the first on its connection; on a reused one it is discarded, and the true response is awaited. An attempt is not sent on a connection that has answered it with an error. A request without an id gets a new connection. A refusal that carries the id is believed at once, and its connection is kept.

--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -331,8 +331,11 @@
                 self._dialect.write_request(request, time_left=time_left),
                 request.body,
                 deadline=request.deadline,
-                matches=lambda headers: self._dialect.is_response_to(request, headers),
-                max_idle=None if request.repeatable else MAX_IDLE_NON_REPEATABLE_S,
+                attempt_id=request.attempt_id,
+                matches=lambda headers, reused: self._dialect.is_response_to(
+                    request, headers, reused=reused
+                ),
+                max_idle=_find_max_idle(request),
             )
         except CallError as error:
             self.counts[error.code.value] += 1
@@ -372,3 +375,11 @@
             None,
             framed=response.framed,
         )
+
+
+def _find_max_idle(request: CallRequest) -> float | None:
+    """Return the longest idle time of a connection for a request; None for any."""
+    if not request.attempt_id:
+        # Only the first response on a connection belongs to it beyond doubt.
+        return 0.0
+    return None if request.repeatable else MAX_IDLE_NON_REPEATABLE_S
--- a/packages/almondrouter/src/almondrouter/protocol/dialect.py
+++ b/packages/almondrouter/src/almondrouter/protocol/dialect.py
@@ -79,5 +79,15 @@
         """Read the headers of a backend server's response."""
 
     @abstractmethod
-    def is_response_to(self, request: CallRequest, headers: HeaderList) -> bool:
-        """Return whether response headers belong to the request."""
+    def is_response_to(
+        self, request: CallRequest, headers: HeaderList, *, reused: bool
+    ) -> bool:
+        """Return whether a response certainly belongs to the request.
+
+        Parameters
+        ----------
+        headers
+            Headers of the response.
+        reused
+            Whether its connection has carried earlier requests.
+        """
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -5,7 +5,6 @@
 import asyncio
 import re
 from collections import Counter, deque
-from collections.abc import Callable
 from http import HTTPStatus
 
 import httptools
@@ -16,7 +15,11 @@
 from almondrouter.protocol.calls import HeaderList
 from almondrouter.protocol.headers import OUTCOME, Outcome
 from almondrouter.protocol.outcomes import CallError
-from almondrouter.transport.calls import BackendResponse, BackendSender
+from almondrouter.transport.calls import (
+    BackendResponse,
+    BackendSender,
+    ResponseMatcher,
+)
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.listeners import set_tcp_user_timeout
 from almondrouter.transport.receivebudget import (
@@ -65,6 +68,9 @@
 its own head, chunk sizes and extensions, and trailers."""
 CHUNK_FRAMING_BYTES = 32
 """Additional bytes of that kind for each part of the body."""
+MAX_FAILED_ATTEMPTS = 256
+"""Error responses after which a connection is no longer reused, which bounds the memory
+for the ids of their attempts."""
 MAX_HEADERS = 1_000
 """Headers of a response. Many short ones would take much processor time per byte."""
 HEADER_OVERHEAD_BYTES = 200
@@ -78,9 +84,6 @@
 _OUTCOME_HEADER = OUTCOME.lower()
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 
-Matcher = Callable[[HeaderList], bool]
-"""Returns whether a response with these headers belongs to the request."""
-
 
 class BackendClient(BackendSender):
     """HTTP/1.1 client with a bounded connection pool.
@@ -143,7 +146,8 @@
         body: bytes,
         *,
         deadline: float,
-        matches: Matcher | None = None,
+        attempt_id: str = "",
+        matches: ResponseMatcher | None = None,
         max_idle: float | None = None,
     ) -> BackendResponse:
         data = encode_request(self._address, method, target, headers, body)
@@ -152,14 +156,17 @@
         try:
             self._check_deadline(deadline)
             limit = self._max_idle if max_idle is None else max_idle
-            connection = self._pop_idle_connection(limit)
+            connection = self._pop_idle_connection(limit, attempt_id)
             if connection is None:
                 async with asyncio.timeout(deadline - self._clock.monotonic()):
-                    connection = await self._acquire_connection(limit)
+                    connection = await self._acquire_connection(limit, attempt_id)
                 self._check_deadline(deadline)
             sent = True
             future = connection.send_request(
-                data, is_head=method == "HEAD", matches=matches
+                data,
+                is_head=method == "HEAD",
+                attempt_id=attempt_id,
+                matches=matches,
             )
             self._deadlines.add(future, deadline)
             response = await connection.wait_for_response(future)
@@ -186,15 +193,17 @@
                 "the deadline passed before the request was sent",
             )
 
-    async def _acquire_connection(self, max_idle: float) -> _Connection:
+    async def _acquire_connection(
+        self, max_idle: float, attempt_id: str
+    ) -> _Connection:
         while True:
-            connection = self._pop_idle_connection(max_idle)
+            connection = self._pop_idle_connection(max_idle, attempt_id)
             if connection is not None:
                 return connection
             if self.connections < self._max_connections:
                 return await self._open_connection()
             if self._idle:
-                # Idle for too long for this request: closed to allow a new connection.
+                # Not suitable for this request: closed to allow a new connection.
                 self._drop_connection(self._idle.pop(0))
                 continue
             waiter = asyncio.get_running_loop().create_future()
@@ -211,7 +220,9 @@
         while self._idle:
             self._drop_connection(self._idle.pop())
 
-    def _pop_idle_connection(self, max_idle: float) -> _Connection | None:
+    def _pop_idle_connection(
+        self, max_idle: float, attempt_id: str
+    ) -> _Connection | None:
         now = self._clock.monotonic()
         if now < self._learned_max_idle_until:
             max_idle = min(max_idle, self._learned_max_idle)
@@ -221,11 +232,29 @@
             connection = self._idle[-1]
             if not connection.reusable or now >= connection.reusable_until:
                 self._drop_connection(self._idle.pop())
-            elif connection.idle_since > now - max_idle:
-                connection.idle_age = now - connection.idle_since
-                return self._idle.pop()
+            elif connection.idle_since <= now - max_idle:
+                return None
             else:
+                return self._pop_first_without(attempt_id, now - max_idle, now)
+        return None
+
+    def _pop_first_without(
+        self, attempt_id: str, idle_after: float, now: float
+    ) -> _Connection | None:
+        """Remove and return the latest connection on which an attempt has not failed.
+
+        Parameters
+        ----------
+        idle_after
+            Monotonic time in seconds after which the connection became idle.
+        """
+        for position in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[position]
+            if connection.idle_since <= idle_after:
                 return None
+            if connection.can_identify(attempt_id, now):
+                connection.idle_age = now - connection.idle_since
+                return self._idle.pop(position)
         return None
 
     def _drop_connection(self, connection: _Connection) -> None:
@@ -310,6 +339,12 @@
         Monotonic time in seconds at which reuse ends.
     announced_idle
         Keep-alive timeout in seconds that the backend server announced.
+
+    Notes
+    -----
+    A backend server may send a response once more, even when the next request has been
+    sent. The connection therefore keeps the ids of the attempts that it has answered
+    with an error, since only such a response can say that its request was not run.
     """
 
     def __init__(self, budget: ReceiveBudget, *, accept_unframed: bool) -> None:
@@ -320,7 +355,10 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._future: asyncio.Future[BackendResponse] | None = None
         self._is_head = False
-        self._matches: Matcher | None = None
+        self._attempt_id = ""
+        self._failed_attempts: set[str] = set()
+        self._matches: ResponseMatcher | None = None
+        self._reused = False
         self._discarded_response_count = 0
         self._received_data = False
         self.reusable = True
@@ -335,16 +373,25 @@
         self._discard_response()
 
     def send_request(
-        self, data: bytes, *, is_head: bool, matches: Matcher | None = None
+        self,
+        data: bytes,
+        *,
+        is_head: bool,
+        attempt_id: str = "",
+        matches: ResponseMatcher | None = None,
     ) -> asyncio.Future[BackendResponse]:
         """Send a request; return a future for the complete response.
 
         Parameters
         ----------
+        attempt_id
+            Id of the attempt; empty if it has none.
         matches
             Responses for which it returns False belong to an earlier request and
             are discarded. The connection is then closed after the right one.
         """
+        self._reused = self._parser is not None
+        self._attempt_id = attempt_id
         self._discard_response()
         self._received_bytes = 0
         self._body_size = 0
@@ -377,6 +424,18 @@
         finally:
             self._future = None
 
+    def can_identify(self, attempt_id: str, now: float) -> bool:
+        """Return whether the connection is usable and an attempt has not failed on it.
+
+        Parameters
+        ----------
+        now
+            Monotonic time in seconds.
+        """
+        if not self.reusable or now >= self.reusable_until:
+            return False
+        return not attempt_id or attempt_id not in self._failed_attempts
+
     def abort(self) -> None:
         """Close the connection at once, which cancels its request."""
         self.reusable = False
@@ -509,9 +568,10 @@
             self.reusable = False
 
     def _complete_response(self) -> None:
-        if self._matches is not None and not self._matches(self._headers):
+        if self._matches is not None and not self._matches(self._headers, self._reused):
             self._discarded_response_count += 1
             self.reusable = False
+            self._reused = True
             self._discard_response()
             return
         self._complete = True
@@ -522,12 +582,20 @@
             self.reusable = False
         self._read_keep_alive()
         status = self._parser.get_status_code()
+        if status >= HTTPStatus.BAD_REQUEST:
+            self._record_failed_attempt()
         headers, body = self._headers, bytes(self._body)
         self._drop_parts()
         if self._future is not None and not self._future.done():
             response = BackendResponse(status, headers, body, self._framed)
             self._future.set_result(response)
 
+    def _record_failed_attempt(self) -> None:
+        if self._attempt_id:
+            self._failed_attempts.add(self._attempt_id)
+        if len(self._failed_attempts) >= MAX_FAILED_ATTEMPTS:
+            self.reusable = False
+
     def _read_keep_alive(self) -> None:
         for name, value in self._headers:
             if name == "keep-alive" and (found := _KEEP_ALIVE_TIMEOUT.search(value)):
--- a/packages/almondrouter/src/almondrouter/transport/calls.py
+++ b/packages/almondrouter/src/almondrouter/transport/calls.py
@@ -104,6 +104,14 @@
         """
 
 
+ResponseMatcher = Callable[[HeaderList, bool], bool]
+"""Returns whether a response belongs to the request.
+
+Receives the headers of the response, and whether its connection is reused: the response
+may then be a late copy of that to an earlier request.
+"""
+
+
 class BackendSender(ABC):
     """Sends requests to the backend server on this host."""
 
@@ -116,7 +124,8 @@
         body: bytes,
         *,
         deadline: float,
-        matches: Callable[[HeaderList], bool] | None = None,
+        attempt_id: str = "",
+        matches: ResponseMatcher | None = None,
         max_idle: float | None = None,
     ) -> BackendResponse:
         """Send a request and return the complete response.
@@ -125,8 +134,12 @@
         ----------
         deadline
             Time until which to wait for the response, in monotonic seconds.
+        attempt_id
+            Id that identifies the response to this attempt; empty if there is none.
+            The attempt is not sent on a connection on which it has failed before:
+            a second copy of that response would have the same id.
         matches
-            Returns whether a response with these headers belongs to the request.
+            Returns whether a response belongs to the request.
         max_idle
             Longest idle time in seconds of a connection to reuse; lower for a
             request that must not be retried, as an idle connection may be stale.
--- a/packages/almondrouterd/src/almondrouterd/platform/headers.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/headers.py
@@ -68,9 +68,13 @@
             headers=drop_headers(headers, HOP_BY_HOP_HEADERS),
         )
 
-    def is_response_to(self, request: CallRequest, headers: HeaderList) -> bool:  # noqa: D102
+    def is_response_to(  # noqa: D102
+        self, request: CallRequest, headers: HeaderList, *, reused: bool
+    ) -> bool:
         answered = dict(headers).get(ATTEMPT_ID)
-        return answered is None or answered == request.attempt_id
+        if answered is None:
+            return not reused
+        return answered == request.attempt_id
 
 
 def parse_milliseconds(text: str) -> float | None:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -285,9 +285,22 @@
         found = (answer.executed, answer.misdirected, answer.genuine)
         self.assertEqual(tuple(map(bool, expected)), found)
 
-    @parameterized.expand([("own", True), ("other", False), (None, True)])
-    def test_response_is_matched_by_attempt_id(self, answered, expected):
-        """Guards against a late response that is matched to another request."""
+    @parameterized.expand(
+        [
+            ("own", False, True),
+            ("own", True, True),
+            ("other", False, False),
+            ("other", True, False),
+            (None, False, True),
+            (None, True, False),
+        ]
+    )
+    def test_response_is_matched_by_attempt_id(self, answered, reused, expected):
+        """Guards against a late response that is matched to another request.
+
+        A response without an id is beyond doubt only as the first on its connection.
+        """
         request = msgspec.structs.replace(make_request(deadline=1.0), attempt_id="own")
         headers = (("attempt-id", answered),) if answered else ()
-        self.assertEqual(expected, self.dialect.is_response_to(request, headers))
+        found = self.dialect.is_response_to(request, headers, reused=reused)
+        self.assertEqual(expected, found)
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -34,6 +34,11 @@
 SHED_200 = OK.replace(b"\r\n\r\n", b"\r\nAlmond-Outcome: not-run\r\n\r\n")
 
 
+def is_own(headers, reused):
+    """Return whether the headers have the id of the request."""
+    return ("attempt", "own") in headers
+
+
 class BackendClientTest(CallAssertions, unittest.IsolatedAsyncioTestCase):
     """Requests to a server that sends the scripted bytes as its response."""
 
@@ -161,12 +166,10 @@
     ):
         """Guards against returning the late response of an earlier request."""
         self.script = (data, False)
-        response = await self.send(
-            matches=lambda headers: ("attempt", "own") in headers
-        )
+        response = await self.send(matches=is_own)
         self.assertEqual(b"mine", response.body)
         self.assertEqual(discarded, self.client.counts["stray_responses"])
-        await self.send(matches=lambda headers: ("attempt", "own") in headers)
+        await self.send(matches=is_own)
         self.assertEqual(2, self.client.counts["connections_opened"])
 
     @parameterized.expand(
--- a/tests/test_transport_backends_endless.py
+++ b/tests/test_transport_backends_endless.py
@@ -72,7 +72,7 @@
 ]
 
 
-def is_own(headers):
+def is_own(headers, reused):
     """Return whether a response belongs to the request."""
     return ("attempt", "own") in headers
 
