Read the store's current state first after a restart

Cause: the first read of a daemon could be stale, and the configuration was not read again before the watch began 3 s later. The same read could bring back a backend server of the host that had left.

Change: the first read is linearizable, except at the first start of the whole fleet, when no earlier process can have acknowledged anything. That is two reads at the full price for each restarted daemon, within the rates (195 daemons at once: 390 of 16,000 a second).

Result: test_first_read_of_a_restarted_daemon_is_current fails without the change (version 1, state ready) and passes with it.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
@@ -76,6 +76,8 @@
         Number of calls by kind.
     stale_reads
         Number of range reads that allowed stale results.
+    stale_items
+        Items that stale reads return; None for the current ones.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -89,6 +91,7 @@
         self.faulty_calls: set[str] | None = None
         self.calls: Counter[str] = Counter()
         self.stale_reads = 0
+        self.stale_items: dict[str, _Item] | None = None
         self.server = CallerServer(
             address="127.0.0.1:0", handler=self._handle, max_body_bytes=MAX_BODY_BYTES
         )
@@ -126,6 +129,10 @@
             self._delete(key)
             self._changed.notify_all()
 
+    def freeze_stale_reads(self) -> None:
+        """Let stale reads return the present state from now on."""
+        self.stale_items = dict(self._state.items)
+
     def compact_history(self) -> None:
         """Discard the event history."""
         self._state.history.clear()
@@ -215,11 +222,14 @@
         return make_response(HTTPStatus.OK, at=self._state.revision, **fields)
 
     def _read_range(self, parameters: dict[str, str]) -> CallerResponse:
-        self.stale_reads += parameters.get("allow_stale") == "1"
+        items = self._state.items
+        if parameters.get("allow_stale") == "1":
+            self.stale_reads += 1
+            items = items if self.stale_items is None else self.stale_items
         prefix, after = parameters["path_prefix"], parameters.get("after", "")
         found = [
             describe_item(key, item)
-            for key, item in sorted(self._state.items.items())
+            for key, item in sorted(items.items())
             if key.startswith(prefix) and key > after
         ]
         page = found[:3]
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -71,11 +71,16 @@
     poll_until
         Monotonic time in seconds until which the daemon polls instead of watching,
         because it will probably discover a peer that watches on its behalf.
+    first_read_may_be_stale
+        Whether the first read may be stale. That is safe only if no earlier process
+        of this host can have acted on a later state, or acknowledged one.
 
     Notes
     -----
     While ``watching`` is False, another daemon relays the changes, and only the
-    polled keys are read periodically; these reads may be stale. After a failure
+    polled keys are read periodically; these reads may be stale. The first read of a
+    restarted daemon is not: it would bring back an older configuration, or a backend
+    server that has left. After a failure
     the watch resumes at the revision where it ended. All keys are read again only
     if the store has compacted the history since that revision, or if another
     daemon announces a newer configuration.
@@ -90,6 +95,7 @@
         random: random_module.Random,
         on_connection_changed: Callable[[], None] = lambda: None,
         poll_until: float = 0.0,
+        first_read_may_be_stale: bool = False,
     ) -> None:
         self._on_connection_changed = on_connection_changed
         self._store = store
@@ -100,7 +106,7 @@
         self._revision = 0
         self._all_keys_read = False
         self._up_to_date = False
-        self._stale_read_allowed = True
+        self._stale_read_allowed = first_read_may_be_stale
         self._interrupt = asyncio.Event()
         self._poll_until = poll_until
         self._watching = clock.monotonic() >= poll_until
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -98,7 +98,7 @@
 _log = EventLogger("daemon")
 _METRICS_HEADERS = (("content-type", "text/plain; version=0.0.4; charset=utf-8"),)
 METRICS_PATH = "/metrics"
-_RELOADABLE_SETTINGS = frozenset({"repeat_limits", "stop_within"})
+_RELOADABLE_SETTINGS = frozenset({"repeat_limits", "stop_within", "is_first_start"})
 
 
 @dataclass(slots=True)
@@ -171,6 +171,7 @@
             random=self._random,
             on_connection_changed=self.links.notify_all,
             poll_until=self._lifecycle.started_at + STORE_WATCH_DELAY_S,
+            first_read_may_be_stale=settings.is_first_start,
         )
         self._peers = Peers(
             links=self.links,
--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -57,6 +57,7 @@
     limits: _Limits
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     zones: dict[str, str] = {}
+    bootstrap: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +91,8 @@
         Limits on retries over the whole fleet.
     link_bytes_per_second
         Capacity of the network link of the host.
+    is_first_start
+        Whether the whole fleet starts for the first time.
     """
 
     host: str
@@ -108,6 +111,7 @@
     stop_within: float
     repeat_limits: FleetRetryLimits
     link_bytes_per_second: float
+    is_first_start: bool = False
 
 
 BYTES_PER_MEGABIT = 125_000
@@ -168,6 +172,7 @@
             bounds.retry_budget_ratio, bounds.budget_extra, bounds.budget_window_s
         ),
         link_bytes_per_second=compute_link_rate(file.limits.link_mbps),
+        is_first_start=file.bootstrap,
     )
 
 
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -19,7 +19,7 @@
     Registration,
 )
 from almondrouter.coordination.storefeed import StoreFeed, find_common_prefix
-from almondrouter.state.hosts import encode_host
+from almondrouter.state.hosts import ServingState, encode_host
 from almondrouter_standins.platform_store import PlatformStoreServer, StoreFault
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
 from almondrouterd.platform.store import PlatformStore
@@ -62,7 +62,7 @@
             task = asyncio.create_task(work)
             self.addCleanup(task.cancel)
 
-    def make_feed(self, records, *, poll_for=0.0):
+    def make_feed(self, records, *, poll_for=0.0, first_read_may_be_stale=False):
         clock = SystemClock()
         return StoreFeed(
             self.store,
@@ -73,6 +73,7 @@
                 self.feed.reaches_store
             ),
             poll_until=clock.monotonic() + poll_for,
+            first_read_may_be_stale=first_read_may_be_stale,
         )
 
     def count_activation(self):
@@ -200,11 +201,8 @@
             on_own_lost=self.fail,
             on_seen=lambda entry: None,
         )
-        feed = self.make_feed(records, poll_for=0.3)
-        task = asyncio.create_task(feed.run())
-        self.addCleanup(task.cancel)
-        async with asyncio.timeout(5):
-            await feed.loaded.wait()
+        feed = self.make_feed(records, poll_for=0.3, first_read_may_be_stale=True)
+        await self.run_until_loaded(feed)
         feed.set_watching(True)
         self.assertFalse(feed.watching)
         self.assertEqual(self.server.calls["kv-range"], self.server.stale_reads)
@@ -213,6 +211,46 @@
         await wait_until(lambda: self.server.calls["kv-watch"])
         self.assertGreater(self.server.calls["kv-range"], self.server.stale_reads)
 
+    async def run_until_loaded(self, feed):
+        task = asyncio.create_task(feed.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await feed.loaded.wait()
+
+    @parameterized.expand(
+        [("restart", False, 2, "leaving"), ("first start", True, 1, "ready")]
+    )
+    async def test_first_read_of_a_restarted_daemon_is_current(
+        self, _, first_start, version, state
+    ):
+        """Guards against an older state after a restart of the daemon or of all.
+
+        A version was acknowledged and a backend server left just before; peers that
+        restart at the same time cannot tell of it.
+        """
+        key = HOSTS_PREFIX + "own"
+        await wait_until(lambda: key in self.server.keys)
+        await self.put_version(1)
+        self.server.freeze_stale_reads()
+        await self.put_version(2)
+        leaving = make_entry("own", change=2, state=ServingState.LEAVING)
+        await self.server.put(key, encode_host(leaving))
+        self.routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        seen = []
+        records = HostRecords(
+            HostDirectory(clock=SystemClock(), is_alive=lambda _: False),
+            own_host="own",
+            on_own_lost=self.fail,
+            on_seen=lambda entry: None,
+            on_own_seen=seen.append,
+        )
+        feed = self.make_feed(
+            records, poll_for=60.0, first_read_may_be_stale=first_start
+        )
+        await self.run_until_loaded(feed)
+        self.assertEqual(version, self.routes.version)
+        self.assertEqual([state], [entry.backend.state.value for entry in seen])
+
     async def test_stale_read_does_not_report_the_own_record_lost(self):
         """Guards against rewriting the own record after each outdated read."""
         losses = []
