Store that a backend server leaves before acknowledging it

Cause: a daemon that restarts restores its backend server from its stored record. It acknowledged a leaving one first and wrote the record afterwards. Where it lost power in between, its successor read a ready state, and a backend server that deregisters sends no further heartbeat that would correct it.

Change: an acknowledgement of a leaving backend server waits until the store has the record, for at most 0.5 s; while the store does not respond, it is given without that and logged.

--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -63,6 +63,7 @@
         self._lease: Lease | None = None
         self._written_entry: HostEntry | None = None
         self._changed = asyncio.Event()
+        self._written = asyncio.Event()
         self._backoff_s = INITIAL_BACKOFF_S
         self.counts: Counter[str] = Counter()
 
@@ -70,6 +71,17 @@
         """Schedule a write of the record because it has changed."""
         self._changed.set()
 
+    async def wait_until_written(self) -> None:
+        """Wait until the store has the current record, if there is one to write."""
+        while self._needs_write(self._make_entry()):
+            self._written.clear()
+            await self._written.wait()
+
+    def _needs_write(self, entry: HostEntry) -> bool:
+        if entry.backend is None and self._written_entry is None:
+            return False  # Without a backend server, other daemons have no use for it.
+        return entry != self._written_entry
+
     def restore_record(self) -> None:
         """Schedule a write of the record because the store no longer has it."""
         if self._written_entry is not None:
@@ -119,13 +131,12 @@
     async def _write_record(self) -> None:
         self._changed.clear()
         entry = self._make_entry()
-        if entry == self._written_entry or self._lease is None:
+        if self._lease is None or not self._needs_write(entry):
             return
-        if entry.backend is None and self._written_entry is None:
-            return  # Without a backend server, other daemons have no use for it.
         put = Put(HOSTS_PREFIX + entry.host, encode_host(entry), self._lease.lease_id)
         await self._store.commit(Transaction(success=(put,)))
         self._written_entry = entry
+        self._written.set()
         self.counts["written"] += 1
 
     async def _wait_for_change(self, seconds: float) -> None:
--- a/packages/almondrouterd/src/almondrouterd/backendcontrol.py
+++ b/packages/almondrouterd/src/almondrouterd/backendcontrol.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.logs import EventLogger
+from almondrouter.state.hosts import ServingState
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouterd.platform.heartbeats import (
     ACKNOWLEDGEMENT,
@@ -18,6 +20,10 @@
     decode_heartbeat,
 )
 
+MAX_STORE_WAIT_S = 0.5
+"""Seconds that an acknowledgement waits for the store. The backend server discards an
+acknowledgement that takes a second."""
+
 _JSON = (("content-type", "application/json"),)
 _log = EventLogger("heartbeats")
 
@@ -37,6 +43,14 @@
     is_stopping
         Returns whether the daemon is stopping; if so, heartbeats are acknowledged
         but do not make the backend server ready again.
+    store_state
+        Awaited until the store has the state of the backend server.
+
+    Notes
+    -----
+    A daemon that restarts restores its backend server from the store. The state of a
+    leaving one is therefore stored before it is acknowledged. While the store does not
+    respond, it is acknowledged without that: the backend server leaves in any case.
     """
 
     def __init__(
@@ -46,11 +60,13 @@
         backend_address: str,
         routes: ActiveRoutes,
         is_stopping: Callable[[], bool],
+        store_state: Callable[[], Awaitable[None]],
     ) -> None:
         self._backend = backend
         self._backend_address = backend_address
         self._routes = routes
         self._is_stopping = is_stopping
+        self._store_state = store_state
 
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Handle a heartbeat or a deregistration."""
@@ -69,8 +85,22 @@
                 "heartbeat or deregistration refused", path=path, reason=error.message
             )
             return CallerResponse(HTTPStatus.BAD_REQUEST, (), b"")
+        await self._store_leaving_state()
         return CallerResponse(HTTPStatus.OK, _JSON, ACKNOWLEDGEMENT)
 
+    async def _store_leaving_state(self) -> None:
+        entry = self._backend.entry
+        if entry is None or entry.state is not ServingState.LEAVING:
+            return
+        try:
+            async with asyncio.timeout(MAX_STORE_WAIT_S):
+                await self._store_state()
+        except TimeoutError:
+            _log.warning(
+                "leaving backend server acknowledged before the store knows of it",
+                backend=entry.backend,
+            )
+
     def _handle_heartbeat(self, backend: str, body: bytes) -> None:
         report = decode_heartbeat(backend, body)
         if report.address != self._backend_address:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -261,6 +261,7 @@
             backend_address=settings.backend_address,
             routes=self.routes,
             is_stopping=lambda: self._lifecycle.stopping_at is not None,
+            store_state=self.registration.wait_until_written,
         )
         self._control_server = self._make_internal_server(
             settings.backend_control_address, control.handle
--- a/tests/test_almondrouterd_backendcontrol.py
+++ b/tests/test_almondrouterd_backendcontrol.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from unittest.mock import patch
 
 from parameterized import parameterized
 
@@ -12,6 +14,7 @@
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.state.hosts import ServingState
 from almondrouter.transport.calls import CallerRequest
+from almondrouterd import backendcontrol
 from almondrouterd.backendcontrol import BackendControl
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
 from almondrouterd.platform.headers import PlatformDialect
@@ -27,6 +30,8 @@
 
     async def asyncSetUp(self):
         self.stopping = False
+        self.stored = []
+        self.store_answers = True
         self.routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
         self.backend = LocalBackend(
             sender=None,
@@ -40,9 +45,15 @@
             backend_address=OWN,
             routes=self.routes,
             is_stopping=lambda: self.stopping,
+            store_state=self.store_state,
         )
         self.assertEqual(200, await self.send_heartbeat())
 
+    async def store_state(self):
+        if not self.store_answers:
+            await asyncio.Event().wait()
+        self.stored.append(self.backend.entry.state)
+
     async def post(self, path, body=b""):
         request = CallerRequest("POST", path, (), body)
         return (await self.control.handle(request)).status
@@ -110,6 +121,29 @@
         entry = self.backend.entry
         self.assertEqual(expected, entry and entry.backend)
 
+    @parameterized.expand(
+        [
+            ("report", HEARTBEAT_PATH + "i-1", make_heartbeat(OWN, state="draining")),
+            ("deregistration", DEREGISTER_PATH + "i-1", b""),
+        ]
+    )
+    async def test_leaving_state_is_stored_before_it_is_acknowledged(
+        self, _, path, body
+    ):
+        """Guards against a restarted daemon that restores a server that has left.
+
+        The daemon loses power right after its acknowledgement.
+        """
+        self.assertEqual([], self.stored)
+        self.assertEqual(200, await self.post(path, body))
+        self.assertEqual([LEAVING], self.stored)
+
+    @patch.object(backendcontrol, "MAX_STORE_WAIT_S", 0.01)
+    async def test_leaving_is_acknowledged_without_the_store(self):
+        """Guards against leaving servers without acknowledgement in a store outage."""
+        self.store_answers = False
+        self.assertEqual(200, await self.send_heartbeat(state="draining"))
+
     async def test_stopping_daemon_ignores_a_new_start(self):
         """Guards against a heartbeat that makes a stopping daemon's backend ready."""
         self.stopping = True
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -162,6 +162,16 @@
         await self.server.remove(key)
         await wait_until(lambda: key in self.server.keys)
 
+    async def test_write_of_a_changed_record_can_be_awaited(self):
+        """Guards against acknowledging a state that a power loss would undo."""
+        key = HOSTS_PREFIX + "own"
+        await wait_until(lambda: key in self.server.keys)
+        self.entry = make_entry("own", change=1, state=ServingState.LEAVING)
+        self.registration.update()
+        async with asyncio.timeout(5):
+            await self.registration.wait_until_written()
+        self.assertEqual(encode_host(self.entry), self.server.keys[key])
+
     async def test_invalid_records_do_not_hide_the_others(self):
         """Guards against one invalid record that prevents reading the others."""
         await self.server.put(HOSTS_PREFIX + "bad", b"\xff")
