Identify refusals of backend servers of the product's own interface

Cause: a backend server of this interface refuses with a status and a header that name no request. A copy of an earlier refusal on a kept connection made a request that was running count as not run.

Change: the daemon sends Almond-Send-Id, and a refusal repeats it. Without it, a refusal counts only as the first response on its connection; otherwise the outcome is unknown. The stand-in and the example repeat it. The exact header table of test_complete_response gains the id.

--- a/examples/backend_server.py
+++ b/examples/backend_server.py
@@ -30,10 +30,13 @@
         """Answer a call, or shed it.
 
         The outcome ``not-run`` tells the daemon that it may send the call to
-        another backend server.
+        another backend server; the repeated id shows that the refusal is not a late
+        copy of an earlier one.
         """
         if self.running >= self.arguments.slots:
-            return web.Response(status=503, headers={"Almond-Outcome": "not-run"})
+            send_id = request.headers.get("Almond-Send-Id", "")
+            headers = {"Almond-Outcome": "not-run", "Almond-Send-Id": send_id}
+            return web.Response(status=503, headers=headers)
         self.running += 1
         try:
             body = await request.text()
--- a/packages/almondrouter-standins/src/almondrouter_standins/backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/backend.py
@@ -205,7 +205,9 @@
             or self.state != "ready"
             or self.in_use >= self.slots
         ):
-            return HTTPResponse(status=503, headers={"Almond-Outcome": "not-run"})
+            send_id = request.headers.get("almond-send-id", "")
+            headers = {"Almond-Outcome": "not-run", "Almond-Send-Id": send_id}
+            return HTTPResponse(status=503, headers=headers)
         return None
 
     async def _respond(self, request: Request) -> HTTPResponse | None:
--- a/packages/almondrouter-standins/src/almondrouter_standins/call_dependencies.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/call_dependencies.py
@@ -290,6 +290,7 @@
         body: bytes,
         *,
         deadline: float,
+        attempt_id: str = "",
     ) -> BackendResponse:
         run_result = self.run_result
         if isinstance(run_result, CallError) and run_result.outcome is Outcome.NOT_RUN:
--- a/packages/almondrouter/src/almondrouter/coordination/egress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/egress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable, Mapping
 
 from almondrouter.clock import Clock
@@ -28,6 +29,7 @@
         names.OUTCOME.lower(),
         names.CODE.lower(),
         names.VERSION.lower(),
+        names.SEND_ID.lower(),
     }
 )
 
@@ -74,6 +76,7 @@
         self._quarantine = quarantine
         self._clock = clock
         self._tracer = tracer
+        self._send_ids = itertools.count(1)
 
     def find_admission(self, request: CallRequest) -> Admission:
         """Return the admission control of the call's backend server.
@@ -172,12 +175,14 @@
             raise CallError(ErrorCode.NO_BACKEND, "the backend server was removed")
         with self._tracer.span("egress", request.traceparent) as span:
             span.annotate(backend=request.backend, **{"class": request.class_name})
+            send_id = str(next(self._send_ids))
             response = await backend.send(
                 request.method,
                 request.target,
-                self._make_headers(request, span.traceparent),
+                self._make_headers(request, send_id, span.traceparent),
                 request.body,
                 deadline=request.deadline,
+                attempt_id=send_id,
             )
             span.annotate(status=response.status)
         headers = tuple(
@@ -186,12 +191,15 @@
         status = response.status
         return CallReply(0, Outcome.COMPLETE, status, headers, response.body, "", None)
 
-    def _make_headers(self, request: CallRequest, traceparent: str) -> HeaderList:
+    def _make_headers(
+        self, request: CallRequest, send_id: str, traceparent: str
+    ) -> HeaderList:
         time_left = request.deadline - self._clock.monotonic()
         headers = [
             *request.headers,
             (names.CLASS.lower(), request.class_name),
             (names.DEADLINE_MS.lower(), str(max(0, int(time_left * 1000)))),
+            (names.SEND_ID.lower(), send_id),
         ]
         if request.key:
             headers.append((names.IDEMPOTENCY_KEY.lower(), request.key))
--- a/packages/almondrouter/src/almondrouter/coordination/ingress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/ingress.py
@@ -60,7 +60,7 @@
 _DROPPED_HEADERS = names.HOP_BY_HOP_HEADERS | _ROUTER_HEADERS
 _DROPPED_HEADERS |= {
     "host",
-    *(name.lower() for name in (names.DEADLINE_MS, names.OUTCOME)),
+    *(name.lower() for name in (names.DEADLINE_MS, names.OUTCOME, names.SEND_ID)),
     *(name.lower() for name in (names.CODE, names.VERSION)),
 }
 _DIGITS = re.compile(r"[0-9]{1,18}")
--- a/packages/almondrouter/src/almondrouter/protocol/headers.py
+++ b/packages/almondrouter/src/almondrouter/protocol/headers.py
@@ -12,6 +12,9 @@
 CODE = "Almond-Code"
 VERSION = "Almond-Version"
 DEADLINE_MS = "Almond-Deadline-Ms"
+SEND_ID = "Almond-Send-Id"
+"""Identifies one sending of a request to a backend server, which repeats the id in a
+refusal."""
 IDEMPOTENCY_KEY = "Idempotency-Key"
 TRACEPARENT = "traceparent"
 
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -13,7 +13,7 @@
 from almondrouter.clock import Clock
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import HeaderList
-from almondrouter.protocol.headers import OUTCOME, Outcome
+from almondrouter.protocol.headers import OUTCOME, SEND_ID, Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.calls import (
     BackendResponse,
@@ -82,6 +82,7 @@
 """
 
 _OUTCOME_HEADER = OUTCOME.lower()
+_SEND_ID_HEADER = SEND_ID.lower()
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 
 
@@ -182,8 +183,9 @@
                 self._release_connection(connection)
                 self._deadlines.discard(future)
         if is_refusal(response):
-            message = "the backend server refused the request without running it"
-            raise CallError(ErrorCode.BACKEND_REFUSED, message)
+            raise make_refusal_error(
+                response, attempt_id=attempt_id, reused=connection.reused
+            )
         return response
 
     def _check_deadline(self, deadline: float) -> None:
@@ -328,6 +330,8 @@
     ----------
     reusable
         Whether the connection can carry another request.
+    reused
+        Whether the last request, or a response to it, was not the first one.
     was_stale
         Whether the connection was reused after an idle period and closed without
         any response bytes.
@@ -358,7 +362,7 @@
         self._attempt_id = ""
         self._failed_attempts: set[str] = set()
         self._matches: ResponseMatcher | None = None
-        self._reused = False
+        self.reused = False
         self._discarded_response_count = 0
         self._received_data = False
         self.reusable = True
@@ -390,7 +394,7 @@
             Responses for which it returns False belong to an earlier request and
             are discarded. The connection is then closed after the right one.
         """
-        self._reused = self._parser is not None
+        self.reused = self._parser is not None
         self._attempt_id = attempt_id
         self._discard_response()
         self._received_bytes = 0
@@ -568,10 +572,10 @@
             self.reusable = False
 
     def _complete_response(self) -> None:
-        if self._matches is not None and not self._matches(self._headers, self._reused):
+        if self._matches is not None and not self._matches(self._headers, self.reused):
             self._discarded_response_count += 1
             self.reusable = False
-            self._reused = True
+            self.reused = True
             self._discard_response()
             return
         self._complete = True
@@ -625,6 +629,26 @@
     return (_OUTCOME_HEADER, Outcome.NOT_RUN.value) in response.headers
 
 
+def make_refusal_error(
+    response: BackendResponse, *, attempt_id: str, reused: bool
+) -> CallError:
+    """Return the error for a refusal; the outcome is unknown if it may be a copy.
+
+    Parameters
+    ----------
+    attempt_id
+        Id that a refusal repeats in ``Almond-Send-Id``.
+    reused
+        Whether the connection has carried earlier requests.
+    """
+    identified = (_SEND_ID_HEADER, attempt_id) in response.headers
+    if reused and not identified:
+        message = "the refusal may be that of an earlier request on the connection"
+        return CallError(ErrorCode.BACKEND_FAILED, message, outcome=Outcome.UNKNOWN)
+    message = "the backend server refused the request without running it"
+    return CallError(ErrorCode.BACKEND_REFUSED, message)
+
+
 def encode_request(
     address: str, method: str, target: str, headers: HeaderList, body: bytes
 ) -> bytes:
--- a/tests/test_coordination_calls.py
+++ b/tests/test_coordination_calls.py
@@ -94,6 +94,7 @@
         self.assertIn(("x", "y"), response.headers)
         _, headers = self.fleet.backends["h1"].runs[0]
         self.assertEqual("10000", headers.pop("almond-deadline-ms"))
+        self.assertEqual("1", headers.pop("almond-send-id"))
         self.assertEqual(
             {"cookie": "c", "almond-attempt": "1", "almond-class": "read"}, headers
         )
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -191,6 +191,22 @@
         self.script = (SHED, False)
         await self.assert_fails(self.send(), ErrorCode.BACKEND_REFUSED, Outcome.NOT_RUN)
 
+    @parameterized.expand(
+        [
+            ("the id", b"b", ErrorCode.BACKEND_REFUSED, Outcome.NOT_RUN),
+            ("another id", b"a", ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN),
+            ("no id", b"", ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN),
+        ]
+    )
+    async def test_refusal_on_a_reused_connection(self, _, send_id, code, outcome):
+        """Guards against the copy of an earlier refusal, which hides a run."""
+        self.script = (OK, False)
+        await self.send(attempt_id="a")
+        header = b"Almond-Send-Id: " + send_id + b"\r\nContent-Length"
+        self.script = (SHED.replace(b"Content-Length", header), False)
+        await self.assert_fails(self.send(attempt_id="b"), code, outcome)
+        self.assertEqual(1, self.client.counts["connections_opened"])
+
     async def test_trailer_is_not_a_header(self):
         """Guards against a trailer that marks a response as not run or as another's."""
         self.script = (SHED_IN_TRAILER, False)
