Run the pipelined requests of a connection one after another

Cause: a response without a length closes its connection. A chunked response would mark a body as complete that may be cut; refusing it would withhold an answer that is ready.

Change: a request starts once the one before it is answered. Requests behind a closing response have not run, so that callers may send them again, whatever their kind.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -231,7 +231,7 @@
             self.refuse_request(ErrorCode.STOPPING)
             return
         self._pipeline.append(Exchange(request, keep_alive))
-        self._start_ready_requests()
+        self._start_next_request()
 
     @property
     def is_receiving(self) -> bool:
@@ -286,9 +286,10 @@
         elif now >= self._expires_at:
             self.abort(EndReason.CLOSED)
 
-    def _start_ready_requests(self) -> None:
-        """Start the queued requests that need not wait for earlier ones."""
-        for exchange in self._pipeline.list_startable():
+    def _start_next_request(self) -> None:
+        """Start the oldest request if it has not started."""
+        exchange = self._pipeline.find_startable()
+        if exchange is not None:
             exchange.started = True
             exchange.task = asyncio.create_task(self._serve_request(exchange))
 
@@ -305,7 +306,7 @@
         finally:
             exchange.task = None
         if not self._closing:
-            self._send_ready_responses()
+            self._send_response()
 
     def _report_failure(self, error: BaseException) -> CallerResponse:
         self._server.counts["failed"] += 1
@@ -315,26 +316,25 @@
         )
         return self._make_error_response(Outcome.UNKNOWN, ErrorCode.BACKEND_FAILED)
 
-    def _send_ready_responses(self) -> None:
-        """Send responses in the order of the requests, as far as they are complete."""
+    def _send_response(self) -> None:
+        """Send the response of the oldest request, then start the next one."""
         server = self._server
-        while (exchange := self._pipeline.pop_answered()) is not None:
-            if server.draining or server.keep_alive_disabled:
-                # Requests that arrive from now on are ignored. Their caller may
-                # safely retry them elsewhere once the connection is closed.
-                self._reader.stop()
-            last = self._reader.stopped and not (self._pipeline or self._refusal)
-            keep_alive = exchange.keep_alive and not last
-            keep_alive = keep_alive and exchange.response.framed
-            self._write_response(exchange.response, keep_alive=keep_alive)
-            if not keep_alive:
-                self._end_reason = EndReason.RESPONSE_UNFRAMED
-                self._half_close()
-                return
+        exchange = self._pipeline.pop_answered()
+        if server.draining or server.keep_alive_disabled:
+            # Requests that arrive from now on are ignored. Their caller may safely
+            # retry them elsewhere once the connection is closed.
+            self._reader.stop()
+        last = self._reader.stopped and not (self._pipeline or self._refusal)
+        keep_alive = exchange.keep_alive and not last and exchange.response.framed
+        self._write_response(exchange.response, keep_alive=keep_alive)
+        if not keep_alive:
+            self._end_reason = EndReason.RESPONSE_UNFRAMED
+            self._half_close()
+            return
         if self._refusal is not None and not self._pipeline:
             self._send_refusal()
             return
-        self._start_ready_requests()
+        self._start_next_request()
         self._resume_reading()
 
     def _resume_reading(self) -> None:
--- a/packages/almondrouter/src/almondrouter/transport/pipelines.py
+++ b/packages/almondrouter/src/almondrouter/transport/pipelines.py
@@ -12,9 +12,6 @@
 MAX_PIPELINED = 16
 """Limit on pipelined requests of a connection that wait for a response."""
 
-_CONCURRENT_METHODS = frozenset({"GET", "HEAD"})
-"""Safe methods, whose pipelined requests are served concurrently."""
-
 
 @dataclass(slots=True, eq=False)
 class Exchange:
@@ -38,9 +35,9 @@
 
     Notes
     -----
-    Pipelined requests run concurrently only if their methods are safe. Any other
-    request waits until the ones before it are answered: if one of their responses
-    closes the connection, the caller retries the request, which must not have run.
+    A request waits until the ones before it are answered: a response without a length
+    closes the connection, and the caller retries the requests behind it. They must
+    not have run, even those that may be repeated, as nobody gets their responses.
     """
 
     def __init__(self) -> None:
@@ -66,18 +63,11 @@
         """Add the request that was received last."""
         self._exchanges.append(exchange)
 
-    def list_startable(self) -> list[Exchange]:
-        """Return the requests that have not started and need not wait for others."""
-        startable = []
-        for position, exchange in enumerate(self._exchanges):
-            concurrent = exchange.request.method in _CONCURRENT_METHODS
-            if position and not concurrent:
-                break
-            if not exchange.started:
-                startable.append(exchange)
-            if not concurrent:
-                break
-        return startable
+    def find_startable(self) -> Exchange | None:
+        """Return the oldest request unless it has started; None if there is none."""
+        if self._exchanges and not self._exchanges[0].started:
+            return self._exchanges[0]
+        return None
 
     def pop_answered(self) -> Exchange | None:
         """Remove and return the oldest request if its response is available."""
