Answer no pings of a peer that reads nothing

Cause: each ping is answered at once. A peer that sends pings and does not read makes the replies collect in memory: 7.0 MB after 300,000 pings.

Change: while the link is not writable, pings are not answered. The peer sees that bytes arrive as soon as it reads.

--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -385,7 +385,9 @@
 
     def _dispatch_frame(self, frame: CallFrame) -> None:
         if self._handshake_done and isinstance(frame, Ping):
-            self.send(Pong(frame.clock, self._clock.monotonic()))
+            # A peer that reads nothing must not fill the memory with replies.
+            if self.is_writable:
+                self.send(Pong(frame.clock, self._clock.monotonic()))
         elif self._handshake_done and isinstance(frame, Pong):
             self._record_pong(frame)
         else:
