Reject pages of the store that do not continue

Cause: a store that announces a further page for ever, with the same keys, kept a daemon reading and collecting items without end.

Change: a page whose last key is not behind that of the page before is an invalid response, logged and tried again like others.

--- a/packages/almondrouterd/src/almondrouterd/platform/store.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -154,7 +154,11 @@
             revision = revision or page.at
             if not page.has_more or not page.items or 0 < limit <= len(items):
                 return ReadResult(tuple(items[: limit or None]), revision)
-            query["after"] = page.items[-1].key
+            last_key = page.items[-1].key
+            if last_key <= query.get("after", ""):
+                message = f"page does not continue after key {query['after']!r}"
+                raise AlmondError(ErrorCode.STORE_RESPONSE_INVALID, message)
+            query["after"] = last_key
 
     async def commit(self, transaction: Transaction) -> CommitResult:  # noqa: D102
         response = await self._call_store(
