Discard the trailers of requests and limit their bytes

Cause: the parser reports trailers like headers, so a trailer of a caller replaced headers such as the id of its request. Trailers, chunk extensions and chunk sizes had no limit, and a body of small chunks took one object each.

Change: trailers are discarded. Chunk framing and trailers are limited as headers are, with 32 bytes more for each part of the body, and a body is stored in one buffer.

--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -18,6 +18,9 @@
 """Unparsed bytes of a connection from which on it is not read."""
 PARSE_BYTES = 4_096
 """Most bytes to parse at once, except in a body of known length."""
+CHUNK_FRAMING_BYTES = 32
+"""Bytes of chunk sizes and trailers that are allowed for each part of a body, beside
+the bytes that the headers may have."""
 MIN_REQUEST_BYTES = 16
 """Lower bound of the length of a request with its empty line."""
 
@@ -130,7 +133,8 @@
         return sum(self._waiting.count(end, 0, size) for end in (b"\n\r\n", b"\n\n"))
 
     def _parse(self, data: bytes) -> None:
-        requests_read = self._requests_read
+        requests_read, body_size = self._requests_read, self._body_size
+        in_body = self._headers_done
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -140,7 +144,13 @@
         else:
             # The bytes of an earlier request in this data are not told apart.
             unmixed = requests_read == self._requests_read
-            if unmixed and self.receiving and not self._headers_done:
+            if not unmixed or not self.receiving:
+                return
+            if in_body:
+                self._framing_bytes += len(data) - (self._body_size - body_size)
+                allowed = CHUNK_FRAMING_BYTES * self._body_parts
+                self._check_header_bytes(self._framing_bytes - allowed)
+            elif not self._headers_done:
                 self._partial_header_bytes += len(data)
                 self._check_header_bytes(self._partial_header_bytes)
 
@@ -157,7 +167,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; the name is converted to lower case."""
+        """Store a header with its name in lower case; trailers are discarded."""
+        if self._headers_done:
+            return
         self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -182,10 +194,16 @@
             return
         self._body_size += len(body)
         self._body_left = max(0, self._body_left - len(body))
+        self._body_parts += 1
         if self._body_size > self._max_body_bytes:
             self._refuse(ErrorCode.BODY_TOO_LARGE)
+        elif not self._body:
+            self._body = body
         else:
-            self._body.append(body)
+            # One buffer, since each small object would cost a multiple of its bytes.
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Pass on the complete request."""
@@ -195,7 +213,7 @@
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             tuple(self._headers),
-            self._body[0] if len(self._body) == 1 else b"".join(self._body),
+            bytes(self._body),
             self.peer,
             self._began_at,
         )
@@ -213,7 +231,9 @@
         self._headers: list[tuple[str, str]] = []
         self._headers_done = False
         self._partial_header_bytes = 0
-        self._body: list[bytes] = []
+        self._framing_bytes = 0
+        self._body: bytes | bytearray = b""
+        self._body_parts = 0
         self._body_size = 0
         self._body_left = 0
         self._max_body_bytes = self._limits().max_body_bytes
