Read host records less often the more hosts there are

Cause: the daemons that watch the store watched all host records, so that each change of one cost a call of each of them, though links bring the change sooner. All others read all records every 12 s, and a new daemon six times in its first 3 s: bytes from the store, mostly between regions, that grow with the square of the hosts.

Change: records are not watched. Every daemon reads at most 4 keys a second of them on average (12 s up to 48 hosts, 49 s at 195), a new one after 0.5, 1.5 and 3.5 s. Its lease renewals show whether the store responds. A stale read later than the last write of the own record shows that it is gone.

--- a/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
@@ -60,7 +60,7 @@
         return self.table is None
 
     def load(  # noqa: D102
-        self, items: Sequence[KeyValue], *, stale: bool = False
+        self, items: Sequence[KeyValue], *, stale: bool = False, revision: int = 0
     ) -> None:
         for item in items:
             if item.key == self._key:
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random as random_module
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -46,6 +47,8 @@
         Returns the current record.
     clock, random
         Sources of monotonic time and of the jitter of delays.
+    on_contact
+        Called after each call of the store with whether it responded.
     """
 
     def __init__(
@@ -55,13 +58,16 @@
         make_entry: Callable[[], HostEntry],
         clock: Clock,
         random: random_module.Random,
+        on_contact: Callable[[bool], None] = lambda reached: None,
     ) -> None:
+        self._on_contact = on_contact
         self._store = store
         self._make_entry = make_entry
         self._clock = clock
         self._random = random
         self._lease: Lease | None = None
         self._written_entry: HostEntry | None = None
+        self.written_revision = 0
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
         self._backoff_s = INITIAL_BACKOFF_S
@@ -105,6 +111,7 @@
                         "lease of own record expired; registering again",
                         code=error.code.value,
                     )
+                self._on_contact(error.code is ErrorCode.LEASE_EXPIRED)
                 await asyncio.sleep(self._backoff_s * self._random.uniform(0.5, 1.0))
                 self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
 
@@ -123,10 +130,12 @@
     async def _renew_lease(self) -> None:
         if self._lease is None:
             self._lease = await self._store.grant_lease(LEASE_TTL_S)
+            self._on_contact(True)
             return
         remaining_s = self._lease.deadline - self._clock.monotonic()
         if remaining_s < LEASE_TTL_S - RENEWAL_INTERVAL_S / 2:
             self._lease = await self._store.keep_alive(self._lease)
+            self._on_contact(True)
 
     async def _write_record(self) -> None:
         self._changed.clear()
@@ -134,8 +143,9 @@
         if self._lease is None or not self._needs_write(entry):
             return
         put = Put(HOSTS_PREFIX + entry.host, encode_host(entry), self._lease.lease_id)
-        await self._store.commit(Transaction(success=(put,)))
-        self._written_entry = entry
+        result = await self._store.commit(Transaction(success=(put,)))
+        self._on_contact(True)
+        self._written_entry, self.written_revision = entry, result.revision
         self._written.set()
         self.counts["written"] += 1
 
@@ -163,6 +173,9 @@
     on_own_seen
         Called with the record of this host after a complete read; an earlier
         daemon of the host may have written it.
+    own_revision
+        Returns the revision of the store at which the record of this host was last
+        written.
     """
 
     def __init__(
@@ -173,7 +186,9 @@
         on_own_lost: Callable[[], None],
         on_seen: Callable[[HostEntry], None],
         on_own_seen: Callable[[HostEntry], None] = lambda entry: None,
+        own_revision: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._own_revision = own_revision
         self._directory = directory
         self._own_host = own_host
         self._on_own_lost = on_own_lost
@@ -184,8 +199,13 @@
     def prefix(self) -> str:  # noqa: D102
         return HOSTS_PREFIX
 
+    @property
+    def is_watched(self) -> bool:  # noqa: D102
+        # Daemons send their records to one another, and links show which are lost.
+        return False
+
     def load(  # noqa: D102
-        self, items: Sequence[KeyValue], *, stale: bool = False
+        self, items: Sequence[KeyValue], *, stale: bool = False, revision: int = 0
     ) -> None:
         entries = {}
         for item in items:
@@ -195,8 +215,8 @@
         own = entries.get(self._own_host)
         if own is not None:
             self._on_own_seen(own)
-        elif not stale:
-            # A stale read may predate the record; its lease shows whether it is lost.
+        elif not stale or revision > self._own_revision():
+            # Any other stale read may predate the record.
             self._on_own_lost()
         self._directory.replace_all(entries, own_host=self._own_host, stale=stale)
         for entry in entries.values():
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -22,10 +22,14 @@
 """Shortest interval between full reads that are requested because other daemons have
 a newer configuration."""
 POLL_INTERVAL_S = 12.0
-"""Seconds between reads by a daemon that does not watch the store. The reads recover
-changes that a relay failed to deliver and show whether the store is reachable."""
+"""Least time between reads of the keys that are not watched. The reads recover changes
+that peers failed to deliver."""
+MAX_POLLED_KEYS_PER_S = 4.0
+"""Keys that a daemon reads a second on average. Every daemon reads all of them, so that
+the bytes from the store would otherwise grow with the square of the number of hosts."""
 STARTUP_POLL_INTERVAL_S = 0.5
-"""Seconds between reads while a new daemon discovers its peers."""
+"""Seconds to the first of the reads with which a new daemon discovers its peers. Each
+of the next intervals is twice as long."""
 COALESCING_DELAY_S = 0.3
 """Seconds for which changes are batched after each event; short compared with the
 seconds within which a new configuration must be in force."""
@@ -41,14 +45,33 @@
     def prefix(self) -> str:
         """Prefix of the keys."""
 
+    @property
+    def is_watched(self) -> bool:
+        """Whether a daemon that watches the store watches these keys.
+
+        Each change of a watched key costs a call of every daemon that watches. Keys
+        whose changes also arrive over the links between daemons are only polled.
+        """
+        return True
+
     @property
     def is_polled(self) -> bool:
         """Whether a daemon that does not watch the store polls these keys."""
         return True
 
     @abstractmethod
-    def load(self, items: Sequence[KeyValue], *, stale: bool = False) -> None:
-        """Apply a complete read, which may be some seconds old if ``stale``."""
+    def load(
+        self, items: Sequence[KeyValue], *, stale: bool = False, revision: int = 0
+    ) -> None:
+        """Apply a complete read.
+
+        Parameters
+        ----------
+        stale
+            Whether the read may be some seconds old.
+        revision
+            Revision of the store that was read.
+        """
 
     @abstractmethod
     def apply(self, event: WatchEvent) -> None:
@@ -56,7 +79,7 @@
 
 
 class StoreFeed:
-    """Reads each subscriber's keys, then receives all changes through one watch.
+    """Reads each subscriber's keys, then watches or polls them for changes.
 
     Parameters
     ----------
@@ -78,11 +101,12 @@
     Notes
     -----
     While ``watching`` is False, another daemon relays the changes, and only the
-    polled keys are read periodically; these reads may be stale. The first read of a
+    polled keys are read periodically; these reads may be stale. One watch covers all
+    watched keys, and the other keys are polled beside it. The first read of a
     restarted daemon is not: it would bring back an older configuration, or a backend
     server that has left. After a failure
-    the watch resumes at the revision where it ended. All keys are read again only
-    if the store has compacted the history since that revision, or if another
+    the watch resumes at the revision where it ended. The watched keys are read again
+    only if the store has compacted the history since that revision, or if another
     daemon announces a newer configuration.
     """
 
@@ -102,9 +126,13 @@
         self._subscribers = subscribers
         self._clock = clock
         self._random = random
-        self._prefix = find_common_prefix([s.prefix for s in subscribers])
+        self._watched = [s for s in subscribers if s.is_watched]
+        self._prefix = find_common_prefix([s.prefix for s in self._watched])
+        self._polled_keys = 0
+        self._poll_interval = STARTUP_POLL_INTERVAL_S
+        self._poll_at = clock.monotonic()
         self._revision = 0
-        self._all_keys_read = False
+        self._watched_keys_read = False
         self._up_to_date = False
         self._stale_read_allowed = first_read_may_be_stale
         self._interrupt = asyncio.Event()
@@ -117,7 +145,7 @@
         self.counts: Counter[str] = Counter()
 
     def request_reread(self) -> None:
-        """Read all keys again soon, even while the watch is open."""
+        """Read the watched keys again soon, even while the watch is open."""
         now = self._clock.monotonic()
         if now >= self._reread_allowed_at:
             self._reread_allowed_at = now + MIN_REREAD_INTERVAL_S
@@ -134,6 +162,20 @@
         """Whether the store responded to the last call; True before the first."""
         return self._connected is not False
 
+    def record_contact(self, *, reached: bool) -> None:
+        """Take over from other calls of this daemon whether the store responds.
+
+        Notes
+        -----
+        A daemon that watches the store knows better by its watch.
+        """
+        if self._watching or not self.loaded.is_set():
+            return
+        if reached:
+            self._record_response()
+        else:
+            self._record_outage(None, "a call for the own record failed")
+
     def set_watching(self, watching: bool) -> None:
         """Start or stop watching; a daemon that has just started polls first."""
         watching = watching and not self._is_starting
@@ -153,9 +195,7 @@
         while True:
             try:
                 self._interrupt.clear()
-                if not self._all_keys_read or (self._watching and not self._up_to_date):
-                    stale = self._stale_read_allowed and not self._watching
-                    await self._read_prefixes(self._subscribers, stale=stale)
+                await self._read_missing_keys()
                 if self._watching:
                     await self._run_watch()
                 else:
@@ -168,36 +208,60 @@
                 await asyncio.sleep(self._backoff_s * self._random.uniform(0.5, 1.0))
                 self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
 
+    async def _read_missing_keys(self) -> None:
+        """Read all keys at first, later the watched ones if they may have changed."""
+        outdated = self._watching and not self._up_to_date
+        if self._watched_keys_read and not outdated:
+            return
+        subscribers = self._watched if self.loaded.is_set() else self._subscribers
+        stale = self._stale_read_allowed and not self._watching
+        await self._read_prefixes(subscribers, stale=stale)
+
     async def _poll_store(self) -> None:
-        """Wait for one polling interval, then read the polled keys."""
-        interval = STARTUP_POLL_INTERVAL_S if self._is_starting else POLL_INTERVAL_S
+        """Wait until the next poll is due, then read the polled keys."""
         try:
-            async with asyncio.timeout(interval * self._random.uniform(0.8, 1.2)):
+            async with asyncio.timeout(self._poll_at - self._clock.monotonic()):
                 await self._interrupt.wait()
         except TimeoutError:
             polled = [s for s in self._subscribers if s.is_polled]
             await self._read_prefixes(polled, stale=True)
 
+    def _schedule_poll(self) -> None:
+        """Set the time of the next poll; a daemon that has just started polls soon."""
+        interval = max(POLL_INTERVAL_S, self._polled_keys / MAX_POLLED_KEYS_PER_S)
+        if self._is_starting:
+            interval = self._poll_interval
+            self._poll_interval *= 2
+        self._poll_at = self._clock.monotonic() + interval * self._random.uniform(
+            0.8, 1.2
+        )
+
     @property
     def _is_starting(self) -> bool:
         return self._clock.monotonic() < self._poll_until
 
     def _require_full_read(self) -> None:
-        """Require a linearizable read of all keys."""
-        self._all_keys_read = self._up_to_date = self._stale_read_allowed = False
+        """Require a linearizable read of the watched keys."""
+        self._watched_keys_read = self._up_to_date = False
+        self._stale_read_allowed = False
 
     async def _read_prefixes(
         self, subscribers: Sequence[StoreSubscriber], *, stale: bool
     ) -> None:
-        revision = None
+        revisions = []
         for subscriber in subscribers:
             result = await self._store.read_prefix(subscriber.prefix, stale=stale)
-            subscriber.load(result.items, stale=stale)
+            subscriber.load(result.items, stale=stale, revision=result.revision)
+            if subscriber.is_watched:
+                revisions.append(result.revision)
+            else:
+                self._polled_keys = len(result.items)
+                self._schedule_poll()
+        if revisions:
             # A watch from the first read misses no change made between the reads.
-            revision = result.revision if revision is None else revision
-        self._revision = revision or 0
-        self._up_to_date = not stale
-        self._all_keys_read = self._stale_read_allowed = True
+            self._revision = revisions[0]
+            self._up_to_date = not stale
+            self._watched_keys_read = self._stale_read_allowed = True
         self.counts["readings"] += 1
         self._record_response()
         self.loaded.set()
@@ -208,16 +272,19 @@
         next_batch: asyncio.Task[WatchBatch] | None = None
         try:
             while not interrupt.done():
-                next_batch = asyncio.ensure_future(anext(batches))
+                if next_batch is None:
+                    next_batch = asyncio.ensure_future(anext(batches))
                 await asyncio.wait(
-                    (next_batch, interrupt), return_when=asyncio.FIRST_COMPLETED
+                    (next_batch, interrupt),
+                    timeout=max(0.0, self._poll_at - self._clock.monotonic()),
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
-                if not next_batch.done():
-                    return
-                batch = next_batch.result()
-                self._apply_batch(batch)
-                if batch.events:
-                    await asyncio.sleep(COALESCING_DELAY_S)
+                if next_batch.done():
+                    batch, next_batch = next_batch.result(), None
+                    self._apply_batch(batch)
+                    if batch.events:
+                        await asyncio.sleep(COALESCING_DELAY_S)
+                await self._poll_unwatched_keys()
         finally:
             interrupt.cancel()
             if next_batch is not None:
@@ -225,6 +292,13 @@
                 await asyncio.gather(next_batch, return_exceptions=True)
             await batches.aclose()
 
+    async def _poll_unwatched_keys(self) -> None:
+        if self._clock.monotonic() < self._poll_at:
+            return
+        self._schedule_poll()
+        polled = [s for s in self._subscribers if s.is_polled and not s.is_watched]
+        await self._read_prefixes(polled, stale=True)
+
     def _apply_batch(self, batch: WatchBatch) -> None:
         self._record_response()
         for event in batch.events:
@@ -251,14 +325,13 @@
 
     def _record_failure(self, error: AlmondError) -> None:
         self.counts[error.code.value] += 1
+        self._record_outage(error.code, error.message)
+
+    def _record_outage(self, code: ErrorCode | None, reason: str) -> None:
         if self._connected is not False:
             self._connected = False
             self._on_connection_changed()
-            _log.warning(
-                "store unreachable; retrying",
-                code=error.code.value,
-                reason=error.message,
-            )
+            _log.warning("store unreachable; retrying", code=code, reason=reason)
 
 
 def find_common_prefix(prefixes: Sequence[str]) -> str:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -155,7 +155,11 @@
             on_activated=lambda: self._peers.relay_routes(),
         )
         self.registration = Registration(
-            self._store, make_entry=self._make_entry, clock=clock, random=self._random
+            self._store,
+            make_entry=self._make_entry,
+            clock=clock,
+            random=self._random,
+            on_contact=lambda reached: self.feed.record_contact(reached=reached),
         )
         records = HostRecords(
             self.directory,
@@ -163,6 +167,7 @@
             on_own_lost=self.registration.restore_record,
             on_seen=lambda entry: self._peers.preconnect_host(entry),
             on_own_seen=self._restore_backend,
+            own_revision=lambda: self.registration.written_revision,
         )
         self.feed = StoreFeed(
             self._store,
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -49,12 +49,14 @@
             make_entry=lambda: self.entry,
             clock=clock,
             random=random.Random(1),
+            on_contact=lambda reached: self.feed.record_contact(reached=reached),
         )
         records = HostRecords(
             self.directory,
             own_host="own",
             on_own_lost=self.registration.restore_record,
             on_seen=lambda entry: None,
+            own_revision=lambda: self.registration.written_revision,
         )
         self.connection_states = []
         self.feed = self.make_feed(records)
@@ -154,14 +156,60 @@
         self.assertEqual(1, self.feed.counts["history_compacted"])
         self.assertEqual([True], self.connection_states)
 
-    async def test_lost_record_is_written_again(self):
+    @parameterized.expand([("record", False), ("lease", True)])
+    async def test_lost_record_is_written_again(self, _, with_lease):
         """Guards against a live host that stays unknown after its lease expired."""
         key = HOSTS_PREFIX + "own"
         await wait_until(lambda: key in self.server.keys)
         await wait_until(lambda: "own" in {e.host for e in self.directory.entries})
-        await self.server.remove(key)
+        if with_lease:
+            (lease_id,) = self.server._leases
+            await self.server._end_lease(lease_id)
+        else:
+            await self.server.remove(key)
+        self.assertNotIn(key, self.server.keys)
         await wait_until(lambda: key in self.server.keys)
 
+    async def test_changes_of_host_records_are_not_watched(self):
+        """Guards against calls of the store that grow with the number of hosts.
+
+        Each change of a watched key costs a call of every daemon that watches.
+        """
+        await self.put_version(1)
+        await self.wait_for_version(1)
+        await wait_until(lambda: self.server.calls["kv-watch"])
+        before = self.server.calls["kv-watch"]
+        for change in range(20):
+            entry = encode_host(make_entry("h1", change=change))
+            await self.server.put(HOSTS_PREFIX + "h1", entry)
+            await asyncio.sleep(0.02)
+        self.assertLessEqual(self.server.calls["kv-watch"], before + 1)
+
+    @parameterized.expand([("few", 10, 12.0), ("many", 200, 50.0)])
+    async def test_polled_keys_are_bounded(self, _, hosts, interval):
+        """Guards against reads whose bytes grow with the square of the hosts."""
+        await wait_until(self.feed.loaded.is_set)
+        for number in range(hosts):
+            entry = encode_host(make_entry(f"h{number}"))
+            await self.server.put(f"{HOSTS_PREFIX}h{number}", entry)
+        await self.feed._read_prefixes(self.feed._subscribers, stale=True)
+        wait = self.feed._poll_at - SystemClock().monotonic()
+        self.assertLess(interval * 0.75, wait)
+        self.assertLess(wait, interval * 1.25)
+
+    async def test_renewals_show_whether_the_store_responds(self):
+        """Guards against a relay that has lost the store without noticing it.
+
+        A daemon that does not watch reads the store too rarely for that.
+        """
+        await wait_until(lambda: HOSTS_PREFIX + "own" in self.server.keys)
+        self.feed.set_watching(False)
+        await asyncio.sleep(0.1)
+        self.server.fault = StoreFault.UNAVAILABLE
+        await wait_until(lambda: not self.feed.reaches_store)
+        self.server.fault = StoreFault.NONE
+        await wait_until(lambda: self.feed.reaches_store)
+
     async def test_write_of_a_changed_record_can_be_awaited(self):
         """Guards against acknowledging a state that a power loss would undo."""
         key = HOSTS_PREFIX + "own"
@@ -269,13 +317,17 @@
             own_host="own",
             on_own_lost=lambda: losses.append(1),
             on_seen=lambda entry: None,
+            own_revision=lambda: 7,
         )
         self.directory.put(self.entry)
         with patch.object(directory, "LOST_RECORD_GRACE_S", 0.0):
             records.load((), stale=True)
+            records.load((), stale=True, revision=7)
             self.assertEqual([], losses)
-            records.load(())
+            records.load((), stale=True, revision=8)
             self.assertEqual([1], losses)
+            records.load(())
+            self.assertEqual([1, 1], losses)
             self.directory.expire()
         hosts = {entry.host for entry in self.directory.entries}
         self.assertIn("own", hosts)
