Probe a fixed number of hosts and tell the others of silent ones

Cause: each daemon pinged every idle peer once a second. The control frames of a daemon grew with the fleet: 776 a second at 195 hosts, 2,716 at 680 (computed), before the first request.

Change: a daemon probes the 16 successors on a ring of hashed host names, and the relay of its region. The links to all others get 8 pings a second together. A peer that is found silent is named in a notice to all hosts, each of which checks its own link and gives the peer up after 1 s of silence.

Result: test_unprobed_idle_link_is_pinged_rarely, test_suspected_peer_has_to_respond_soon and the cases of test_almondrouterd_peers for announcements fail without the change. Links, peers, probing, host daemon and docs pass (117 and 99).

--- a/packages/almondrouter/src/almondrouter/coordination/relays.py
+++ b/packages/almondrouter/src/almondrouter/coordination/relays.py
@@ -56,7 +56,12 @@
         -----
         A daemon that knows no other daemon that reaches the store keeps trying.
         """
-        eligible = [c.host for c in others if c.responsive and c.reaches_store]
-        if not eligible:
+        relay = self.find_relay(others)
+        if relay is None:
             return True
-        return self._reaches_store() and self._own_host < min(eligible)
+        return self._reaches_store() and self._own_host < relay
+
+    def find_relay(self, others: Iterable[RelayCandidate]) -> str | None:
+        """Return the first other daemon that could be the relay, if there is one."""
+        eligible = [c.host for c in others if c.responsive and c.reaches_store]
+        return min(eligible, default=None)
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -209,11 +209,14 @@
         Configuration version that the sender has in force.
     reaches_store
         Whether the sender can reach the store.
+    silent_peers
+        Peer addresses of daemons that the sender has just found silent.
     """
 
     record: bytes
     version: int
     reaches_store: bool
+    silent_peers: tuple[str, ...] = ()
 
 
 class RoutesNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Callable, Coroutine
 
 import msgspec
@@ -136,7 +137,9 @@
         self._ended = False
         self._last_received_at = clock.monotonic()
         self._checked_at: float | None = None
-        self._pinged_at = 0.0
+        self._pinged_at = clock.monotonic()
+        # Links that open together do not ping together.
+        self._ping_share = random.random()
         self._task: asyncio.Task | None = None
         self.offset = ClockOffset()
 
@@ -171,7 +174,7 @@
             are delivered.
         on_end
             Called once with the `ConnectionError` or `AlmondError` that ended the
-            link.
+            link, or with a `TimeoutError` if the peer acknowledged nothing in time.
         """
         self._on_frame, self._on_end = on_frame, on_end
         try:
@@ -251,14 +254,14 @@
         self._last_received_at = self._clock.monotonic()
         self._checked_at = None
 
-    def check_silence(self, *, idle: bool = False) -> bool:
+    def check_silence(self, *, factor: float = 1.0) -> bool:
         """Ping the peer; return whether its silence exceeds the limit.
 
         Parameters
         ----------
-        idle
-            Whether no reply is pending. The peer is then pinged less often and
-            may be silent for longer.
+        factor
+            Factor on the limit; above 1 if no reply is pending. The peer is then
+            pinged less often, a fixed number of times within the limit.
 
         Notes
         -----
@@ -268,7 +271,6 @@
         measured from now on.
         """
         now = self._clock.monotonic()
-        factor = IDLE_SILENCE_FACTOR if idle else 1.0
         max_silence = self._max_silence * factor
         gap = 0.0 if self._checked_at is None else now - self._checked_at
         if gap > self._max_check_gap:
@@ -276,8 +278,9 @@
         self._checked_at = now
         if now - self._last_received_at >= max_silence:
             return True
-        if not idle or now - self._pinged_at >= max_silence / IDLE_PINGS_PER_SILENCE:
-            self._pinged_at = now
+        interval = max_silence / IDLE_PINGS_PER_SILENCE
+        if factor == 1.0 or now >= self._pinged_at + interval * self._ping_share:
+            self._pinged_at, self._ping_share = now, 1.0
             self.send(Ping(now))
         return False
 
@@ -347,7 +350,9 @@
     def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
         self._closed.set()
         self._writable.set()
-        self._report_end(ConnectionResetError("connection closed"))
+        if not isinstance(error, TimeoutError):
+            error = ConnectionResetError("connection closed")
+        self._report_end(error)
 
     def pause_writing(self) -> None:  # noqa: D102
         self._writable.clear()
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Collection, Coroutine
 from dataclasses import dataclass
 
 import msgspec
@@ -31,7 +31,9 @@
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import (
     HANDSHAKE_TIMEOUT_S,
+    IDLE_PINGS_PER_SILENCE,
     IDLE_SILENCE_FACTOR,
+    MAX_CHECK_GAP,
     MAX_SILENCE_S,
     PING_INTERVAL_S,
     ClockOffset,
@@ -52,6 +54,8 @@
 """
 MAX_IDLE_S = 60.0
 """Time after the last call at which an outbound link is closed."""
+UNPROBED_PINGS_PER_S = 8.0
+"""Pings per second to all peers together that others probe and report if silent."""
 MAX_OPEN_CALLS = 10_000
 """Limit on concurrent calls of one inbound link; further calls are refused."""
 
@@ -375,6 +379,9 @@
         self._deadlines = Deadlines(clock)
         self._links: dict[str, OutboundLink] = {}
         self._silent_links: set[OutboundLink] = set()
+        self._probed: Collection[str] | None = None
+        self._newly_silent: list[str] = []
+        self._ticked_at: float | None = None
         self._withdrawn = False
         self._connecting: dict[str, asyncio.Task[OutboundLink]] = {}
         self._ticker: asyncio.Task | None = None
@@ -432,6 +439,35 @@
         for link_key in self._links:
             self._send_own_notice(link_key)
 
+    def set_probed(self, peer_addresses: Collection[str]) -> None:
+        """Choose the peers whose idle links are pinged often; by default all are.
+
+        Notes
+        -----
+        The other idle links are pinged rarely. They rely on `suspect`, called for the
+        peers that other daemons report as silent.
+        """
+        self._probed = peer_addresses
+
+    def suspect(self, peer_address: str) -> None:
+        """Check the link to a peer soon, unless the peer has sent something lately."""
+        link = self._links.get(peer_address)
+        if link is None or link.pending or link.is_suspected:
+            return
+        now = self._clock.monotonic()
+        if now - link.stream.last_received_at >= self._policy.ping_interval:
+            link.suspect()
+
+    def suspect_all(self) -> None:
+        """Check all links soon."""
+        for link_key in self._links:
+            self.suspect(link_key)
+
+    def take_newly_silent(self) -> list[str]:
+        """Return the peers that were found silent since the last call."""
+        found, self._newly_silent = self._newly_silent, []
+        return found
+
     def send_notice(self, peer_address: str, notice: Notice) -> None:
         """Send a notice to a peer; does nothing if the link is not open."""
         link = self._links.get(peer_address)
@@ -458,19 +494,33 @@
         link = self._links.get(peer_address)
         if link is None:
             return False
-        silence = self._policy.max_silence
-        if not link.pending:
-            silence *= IDLE_SILENCE_FACTOR
-        oldest = self._clock.monotonic() - silence
+        factor = self._get_silence_factor(peer_address, link)
+        oldest = self._clock.monotonic() - self._policy.max_silence * factor
         return link.stream.last_received_at > oldest
 
+    def _get_silence_factor(self, link_key: str, link: OutboundLink) -> float:
+        if link.pending or link.is_suspected:
+            return 1.0
+        if self._probed is None or link_key in self._probed:
+            return IDLE_SILENCE_FACTOR
+        unprobed = max(1, len(self._links) - len(self._probed))
+        interval = unprobed / UNPROBED_PINGS_PER_S
+        silence = interval * IDLE_PINGS_PER_SILENCE
+        return max(IDLE_SILENCE_FACTOR, silence / self._policy.max_silence)
+
     def tick(self) -> None:
         """Ping the peers of pending calls; suspend silent links, close idle ones."""
         now = self._clock.monotonic()
+        ticked_at, self._ticked_at = self._ticked_at, now
+        max_gap = MAX_CHECK_GAP * self._policy.ping_interval
+        if ticked_at is not None and now - ticked_at > max_gap:
+            # News of silent peers may have been missed while this process was paused.
+            self.suspect_all()
         for link_key, link in tuple(self._links.items()):
             if link.pending or self._policy.ping_idle:
-                if link.stream.check_silence(idle=not link.pending):
-                    self.counts["silent"] += 1
+                factor = self._get_silence_factor(link_key, link)
+                if link.stream.check_silence(factor=factor):
+                    self._record_silence(link_key)
                     self._suspend_link(link_key, link)
             elif now - link.used_at > MAX_IDLE_S:
                 self._drop_link(link_key, link, "idle for too long")
@@ -538,8 +588,14 @@
     ) -> None:
         if isinstance(error, AlmondError):
             self.counts[error.code.value] += 1
+        elif isinstance(error, TimeoutError):
+            self._record_silence(link_key)
         self._drop_link(link_key, link, str(error))
 
+    def _record_silence(self, link_key: str) -> None:
+        self.counts["silent"] += 1
+        self._newly_silent.append(link_key.removesuffix(_BULK_SUFFIX))
+
     def _drop_link(self, link_key: str, link: OutboundLink, reason: str) -> None:
         if self._links.get(link_key) is link:
             del self._links[link_key]
--- a/packages/almondrouter/src/almondrouter/transport/outbound_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/outbound_link.py
@@ -65,6 +65,7 @@
         self.stream = stream
         self.used_at = clock.monotonic()
         self.pending: dict[int, _PendingCall] = {}
+        self.suspected_at: float | None = None
         self._clock = clock
         self._deadlines = deadlines
         self._counts = counts
@@ -109,6 +110,20 @@
             if call.sent and not self._lost and not has_result(future):
                 self.stream.send(Cancel(call_id))
 
+    def suspect(self) -> None:
+        """Require the peer to show soon that it responds, as if a call were pending."""
+        self.stream.restart_silence_timer()
+        self.suspected_at = self.stream.last_received_at
+
+    @property
+    def is_suspected(self) -> bool:
+        """Whether the peer has sent nothing since it was suspected of being silent."""
+        if self.suspected_at is None:
+            return False
+        if self.stream.last_received_at > self.suspected_at:
+            self.suspected_at = None
+        return self.suspected_at is not None
+
     def fail(self, reason: str) -> None:
         """Drop the connection and fail its pending calls."""
         self._lost = True
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
 from almondrouter.clock import Clock
@@ -16,6 +16,11 @@
 from almondrouter.coordination.deltas import apply_delta, make_delta
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.isolation import IsolationDetector
+from almondrouter.coordination.probing import (
+    ProbeRing,
+    SuspicionLog,
+    has_few_responsive,
+)
 from almondrouter.coordination.relays import RelayCandidate, RelayElection
 from almondrouter.coordination.storefeed import StoreFeed
 from almondrouter.errors import AlmondError
@@ -90,17 +95,20 @@
             own_host, reaches_store=lambda: feed.reaches_store
         )
         self._isolation = IsolationDetector(clock=clock)
+        self._ring = ProbeRing(own_host)
+        self._suspicions = SuspicionLog(clock=clock)
         self._logged_isolated = False
         self._hosts_without_store: set[str] = set()
         self._catch_up_task: asyncio.Task | None = None
         self._compressed_routes = (-1, b"")
 
-    def make_notice(self) -> HostNotice:
+    def make_notice(self, silent_peers: tuple[str, ...] = ()) -> HostNotice:
         """Return a notice with this host's record, version and store reachability."""
         return HostNotice(
             encode_host(self._make_entry()),
             self._routes.version,
             self._feed.reaches_store,
+            silent_peers,
         )
 
     def handle_notice(self, notice: Notice) -> None:
@@ -122,6 +130,9 @@
             self._hosts_without_store.add(entry.host)
         self._directory.put(entry)
         self.preconnect_host(entry)
+        self._suspicions.record(notice.silent_peers)
+        for address in notice.silent_peers:
+            self._links.suspect(address)
         self.catch_up_to(notice.version, entry.peer_address)
         behind = notice.version < self._routes.version
         if behind and self._feed.watching and self._is_region_peer(entry):
@@ -168,8 +179,31 @@
         self._directory.expire()
         for entry in self._directory.entries:
             self.preconnect_host(entry)
+        candidates = self._list_relay_candidates()
+        self._update_probes(candidates)
+        self._announce_silent_peers()
         self._update_isolation()
-        self._feed.set_watching(self._election.is_relay(self._list_relay_candidates()))
+        self._feed.set_watching(self._election.is_relay(candidates))
+
+    def _update_probes(self, candidates: Sequence[RelayCandidate]) -> None:
+        """Choose the peers to probe; check all links if few of these respond."""
+        addresses = {e.host: e.peer_address for e in self._directory.entries}
+        probed = self._ring.update(addresses)
+        relay = self._election.find_relay(candidates)
+        self._links.set_probed(probed | {addresses[relay]} if relay else probed)
+        if has_few_responsive(len(probed), sum(map(self._links.is_alive, probed))):
+            self._links.suspect_all()
+
+    def _announce_silent_peers(self) -> None:
+        """Tell all other daemons which peers this one has just found silent."""
+        silent = self._suspicions.select_new(self._links.take_newly_silent())
+        if not silent:
+            return
+        _log.info("telling the other daemons of silent peers", peers=silent)
+        notice = self.make_notice(silent)
+        for entry in self._directory.entries:
+            if entry.host != self._own_host:
+                self._links.send_notice(entry.peer_address, notice)
 
     def preconnect_host(self, entry: HostEntry) -> None:
         """Open the link to a host before a call needs it."""
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -14,6 +14,7 @@
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.isolation import ISOLATION_DELAY_S
+from almondrouter.coordination.probing import PROBED_SUCCESSORS
 from almondrouter.protocol.calls import (
     CALL_CODEC,
     HostNotice,
@@ -40,6 +41,9 @@
         self.notices = []
         self.queries = []
         self.warmed = []
+        self.probed = frozenset()
+        self.silent = []
+        self.suspected = []
         self.reply = None
 
     alive = True
@@ -47,6 +51,19 @@
     def is_alive(self, address):
         return self.alive
 
+    def set_probed(self, addresses):
+        self.probed = addresses
+
+    def suspect(self, address):
+        self.suspected.append(address)
+
+    def suspect_all(self):
+        self.suspected.append("all")
+
+    def take_newly_silent(self):
+        silent, self.silent = self.silent, []
+        return silent
+
     def preconnect(self, address):
         self.warmed.append(address)
 
@@ -129,6 +146,48 @@
         self.peers.run_maintenance()
         self.assertFalse(self.peers.is_isolated)
 
+    async def test_silent_peer_is_announced_once(self):
+        """Guards against a silent host that stays the choice of others.
+
+        They ping it rarely and rely on the news of its observers.
+        """
+        for number in (6, 7):
+            self.receive_notice(f"h{number}")
+        self.links.notices.clear()
+        for _ in range(2):
+            self.links.silent = ["h6:1", "h6:1"]
+            self.peers.run_maintenance()
+        news = [(to, n.silent_peers) for to, n in self.links.notices]
+        self.assertEqual([("h6:1", ("h6:1",)), ("h7:1", ("h6:1",))], news)
+
+    async def test_reported_peer_is_checked_and_not_reported_again(self):
+        """Guards against reports that every daemon repeats to every other one."""
+        self.receive_notice("h6")
+        record = encode_host(make_entry("h6"))
+        self.peers.handle_notice(HostNotice(record, 0, True, ("h7:1",)))
+        self.assertEqual(["h7:1"], self.links.suspected)
+        self.links.notices.clear()
+        self.links.silent = ["h7:1"]
+        self.peers.run_maintenance()
+        self.assertEqual([], self.links.notices)
+
+    @parameterized.expand([("alive", True, []), ("silent", False, ["all"])])
+    async def test_all_links_are_checked_if_few_respond(self, _, alive, suspected):
+        """Guards against a host that is cut off and still relies on old news."""
+        for number in range(10, 50):
+            self.receive_notice(f"h{number}")
+        self.links.alive = alive
+        self.peers.run_maintenance()
+        self.assertEqual(suspected, self.links.suspected)
+
+    async def test_relay_is_probed(self):
+        """Guards against a region whose relay falls silent unnoticed."""
+        for number in range(10, 50):
+            self.receive_notice(f"h{number}")
+        self.peers.run_maintenance()
+        self.assertIn("h10:1", self.links.probed)
+        self.assertLessEqual(len(self.links.probed), PROBED_SUCCESSORS + 1)
+
     async def test_malformed_notices_change_nothing(self):
         """Guards against malformed notices that stop the daemon or change its state."""
         self.peers.handle_notice(HostNotice(b"{", 3, True))
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -316,6 +316,71 @@
         self.assertEqual(0, self.pool.counts["silent"])
         call.cancel()
 
+    async def open_idle_links(self, *, silent):
+        """Open an idle link to a peer that is not probed; return its address."""
+        policy = LinkPolicy(ping_interval=0.3, max_silence=1.0, ping_idle=True)
+        self.pool = CallLinkPool(
+            hello=make_hello("caller"), clock=self.clock, policy=policy
+        )
+        self.addAsyncCleanup(self.pool.close)
+        # The one link gets the pings that a daemon of a fleet sends to 80 peers.
+        self.enterContext(patch.object(links, "UNPROBED_PINGS_PER_S", 0.1))
+        self.pool.set_probed(())
+        peer = Peer()
+        address = await peer.start() if silent else self.server.address
+        self.pool.preconnect(address)
+        await wait_until(lambda: self.pool.is_alive(address))
+        if silent:
+            await wait_until(lambda: peer.streams)
+            peer.streams[0]._transport.pause_reading()
+        return address
+
+    async def pass_time(self, seconds):
+        """Let time pass in the steps of the ticks, and let pongs be read."""
+        for _ in range(round(seconds / 0.25)):
+            self.clock.advance(0.25)
+            self.pool.tick()
+            await asyncio.sleep(0.005)
+
+    async def test_unprobed_idle_link_is_pinged_rarely(self):
+        """Guards against pings to all hosts, which cost more than the calls."""
+        address = await self.open_idle_links(silent=False)
+        link = self.pool._links[address]
+        with patch.object(link.stream, "send", wraps=link.stream.send) as send:
+            await self.pass_time(40)
+        self.assertTrue(self.pool.is_alive(address))
+        self.assertLess(send.call_count, 7)
+        self.assertGreater(send.call_count, 2)
+
+    @parameterized.expand([("reported",), ("own pause",)])
+    async def test_suspected_peer_has_to_respond_soon(self, reason):
+        """Guards against calls to a silent host that others have reported."""
+        address = await self.open_idle_links(silent=True)
+        await self.pass_time(5)
+        self.assertTrue(self.pool.is_alive(address))
+        if reason == "reported":
+            self.pool.suspect(address)
+        else:
+            self.clock.advance(5)
+            self.pool.tick()
+        await self.pass_time(0.75)
+        self.assertTrue(self.pool.is_alive(address))
+        await self.pass_time(0.5)
+        self.assertFalse(self.pool.is_alive(address))
+        self.assertEqual([address], self.pool.take_newly_silent())
+        self.assertEqual([], self.pool.take_newly_silent())
+
+    async def test_suspected_peer_that_responds_stays(self):
+        """Guards against giving up a host because another daemon cannot reach it."""
+        address = await self.open_idle_links(silent=False)
+        await self.pass_time(5)
+        self.pool.suspect(address)
+        self.assertTrue(self.pool._links[address].is_suspected)
+        await self.pass_time(3)
+        self.assertTrue(self.pool.is_alive(address))
+        self.assertFalse(self.pool._links[address].is_suspected)
+        self.assertEqual([], self.pool.take_newly_silent())
+
     async def test_call_that_waits_for_its_link_is_withdrawn(self):
         """Guards against sending a call after its daemon has given up its calls."""
         peer = Peer(handshake_delay=0.2)
