Run pipelined requests concurrently while responses have a length

Change: a daemon runs safe pipelined requests concurrently once it has seen a response with a length, and one after another for 60 s after one without. Where such a response comes while others run behind it, its own caller, which may send it again, gets a 502 in its place, and the others their responses; a log line and a counter tell so.

Callers, pipelines, soak and call path pass.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -16,7 +16,7 @@
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouter.transport.listeners import Listener
-from almondrouter.transport.pipelines import Exchange, Pipeline
+from almondrouter.transport.pipelines import Exchange, FramingHistory, Pipeline
 from almondrouter.transport.readers import (
     MAX_WAITING_BYTES,
     RequestReader,
@@ -95,6 +95,7 @@
         self.version = version
         self.clock = clock or SystemClock()
         self.find_request_id = find_request_id
+        self.framing = FramingHistory(self.clock)
         self.connections: set[CallerConnection] = set()
         self.draining = False
         self.keep_alive_disabled = False
@@ -231,7 +232,7 @@
             self.refuse_request(ErrorCode.STOPPING)
             return
         self._pipeline.append(Exchange(request, keep_alive))
-        self._start_next_request()
+        self._start_ready_requests()
 
     @property
     def is_receiving(self) -> bool:
@@ -286,10 +287,10 @@
         elif now >= self._expires_at:
             self.abort(EndReason.CLOSED)
 
-    def _start_next_request(self) -> None:
-        """Start the oldest request if it has not started."""
-        exchange = self._pipeline.find_startable()
-        if exchange is not None:
+    def _start_ready_requests(self) -> None:
+        """Start the queued requests that need not wait for earlier ones."""
+        concurrent = self._server.framing.is_reliable
+        for exchange in self._pipeline.list_startable(concurrent=concurrent):
             exchange.started = True
             exchange.task = asyncio.create_task(self._serve_request(exchange))
 
@@ -305,8 +306,9 @@
             exchange.response = self._report_failure(error)
         finally:
             exchange.task = None
+        self._server.framing.record(exchange.response)
         if not self._closing:
-            self._send_response()
+            self._send_ready_responses()
 
     def _report_failure(self, error: BaseException) -> CallerResponse:
         self._server.counts["failed"] += 1
@@ -316,27 +318,48 @@
         )
         return self._make_error_response(Outcome.UNKNOWN, ErrorCode.BACKEND_FAILED)
 
-    def _send_response(self) -> None:
-        """Send the response of the oldest request, then start the next one."""
+    def _send_ready_responses(self) -> None:
+        """Send responses in the order of the requests, as far as they are complete."""
         server = self._server
-        exchange = self._pipeline.pop_answered()
-        if server.draining or server.keep_alive_disabled:
-            # Requests that arrive from now on are ignored. Their caller may safely
-            # retry them elsewhere once the connection is closed.
-            self._reader.stop()
-        last = self._reader.stopped and not (self._pipeline or self._refusal)
-        keep_alive = exchange.keep_alive and not last and exchange.response.framed
-        self._write_response(exchange.response, keep_alive=keep_alive)
-        if not keep_alive:
-            self._end_reason = EndReason.RESPONSE_UNFRAMED
-            self._half_close()
-            return
+        while (exchange := self._pipeline.pop_answered()) is not None:
+            if server.draining or server.keep_alive_disabled:
+                # Requests that arrive from now on are ignored. Their caller may
+                # safely retry them elsewhere once the connection is closed.
+                self._reader.stop()
+            if not exchange.response.framed and self._pipeline.has_started:
+                exchange.response = self._withhold_response(exchange)
+            last = self._reader.stopped and not (self._pipeline or self._refusal)
+            keep_alive = exchange.keep_alive and not last and exchange.response.framed
+            self._write_response(exchange.response, keep_alive=keep_alive)
+            if not keep_alive:
+                self._end_reason = EndReason.RESPONSE_UNFRAMED
+                self._half_close()
+                return
         if self._refusal is not None and not self._pipeline:
             self._send_refusal()
             return
-        self._start_next_request()
+        self._start_ready_requests()
         self._resume_reading()
 
+    def _withhold_response(self, exchange: Exchange) -> CallerResponse:
+        """Return an error in place of a response without a length.
+
+        Notes
+        -----
+        Its connection would have to be closed, and the safe requests that run behind
+        it would have no response. Its own request is safe as well, so that the caller
+        may send it again.
+        """
+        server, request = self._server, exchange.request
+        server.counts["unframed_withheld"] += 1
+        _log.request(
+            "response without a length withheld; requests behind it are running",
+            request=server.find_request_id(request.headers),
+            behind=len(self._pipeline),
+            after=round(server.clock.monotonic() - request.began_at, 4),
+        )
+        return self._make_error_response(Outcome.UNKNOWN, ErrorCode.BACKEND_FAILED)
+
     def _resume_reading(self) -> None:
         """Parse the requests that waited; read on if enough of them fitted."""
         self._reader.resume()
--- a/packages/almondrouter/src/almondrouter/transport/pipelines.py
+++ b/packages/almondrouter/src/almondrouter/transport/pipelines.py
@@ -6,11 +6,18 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 
+from almondrouter.clock import Clock
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 
 MAX_PIPELINED = 16
 """Limit on pipelined requests of a connection that wait for a response."""
+UNFRAMED_MEMORY_S = 60.0
+"""Seconds after a response without a length in which the next one is expected."""
+
+_CONCURRENT_METHODS = frozenset({"GET", "HEAD"})
+"""Safe methods, whose pipelined requests may be served concurrently."""
 
 
 @dataclass(slots=True, eq=False)
@@ -35,9 +42,9 @@
 
     Notes
     -----
-    A request waits until the ones before it are answered: a response without a length
-    closes the connection, and the caller retries the requests behind it. They must
-    not have run, even those that may be repeated, as nobody gets their responses.
+    Pipelined requests run concurrently only if their methods are safe. Any other
+    request waits until the ones before it are answered: if one of their responses
+    closes the connection, the caller retries the request, which must not have run.
     """
 
     def __init__(self) -> None:
@@ -63,11 +70,29 @@
         """Add the request that was received last."""
         self._exchanges.append(exchange)
 
-    def find_startable(self) -> Exchange | None:
-        """Return the oldest request unless it has started; None if there is none."""
-        if self._exchanges and not self._exchanges[0].started:
-            return self._exchanges[0]
-        return None
+    def list_startable(self, *, concurrent: bool) -> list[Exchange]:
+        """Return the requests that have not started and need not wait for others.
+
+        Parameters
+        ----------
+        concurrent
+            Whether safe requests may run beside one another.
+        """
+        startable = []
+        for position, exchange in enumerate(self._exchanges):
+            safe = concurrent and exchange.request.method in _CONCURRENT_METHODS
+            if position and not safe:
+                break
+            if not exchange.started:
+                startable.append(exchange)
+            if not safe:
+                break
+        return startable
+
+    @property
+    def has_started(self) -> bool:
+        """Whether any of the requests has been passed on."""
+        return any(exchange.started for exchange in self._exchanges)
 
     def pop_answered(self) -> Exchange | None:
         """Remove and return the oldest request if its response is available."""
@@ -80,3 +105,34 @@
         removed = list(self._exchanges)
         self._exchanges.clear()
         return removed
+
+
+class FramingHistory:
+    """Tells whether the next responses can be expected to have a length.
+
+    A response without a length closes its connection. Requests that run behind it on
+    the connection would run for nobody, so that they run concurrently only while such
+    a response is unlikely.
+
+    Parameters
+    ----------
+    clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._reliable_from: float | None = None
+
+    @property
+    def is_reliable(self) -> bool:
+        """Whether responses have been seen, and all of the last minute had a length."""
+        reliable_from = self._reliable_from
+        return reliable_from is not None and self._clock.monotonic() >= reliable_from
+
+    def record(self, response: CallerResponse) -> None:
+        """Learn from the response to a caller; errors of this daemon teach nothing."""
+        if not response.framed:
+            self._reliable_from = self._clock.monotonic() + UNFRAMED_MEMORY_S
+        elif self._reliable_from is None and response.status < HTTPStatus.BAD_REQUEST:
+            self._reliable_from = self._clock.monotonic()
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -181,6 +181,51 @@
         for _ in range(3):
             self.assertEqual(b"/a?b", (await self.read_response(reader))[2])
 
+    @parameterized.expand([("GET", 3), ("HEAD", 3), ("POST", 1)])
+    async def test_safe_requests_run_concurrently_once_responses_have_a_length(
+        self, method, started
+    ):
+        """Guards against pipelined requests that are late for the ones before them."""
+        reader, writer = await self.open(GET)
+        await self.read_response(reader)
+        self.release.clear()
+        writer.write(GET.replace(b"GET", method.encode()) * 3)
+        await wait_until(lambda: self.server.requests_in_flight == 3)
+        await asyncio.sleep(0.01)
+        self.assertEqual(1 + started, len(self.requests))
+        self.release.set()
+        for _ in range(3):
+            self.assertEqual(b"/a?b", (await self.read_response(reader))[2])
+
+    async def test_response_without_a_length_cuts_off_no_running_request(self):
+        """Guards against requests that run behind a response that ends the connection.
+
+        Until it came, responses had a length, so that the requests ran concurrently.
+        """
+
+        async def handle(request):
+            self.requests.append(request)
+            await self.release.wait()
+            framed = request.target != "/first"
+            return CallerResponse(200, (), request.target.encode(), framed=framed)
+
+        reader, writer = await self.open(GET)
+        await self.read_response(reader)
+        self.server.handler = handle
+        self.release.clear()
+        writer.write(GET.replace(b"/a?b", b"/first") + GET)
+        await wait_until(lambda: len(self.requests) == 3)
+        self.release.set()
+        await self.assert_refused(reader, "502", "backend_failed", "unknown")
+        self.assertEqual(b"/a?b", (await self.read_response(reader))[2])
+        self.assertEqual(1, self.server.counts["unframed_withheld"])
+        self.release.clear()
+        writer.write(GET * 2)
+        await wait_until(lambda: self.server.requests_in_flight == 2)
+        await asyncio.sleep(0.01)
+        self.assertEqual(4, len(self.requests))
+        self.release.set()
+
     async def test_start_of_a_request_is_recorded(self):
         """Guards against not counting the time that receiving a slow body takes."""
         reader, writer = await self.open(POST + b"Content-Length: 4\r\n\r\nab")
