Serve requests that can be on time before those that are sent again too late

Cause: a response is useful within the target latency from a caller's first attempt, but each attempt was served as a new request.

Change: a daemon compares the deadline of a request with the usual one of its route (CallerPatience) while its callers have reason to retry, and takes off what has passed. A request with less than 0.3 of its target latency left is overdue. It waits behind the others of its rank, for at most 0.4 of the time until its deadline. So do retries of a daemon after a late failure, which were refused before.

All of coordination pass.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -17,6 +17,7 @@
 from almondrouter.clock import Clock
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
+from almondrouter.coordination.patience import CallerPatience
 from almondrouter.coordination.routing import Demand, LoadBalancingPolicy
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
@@ -43,6 +44,12 @@
 MIN_RETRY_TIME_SHARE = 0.3
 """Least time until the deadline for a retry, as a share of the target latency; with
 less time, a retry is unlikely to complete."""
+MIN_ON_TIME_SHARE = 0.3
+"""Least time left of the target latency, as a share of it, with which a request is not
+overdue: less is seldom enough for its run."""
+OVERDUE_SHARE = 0.4
+"""Share of the time until its deadline for which an overdue request may wait and run;
+its caller can use the rest for another attempt."""
 MIN_RETRY_AFTER_SHARE = 0.15
 """Least ``Retry-After``, as a share of the target latency."""
 MAX_RETRY_AFTER_SHARE = 0.45
@@ -185,6 +192,7 @@
         self._is_running = is_running
         self._on_newer_version = on_newer_version
         self._on_finished = on_finished
+        self._patience = CallerPatience(clock)
         self._answers_until = math.inf
         self._refuses_new = False
 
@@ -242,9 +250,13 @@
         if info.time_left is not None:
             time_left = min(time_left, info.time_left)
         nested = self._is_running(info.parent_id)
-        # The parent request fails without this response, so a response to a nested
-        # call is useful until the deadline, even after the target latency.
-        useful_for = time_left if nested else min(time_left, route.target_latency)
+        if nested:
+            # The parent request fails without this response, so that it is useful
+            # until the deadline, even after the target latency.
+            useful_until = now + time_left
+        else:
+            elapsed = self._patience.estimate_elapsed(route.name, info.time_left)
+            useful_until = now + min(time_left, route.target_latency - elapsed)
         call = CallRequest(
             call_id=0,
             class_name=route.name,
@@ -259,7 +271,7 @@
             version=version,
             rank=route.priority,
             repeatable=route.repeatable,
-            useful_until=now + useful_for,
+            useful_until=useful_until,
             nested=nested,
             caller_service=self._own_service,
             attempt_id=info.attempt_id,
@@ -267,7 +279,20 @@
         service = self._splitter.choose(route)
         if not nested:
             self._retry_budget.record_request(service)
-        return _PendingRequest(info, route, service, call, now)
+        pending = _PendingRequest(info, route, service, call, now)
+        if not nested:
+            self._mark_if_overdue(pending, now)
+        return pending
+
+    def _mark_if_overdue(self, pending: _PendingRequest, now: float) -> None:
+        """Let a request wait behind others if it can hardly be on time any more."""
+        call = pending.call
+        needed = MIN_ON_TIME_SHARE * pending.route.target_latency
+        if not call.overdue and now + needed > min(call.useful_until, call.deadline):
+            useful_until = now + OVERDUE_SHARE * (call.deadline - now)
+            pending.call = msgspec.structs.replace(
+                call, overdue=True, useful_until=useful_until
+            )
 
     async def _try_destinations(self, pending: _PendingRequest) -> CallReply:
         """Send a request to one destination after another until one gives a result.
@@ -303,10 +328,12 @@
         return result or refusal or make_reply(self._explain_no_attempt(pending))
 
     def _choose_destination(self, pending: _PendingRequest) -> Destination | None:
+        now = self._clock.monotonic()
+        if pending.sent and not pending.call.nested:
+            self._mark_if_overdue(pending, now)
         if pending.retry is not None:
             destination, pending.retry = pending.retry, None
             return destination
-        now = self._clock.monotonic()
         call = pending.call
         if now >= min(call.deadline, self._answers_until):
             return None
@@ -477,6 +504,8 @@
         self._on_finished(pending.route.name, reply.outcome, reply.code, elapsed)
         if reply.outcome is Outcome.COMPLETE and not is_server_error(reply):
             return
+        if not pending.call.nested:
+            self._patience.record_unserved(pending.route.name)
         _log.request(
             "request failed",
             request=pending.info.attempt_id,
@@ -490,6 +519,7 @@
             refusals=pending.refusals,
             misses=pending.misses,
             corrections=pending.corrections,
+            overdue=pending.call.overdue,
             known=len(self._directory.find_destinations(pending.service)),
             after=round(elapsed, 4),
             version=pending.call.version,
@@ -541,7 +571,7 @@
         len(call.body),
         call.nested,
         pending.route.target_latency,
-        pending.route.priority,
+        pending.route.priority + call.overdue,
         call.useful_until - now,
     )
 
--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -165,7 +165,7 @@
 
     def load(self) -> Load:
         """Return the current load; it is exact, not sampled."""
-        ranks = Counter(min(w.request.rank, MAX_RANK) for w in self._queue)
+        ranks = Counter(min(get_load_rank(w.request), MAX_RANK) for w in self._queue)
         depth = max(ranks, default=-1) + 1
         return Load(
             slots=self.slots,
@@ -311,5 +311,14 @@
 
 
 def get_queue_rank(request: CallRequest) -> int:
-    """Return the rank in the queue; nested requests precede all others."""
-    return -1 if request.nested else request.rank
+    """Return the rank in the queue.
+
+    Nested requests precede all others. Overdue ones follow those of their rank that can
+    still be on time, and precede less urgent ones.
+    """
+    return -1 if request.nested else 2 * request.rank + request.overdue
+
+
+def get_load_rank(request: CallRequest) -> int:
+    """Return the least urgent rank of new requests that wait behind a queued one."""
+    return request.rank + request.overdue
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -89,6 +89,9 @@
         Limit on the expected wait for a slot in seconds. If the wait would be
         longer, the receiver refuses the call, so that the sender can choose another
         backend server. Negative for no limit.
+    overdue
+        Whether the response can hardly be within the target latency any more. The call
+        waits behind the others of its rank.
     """
 
     call_id: int
@@ -109,6 +112,7 @@
     caller_service: str = ""
     attempt_id: str = ""
     max_wait: float = -1.0
+    overdue: bool = False
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -182,6 +182,45 @@
         response = await self.send(script=[SILENCE, *script])
         self.assertEqual((200, [False]), (response.status, self.links.abandoned))
 
+    @parameterized.expand(
+        [
+            # Deadline in ms, whether earlier requests were refused, and what the call
+            # says: seconds for which it is useful, and whether it is overdue.
+            ("first attempt", 700, True, 0.4, False),
+            ("sent again at once", 590, True, 0.332, False),
+            ("sent again late", 350, True, 0.14, True),
+            ("short deadline without a refusal", 350, False, 0.35, False),
+        ]
+    )
+    async def test_request_that_its_caller_sends_again(
+        self, _, deadline_ms, refused, useful_for, overdue
+    ):
+        """Guards against serving late requests before those that can be on time."""
+        for _ in range(40):
+            await self.send(script=[make_answer()])
+        if refused:
+            await self.send(script=[OVERLOADED_REPLY] * MAX_REFUSALS)
+        self.links.calls.clear()
+        await self.send(script=[make_answer()], deadline_ms=str(deadline_ms))
+        (call,) = self.links.calls
+        self.assertEqual(overdue, call.overdue)
+        now = self.clock.monotonic()
+        self.assertAlmostEqual(now + useful_for, call.useful_until, delta=0.011)
+
+    async def test_retry_after_a_late_failure_waits_behind_others(self):
+        """Guards against refusing a retry because it cannot be on time any more."""
+
+        def fail_late():
+            self.clock.advance(0.35)
+
+        self.links.on_silence = fail_late
+        response = await self.send(script=[SILENCE, make_answer()])
+        self.assertEqual(200, response.status)
+        first, second = self.links.calls
+        self.assertEqual((False, True), (first.overdue, second.overdue))
+        self.assertGreater(second.useful_until, first.useful_until)
+        self.assertLess(second.useful_until, second.deadline)
+
     async def test_answer_is_passed_on(self):
         """Guards against altered responses, and calls with wrong deadlines."""
         response = await self.send(script=[make_answer(framed=False)])
--- a/tests/test_coordination_slots.py
+++ b/tests/test_coordination_slots.py
@@ -26,7 +26,16 @@
         self.queue = SlotQueue(2, clock=self.clock)
         self.ended = []
 
-    def request(self, name="", *, rank=1, nested=False, useful_for=0.4, deadline=2.0):
+    def request(
+        self,
+        name="",
+        *,
+        rank=1,
+        nested=False,
+        overdue=False,
+        useful_for=0.4,
+        deadline=2.0,
+    ):
         now = self.clock.monotonic()
         request = make_request(deadline=now + deadline, class_name="c")
         return msgspec.structs.replace(
@@ -34,6 +43,7 @@
             attempt_id=name,
             rank=rank,
             nested=nested,
+            overdue=overdue,
             useful_until=now + useful_for,
         )
 
@@ -74,6 +84,8 @@
             ("rank", {"rank": 0}, {"rank": 2}),
             ("nested before new", {"nested": True, "rank": 5}, {"rank": 0}),
             ("useful for less time", {"useful_for": 0.35}, {"useful_for": 0.4}),
+            ("on time before overdue", {"rank": 1}, {"overdue": True, "rank": 1}),
+            ("overdue by rank", {"overdue": True, "rank": 1}, {"rank": 2}),
         ]
     )
     def test_order(self, _, first, second):
@@ -84,6 +96,25 @@
         served = self.run_and_list_served(running + waiting)
         self.assertLess(served.index("first"), served.index("second"))
 
+    def test_overdue_requests_do_not_count_as_ahead_of_new_ones(self):
+        """Guards against loads that keep new requests from a server that serves them.
+
+        The load tells how many calls of each rank are served before a new one.
+        """
+
+        async def scenario():
+            requests = [self.request(rank=9) for _ in range(2)]
+            requests += [self.request(overdue=True), self.request()]
+            runs = asyncio.gather(*map(self.run_request, requests))
+            await asyncio.sleep(0)
+            load = self.queue.load()
+            await runs
+            return load
+
+        self.measure_service_time()
+        load = run_virtual(scenario(), self.clock)
+        self.assertEqual((2, (0, 1, 1)), (load.queued, load.queued_by_rank))
+
     def test_refuses_on_arrival_what_cannot_be_answered_in_time(self):
         """Guards against requests that wait until it is too late for another server.
 
--- a/tests/test_load_replays.py
+++ b/tests/test_load_replays.py
@@ -9,6 +9,9 @@
 import random
 import unittest
 from collections import Counter
+from unittest.mock import patch
+
+from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination import forwarding
@@ -17,6 +20,7 @@
 from almondrouter.coordination.forwarding import Forwarder
 from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.patience import CallerPatience
 from almondrouter.coordination.placement import LowestCostPolicy
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.protocol.calls import BodyOffer
@@ -40,6 +44,10 @@
 TARGET_LATENCY_S = 0.4
 """Target latency of the route in the shared configuration."""
 SECONDS = 4.0
+DEADLINE_S = 1.6
+"""Longest time that callers wait, and what the route allows."""
+MIN_PATIENCE_SHARE = 0.85
+"""Shortest time that a caller waits, as a share of the longest."""
 REGIONS = 3
 ONE_WAY_S = {0: 0.0001, 1: 0.001, 2: 0.02}
 """One-way delays within a data centre, within a region, and between regions."""
@@ -125,7 +133,15 @@
 class LoadReplayTest(unittest.TestCase):
     """Callers send to all hosts uniformly, at random times from a fixed seed."""
 
-    def simulate(self, *, per_second, placement=LowestCostPolicy, body=b"", link=125e6):
+    def simulate(
+        self,
+        *,
+        per_second,
+        placement=LowestCostPolicy,
+        body=b"",
+        link=125e6,
+        attempts=1,
+    ):
         """Return the number of requests in time, late, and by error status."""
         clock, rng = ManualClock(), random.Random(7)
         fleet = [
@@ -136,7 +152,9 @@
             host.backend.apply_announcement(host.entry.backend)
         results = Counter()
         forwarders = [self.make_forwarder(h, fleet, placement, clock) for h in fleet]
-        work = self.send_all(forwarders, per_second, body, clock, rng, results)
+        work = self.send_all(
+            forwarders, per_second, body, attempts, clock, rng, results
+        )
         run_virtual(work, clock)
         return results
 
@@ -144,7 +162,7 @@
         directory = HostDirectory(clock=clock, is_alive=lambda _: True)
         for other in fleet:
             directory.put(other.entry)
-        table = decode_routes(make_configuration())
+        table = decode_routes(make_configuration(timeout=DEADLINE_S))
         rng = random.Random(host.number)
         return Forwarder(
             table=lambda: table,
@@ -176,22 +194,38 @@
             on_finished=lambda *result: None,
         )
 
-    async def send_all(self, forwarders, per_second, body, clock, rng, results):
+    async def send_all(
+        self, forwarders, per_second, body, attempts, clock, rng, results
+    ):
         tasks = []
         for _ in range(int(per_second * SECONDS)):
             await asyncio.sleep(rng.expovariate(per_second))
-            forwarder = rng.choice(forwarders)
+            chosen = [rng.choice(forwarders) for _ in range(attempts)]
+            patience = DEADLINE_S
+            if attempts > 1:
+                patience *= rng.uniform(MIN_PATIENCE_SHARE, 1.0)
             tasks.append(
-                asyncio.create_task(self.send(forwarder, body, clock, results))
+                asyncio.create_task(self.send(chosen, body, patience, clock, results))
             )
         await asyncio.gather(*tasks)
 
-    async def send(self, forwarder, body, clock, results):
+    async def send(self, forwarders, body, patience, clock, results):
+        """Send a request, and to the next daemon when the response says so."""
         began_at = clock.monotonic()
-        headers = (("host", "shop.example"), ("attempt-id", "a"))
         path = "/pay/1" if body else "/read/1"
         method = "POST" if body else "GET"
-        response = await forwarder.handle(CallerRequest(method, path, headers, body))
+        for forwarder in forwarders:
+            left = began_at + patience - clock.monotonic()
+            headers = (
+                ("host", "shop.example"),
+                ("attempt-id", "a"),
+                ("deadline-ms", f"{left * 1000:.0f}"),
+            )
+            request = CallerRequest(method, path, headers, body)
+            response = await forwarder.handle(request)
+            if response.status != 503:
+                break
+            await asyncio.sleep(float(dict(response.headers)["retry-after"]))
         in_time = clock.monotonic() - began_at <= TARGET_LATENCY_S
         if response.status == 200:
             results["in time" if in_time else "late"] += 1
@@ -242,6 +276,24 @@
             (with_mechanism, without_mechanism),
         )
 
+    @parameterized.expand([("above capacity", 1.2), ("twice the capacity", 2.0)])
+    def test_retries_of_refused_requests(self, _, demand):
+        """Guards against responses that are late for requests that were sent again.
+
+        Callers send a refused request once more. If it is taken for a new one, it waits
+        beside new ones, which then are late, too.
+        """
+        per_second = demand * SERVERS * SLOTS / RUN_S
+        with patch.object(CallerPatience, "estimate_elapsed", return_value=0.0):
+            without_mechanism = self.simulate(per_second=per_second, attempts=2)
+        with_mechanism = self.simulate(per_second=per_second, attempts=2)
+        self.assertEqual(sum(without_mechanism.values()), sum(with_mechanism.values()))
+        self.assertGreater(
+            with_mechanism["in time"],
+            without_mechanism["in time"],
+            (with_mechanism, without_mechanism),
+        )
+
     def test_replays_repeat(self):
         """Guards against simulations whose results differ between runs."""
         first, second = (self.simulate(per_second=200) for _ in range(2))
