Fail the tests of a module that leaves connections open

Python only prints such errors, long after the test that is to blame.

Change: the runner collects garbage after the last test of each module and reports as an error what the interpreter could only print. The two modules that left writers open close them.

--- a/tests/run.py
+++ b/tests/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 import unittest
 from pathlib import Path
@@ -26,6 +27,46 @@
     return cases
 
 
+class LeakDetectingResult(unittest.TextTestResult):
+    """Reports errors that Python can only print, as of connections left open.
+
+    They show when an object is collected, so that each module is collected after its
+    last test and answers for what it left.
+    """
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self._last: unittest.TestCase | None = None
+        self._leaks: list[str] = []
+        sys.unraisablehook = self._record_leak
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Check the module before if this is the first test of another one."""
+        if (
+            self._last is not None
+            and type(self._last).__module__ != type(test).__module__
+        ):
+            self.check_leaks()
+        self._last = test
+        super().startTest(test)
+
+    def stopTestRun(self) -> None:  # noqa: N802
+        """Check the last module."""
+        self.check_leaks()
+        super().stopTestRun()
+
+    def check_leaks(self) -> None:
+        """Collect what is not referenced; record an error if anything was left open."""
+        gc.collect()
+        if self._leaks:
+            text = "\n".join(self._leaks)
+            self._leaks.clear()
+            self.errors.append((self._last, f"left open by this module:\n{text}"))
+
+    def _record_leak(self, unraisable: sys.UnraisableHookArgs) -> None:
+        self._leaks.append(f"{unraisable.object!r}: {unraisable.exc_value!r}")
+
+
 def main() -> int:
     """Run all tests, or those whose ids contain an argument; return the exit code."""
     sys.path.insert(0, str(ROOT / "tests"))
@@ -41,7 +82,10 @@
     for name in known_red_ids:
         print(f"skipped as a known failure: {name}")
     suite = unittest.TestSuite(c for c in cases if c.id() not in known_red)
-    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
+    runner = unittest.TextTestRunner(
+        verbosity=1, buffer=True, resultclass=LeakDetectingResult
+    )
+    result = runner.run(suite)
     failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
     skipped = len(result.skipped) + len(known_red_ids)
     passed = result.testsRun - failed - len(result.skipped)
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import tracemalloc
 import unittest
@@ -267,10 +268,12 @@
         body = bytes(2_000_000)
 
         async def read_late(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            await asyncio.sleep(3 * TCP_USER_TIMEOUT_S)
-            await reader.readexactly(len(body))
-            writer.write(OK)
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(3 * TCP_USER_TIMEOUT_S)
+                await reader.readexactly(len(body))
+                writer.write(OK)
+                await reader.read()
 
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
--- a/tests/test_transport_inputs_endless.py
+++ b/tests/test_transport_inputs_endless.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import socket
 import tracemalloc
@@ -179,12 +180,13 @@
         self.addAsyncCleanup(self.store.close)
 
     async def serve(self, reader, writer):
-        while await reader.readuntil(b"\r\n\r\n"):
-            item = {"key": next(self.keys), "value": "", "revision": 1}
-            page = {"items": [item], "at": 5, "has_more": True}
-            body = msgspec.json.encode(page)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
-            writer.write(body)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        with contextlib.closing(writer), contextlib.suppress(EOFError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                item = {"key": next(self.keys), "value": "", "revision": 1}
+                page = {"items": [item], "at": 5, "has_more": True}
+                body = msgspec.json.encode(page)
+                writer.write(head % len(body) + body)
 
     @parameterized.expand([("the same", ["a/1", "a/1"]), ("earlier", ["a/2", "a/1"])])
     async def test_page_that_does_not_continue_is_invalid(self, _, keys):
