Read all records and the configuration once at a start, then only what changed

Change: for its first 3 s a daemon polls only what did not exist. Once its own record has been written, it asks the store for what has changed in the records since its first read; of two new hosts the later one so finds the earlier one. If that history is gone, it reads all.

Result: test_new_daemon_reads_only_what_is_new fails without the change (4 reads more). Three tests wait for the new call before they count calls.

--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -49,6 +49,8 @@
         Sources of monotonic time and of the jitter of delays.
     on_contact
         Called after each call of the store with whether it responded.
+    on_registered
+        Called when the record has been written for the first time.
     """
 
     def __init__(
@@ -59,8 +61,10 @@
         clock: Clock,
         random: random_module.Random,
         on_contact: Callable[[bool], None] = lambda reached: None,
+        on_registered: Callable[[], None] = lambda: None,
     ) -> None:
         self._on_contact = on_contact
+        self._on_registered = on_registered
         self._store = store
         self._make_entry = make_entry
         self._clock = clock
@@ -145,6 +149,8 @@
         put = Put(HOSTS_PREFIX + entry.host, encode_host(entry), self._lease.lease_id)
         result = await self._store.commit(Transaction(success=(put,)))
         self._on_contact(True)
+        if not self.counts["written"]:
+            self._on_registered()
         self._written_entry, self.written_revision = entry, result.revision
         self._written.set()
         self.counts["written"] += 1
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -28,8 +28,10 @@
 """Keys that a daemon reads a second on average. Every daemon reads all of them, so that
 the bytes from the store would otherwise grow with the square of the number of hosts."""
 STARTUP_POLL_INTERVAL_S = 0.5
-"""Seconds to the first of the reads with which a new daemon discovers its peers. Each
-of the next intervals is twice as long."""
+"""Seconds between the polls of a new daemon for keys that did not exist before."""
+CHANGES_DELAY_S = 0.3
+"""Longest delay of a requested read of changes; hosts that start together do not read
+together."""
 COALESCING_DELAY_S = 0.3
 """Seconds for which changes are batched after each event; short compared with the
 seconds within which a new configuration must be in force."""
@@ -101,7 +103,9 @@
     Notes
     -----
     While ``watching`` is False, another daemon relays the changes, and only the
-    polled keys are read periodically; these reads may be stale. One watch covers all
+    polled keys are read periodically; these reads may be stale. A daemon that has just
+    started has read all keys: it polls those that did not exist, and reads what has
+    changed in the others once, after `request_changes`. One watch covers all
     watched keys, and the other keys are polled beside it. The first read of a
     restarted daemon is not: it would bring back an older configuration, or a backend
     server that has left. After a failure
@@ -129,8 +133,10 @@
         self._watched = [s for s in subscribers if s.is_watched]
         self._prefix = find_common_prefix([s.prefix for s in self._watched])
         self._polled_keys = 0
-        self._poll_interval = STARTUP_POLL_INTERVAL_S
+        self._absent: set[str] = set()
         self._poll_at = clock.monotonic()
+        self._unwatched_revisions: dict[str, int] = {}
+        self._changes_due = False
         self._revision = 0
         self._watched_keys_read = False
         self._up_to_date = False
@@ -152,6 +158,19 @@
             self._require_full_read()
             self._interrupt.set()
 
+    def request_changes(self) -> None:
+        """Read soon what has changed in the unwatched keys since they were read.
+
+        Notes
+        -----
+        Called once the record of this host has been written. Of two new hosts, the one
+        that writes its record later then reads that of the other.
+        """
+        delay = CHANGES_DELAY_S * self._random.random()
+        self._poll_at = min(self._poll_at, self._clock.monotonic() + delay)
+        self._changes_due = True
+        self._interrupt.set()
+
     @property
     def watching(self) -> bool:
         """Whether this daemon watches the store itself."""
@@ -223,15 +242,25 @@
             async with asyncio.timeout(self._poll_at - self._clock.monotonic()):
                 await self._interrupt.wait()
         except TimeoutError:
-            polled = [s for s in self._subscribers if s.is_polled]
-            await self._read_prefixes(polled, stale=True)
+            await self._poll_keys([s for s in self._subscribers if s.is_polled])
+
+    async def _poll_keys(self, polled: Sequence[StoreSubscriber]) -> None:
+        """Read keys, or only what may be new if they have just been read."""
+        changes_due, self._changes_due = self._changes_due, False
+        if changes_due or self._is_starting:
+            polled = [s for s in polled if s.prefix in self._absent]
+        self._schedule_poll()
+        await self._read_prefixes(polled, stale=True)
+        if changes_due:
+            for subscriber in self._subscribers:
+                if not subscriber.is_watched:
+                    await self._read_changes(subscriber)
 
     def _schedule_poll(self) -> None:
         """Set the time of the next poll; a daemon that has just started polls soon."""
         interval = max(POLL_INTERVAL_S, self._polled_keys / MAX_POLLED_KEYS_PER_S)
         if self._is_starting:
-            interval = self._poll_interval
-            self._poll_interval *= 2
+            interval = STARTUP_POLL_INTERVAL_S
         self._poll_at = self._clock.monotonic() + interval * self._random.uniform(
             0.8, 1.2
         )
@@ -252,9 +281,14 @@
         for subscriber in subscribers:
             result = await self._store.read_prefix(subscriber.prefix, stale=stale)
             subscriber.load(result.items, stale=stale, revision=result.revision)
+            if not result.items:
+                self._absent.add(subscriber.prefix)
+            else:
+                self._absent.discard(subscriber.prefix)
             if subscriber.is_watched:
                 revisions.append(result.revision)
             else:
+                self._unwatched_revisions[subscriber.prefix] = result.revision
                 self._polled_keys = len(result.items)
                 self._schedule_poll()
         if revisions:
@@ -266,6 +300,27 @@
         self._record_response()
         self.loaded.set()
 
+    async def _read_changes(self, subscriber: StoreSubscriber) -> None:
+        """Apply what has changed since the last read of a subscriber's keys."""
+        revision = self._unwatched_revisions.get(subscriber.prefix, 0)
+        batches = self._store.watch(subscriber.prefix, from_revision=revision + 1)
+        try:
+            batch = await anext(batches)
+        except AlmondError as error:
+            if error.code is not ErrorCode.HISTORY_COMPACTED:
+                self._changes_due = True
+                raise
+            _log.info("store history compacted; reading all keys", reason=error.message)
+            await self._read_prefixes([subscriber], stale=False)
+            return
+        finally:
+            await batches.aclose()
+        for event in batch.events:
+            subscriber.apply(event)
+        self._unwatched_revisions[subscriber.prefix] = batch.revision
+        self.counts["change_readings"] += 1
+        self._record_response()
+
     async def _run_watch(self) -> None:
         interrupt = asyncio.ensure_future(self._interrupt.wait())
         batches = self._store.watch(self._prefix, from_revision=self._revision + 1)
@@ -293,11 +348,9 @@
             await batches.aclose()
 
     async def _poll_unwatched_keys(self) -> None:
-        if self._clock.monotonic() < self._poll_at:
-            return
-        self._schedule_poll()
-        polled = [s for s in self._subscribers if s.is_polled and not s.is_watched]
-        await self._read_prefixes(polled, stale=True)
+        if self._clock.monotonic() >= self._poll_at:
+            unwatched = [s for s in self._subscribers if not s.is_watched]
+            await self._poll_keys([s for s in unwatched if s.is_polled])
 
     def _apply_batch(self, batch: WatchBatch) -> None:
         self._record_response()
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -160,6 +160,7 @@
             clock=clock,
             random=self._random,
             on_contact=lambda reached: self.feed.record_contact(reached=reached),
+            on_registered=lambda: self.feed.request_changes(),
         )
         records = HostRecords(
             self.directory,
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -50,6 +50,7 @@
             clock=clock,
             random=random.Random(1),
             on_contact=lambda reached: self.feed.record_contact(reached=reached),
+            on_registered=lambda: self.feed.request_changes(),
         )
         records = HostRecords(
             self.directory,
@@ -177,7 +178,8 @@
         """
         await self.put_version(1)
         await self.wait_for_version(1)
-        await wait_until(lambda: self.server.calls["kv-watch"])
+        await wait_until(lambda: self.feed.counts["change_readings"])
+        await asyncio.sleep(0.05)
         before = self.server.calls["kv-watch"]
         for change in range(20):
             entry = encode_host(make_entry("h1", change=change))
@@ -233,6 +235,7 @@
         """Guards against a store load that grows with the number of daemons."""
         await self.put_version(1)
         await self.wait_for_version(1)
+        await wait_until(lambda: self.feed.counts["change_readings"])
         self.feed.set_watching(False)
         await asyncio.sleep(0.1)
         watches = self.server.calls["kv-watch"]
@@ -250,9 +253,11 @@
         """Guards against many new daemons that all watch the store at once."""
         await self.put_version(1)
         await self.wait_for_version(1)
+        await wait_until(lambda: self.feed.counts["change_readings"])
         self.feed.set_watching(False)
         await asyncio.sleep(0.1)
         self.server.calls.clear()
+        self.server.stale_reads = 0
         records = HostRecords(
             self.directory,
             own_host="own",
@@ -269,6 +274,50 @@
         await wait_until(lambda: self.server.calls["kv-watch"])
         self.assertGreater(self.server.calls["kv-range"], self.server.stale_reads)
 
+    async def start_feed(self, *, poll_for=60.0):
+        """Run the feed of another new daemon until it has read all keys."""
+        found = HostDirectory(clock=SystemClock(), is_alive=lambda _: True)
+        records = HostRecords(
+            found,
+            own_host="new",
+            on_own_lost=lambda: None,
+            on_seen=lambda entry: None,
+        )
+        feed = self.make_feed(records, poll_for=poll_for, first_read_may_be_stale=True)
+        await self.run_until_loaded(feed)
+        return feed, found
+
+    async def test_new_daemon_reads_only_what_is_new(self):
+        """Guards against full reads by each new daemon, which cost more than the rest.
+
+        Hosts that wrote their records after its first read are found all the same.
+        """
+        await self.put_version(1)
+        await wait_until(lambda: self.feed.counts["change_readings"])
+        feed, found = await self.start_feed()
+        reads = self.server.calls["kv-range"]
+        await asyncio.sleep(2 * storefeed.STARTUP_POLL_INTERVAL_S)
+        await self.server.put(HOSTS_PREFIX + "h1", encode_host(make_entry("h1")))
+        feed.request_changes()
+        await wait_until(lambda: len(found) == 2)
+        self.assertEqual(reads, self.server.calls["kv-range"])
+        self.assertEqual(1, feed.counts["change_readings"])
+
+    async def test_new_daemon_reads_all_if_the_history_is_gone(self):
+        """Guards against hosts that are never found after a compaction."""
+        feed, found = await self.start_feed()
+        await self.server.put(HOSTS_PREFIX + "h1", encode_host(make_entry("h1")))
+        self.server.compact_history()
+        feed.request_changes()
+        await wait_until(lambda: any(e.host == "h1" for e in found.entries))
+
+    async def test_new_daemon_polls_for_the_first_configuration(self):
+        """Guards against a fleet that starts before its configuration exists."""
+        self.routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        await self.start_feed()
+        await self.put_version(1)
+        await self.wait_for_version(1)
+
     async def run_until_loaded(self, feed):
         task = asyncio.create_task(feed.run())
         self.addCleanup(task.cancel)
