--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -380,7 +380,7 @@
             pending.sent += 1
             if pending.sent >= pending.route.max_attempts:
                 return False
-            return self._retry_budget.try_spend(pending.service)
+            return self._spend_retry(pending)
         return True
 
     def _may_retry(self, pending: _PendingRequest) -> bool:
@@ -421,7 +421,12 @@
         needed = route.target_latency * MIN_RETRY_TIME_SHARE
         if self._clock.monotonic() + needed > pending.call.deadline:
             return False
-        return self._retry_budget.try_spend(pending.service)
+        return self._spend_retry(pending)
+
+    def _spend_retry(self, pending: _PendingRequest) -> bool:
+        return self._retry_budget.try_spend(
+            pending.service, rank=pending.route.priority
+        )
 
     async def _send_attempt(
         self, destination: Destination, pending: _PendingRequest
