Log when the demand at a host rises or falls

Change: each daemon counts the requests of each route over two seconds and logs a rate that is twice or half of the average and differs by 2 a second or more, for at most three routes in two seconds.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.demand import DemandMonitor
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.patience import CallerPatience
@@ -193,6 +194,7 @@
         self._on_newer_version = on_newer_version
         self._on_finished = on_finished
         self._patience = CallerPatience(clock)
+        self._demand = DemandMonitor(clock)
         self._answers_until = math.inf
         self._refuses_new = False
 
@@ -250,6 +252,7 @@
         if info.time_left is not None:
             time_left = min(time_left, info.time_left)
         nested = self._is_running(info.parent_id)
+        self._demand.record(route.name)
         if nested:
             # The parent request fails without this response, so that it is useful
             # until the deadline, even after the target latency.
