End all tasks of a schedule, and close the writers of a proxy, after a test

Cause: with the check for what modules leave open, a whole run of showed tasks that start others while they are cancelled (stateful test of claims), and writers of the proxy of test_transport_zeromq.

Change: a schedule cancels until no task is left; the proxy closes its writers.

--- a/packages/almondrouter-standins/src/almondrouter_standins/schedule.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/schedule.py
@@ -82,10 +82,11 @@
         self.run_until_blocked()
 
     def close(self) -> None:
-        """Cancel all tasks and close the loop."""
-        for task in asyncio.all_tasks(self.loop):
-            task.cancel()
-        self.run_until_blocked()
+        """Cancel all tasks, and those that they start as they end; close the loop."""
+        while tasks := asyncio.all_tasks(self.loop):
+            for task in tasks:
+                task.cancel()
+            self.run_until_blocked()
         self.loop.close()
 
 
--- a/tests/test_transport_zeromq.py
+++ b/tests/test_transport_zeromq.py
@@ -255,6 +255,7 @@
         proxy.target = target
         proxy.silenced = set()
         proxy.tasks = set()
+        proxy.writers = []
         proxy.server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
         host, port = proxy.server.sockets[0].getsockname()
         proxy.address = f"{host}:{port}"
@@ -266,6 +267,7 @@
     async def serve(self, reader, writer):
         host, port = self.target.split(":")
         upstream_reader, upstream_writer = await asyncio.open_connection(host, port)
+        self.writers += [writer, upstream_writer]
         for source, sink in ((reader, upstream_writer), (upstream_reader, writer)):
             task = asyncio.get_running_loop().create_task(self.copy(source, sink))
             self.tasks.add(task)
@@ -283,3 +285,5 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        for writer in self.writers:
+            writer.close()
