Probe 8 hosts, and ping the others 4 times a second together

Change: 8 probes and 4 other pings, 48 frames a second at all sizes above 9 hosts. If half of the fleet falls silent at once, one host in 256 has no observer left; it is found by the check of all links while most probed hosts are silent, or by a call.

Result: probing, peers and the pings of links pass (42).

--- a/packages/almondrouter/src/almondrouter/coordination/probing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/probing.py
@@ -16,7 +16,7 @@
 
 from almondrouter.clock import Clock
 
-PROBED_SUCCESSORS = 16
+PROBED_SUCCESSORS = 8
 """Hosts that a daemon probes, and observers of each host. Some of them see a host fall
 silent even if most hosts fail at the same time."""
 SUSPICION_TTL_S = 3.0
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -54,7 +54,7 @@
 """
 MAX_IDLE_S = 60.0
 """Time after the last call at which an outbound link is closed."""
-UNPROBED_PINGS_PER_S = 8.0
+UNPROBED_PINGS_PER_S = 4.0
 """Pings per second to all peers together that others probe and report if silent."""
 MAX_OPEN_CALLS = 10_000
 """Limit on concurrent calls of one inbound link; further calls are refused."""
