Count requests as overdue that queues would refuse for their lack of time

Cause: with between 0.3 and 0.45 of the target latency left, a request was not overdue, but queues refuse it, since 1.5 times the mean run time does not fit.

Change: a request is overdue with less than 0.45 of its target latency left.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -45,9 +45,10 @@
 MIN_RETRY_TIME_SHARE = 0.3
 """Least time until the deadline for a retry, as a share of the target latency; with
 less time, a retry is unlikely to complete."""
-MIN_ON_TIME_SHARE = 0.3
+MIN_ON_TIME_SHARE = 0.45
 """Least time left of the target latency, as a share of it, with which a request is not
-overdue: less is seldom enough for its run."""
+overdue. With less, queues would refuse it as it can hardly be on time, although its
+caller still waits for a late response."""
 OVERDUE_SHARE = 0.4
 """Share of the time until its deadline for which an overdue request may wait and run;
 its caller can use the rest for another attempt."""
