Count the links, frames and bytes between daemons

Change: gauges of open links, and counters of frames and bytes by side and direction.

Result: test_almondrouterd_hostmetrics compares both ends of a link; links and docs pass.

--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 
 import msgspec
 
@@ -90,6 +91,16 @@
         return peer_time + self._offset - self._error
 
 
+@dataclass(slots=True)
+class FrameTraffic:
+    """Frames and bytes on all links of one side of a daemon."""
+
+    frames_sent: int = 0
+    frames_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
 class FrameStream(asyncio.Protocol):
     """Protocol that reads and writes length-prefixed frames on one connection.
 
@@ -104,6 +115,8 @@
         Seconds without received bytes after which the peer counts as silent.
     ping_interval
         Seconds between calls of `check_silence`.
+    traffic
+        Counts the frames and bytes; may be shared between links.
 
     Notes
     -----
@@ -120,8 +133,10 @@
         on_connect: Callable[..., Coroutine] | None = None,
         max_silence: float = MAX_SILENCE_S,
         ping_interval: float = PING_INTERVAL_S,
+        traffic: FrameTraffic | None = None,
     ) -> None:
         self._clock = clock
+        self._traffic = traffic or FrameTraffic()
         self._max_silence = max_silence
         self._max_check_gap = MAX_CHECK_GAP * ping_interval
         self._on_connect = on_connect
@@ -151,12 +166,18 @@
         *,
         max_silence: float = MAX_SILENCE_S,
         ping_interval: float = PING_INTERVAL_S,
+        traffic: FrameTraffic | None = None,
     ) -> FrameStream:
         """Connect to ``ip:port``; the handshake is left to the caller."""
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         _, stream = await loop.create_connection(
-            lambda: cls(clock, max_silence=max_silence, ping_interval=ping_interval),
+            lambda: cls(
+                clock,
+                max_silence=max_silence,
+                ping_interval=ping_interval,
+                traffic=traffic,
+            ),
             host,
             port,
         )
@@ -217,6 +238,8 @@
         data = CALL_CODEC.encode(frame)
         if self._transport.is_closing():
             return
+        self._traffic.frames_sent += 1
+        self._traffic.bytes_sent += _LENGTH_BYTES + len(data)
         self._transport.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
 
     @property
@@ -362,6 +385,7 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: D102
         self._last_received_at = self._clock.monotonic()
+        self._traffic.bytes_received += len(data)
         try:
             if self._buffer:
                 self._buffer += data
@@ -385,6 +409,7 @@
                 break
             frame = CALL_CODEC.decode(bytes(data[body:end]))
             begin = end
+            self._traffic.frames_received += 1
             self._dispatch_frame(frame)
         return begin
 
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -38,6 +38,7 @@
     PING_INTERVAL_S,
     ClockOffset,
     FrameStream,
+    FrameTraffic,
 )
 from almondrouter.transport.listeners import Listener, run_periodically
 from almondrouter.transport.outbound_link import OutboundLink
@@ -161,11 +162,17 @@
         self._links: set[_InboundLink] = set()
         self._tasks: set[asyncio.Task] = set()
         self.draining = False
+        self.traffic = FrameTraffic()
         self.counts: Counter[str] = Counter()
 
     def make_protocol(self) -> asyncio.BaseProtocol:  # noqa: D102
         return self._make_stream()
 
+    @property
+    def link_count(self) -> int:
+        """Number of open links."""
+        return len(self._links)
+
     @property
     def calls_in_flight(self) -> int:
         """Number of calls that have no reply yet."""
@@ -203,6 +210,7 @@
             on_connect=self._serve_link,
             max_silence=self._policy.max_inbound_silence,
             ping_interval=self._policy.ping_interval,
+            traffic=self.traffic,
         )
 
     async def _serve_link(self, stream: FrameStream) -> None:
@@ -385,8 +393,14 @@
         self._withdrawn = False
         self._connecting: dict[str, asyncio.Task[OutboundLink]] = {}
         self._ticker: asyncio.Task | None = None
+        self.traffic = FrameTraffic()
         self.counts: Counter[str] = Counter()
 
+    @property
+    def link_count(self) -> int:
+        """Number of open links."""
+        return len(self._links)
+
     async def start(self) -> None:
         """Start to ping peers and to close silent and idle links."""
         self._ticker = asyncio.create_task(
@@ -561,6 +575,7 @@
                     self._clock,
                     max_silence=self._get_max_silence(link_key),
                     ping_interval=self._policy.ping_interval,
+                    traffic=self.traffic,
                 )
                 await stream.run_client_handshake(self._hello)
         except BaseException as error:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -49,7 +49,11 @@
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
 from almondrouterd.backendcontrol import BackendControl
-from almondrouterd.hostmetrics import register_call_metrics, register_state_metrics
+from almondrouterd.hostmetrics import (
+    register_call_metrics,
+    register_link_metrics,
+    register_state_metrics,
+)
 from almondrouterd.metrics import DaemonMetrics
 from almondrouterd.peers import Peers
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
@@ -292,10 +296,10 @@
             self._metrics,
             backend=self.backend,
             retry_budget=self.retry_budget,
-            links=self.links,
             store=self._store,
             callers=self.callers,
         )
+        register_link_metrics(self._metrics, links=self.links, server=self.link_server)
         address = f"{self.settings.ip}:{self.settings.metrics_port}"
         self._metrics_server = self._make_internal_server(address, self._handle_metrics)
 
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -11,7 +11,7 @@
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.logs import LineWriter
 from almondrouter.transport.callers import CallerServer
-from almondrouter.transport.links import CallLinkPool
+from almondrouter.transport.links import CallLinkPool, CallLinkServer
 from almondrouterd.metrics import DaemonMetrics, Samples, make_unlabelled_samples
 from almondrouterd.platform.store import PlatformStore
 
@@ -44,11 +44,10 @@
     *,
     backend: LocalBackend,
     retry_budget: FleetRetryBudget,
-    links: CallLinkPool,
     store: PlatformStore,
     callers: CallerServer,
 ) -> None:
-    """Register metrics of callers, backend server, retries, links and store calls."""
+    """Register metrics of callers, backend server, retries and store calls."""
     metrics.add_gauge(
         "almond_backend_load",
         "Slots, requests running and requests waiting",
@@ -64,11 +63,6 @@
         "Repeats allowed and denied by the budget",
         lambda: _read_counts(retry_budget.counts, "event"),
     )
-    metrics.add_counter(
-        "almond_link_events_total",
-        "Links lost and refused",
-        lambda: _read_counts(links.counts, "event"),
-    )
     metrics.add_counter(
         "almond_caller_events_total",
         "Requests and connections refused, and requests without a response",
@@ -84,6 +78,47 @@
     )
 
 
+def register_link_metrics(
+    metrics: DaemonMetrics, *, links: CallLinkPool, server: CallLinkServer
+) -> None:
+    """Register metrics of the links to other daemons."""
+    sides = {"outbound": links, "inbound": server}
+    metrics.add_counter(
+        "almond_link_events_total",
+        "Links lost and refused",
+        lambda: _read_counts(links.counts, "event"),
+    )
+    metrics.add_gauge(
+        "almond_links",
+        "Open links to other daemons",
+        lambda: [({"side": s}, links.link_count) for s, links in sides.items()],
+    )
+    metrics.add_counter(
+        "almond_link_frames_total",
+        "Frames on the links to other daemons",
+        lambda: [
+            ({"side": side, "direction": direction}, count)
+            for side, links in sides.items()
+            for direction, count in (
+                ("sent", links.traffic.frames_sent),
+                ("received", links.traffic.frames_received),
+            )
+        ],
+    )
+    metrics.add_counter(
+        "almond_link_bytes_total",
+        "Bytes on the links to other daemons",
+        lambda: [
+            ({"side": side, "direction": direction}, count)
+            for side, links in sides.items()
+            for direction, count in (
+                ("sent", links.traffic.bytes_sent),
+                ("received", links.traffic.bytes_received),
+            )
+        ],
+    )
+
+
 def _read_load(backend: LocalBackend) -> Samples:
     load = backend.queue.load()
     yield {"figure": "slots"}, load.slots
