Render the traffic of links by one function

Cause: the frames and the bytes of links were rendered by the same lines twice.

Change: one function for both.

Result: test_almondrouterd_hostmetrics passes.

--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Hashable
+from collections.abc import Hashable, Mapping
 
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.directory import HostDirectory
@@ -96,29 +96,24 @@
     metrics.add_counter(
         "almond_link_frames_total",
         "Frames on the links to other daemons",
-        lambda: [
-            ({"side": side, "direction": direction}, count)
-            for side, links in sides.items()
-            for direction, count in (
-                ("sent", links.traffic.frames_sent),
-                ("received", links.traffic.frames_received),
-            )
-        ],
+        lambda: _read_traffic(sides, "frames"),
     )
     metrics.add_counter(
         "almond_link_bytes_total",
         "Bytes on the links to other daemons",
-        lambda: [
-            ({"side": side, "direction": direction}, count)
-            for side, links in sides.items()
-            for direction, count in (
-                ("sent", links.traffic.bytes_sent),
-                ("received", links.traffic.bytes_received),
-            )
-        ],
+        lambda: _read_traffic(sides, "bytes"),
     )
 
 
+def _read_traffic(
+    sides: Mapping[str, CallLinkPool | CallLinkServer], unit: str
+) -> Samples:
+    for side, links in sides.items():
+        for direction in ("sent", "received"):
+            count = getattr(links.traffic, f"{unit}_{direction}")
+            yield {"side": side, "direction": direction}, count
+
+
 def _read_load(backend: LocalBackend) -> Samples:
     load = backend.queue.load()
     yield {"figure": "slots"}, load.slots
