Do not count a poll without a call as a response of the store

Cause: found on reading: a new daemon whose keys all exist has nothing to poll, and the empty poll set the store reachable. After a failed poll, a requested read of changes was forgotten or came with the next poll, 12 s later or more.

Change: nothing is read, and nothing recorded, if no key is to be polled; a poll that fails requests its read of changes again.

Result: test_poll_without_a_call_does_not_show_that_the_store_responds and test_changes_are_read_after_an_outage fail without the change.

--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -250,11 +250,17 @@
         if changes_due or self._is_starting:
             polled = [s for s in polled if s.prefix in self._absent]
         self._schedule_poll()
-        await self._read_prefixes(polled, stale=True)
-        if changes_due:
-            for subscriber in self._subscribers:
-                if not subscriber.is_watched:
-                    await self._read_changes(subscriber)
+        try:
+            if polled:
+                await self._read_prefixes(polled, stale=True)
+            if changes_due:
+                for subscriber in self._subscribers:
+                    if not subscriber.is_watched:
+                        await self._read_changes(subscriber)
+        except AlmondError:
+            if changes_due:
+                self.request_changes()
+            raise
 
     def _schedule_poll(self) -> None:
         """Set the time of the next poll; a daemon that has just started polls soon."""
@@ -308,7 +314,6 @@
             batch = await anext(batches)
         except AlmondError as error:
             if error.code is not ErrorCode.HISTORY_COMPACTED:
-                self._changes_due = True
                 raise
             _log.info("store history compacted; reading all keys", reason=error.message)
             await self._read_prefixes([subscriber], stale=False)
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -303,6 +303,25 @@
         self.assertEqual(reads, self.server.calls["kv-range"])
         self.assertEqual(1, feed.counts["change_readings"])
 
+    async def test_poll_without_a_call_does_not_show_that_the_store_responds(self):
+        """Guards against a store that counts as reachable because nobody asked it."""
+        await self.put_version(1)
+        await wait_until(lambda: self.feed.counts["change_readings"])
+        feed, _ = await self.start_feed()
+        feed.record_contact(reached=False)
+        await asyncio.sleep(1.5 * storefeed.STARTUP_POLL_INTERVAL_S)
+        self.assertFalse(feed.reaches_store)
+
+    async def test_changes_are_read_after_an_outage(self):
+        """Guards against hosts that are found 12 s late for one failed call."""
+        feed, found = await self.start_feed()
+        await self.server.put(HOSTS_PREFIX + "h1", encode_host(make_entry("h1")))
+        self.server.fault = StoreFault.UNAVAILABLE
+        feed.request_changes()
+        await wait_until(lambda: not feed.reaches_store)
+        self.server.fault = StoreFault.NONE
+        await wait_until(lambda: any(e.host == "h1" for e in found.entries))
+
     async def test_new_daemon_reads_all_if_the_history_is_gone(self):
         """Guards against hosts that are never found after a compaction."""
         feed, found = await self.start_feed()
