Take no first attempt for an overdue one

Cause: a request with less than 0.45 of its target latency left was overdue, also where its route's timeout or its caller's deadline allows no more from the start. Such requests waited behind others for 0.4 of their time. A change of a timeout can bring that about.

Change: what a request needs is a share of what it was allowed on its arrival.

Result: both cases of test_first_attempt_with_little_time_is_not_overdue fail without the change.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -291,8 +291,10 @@
     def _mark_if_overdue(self, pending: _PendingRequest, now: float) -> None:
         """Let a request wait behind others if it can hardly be on time any more."""
         call = pending.call
-        needed = MIN_ON_TIME_SHARE * pending.route.target_latency
-        if not call.overdue and now + needed > min(call.useful_until, call.deadline):
+        # A route or caller may allow less than the target latency from the start.
+        time_allowed = call.deadline - pending.arrived_at
+        needed = MIN_ON_TIME_SHARE * min(pending.route.target_latency, time_allowed)
+        if not call.overdue and now + needed > call.useful_until:
             useful_until = now + OVERDUE_SHARE * (call.deadline - now)
             pending.call = msgspec.structs.replace(
                 call, overdue=True, useful_until=useful_until
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -207,6 +207,17 @@
         now = self.clock.monotonic()
         self.assertAlmostEqual(now + useful_for, call.useful_until, delta=0.011)
 
+    @parameterized.expand([("route", 0.1, 700), ("caller", 0.8, 100)])
+    async def test_first_attempt_with_little_time_is_not_overdue(
+        self, _, timeout, deadline_ms
+    ):
+        """Guards against a lower rank for routes with a timeout below their target."""
+        self.table = decode_routes(make_configuration(timeout=timeout))
+        await self.send(script=[make_answer()], deadline_ms=str(deadline_ms))
+        (call,) = self.links.calls
+        self.assertFalse(call.overdue)
+        self.assertAlmostEqual(self.clock.monotonic() + 0.1, call.useful_until)
+
     async def test_retry_after_a_late_failure_waits_behind_others(self):
         """Guards against refusing a retry because it cannot be on time any more."""
 
