Fix the time of the first ping in the tests of suspected links

A link draws the time of its first ping at random. If that fell on the last or last but one of the 20 steps before the suspicion, the pong was less than 0.3 s old, and CallLinkPool.suspect rightly asks nothing of a peer that has just sent something.

Traced: with the drawn share fixed at 40 values from 0.0125 to 0.9875, the old test fails at 0.4625 and 0.4875 (the pings at 4.75 and 5.0 s) and at no other.

Change: the draw is fixed, and both cases are tested: a peer heard 3 s ago is asked, one heard just now is not; both stay. The test waits for the pong instead of for a time.

--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -17,7 +17,7 @@
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.protocol.outcomes import make_reply as make_error_reply
-from almondrouter.transport import links
+from almondrouter.transport import frames, links
 from almondrouter.transport.frames import MAX_SILENCE_S, ClockOffset, FrameStream
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
 from almondrouter.transport.outbound_link import REPLY_GRACE_S
@@ -37,6 +37,9 @@
     return len(data).to_bytes(4, "big") + data
 
 
+UNPROBED_PING_INTERVAL_S = 10.0
+"""Interval of the pings on the idle link that the tests open."""
+FIRST_PING_S = 2.0
 OFFER = b"offer"
 """Key of an offer, which has no body, among the pending replies."""
 HELLO = encode_frame(make_hello("x"))
@@ -317,14 +320,21 @@
         call.cancel()
 
     async def open_idle_links(self, *, silent):
-        """Open an idle link to a peer that is not probed; return its address."""
+        """Open an idle link to a peer that is not probed; return its address.
+
+        A link draws the time of its first ping, which decides whether the peer has
+        sent something lately when a test suspects it.
+        """
+        share = FIRST_PING_S / UNPROBED_PING_INTERVAL_S
+        self.enterContext(patch.object(frames.random, "random", return_value=share))
         policy = LinkPolicy(ping_interval=0.3, max_silence=1.0, ping_idle=True)
         self.pool = CallLinkPool(
             hello=make_hello("caller"), clock=self.clock, policy=policy
         )
         self.addAsyncCleanup(self.pool.close)
-        # The one link gets the pings that a daemon of a fleet sends to 80 peers.
-        self.enterContext(patch.object(links, "UNPROBED_PINGS_PER_S", 0.1))
+        # The one link gets the pings that a daemon of a fleet sends to 40 peers.
+        pings_per_s = 1 / UNPROBED_PING_INTERVAL_S
+        self.enterContext(patch.object(links, "UNPROBED_PINGS_PER_S", pings_per_s))
         self.pool.set_probed(())
         peer = Peer()
         address = await peer.start() if silent else self.server.address
@@ -370,15 +380,20 @@
         self.assertEqual([address], self.pool.take_newly_silent())
         self.assertEqual([], self.pool.take_newly_silent())
 
-    async def test_suspected_peer_that_responds_stays(self):
+    @parameterized.expand([("3 s ago", 3, True), ("just now", 0, False)])
+    async def test_suspected_peer_that_responds_stays(self, _, heard_ago_s, checked):
         """Guards against giving up a host because another daemon cannot reach it."""
         address = await self.open_idle_links(silent=False)
-        await self.pass_time(5)
+        link = self.pool._links[address]
+        opened_at = link.stream.last_received_at
+        await self.pass_time(FIRST_PING_S)
+        await wait_until(lambda: link.stream.last_received_at > opened_at)
+        await self.pass_time(heard_ago_s)
         self.pool.suspect(address)
-        self.assertTrue(self.pool._links[address].is_suspected)
+        self.assertIs(checked, link.is_suspected)
         await self.pass_time(3)
         self.assertTrue(self.pool.is_alive(address))
-        self.assertFalse(self.pool._links[address].is_suspected)
+        self.assertFalse(link.is_suspected)
         self.assertEqual([], self.pool.take_newly_silent())
 
     async def test_call_that_waits_for_its_link_is_withdrawn(self):
