Keep links to few hosts of other regions

Cause: each daemon kept a link to every other one. Two thirds of the links of the large site lead to other regions, and each start of a daemon costs a handshake and records on all of them, in both directions.

Change: LinkSubset chooses four backend servers of each service in each other region by a ring of hashed names. Both ends work it out from the records, so that a server's daemon sends its changes to those that have chosen it. Hosts of the own region stay linked completely, and so do fleets with up to four servers of a service and region. A daemon is isolated if it doesn't reach the peers that it keeps links to. Each region announces silent hosts on its own, as a report no longer reaches all hosts of other regions. Selection happens after a complete read and at most every 2 s, as selections among the few hosts known at the start of a fleet open needless links.

The tests of LinkSubset and of the kept links fail before for want of the names.

--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -43,6 +43,8 @@
         self._host_by_address: dict[str, str] = {}
         self._destinations: dict[str, tuple[Destination, ...]] = {}
         self._outdated = False
+        self.revision = 0
+        """Counter that grows with each change of a record."""
 
     def __len__(self) -> int:
         return len(self._hosts)
@@ -70,7 +72,7 @@
             return
         _log.info("host record changed", **describe_entry(entry))
         self._hosts[entry.host] = _KnownHost(entry)
-        self._outdated = True
+        self._record_change()
 
     def _assign_address(self, entry: HostEntry) -> bool:
         """Assign a peer address to the newest host that uses it.
@@ -148,7 +150,11 @@
             if self._host_by_address.get(known.entry.peer_address) == host:
                 del self._host_by_address[known.entry.peer_address]
             _log.info("host removed; its record did not return", peer=host)
-            self._outdated = True
+            self._record_change()
+
+    def _record_change(self) -> None:
+        self._outdated = True
+        self.revision += 1
 
     def _rebuild_destinations(self) -> None:
         self._outdated = False
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -174,8 +174,8 @@
         Name of this host.
     on_own_lost
         Called if the record of this host is missing from the store.
-    on_seen
-        Called with each record that is read or changed.
+    on_loaded
+        Called after each complete read.
     on_own_seen
         Called with the record of this host after a complete read; an earlier
         daemon of the host may have written it.
@@ -190,7 +190,7 @@
         *,
         own_host: str,
         on_own_lost: Callable[[], None],
-        on_seen: Callable[[HostEntry], None],
+        on_loaded: Callable[[], None] = lambda: None,
         on_own_seen: Callable[[HostEntry], None] = lambda entry: None,
         own_revision: Callable[[], float] = lambda: math.inf,
     ) -> None:
@@ -198,7 +198,7 @@
         self._directory = directory
         self._own_host = own_host
         self._on_own_lost = on_own_lost
-        self._on_seen = on_seen
+        self._on_loaded = on_loaded
         self._on_own_seen = on_own_seen
 
     @property
@@ -225,8 +225,7 @@
             # Any other stale read may predate the record.
             self._on_own_lost()
         self._directory.replace_all(entries, own_host=self._own_host, stale=stale)
-        for entry in entries.values():
-            self._on_seen(entry)
+        self._on_loaded()
 
     def apply(self, event: WatchEvent) -> None:  # noqa: D102
         host = event.key.removeprefix(HOSTS_PREFIX)
@@ -239,7 +238,6 @@
         entry = self._decode_record(event.key, event.value)
         if entry is not None:
             self._directory.put(entry)
-            self._on_seen(entry)
 
     def _decode_record(self, key: str, value: bytes) -> HostEntry | None:
         try:
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -388,6 +388,7 @@
         self._links: dict[str, OutboundLink] = {}
         self._silent_links: set[OutboundLink] = set()
         self._probed: Collection[str] | None = None
+        self._kept: Collection[str] | None = None
         self._newly_silent: list[str] = []
         self._ticked_at: float | None = None
         self._withdrawn = False
@@ -463,6 +464,13 @@
         """
         self._probed = peer_addresses
 
+    def set_kept(self, peer_addresses: Collection[str]) -> None:
+        """Choose the peers whose idle links stay open; by default `ping_idle` decides.
+
+        Links to other peers are opened by calls and closed after ``MAX_IDLE_S``.
+        """
+        self._kept = peer_addresses
+
     def suspect(self, peer_address: str) -> None:
         """Check the link to a peer soon, unless the peer has sent something lately."""
         link = self._links.get(peer_address)
@@ -531,19 +539,30 @@
             # News of silent peers may have been missed while this process was paused.
             self.suspect_all()
         for link_key, link in tuple(self._links.items()):
-            if link.pending or self._policy.ping_idle:
+            if self._is_unused(link_key, link, now):
+                self._drop_link(link_key, link, "idle for too long")
+            elif link.pending or self._policy.ping_idle:
                 factor = self._get_silence_factor(link_key, link)
                 if link.stream.check_silence(factor=factor):
                     self._record_silence(link_key)
                     self._suspend_link(link_key, link)
-            elif now - link.used_at > MAX_IDLE_S:
-                self._drop_link(link_key, link, "idle for too long")
         for link in tuple(self._silent_links):
             if link.pending:
                 link.suspend(SILENCE_REASON)
             else:
                 self._drop_silent_link(link, "no call waits for the silent peer")
 
+    def _is_unused(self, link_key: str, link: OutboundLink, now: float) -> bool:
+        """Return whether a link has been idle for too long and is not to be kept."""
+        if link.pending or now - link.used_at <= MAX_IDLE_S:
+            return False
+        if not self._policy.ping_idle:
+            return True
+        return (
+            self._kept is not None
+            and link_key.removesuffix(_BULK_SUFFIX) not in self._kept
+        )
+
     async def _connect(self, link_key: str, deadline: float) -> OutboundLink:
         task = self._connecting.get(link_key) or self._start_connecting(link_key)
         try:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -170,7 +170,7 @@
             self.directory,
             own_host=settings.host,
             on_own_lost=self.registration.restore_record,
-            on_seen=lambda entry: self._peers.preconnect_host(entry),
+            on_loaded=lambda: self._peers.select_peers(),
             on_own_seen=self._restore_backend,
             own_revision=lambda: self.registration.written_revision,
         )
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -23,6 +23,7 @@
 )
 from almondrouter.coordination.relays import RelayCandidate, RelayElection
 from almondrouter.coordination.storefeed import StoreFeed
+from almondrouter.coordination.subsets import LinkSubset
 from almondrouter.errors import AlmondError
 from almondrouter.logs import EventLogger
 from almondrouter.protocol.calls import (
@@ -47,6 +48,10 @@
 link."""
 ROUTES_QUERY_TIMEOUT_S = 1.0
 """Seconds within which a peer has to send its configuration."""
+SELECTION_INTERVAL_S = 2.0
+"""Shortest interval between selections of the peers to keep links to. While a fleet
+starts, each selection from the few hosts known so far opens links that are not needed
+once all are known."""
 
 _COMPRESSED = (("content-encoding", "deflate"),)
 _log = EventLogger("peers")
@@ -95,7 +100,12 @@
             own_host, reaches_store=lambda: feed.reaches_store
         )
         self._isolation = IsolationDetector(clock=clock)
+        self._subset = LinkSubset(own_host, own_region)
+        self._linked: frozenset[str] = frozenset()
+        self._selected_revision = -1
+        self._select_at = clock.monotonic()
         self._ring = ProbeRing(own_host)
+        self._probed: frozenset[str] = frozenset()
         self._suspicions = SuspicionLog(clock=clock)
         self._logged_isolated = False
         self._hosts_without_store: set[str] = set()
@@ -129,8 +139,13 @@
         else:
             self._hosts_without_store.add(entry.host)
         self._directory.put(entry)
-        self.preconnect_host(entry)
-        self._suspicions.record(notice.silent_peers)
+        if entry.host != self._own_host:
+            # The sender needs the record of this host, whatever hosts it knows.
+            self._links.preconnect(entry.peer_address)
+        if self._is_region_peer(entry):
+            # Each region learns from observers of its own: not all of its hosts have
+            # links to those elsewhere.
+            self._suspicions.record(notice.silent_peers)
         for address in notice.silent_peers:
             self._links.suspect(address)
         self.catch_up_to(notice.version, entry.peer_address)
@@ -177,20 +192,42 @@
     def run_maintenance(self) -> None:
         """Expire lost hosts, open missing links, detect isolation, elect the relay."""
         self._directory.expire()
-        for entry in self._directory.entries:
-            self.preconnect_host(entry)
+        self._update_links()
         candidates = self._list_relay_candidates()
         self._update_probes(candidates)
         self._announce_silent_peers()
         self._update_isolation()
         self._feed.set_watching(self._election.is_relay(candidates))
 
+    def select_peers(self) -> None:
+        """Choose the hosts to keep links to and to probe; open the missing links."""
+        self._selected_revision = self._directory.revision
+        self._select_at = self._clock.monotonic() + SELECTION_INTERVAL_S
+        entries = self._directory.entries
+        self._probed = self._ring.update({e.host: e.peer_address for e in entries})
+        chosen = self._subset.select(entries)
+        self._linked = self._probed | {entry.peer_address for entry in chosen}
+        self._links.set_kept(self._linked)
+        self._open_links()
+
+    def _update_links(self) -> None:
+        """Choose peers again if records have changed; open the missing links."""
+        changed = self._selected_revision != self._directory.revision
+        if changed and self._clock.monotonic() >= self._select_at:
+            self.select_peers()
+        else:
+            self._open_links()
+
+    def _open_links(self) -> None:
+        for address in self._linked:
+            self._links.preconnect(address)
+
     def _update_probes(self, candidates: Sequence[RelayCandidate]) -> None:
         """Choose the peers to probe; check all links if few of these respond."""
-        addresses = {e.host: e.peer_address for e in self._directory.entries}
-        probed = self._ring.update(addresses)
+        probed = self._probed
         relay = self._election.find_relay(candidates)
-        self._links.set_probed(probed | {addresses[relay]} if relay else probed)
+        relays = {e.peer_address for e in self._directory.entries if e.host == relay}
+        self._links.set_probed(probed | relays)
         if has_few_responsive(len(probed), sum(map(self._links.is_alive, probed))):
             self._links.suspect_all()
 
@@ -205,11 +242,6 @@
             if entry.host != self._own_host:
                 self._links.send_notice(entry.peer_address, notice)
 
-    def preconnect_host(self, entry: HostEntry) -> None:
-        """Open the link to a host before a call needs it."""
-        if entry.host != self._own_host:
-            self._links.preconnect(entry.peer_address)
-
     def is_reachable(self, destination: Destination) -> bool:
         """Return whether the daemon on a destination's host is reachable."""
         if destination.host == self._own_host:
@@ -217,13 +249,9 @@
         return self._links.is_alive(destination.peer_address)
 
     def _update_isolation(self) -> None:
-        others = [
-            entry.peer_address
-            for entry in self._directory.entries
-            if entry.host != self._own_host
-        ]
-        reachable = sum(map(self._links.is_alive, others))
-        self._isolation.update(known=len(others), reachable=reachable)
+        known = len(self._linked)
+        reachable = sum(map(self._links.is_alive, self._linked))
+        self._isolation.update(known=known, reachable=reachable)
         if self._logged_isolated is not self.is_isolated:
             self._logged_isolated = self.is_isolated
             event = (
@@ -231,7 +259,7 @@
                 if self.is_isolated
                 else "no longer isolated: enough peers respond"
             )
-            _log.warning(event, known=len(others), reachable=reachable)
+            _log.warning(event, known=known, reachable=reachable)
 
     def _list_relay_candidates(self) -> list[RelayCandidate]:
         return [
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -15,6 +15,7 @@
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.isolation import ISOLATION_DELAY_S
 from almondrouter.coordination.probing import PROBED_SUCCESSORS
+from almondrouter.coordination.subsets import REMOTE_SERVERS_PER_SERVICE
 from almondrouter.protocol.calls import (
     CALL_CODEC,
     HostNotice,
@@ -42,6 +43,7 @@
         self.queries = []
         self.warmed = []
         self.probed = frozenset()
+        self.kept = frozenset()
         self.silent = []
         self.suspected = []
         self.reply = None
@@ -54,6 +56,9 @@
     def set_probed(self, addresses):
         self.probed = addresses
 
+    def set_kept(self, addresses):
+        self.kept = addresses
+
     def suspect(self, address):
         self.suspected.append(address)
 
@@ -171,6 +176,47 @@
         self.peers.run_maintenance()
         self.assertEqual([], self.links.notices)
 
+    async def test_each_region_announces_silent_peers(self):
+        """Guards against a region that only observers elsewhere have told its hosts.
+
+        A report from another region reaches only the hosts with links to its sender.
+        """
+        self.receive_notice("h6")
+        record = encode_host(make_entry("h8", region="other"))
+        self.peers.handle_notice(HostNotice(record, 0, True, ("h7:1",)))
+        self.assertEqual(["h7:1"], self.links.suspected)
+        self.links.notices.clear()
+        self.links.silent = ["h7:1"]
+        self.peers.run_maintenance()
+        self.assertIn("h6:1", [to for to, _ in self.links.notices])
+
+    async def test_few_links_are_kept_to_another_region(self):
+        """Guards against links to all hosts, which few calls use, and their records."""
+        for number in range(10, 70):
+            self.directory.put(make_entry(f"h{number}", region="other"))
+            self.directory.put(make_entry(f"i{number}"))
+        self.peers.select_peers()
+        remote = {a for a in self.links.warmed if a.startswith("h")}
+        self.assertEqual(60, len(set(self.links.warmed) - remote))
+        most = REMOTE_SERVERS_PER_SERVICE + PROBED_SUCCESSORS
+        self.assertLessEqual(len(remote), most)
+        self.assertEqual(set(self.links.warmed), set(self.links.kept))
+
+    async def test_selection_waits_for_more_records(self):
+        """Guards against needless links while the hosts of a fleet start together."""
+        self.peers.run_maintenance()
+        self.directory.put(make_entry("h6"))
+        self.peers.run_maintenance()
+        self.assertEqual([], self.links.warmed)
+        self.peers.select_peers()
+        self.assertEqual(["h6:1"], self.links.warmed)
+
+    async def test_sender_of_a_notice_is_connected(self):
+        """Guards against a host of another region that does not learn of changes."""
+        self.receive_notice("h6", region="other")
+        self.receive_notice("h5")
+        self.assertEqual(["h6:1"], self.links.warmed)
+
     @parameterized.expand([("alive", True, []), ("silent", False, ["all"])])
     async def test_all_links_are_checked_if_few_respond(self, _, alive, suspected):
         """Guards against a host that is cut off and still relies on old news."""
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -56,7 +56,6 @@
             self.directory,
             own_host="own",
             on_own_lost=self.registration.restore_record,
-            on_seen=lambda entry: None,
             own_revision=lambda: self.registration.written_revision,
         )
         self.connection_states = []
@@ -262,7 +261,6 @@
             self.directory,
             own_host="own",
             on_own_lost=self.fail,
-            on_seen=lambda entry: None,
         )
         feed = self.make_feed(records, poll_for=0.3, first_read_may_be_stale=True)
         await self.run_until_loaded(feed)
@@ -281,7 +279,6 @@
             found,
             own_host="new",
             on_own_lost=lambda: None,
-            on_seen=lambda entry: None,
         )
         feed = self.make_feed(records, poll_for=poll_for, first_read_may_be_stale=True)
         await self.run_until_loaded(feed)
@@ -367,7 +364,6 @@
             HostDirectory(clock=SystemClock(), is_alive=lambda _: False),
             own_host="own",
             on_own_lost=self.fail,
-            on_seen=lambda entry: None,
             on_own_seen=seen.append,
         )
         feed = self.make_feed(
@@ -384,7 +380,6 @@
             self.directory,
             own_host="own",
             on_own_lost=lambda: losses.append(1),
-            on_seen=lambda entry: None,
             own_revision=lambda: 7,
         )
         self.directory.put(self.entry)
--- a/tests/test_load_replays.py
+++ b/tests/test_load_replays.py
@@ -14,7 +14,7 @@
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
-from almondrouter.coordination import forwarding
+from almondrouter.coordination import forwarding, subsets
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget, FleetRetryLimits
 from almondrouter.coordination.forwarding import Forwarder
@@ -22,6 +22,7 @@
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.coordination.patience import CallerPatience
 from almondrouter.coordination.placement import LowestCostPolicy
+from almondrouter.coordination.subsets import LinkSubset
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.protocol.calls import BodyOffer
 from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
@@ -68,9 +69,10 @@
 class VirtualHost:
     """A host at a location, with the bandwidth of its link and a local backend."""
 
-    def __init__(self, number, *, clock, rng, bytes_per_second):
+    def __init__(self, number, *, clock, rng, bytes_per_second, lost_region=""):
         self.number, self.clock = number, clock
         self.region = f"r{number % REGIONS}"
+        self.has_server = number < SERVERS and self.region != lost_region
         self.data_centre = f"{self.region}-{number // REGIONS % 2}"
         self.bytes_per_second = bytes_per_second
         self.link_free_at = 0.0
@@ -85,7 +87,7 @@
     @property
     def entry(self):
         name, announced = f"h{self.number}", None
-        if self.number < SERVERS:
+        if self.has_server:
             ready = ServingState.READY
             announced = BackendEntry(f"b{self.number}", 1, SERVICE, SLOTS, ready)
         address = f"{name}:1"
@@ -141,24 +143,35 @@
         body=b"",
         link=125e6,
         attempts=1,
+        lost_region="",
+        all_linked=True,
     ):
         """Return the number of requests in time, late, and by error status."""
         clock, rng = ManualClock(), random.Random(7)
         fleet = [
-            VirtualHost(n, clock=clock, rng=rng, bytes_per_second=link)
+            VirtualHost(
+                n, clock=clock, rng=rng, bytes_per_second=link, lost_region=lost_region
+            )
             for n in range(HOSTS)
         ]
-        for host in fleet[:SERVERS]:
+        for host in filter(lambda host: host.has_server, fleet):
             host.backend.apply_announcement(host.entry.backend)
         results = Counter()
-        forwarders = [self.make_forwarder(h, fleet, placement, clock) for h in fleet]
+        forwarders = [
+            self.make_forwarder(h, fleet, placement, clock, all_linked) for h in fleet
+        ]
         work = self.send_all(
             forwarders, per_second, body, attempts, clock, rng, results
         )
         run_virtual(work, clock)
         return results
 
-    def make_forwarder(self, host, fleet, placement, clock):
+    def make_forwarder(self, host, fleet, placement, clock, all_linked):
+        entries = [other.entry for other in fleet]
+        if not all_linked:
+            subset = LinkSubset(host.entry.host, host.region)
+            entries = [host.entry, *subset.select(entries)]
+        linked = {entry.peer_address for entry in entries}
         directory = HostDirectory(clock=clock, is_alive=lambda _: True)
         for other in fleet:
             directory.put(other.entry)
@@ -174,7 +187,7 @@
                 occupancy=OccupancyTable(),
                 random=rng,
                 clock=clock,
-                is_reachable=lambda _: True,
+                is_reachable=lambda found: found.peer_address in linked,
             ),
             splitter=TrafficSplitter(rng),
             retry_budget=FleetRetryBudget(
@@ -294,6 +307,24 @@
             (with_mechanism, without_mechanism),
         )
 
+    @parameterized.expand([("at ease", 0.6), ("near", 0.9), ("above capacity", 1.1)])
+    def test_region_without_servers(self, _, demand):
+        """Guards against a region that crowds the few servers it has links to.
+
+        One of three regions loses its servers, and its hosts have links to two servers
+        of each other region.
+        """
+        lost = "r0"
+        left = sum(f"r{number % REGIONS}" != lost for number in range(SERVERS))
+        pattern = {"per_second": demand * left * SLOTS / RUN_S, "lost_region": lost}
+        all_linked = self.simulate(**pattern)
+        with patch.object(subsets, "REMOTE_SERVERS_PER_SERVICE", 2):
+            subset = self.simulate(**pattern, all_linked=False)
+        self.assertEqual(sum(all_linked.values()), sum(subset.values()))
+        self.assertGreaterEqual(
+            subset["in time"], 0.98 * all_linked["in time"], (subset, all_linked)
+        )
+
     def test_replays_repeat(self):
         """Guards against simulations whose results differ between runs."""
         first, second = (self.simulate(per_second=200) for _ in range(2))
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -19,7 +19,12 @@
 from almondrouter.protocol.outcomes import make_reply as make_error_reply
 from almondrouter.transport import frames, links
 from almondrouter.transport.frames import MAX_SILENCE_S, ClockOffset, FrameStream
-from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
+from almondrouter.transport.links import (
+    MAX_IDLE_S,
+    CallLinkPool,
+    CallLinkServer,
+    LinkPolicy,
+)
 from almondrouter.transport.outbound_link import REPLY_GRACE_S
 from calls_support import (
     TIMEOUT_S,
@@ -362,6 +367,16 @@
         self.assertLess(send.call_count, 7)
         self.assertGreater(send.call_count, 2)
 
+    @parameterized.expand([("kept", True), ("not kept", False)])
+    async def test_idle_link_is_closed_unless_it_is_kept(self, _, kept):
+        """Guards against links that calls once opened and that nobody closes."""
+        address = await self.open_idle_links(silent=False)
+        self.pool.set_kept({address} if kept else ())
+        await self.pass_time(MAX_IDLE_S - 1)
+        self.assertEqual(1, self.pool.link_count)
+        await self.pass_time(2)
+        self.assertEqual(int(kept), self.pool.link_count)
+
     @parameterized.expand([("reported",), ("own pause",)])
     async def test_suspected_peer_has_to_respond_soon(self, reason):
         """Guards against calls to a silent host that others have reported."""
