Select the linked peers up to twice a second

Cause: a new host learns of its backend server with the first heartbeat, after it has read the records. It then waited for up to 2 s before it opened links to the hosts of other regions that choose its server, and these sent it no calls meanwhile; before the subsets they knew it at once.

Change: 0.5 s. The interval matters only while all hosts of a fleet start for the first time and know few others; after that a start reads the complete records first.

--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -48,7 +48,7 @@
 link."""
 ROUTES_QUERY_TIMEOUT_S = 1.0
 """Seconds within which a peer has to send its configuration."""
-SELECTION_INTERVAL_S = 2.0
+SELECTION_INTERVAL_S = 0.5
 """Shortest interval between selections of the peers to keep links to. While a fleet
 starts, each selection from the few hosts known so far opens links that are not needed
 once all are known."""
