Seed the module's random generator before each test

Cause: links draw the time of their first ping from the generator of the module `random`, and acceptance and claims their delays.

Change: tests/run.py seeds it with the id of each test. Daemons that tests start as processes draw as before.

--- a/tests/run.py
+++ b/tests/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import random
 import sys
 import unittest
 from pathlib import Path
@@ -48,6 +49,8 @@
         ):
             self.check_leaks()
         self._last = test
+        # Code that draws from the module's generator does so alike in each run.
+        random.seed(test.id())
         super().startTest(test)
 
     def stopTestRun(self) -> None:  # noqa: N802
