Wait until requests are queued before their destination is frozen

Cause: test_stop_answers_requests_whose_destination_is_silent failed once beside load, with 503 for 504. It froze the destination 0.3 s after two requests were started; whether they had been sent by then is not known. If not, 503 is the right answer: they have not run.

Change: the test waits until the destination's metrics show both requests waiting, which is what it means to test, and a failure prints the logs of both daemons.

--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -118,14 +118,23 @@
             [], self.fleet.ledger.find_violations(), self.fleet.ledger.outcomes
         )
 
-    async def read_version(self, number):
+    async def read_metric(self, number, name):
+        """Return the value of the first line of a host's metrics with a name."""
         answer = await self.fleet.fetch(number, 9464, "/metrics")
         line = next(
-            line
-            for line in answer.body.decode().splitlines()
-            if line.startswith("almond_configuration_version")
+            line for line in answer.body.decode().splitlines() if line.startswith(name)
         )
-        return int(float(line.rpartition(" ")[2]))
+        return float(line.rpartition(" ")[2])
+
+    async def read_version(self, number):
+        return int(await self.read_metric(number, "almond_configuration_version"))
+
+    async def wait_until_queued(self, count, *, host):
+        """Wait until requests wait for a slot of a host's backend server."""
+        name = 'almond_backend_load{figure="waiting"}'
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while await self.read_metric(host, name) < count:
+                await asyncio.sleep(0.02)
 
     async def wait_for_versions(self, version, *, hosts=(0, 1, 2)):
         async with asyncio.timeout(RECOVERY_TIMEOUT_S):
@@ -243,11 +252,12 @@
         """
         await self.start_full_fleet(callers_of=1)
         waiting = self.start_requests(2, host=0)
-        await asyncio.sleep(QUEUEING_S)
+        await self.wait_until_queued(2, host=1)
         self.fleet.send_signal(1, signal.SIGSTOP)
         async with asyncio.timeout(SHORT_GRACE_PERIOD_S):
             self.assertEqual(0, await self.fleet.stop_daemon(0, signal.SIGTERM))
-        self.assertEqual([504, 504], await asyncio.gather(*waiting))
+        statuses = await asyncio.gather(*waiting)
+        self.assertEqual([504, 504], statuses, self.fleet.read_logs())
         self.assert_guarantees()
 
     @parameterized.expand([("of other hosts", 0, 504), ("of its callers", 1, 502)])
