Watch the store before a started daemon must have each version in force

A probe got 404 at sidecar-superior-b-2 2.6 s after version 9 was acknowledged (limit 2.5 s). The logs: all daemons of the region had restarted from 7.0 to 9.2 s. The first by name, sidecar- superior-a-1, started at 9.157 s and the others left the store to it as soon as its link responded, but a started daemon didn't watch for 3 s: "watching the store" at 12.158 s. sidecar-superior-b-2 had version 7 in force from 9.236 to 12.515 s. A daemon counts as in touch 3 s after its start.

Change: the delay is 2 s, so that the delay and the first read end before that. What is left: during these 2 s nobody watches for a region whose first daemon has just started. A hand-over only once that daemon watches would close the gap.

The test compares the delay with the platform's bound and fails on the value before.

--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -79,10 +79,12 @@
 """Longest body of a heartbeat, readiness check or metrics request, in bytes."""
 PEER_MAINTENANCE_INTERVAL_S = 0.25
 """Seconds between runs of `Peers.run_maintenance`, which expires lost hosts."""
-STORE_WATCH_DELAY_S = 3.0
+STORE_WATCH_DELAY_S = 2.0
 """Seconds after start during which a daemon polls the store instead of watching it,
-because usually a peer of the region watches it already and relays each change. Shorter
-than the recovery time that a host is allowed after a start."""
+because usually a peer of the region watches it already and relays each change. If all
+daemons of a region have just started, none of them does. The delay and the first read
+after it (`CALL_TIMEOUT_S`) therefore end before a started daemon must have each
+acknowledged version in force, which the platform demands after 3 s."""
 READINESS_PROPAGATION_S = 2.3
 """Seconds after which callers have stopped sending to a daemon that is not ready."""
 KILL_MARGIN_S = 0.5
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -21,7 +21,8 @@
     PlatformFleet,
 )
 from almondrouter_standins.platform_store import StoreFault
-from almondrouterd.hostdaemon import READINESS_PROPAGATION_S
+from almondrouterd.hostdaemon import READINESS_PROPAGATION_S, STORE_WATCH_DELAY_S
+from almondrouterd.platform.store import CALL_TIMEOUT_S
 from platform_support import make_configuration as make_document
 
 NETWORKS = iter(range(20 + os.getpid() % 100, 255))
@@ -31,6 +32,8 @@
 enough for a busy machine, because these tests do not check speed."""
 SHORT_GRACE_PERIOD_S = 3.5
 """Seconds from the stop signal to the kill in tests whose requests outlast it."""
+LEAST_STABLE_WINDOW_S = 3.0
+"""Seconds after a start from which the platform counts a daemon as in touch."""
 LONG_RUN_S = 4.5
 """Run time of a request that outlasts the short grace period."""
 LONG_TIMEOUT_S = 8.0
@@ -226,6 +229,14 @@
         self.assertEqual({200: 12}, await self.send_requests(12, hosts=(1, 2)))
         self.assert_guarantees()
 
+    def test_started_daemon_watches_before_it_is_in_touch(self):
+        """Guards against old versions in a region whose daemons have all restarted.
+
+        None of them watches the store until the delay has passed, so that nobody
+        relays what was acknowledged meanwhile.
+        """
+        self.assertLess(STORE_WATCH_DELAY_S + CALL_TIMEOUT_S, LEAST_STABLE_WINDOW_S)
+
     @parameterized.expand([("sent before it", False), ("sent after it", True)])
     async def test_stop_answers_requests_that_wait_elsewhere(self, _, sent_after):
         """Guards against a stop that cuts requests waiting for a slot elsewhere.
