--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,10 +12,12 @@
 
 import harness  # noqa: E402
 
+from almondrouter_standins.platform_store import StoreFault  # noqa: E402
+
 DRAIN_S = 2.5
 STABLE_WINDOW_S = 3.0
-CUT_S = 4.0
-RESTART_S = 0.5
+DOWN_S = 4.5
+RESTART_S = 0.3
 SERVES_ON_S = 9.0
 """Seconds from its acknowledgement until the instance exits."""
 
@@ -30,7 +32,7 @@
 
 
 async def play(fleet: harness.Fleet, record: harness.Record) -> tuple[float, float]:
-    """Let an instance leave while its machine has no store.
+    """Let an instance leave, and its daemon be restarted, while the store is down.
 
     Returns
     -------
@@ -38,29 +40,34 @@
         Times of the acknowledgement and of the end of the disruption.
     """
     leaving = fleet.hosts[2]
+    down_at = record.now()
     if harness.is_troubled():
-        record.write(f"{leaving.name} is cut off from the store")
-        leaving.store_proxy.to_target.cut()
-        leaving.store_proxy.to_client.cut()
-    cut_at = record.now()
-    await asyncio.sleep(0.5)
+        record.write("the store is down: it answers 503")
+        fleet.store.fault = StoreFault.UNAVAILABLE
+    await asyncio.sleep(0.3)
     leaving.instance.beating = False
     if not await leaving.instance.deregister():
         raise harness.CaseError("the deregistration was not acknowledged")
     acknowledged_at = record.now()
-    if harness.is_troubled():
-        leaving.signal(signal.SIGKILL)
-        await leaving.process.wait()
-        await asyncio.sleep(RESTART_S)
-        await leaving.start_daemon()
-    await asyncio.sleep(max(0.0, cut_at + CUT_S - record.now()))
-    record.write(f"{leaving.name} reaches the store")
-    leaving.store_proxy.heal()
-    healed_at = record.now()
+    leaving.signal(signal.SIGTERM)
+    restart = asyncio.create_task(restart_daemon(leaving))
+    await asyncio.sleep(max(0.0, down_at + DOWN_S - record.now()))
+    record.write("the store is back")
+    fleet.store.fault = StoreFault.NONE
+    back_at = record.now()
+    await restart
     await asyncio.sleep(max(0.0, acknowledged_at + SERVES_ON_S - record.now()))
     record.write(f"{leaving.instance.name} exits")
     await leaving.instance.close()
-    return acknowledged_at, healed_at
+    return acknowledged_at, back_at
+
+
+async def restart_daemon(host: harness.Host) -> None:
+    """Wait for the end of a stopped daemon and start it again."""
+    await host.process.wait()
+    host.fleet.record.write(f"daemon {host.name} has stopped")
+    await asyncio.sleep(RESTART_S)
+    await host.start_daemon()
 
 
 async def main(record: harness.Record) -> int:
@@ -73,7 +80,7 @@
         await asyncio.sleep(6.0)
         traffic = asyncio.create_task(send_traffic(fleet.hosts[:2]))
         await asyncio.sleep(2.0)
-        acknowledged_at, healed_at = await play(fleet, record)
+        acknowledged_at, back_at = await play(fleet, record)
         traffic.cancel()
         await asyncio.gather(traffic, return_exceptions=True)
     finally:
@@ -81,7 +88,7 @@
     runs = [run for run in fleet.hosts[2].instance.runs if run[0] > acknowledged_at]
     late = [run for run in runs if run[0] > acknowledged_at + DRAIN_S]
     # All machines are in touch again by then.
-    in_touch = [run for run in late if run[0] > healed_at + STABLE_WINDOW_S]
+    in_touch = [run for run in late if run[0] > back_at + STABLE_WINDOW_S]
     record.say(f"requests that reached the instance later than drain_s: {len(late)}")
     record.say(f"of these, with all machines in touch: {len(in_touch)}")
     return harness.BROKEN if in_touch else harness.HELD
