--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
+import socket
+import struct
 import sys
 from collections import Counter
 from pathlib import Path
@@ -32,12 +35,12 @@
         "Deadline-Ms": "3000",
     }
     ip, _, port = host.outbound.partition(":")
-    try:
-        _, writer = await asyncio.open_connection(ip, int(port))
-    except OSError:
-        return
-    writer.write(harness.encode_request("GET", "/orders/a", headers))
-    harness.reset(writer)
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(OSError), socket.socket() as item:
+        item.setblocking(False)
+        await loop.sock_connect(item, (ip, int(port)))
+        item.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        item.send(harness.encode_request("GET", "/orders/a", headers))
     host.fleet.record.write(f"client {host.name} {attempt}: sent, left at once")
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import random
+import socket
+import struct
 import sys
 from collections import Counter
 from pathlib import Path
@@ -29,37 +31,67 @@
         self.breaking = False
         self.broken: set[str] = set()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.add(writer)
-        with contextlib.suppress(ConnectionError):
-            message = await harness.read_message(reader)
-            if message is not None:
-                await self._respond(message, writer)
-        self._writers.discard(writer)
-        writer.close()
+    async def start(self) -> None:
+        """Listen and begin to send heartbeats."""
+        ip, _, port = self.address.partition(":")
+        self._socket = socket.create_server((ip, int(port)))
+        self._socket.setblocking(False)
+        self._tasks = {asyncio.create_task(self._accept_connections())}
+        self._beats = asyncio.create_task(self._send_heartbeats())
+
+    async def close(self) -> None:
+        """End at once."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._socket.close()
+        await super().close()
+
+    async def _accept_connections(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self._socket)
+            task = asyncio.create_task(self._serve_one(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve_one(self, connection: socket.socket) -> None:
+        """Serve one request, which has no body, and end the connection."""
+        loop = asyncio.get_running_loop()
+        data = b""
+        with contextlib.suppress(OSError), connection:
+            connection.setblocking(False)
+            while b"\r\n\r\n" not in data:
+                if not (received := await loop.sock_recv(connection, 65536)):
+                    return
+                data += received
+            first, *lines = (
+                data.decode("latin-1").partition("\r\n\r\n")[0].split("\r\n")
+            )
+            pairs = (line.partition(":") for line in lines)
+            headers = {name.lower(): value.strip() for name, _, value in pairs}
+            await self._respond(first, headers, connection)
 
     async def _respond(
-        self, message: tuple[str, dict, bytes], writer: asyncio.StreamWriter
+        self, first: str, headers: dict[str, str], connection: socket.socket
     ) -> None:
-        first, headers, body = message
-        answer = await self._answer(first, headers, body)
+        loop = asyncio.get_running_loop()
+        answer = await self._answer(first, headers, b"")
         if not answer.startswith(b"HTTP/1.1 200"):
-            writer.write(answer)
+            await loop.sock_sendall(connection, answer)
             return
         attempt = headers["attempt-id"]
         head = (
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
             f"Response-Signature: sig-{attempt}\r\nConnection: close\r\n\r\n"
-        )
+        ).encode()
         if self.breaking and random.random() < BROKEN_SHARE:
             self.broken.add(attempt)
             self.record.write(f"{self.name} breaks off the answer to {attempt}")
-            writer.write(head.encode() + BODY[:SENT_BYTES])
-            harness.reset(writer)
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.send(head + BODY[:SENT_BYTES])
             return
-        writer.write(head.encode() + BODY)
+        await loop.sock_sendall(connection, head + BODY)
 
 
 async def fetch(host: harness.Host, found: Counter[str]) -> None:
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -14,7 +14,6 @@
 import shutil
 import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -41,6 +40,7 @@
 NOT_RUN = 2
 VIRTUAL_HOST = "shop.example"
 HEARTBEAT_S = 1.5
+METRICS_PORT = 9464
 START_TIMEOUT_S = 30.0
 CASE_TIMEOUT_S = 105.0
 
@@ -165,6 +165,20 @@
     return ports
 
 
+def reserve_network() -> tuple[int, socket.socket]:
+    """Return a second octet of loopback addresses, and what keeps others off it."""
+    for offset in range(18):
+        octet = 2 + (os.getpid() + offset) % 18
+        item = socket.socket()
+        try:
+            item.bind((f"127.{octet}.0.254", METRICS_PORT))
+        except OSError:
+            item.close()
+            continue
+        return octet, item
+    raise CaseError("no loopback addresses are free")
+
+
 class Instance:
     """A sound application instance: slots, a short queue, heartbeats, whole answers."""
 
@@ -486,8 +500,7 @@
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.command = deploy["roles"]["router"]["run"].split()
         self.record = record
-        # Cases that run at the same time use different addresses.
-        self.octet = 32 + os.getpid() % 200
+        self.octet, self._reservation = reserve_network()
         self.slots, self.work_s = slots, work_s
         self.attempts = itertools.count(os.getpid() << 32)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -543,6 +556,7 @@
             with contextlib.suppress(Exception):
                 await asyncio.wait_for(host.store_proxy.close(), 2.0)
         await self.store.close()
+        self._reservation.close()
         keep = os.environ.get("KEEP")
         if keep:
             for host in self.hosts:
@@ -595,13 +609,6 @@
 Case = Callable[[Record], Awaitable[int]]
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """End a connection with a reset, behind what was written."""
-    item = writer.get_extra_info("socket")
-    item.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 def is_troubled() -> bool:
     """Return whether the disruption is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
