--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
 
--- a/review/lib/harness.py
+++ b/review/harness.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 STANDINS = ROOT / "packages" / "almondrouter-standins" / "src"
 CORE = ROOT / "packages" / "almondrouter" / "src"
 DEPENDENCIES = ROOT / "target" / "deps"
