Release the slot of a run that is cancelled before it begins

Cause: the slot was released by the finally of a coroutine that runs as a task. asyncio cancels a task that has not begun before its first step, and then none of its code runs. A caller that leaves in the turn of the event loop in which the slot is granted cancels the task in just that state, since LocalBackend awaits it directly.

Evidence: test_caller_that_leaves_releases_its_slot cancels a run after 0 to 4 turns, with a free slot and with one that is granted after a wait. Before the change it failed at turn 1 of both (2 of 10 cases: the queue was not idle); now all pass.

Change: the slot is released by a callback of the task, which is called however the task ends. It is the only place that releases the slot of a run.

Ruled out on related paths: the run of an idempotency key is cancelled by a waiter that waits through asyncio.shield and so wakes a turn later; a test with 0 to 5 turns passed without a change, and was not kept.

--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -234,9 +234,11 @@
         except CallError:
             queue.release(grant, measured=False)
             raise
-        run = asyncio.ensure_future(self._run_with_slot(request, queue, grant))
+        run = asyncio.ensure_future(self._run_with_slot(request))
         self._runs[run] = request.attempt_id
-        run.add_done_callback(self._forget_run)
+        # A task that is cancelled before its first step runs none of its code, so that
+        # the slot is released by a callback.
+        run.add_done_callback(lambda done: self._finish_run(done, queue, grant))
         if request.repeatable:
             return await run
         # A request that is not repeatable runs to its end even if the caller cancels
@@ -259,11 +261,15 @@
             return None
         return self.queue.load()
 
-    def _forget_run(self, run: asyncio.Task[CallReply]) -> None:
+    def _finish_run(
+        self, run: asyncio.Task[CallReply], queue: SlotQueue, grant: Grant
+    ) -> None:
+        """Release the slot of a run that has ended in any way."""
         self._runs.pop(run, None)
-        if not run.cancelled():
-            # If no caller retrieves the exception, asyncio logs it as an error.
-            run.exception()
+        # If no caller retrieves the exception, asyncio logs it as an error.
+        failed = run.cancelled() or run.exception() is not None
+        measured = not failed and run.result().status < HTTPStatus.INTERNAL_SERVER_ERROR
+        queue.release(grant, measured=measured)
 
     async def answer_offer(self, offer: BodyOffer) -> CallReply:
         """Reply to the offer of a long body at the time when its transfer may start.
@@ -305,17 +311,9 @@
             message = f"backend server {entry.backend!r} is {entry.state.value}"
             raise CallError(ErrorCode.NO_BACKEND, message)
 
-    async def _run_with_slot(
-        self, request: CallRequest, queue: SlotQueue, grant: Grant
-    ) -> CallReply:
-        measured = False
-        try:
-            response = await self._send_request(request)
-            reply = self._interpret_response(request, response)
-            measured = response.status < HTTPStatus.INTERNAL_SERVER_ERROR
-            return reply
-        finally:
-            queue.release(grant, measured=measured)
+    async def _run_with_slot(self, request: CallRequest) -> CallReply:
+        response = await self._send_request(request)
+        return self._interpret_response(request, response)
 
     async def _send_request(self, request: CallRequest) -> BackendResponse:
         time_left = request.deadline - self._clock.monotonic()
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -227,6 +227,35 @@
             await asyncio.sleep(0)
         self.assertTrue(self.backend.queue.is_idle)
 
+    @parameterized.expand(
+        [
+            (f"{name}, turn {turn}", waits, turn)
+            for name, waits in (("free slot", False), ("slot after a wait", True))
+            for turn in range(5)
+        ]
+    )
+    async def test_caller_that_leaves_releases_its_slot(self, _, waits, turn):
+        """Guards against slots that stay taken when their caller leaves at once.
+
+        A task that is cancelled before its first step runs none of its code.
+        """
+        self.sender.release.clear()
+        blocker = await self.backend.queue.acquire(self.request()) if waits else None
+        left = asyncio.create_task(self.backend.run(self.request()))
+        if blocker is not None:
+            await asyncio.sleep(0)
+            self.backend.queue.release(blocker, measured=False)
+        for _ in range(turn):
+            await asyncio.sleep(0)
+        left.cancel()
+        await asyncio.gather(left, return_exceptions=True)
+        await asyncio.sleep(0)
+        self.assertTrue(self.backend.queue.is_idle)
+        self.assertEqual(0, self.backend.runs_in_flight)
+        self.sender.release.set()
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        self.assertEqual(200, (await self.backend.run(self.request())).status)
+
     @parameterized.expand(
         [
             ("daemon stops", lambda t: t.change_state(LEAVING, reason="test")),
