Complete a response without a length only at an orderly end

Cause: uvloop reports a reset that is pending behind readable bytes as an end of the input, and the backend client took each end for an orderly one.

Evidence: test_body_without_length_is_whole_only_if_closed sends part of a body and ends the connection in one turn of the event loop. Before the change, the case (uvloop, RESET) failed (1 of 6, CallError not raised); asyncio's loop reported the reset itself.

Change: the client reads the pending error of the socket. No error, or EPIPE, which stands for a reset after an orderly end, completes the response; anything else fails the attempt with an unknown outcome, and the reason in the log says so.

The 190 tests of the backend client pass.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import re
 from collections import Counter, deque
 from http import HTTPStatus
@@ -21,7 +23,10 @@
     ResponseMatcher,
 )
 from almondrouter.transport.deadlines import Deadlines
-from almondrouter.transport.listeners import set_tcp_user_timeout
+from almondrouter.transport.listeners import (
+    set_tcp_user_timeout,
+    take_socket_error,
+)
 from almondrouter.transport.receivebudget import (
     CONNECTION_SHARE_BYTES,
     MAX_SHARED_BYTES,
@@ -102,7 +107,7 @@
     accept_unframed
         Whether to accept responses without ``Content-Length`` or chunked encoding,
         whose body ends when the connection closes. Such a response cannot be told
-        from a truncated one.
+        from a truncated one if the backend server closes in order.
     """
 
     def __init__(
@@ -455,11 +460,24 @@
         set_tcp_user_timeout(transport, TCP_USER_TIMEOUT_S)
 
     def eof_received(self) -> None:
-        """Complete a response that is delimited by the end of the connection."""
+        """Complete a response that is delimited by the end of the connection.
+
+        Notes
+        -----
+        uvloop also reports an end if the connection was reset while received bytes
+        were still to be read; the error is then pending at the socket. ``EPIPE`` stands
+        for a reset that followed an orderly end.
+        """
         self.reusable = False
         ends_here = self._headers_done and not self._framed and not self._complete
-        if ends_here and self._accept_unframed and self._future is not None:
+        if not ends_here or not self._accept_unframed or self._future is None:
+            return
+        error = take_socket_error(self._transport)
+        if error in (0, errno.EPIPE):
             self._complete_response()
+        else:
+            reason = os.strerror(error)
+            self._abort_with_error(f"response without a length broke off: {reason}")
 
     def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
         waiting = self._future is not None and not self._future.done()
--- a/packages/almondrouter/src/almondrouter/transport/listeners.py
+++ b/packages/almondrouter/src/almondrouter/transport/listeners.py
@@ -1,4 +1,4 @@
-"""Base class of TCP servers, and periodic checks of connections."""
+"""Base class of TCP servers, and periodic checks and options of connections."""
 
 from __future__ import annotations
 
@@ -95,3 +95,17 @@
     if connected is not None:
         milliseconds = int(seconds * 1000)
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def take_socket_error(transport: asyncio.Transport) -> int:
+    """Return the pending error of a connection's socket and clear it.
+
+    Returns
+    -------
+    int
+        Error number; 0 if there is none, or for transports without a socket.
+    """
+    connected = transport.get_extra_info("socket")
+    if connected is None:
+        return 0
+    return connected.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/tests/test_transport_backends_copies.py
+++ b/tests/test_transport_backends_copies.py
@@ -9,6 +9,7 @@
 from enum import Enum, auto
 
 import msgspec
+import uvloop
 from parameterized import parameterized
 
 from almondrouter.clock import SystemClock
@@ -54,6 +55,7 @@
 
     BY_CLIENT = auto()
     CLOSED = auto()
+    CLOSED_THEN_RESET = auto()
     RESET = auto()
 
 
@@ -212,3 +214,63 @@
                 await self.assert_fails(
                     self.run_attempt("a"), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN
                 )
+
+
+class UnframedBodyEndTest(CallAssertions, unittest.TestCase):
+    """A body without a length, whose last bytes and end are noticed together."""
+
+    @parameterized.expand(
+        [
+            (f"{loop}, {end.name}", factory, end)
+            for loop, factory in (
+                ("asyncio", asyncio.new_event_loop),
+                ("uvloop", uvloop.new_event_loop),
+            )
+            for end in (End.CLOSED, End.CLOSED_THEN_RESET, End.RESET)
+        ]
+    )
+    def test_body_without_length_is_whole_only_if_closed(self, _, factory, end):
+        """Guards against passing on a body that a reset cut short as a whole one.
+
+        uvloop reports a reset that is pending behind readable bytes as an end.
+        """
+        with asyncio.Runner(loop_factory=factory) as runner:
+            runner.run(self.check_end(end))
+
+    async def check_end(self, end):
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.setblocking(False)
+            host, port = listening.getsockname()
+            client = BackendClient(
+                f"{host}:{port}",
+                connections=1,
+                clock=SystemClock(),
+                accept_unframed=True,
+            )
+            serving = loop.create_task(self.send_body(listening, end))
+            deadline = SystemClock().monotonic() + TIMEOUT_S
+            response = client.send("GET", "/", (), b"", deadline=deadline)
+            if end is End.RESET:
+                code = ErrorCode.BACKEND_FAILED
+                await self.assert_fails(response, code, Outcome.UNKNOWN)
+            else:
+                self.assertEqual(b"part", (await response).body)
+            await serving
+            await client.close()
+            await asyncio.sleep(0)
+
+    async def send_body(self, listening, end):
+        """Send a response and end its connection in one turn of the event loop."""
+        loop = asyncio.get_running_loop()
+        connection, _ = await loop.sock_accept(listening)
+        with connection:
+            connection.setblocking(False)
+            await loop.sock_recv(connection, 65_536)
+            connection.send(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+            if end is End.CLOSED_THEN_RESET:
+                connection.shutdown(socket.SHUT_WR)
+            if end is not End.CLOSED:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
