Reset the connection of a caller whose response without a length is cut

Callers saw: if the daemon ended while a long response without a length was partly written, the connection ended in order, as if the response were whole.

Cause: the end of the connection is what completes such a response, and closing a socket sends what its buffer holds and then an orderly end, although the rest was never written.

Evidence: test_response_that_is_cut_ends_with_a_reset closes the server while 16 MB are being read. Before the change both cases with a cut failed (asyncio and uvloop: ConnectionResetError not raised), and the two that read all of it passed.

Change: SO_LINGER makes the connection end with a reset from the writing of such a response until the transport has written all of it.

Not run: a daemon that is killed meanwhile.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -15,7 +15,7 @@
 from almondrouter.protocol.outcomes import choose_status
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.calls import CallerRequest, CallerResponse
-from almondrouter.transport.listeners import Listener
+from almondrouter.transport.listeners import Listener, set_reset_on_close
 from almondrouter.transport.pipelines import Exchange, FramingHistory, Pipeline
 from almondrouter.transport.readers import (
     MAX_WAITING_BYTES,
@@ -409,7 +409,18 @@
         self._expires_at = now + max(
             WRITE_TIMEOUT_S, self._server.limits().idle_timeout
         )
+        if not response.framed:
+            # The end of the connection tells that the response is whole, so that it
+            # must not end in order before all is written.
+            self._transport.set_write_buffer_limits(high=0)
+            set_reset_on_close(self._transport, enabled=True)
         self._transport.write(encode_response(response, keep_alive=keep_alive))
+        if not response.framed and not self.is_writing:
+            set_reset_on_close(self._transport, enabled=False)
+
+    def resume_writing(self) -> None:
+        """Allow the connection to end in order, as all responses are written."""
+        set_reset_on_close(self._transport, enabled=False)
 
     def _half_close(self) -> None:
         """End the output and discard input until the caller closes the connection.
--- a/packages/almondrouter/src/almondrouter/transport/listeners.py
+++ b/packages/almondrouter/src/almondrouter/transport/listeners.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -109,3 +110,17 @@
     if connected is None:
         return 0
     return connected.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
+def set_reset_on_close(transport: asyncio.Transport, *, enabled: bool) -> None:
+    """Choose whether the connection is reset if it ends without a half-close.
+
+    Notes
+    -----
+    Sets ``SO_LINGER``; does nothing for transports without a socket. It also holds if
+    the process is killed.
+    """
+    connected = transport.get_extra_info("socket")
+    if connected is not None:
+        linger = struct.pack("ii", enabled, 0)
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
