Remember departures beyond the daemon that acknowledged them

Cause: in a store outage only the process that acknowledges a departure knows of it. The store keeps the earlier record, by which the server is ready; the next daemon restores the server from it, and its record replaces what the other daemons were told.

Change: host records name the latest departure on their host. Daemons remember it by host, send no requests to a server that has left, and remind the host's daemon of it if its record does not name it. A restarted daemon waits 0.3 s for reminders before it restores a server, and a stopping one that could not store a departure goes on trying to remove its record. On related paths: a departure that is announced while the daemon stops is recorded, and one of a server that the daemon does not know is stored before it is acknowledged.

--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -7,13 +7,17 @@
 
 from almondrouter.clock import Clock
 from almondrouter.logs import EventLogger
-from almondrouter.state.hosts import HostEntry, ServingState
+from almondrouter.state.hosts import Departure, HostEntry, ServingState
 from almondrouter.state.snapshot import Destination
 
 LOST_RECORD_GRACE_S = 2.5
 """Seconds for which a host is kept after its record has left the store, so that a
 record that is written again in time does not interrupt its calls."""
 
+MAX_DEPARTURES = 2_000
+"""Limit of remembered departures, one per host. They are kept beyond the records of
+their hosts, as a daemon that restarts asks for its own."""
+
 _log = EventLogger("directory")
 
 
@@ -41,6 +45,7 @@
         self._is_alive = is_alive
         self._hosts: dict[str, _KnownHost] = {}
         self._host_by_address: dict[str, str] = {}
+        self._departures: dict[str, Departure] = {}
         self._destinations: dict[str, tuple[Destination, ...]] = {}
         self._outdated = False
         self.revision = 0
@@ -61,7 +66,12 @@
         return self._destinations.get(service, ())
 
     def put(self, entry: HostEntry) -> None:
-        """Store a record unless a newer one of the same host or address is known."""
+        """Store a record unless a newer one of the same host or address is known.
+
+        The departure that it names holds in any case.
+        """
+        if entry.departure is not None:
+            self._record_departure(entry.host, entry.departure)
         known = self._hosts.get(entry.host)
         if known is not None and (
             known.entry == entry or known.entry.recency_key > entry.recency_key
@@ -74,6 +84,19 @@
         self._hosts[entry.host] = _KnownHost(entry)
         self._record_change()
 
+    def find_departure(self, host: str) -> Departure | None:
+        """Return the latest departure that records of a host have named."""
+        return self._departures.get(host)
+
+    def _record_departure(self, host: str, departure: Departure) -> None:
+        known = self._departures.get(host)
+        if known is not None and known.started_ms >= departure.started_ms:
+            return
+        if known is None and len(self._departures) >= MAX_DEPARTURES:
+            del self._departures[next(iter(self._departures))]
+        self._departures[host] = departure
+        self._record_change()
+
     def _assign_address(self, entry: HostEntry) -> bool:
         """Assign a peer address to the newest host that uses it.
 
@@ -164,6 +187,10 @@
             backend = entry.backend
             if backend is None or backend.state is not ServingState.READY:
                 continue
+            departure = self._departures.get(entry.host)
+            if departure is not None and departure.includes(backend):
+                # A daemon that has restarted may not know of it yet.
+                continue
             destination = Destination(
                 backend=backend.backend,
                 host=entry.host,
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -28,7 +28,7 @@
 from almondrouter.protocol.dialect import Dialect
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, make_reply
-from almondrouter.state.hosts import BackendEntry, ServingState
+from almondrouter.state.hosts import BackendEntry, Departure, ServingState
 from almondrouter.transport.calls import BackendResponse, BackendSender
 
 MAX_IDLE_NON_REPEATABLE_S = 0.1
@@ -60,7 +60,7 @@
     intake
         Schedules the transfer of long bodies to this host.
     on_changed
-        Called after `entry` has changed: a new announcement or another state.
+        Called after `entry` or `departure` has changed.
     """
 
     def __init__(
@@ -80,6 +80,8 @@
         self._runs: dict[asyncio.Task[CallReply], str] = {}
         self._departures: dict[str, int] = {}
         self.entry: BackendEntry | None = None
+        self.departure: Departure | None = None
+        """Latest departure that a backend server of this host has announced."""
         self.queue = SlotQueue(1, clock=clock)
         self._not_ready = asyncio.Event()
         self.counts: Counter[str] = Counter()
@@ -89,14 +91,14 @@
         known = self.entry
         if known is not None and entry.started_ms < known.started_ms:
             return
-        if known == entry:
-            return
+        departed = False
         if entry.state is ServingState.LEAVING:
-            self._record_departure(entry.backend, entry.started_ms)
-        elif entry.started_ms <= self._departures.get(entry.backend, 0):
+            departed = self._record_departure(entry.backend, entry.started_ms)
+        elif self.has_left(entry):
             # A delayed heartbeat of a backend server that has left, or its record from
             # an earlier daemon process on this host.
             return
+        was_leaving = known is not None and known.state is ServingState.LEAVING
         restarted = known is None or (
             (known.backend, known.started_ms) != (entry.backend, entry.started_ms)
         )
@@ -105,8 +107,10 @@
                 ErrorCode.NO_BACKEND, "the backend server has restarted"
             )
             self.queue = SlotQueue(entry.slots, clock=self._clock)
-        elif known is not None and known.state is ServingState.LEAVING:
+        elif known == entry or was_leaving:
             # Leaving is final until the backend server is started again.
+            if departed:
+                self._on_changed()
             return
         self.entry = entry
         _log.info(
@@ -120,6 +124,10 @@
         self._apply_readiness(entry)
         self._on_changed()
 
+    def has_left(self, entry: BackendEntry) -> bool:
+        """Return whether a start of a backend server has announced its departure."""
+        return entry.started_ms <= self._departures.get(entry.backend, 0)
+
     def mark_leaving(self, backend: str, started_ms: int | None) -> None:
         """Record that a backend server is leaving, even if it has not announced itself.
 
@@ -136,17 +144,28 @@
         if started_ms is None:
             now_ms = int(self._clock.wall() * 1000)
             started_ms = entry.started_ms if is_known else now_ms
-        self._record_departure(backend, started_ms)
-        if is_known and started_ms >= entry.started_ms:
+        departed = self._record_departure(backend, started_ms)
+        if (
+            is_known
+            and started_ms >= entry.started_ms
+            and entry.state is not ServingState.LEAVING
+        ):
             self.change_state(
                 ServingState.LEAVING,
                 reason="the backend server announced that it is leaving",
             )
+        elif departed:
+            self._on_changed()
 
-    def _record_departure(self, backend: str, started_ms: int) -> None:
+    def _record_departure(self, backend: str, started_ms: int) -> bool:
+        """Remember a departure; return whether `departure` has changed."""
         if backend not in self._departures and len(self._departures) >= MAX_DEPARTURES:
             del self._departures[next(iter(self._departures))]
         self._departures[backend] = max(started_ms, self._departures.get(backend, 0))
+        if self.departure is not None and started_ms <= self.departure.started_ms:
+            return False
+        self.departure = Departure(backend, started_ms)
+        return True
 
     def change_state(self, state: ServingState, *, reason: str) -> None:
         """Change the state of the current backend server, unless it is leaving."""
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -88,7 +88,7 @@
             await self._written.wait()
 
     def _needs_write(self, entry: HostEntry) -> bool:
-        if entry.backend is None and self._written_entry is None:
+        if self._written_entry is None and not (entry.backend or entry.departure):
             return False  # Without a backend server, other daemons have no use for it.
         return entry != self._written_entry
 
@@ -116,20 +116,41 @@
                         code=error.code.value,
                     )
                 self._on_contact(error.code is ErrorCode.LEASE_EXPIRED)
-                await asyncio.sleep(self._backoff_s * self._random.uniform(0.5, 1.0))
-                self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
+                await self._back_off()
 
     async def withdraw(self) -> None:
-        """Revoke the lease, which removes the record."""
+        """Revoke the lease, which removes the record.
+
+        Notes
+        -----
+        If the store has not heard of the latest departure, this is tried until it
+        succeeds: the next daemon of the host would take the record for current.
+        """
         if self._lease is None:
             return
-        try:
-            await self._store.revoke_lease(self._lease)
-        except AlmondError as error:
-            _log.warning(
-                "own record could not be removed; it stays until its lease expires",
-                code=error.code.value,
-            )
+        while True:
+            try:
+                await self._store.revoke_lease(self._lease)
+            except AlmondError as error:
+                retrying = not self._is_departure_stored()
+                _log.warning(
+                    "own record could not be removed; it stays until its lease expires",
+                    code=error.code.value,
+                    retrying=retrying,
+                )
+                if not retrying:
+                    return
+                await self._back_off()
+            else:
+                return
+
+    def _is_departure_stored(self) -> bool:
+        written = self._written_entry
+        return written is None or written.departure == self._make_entry().departure
+
+    async def _back_off(self) -> None:
+        await asyncio.sleep(self._backoff_s * self._random.uniform(0.5, 1.0))
+        self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
 
     async def _renew_lease(self) -> None:
         if self._lease is None:
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -6,6 +6,7 @@
 
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES, Codec
 from almondrouter.protocol.headers import Outcome
+from almondrouter.state.hosts import Departure
 
 HeaderList = tuple[tuple[str, str], ...]
 
@@ -215,12 +216,15 @@
         Whether the sender can reach the store.
     silent_peers
         Peer addresses of daemons that the sender has just found silent.
+    departure
+        Departure on the receiver's host that its record does not name.
     """
 
     record: bytes
     version: int
     reaches_store: bool
     silent_peers: tuple[str, ...] = ()
+    departure: Departure | None = None
 
 
 class RoutesNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
--- a/packages/almondrouter/src/almondrouter/state/hosts.py
+++ b/packages/almondrouter/src/almondrouter/state/hosts.py
@@ -41,6 +41,25 @@
     state: ServingState
 
 
+class Departure(msgspec.Struct, frozen=True):
+    """Announcement of a backend server that it leaves, which is final for its start.
+
+    Parameters
+    ----------
+    backend
+        Id of the backend server.
+    started_ms
+        Its start time in Unix milliseconds; earlier starts have left, too.
+    """
+
+    backend: str
+    started_ms: int
+
+    def includes(self, entry: BackendEntry) -> bool:
+        """Return whether a backend server has left according to this announcement."""
+        return entry.backend == self.backend and entry.started_ms <= self.started_ms
+
+
 class HostEntry(msgspec.Struct, frozen=True):
     """Daemon and the backend server on its host.
 
@@ -54,6 +73,9 @@
         Backend server; None if none has registered.
     change
         Counter that the daemon increments with each change of its record.
+    departure
+        Latest departure that a backend server of the host has announced. A backend
+        server is also ``leaving`` without one, while only its daemon stops.
     """
 
     host: str
@@ -63,6 +85,7 @@
     peer_address: str
     backend: BackendEntry | None = None
     change: int = 0
+    departure: Departure | None = None
 
     @property
     def recency_key(self) -> tuple[int, int]:
--- a/packages/almondrouterd/src/almondrouterd/backendcontrol.py
+++ b/packages/almondrouterd/src/almondrouterd/backendcontrol.py
@@ -89,8 +89,10 @@
         return CallerResponse(HTTPStatus.OK, _JSON, ACKNOWLEDGEMENT)
 
     async def _store_leaving_state(self) -> None:
-        entry = self._backend.entry
-        if entry is None or entry.state is not ServingState.LEAVING:
+        entry, departure = self._backend.entry, self._backend.departure
+        if departure is None:
+            return
+        if entry is not None and entry.state is not ServingState.LEAVING:
             return
         try:
             async with asyncio.timeout(MAX_STORE_WAIT_S):
@@ -98,7 +100,7 @@
         except TimeoutError:
             _log.warning(
                 "leaving backend server acknowledged before the store knows of it",
-                backend=entry.backend,
+                backend=departure.backend,
             )
 
     def _handle_heartbeat(self, backend: str, body: bytes) -> None:
@@ -112,7 +114,7 @@
                 f"service {report.entry.service!r} is not declared in the configuration"
             )
             raise AlmondError(ErrorCode.SERVICE_UNKNOWN, message)
-        if not self._is_stopping():
+        if not self._is_stopping() or report.entry.state is ServingState.LEAVING:
             self._backend.apply_announcement(report.entry)
 
     def _handle_deregistration(self, backend: str, body: bytes) -> None:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -41,7 +41,7 @@
 )
 from almondrouter.protocol.codec import PROTOCOL_VERSION
 from almondrouter.protocol.outcomes import make_reply
-from almondrouter.state.hosts import HostEntry, ServingState
+from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
 from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.backends import BackendClient
@@ -85,6 +85,10 @@
 daemons of a region have just started, none of them does. The delay and the first read
 after it (`CALL_TIMEOUT_S`) therefore end before a started daemon must have each
 acknowledged version in force, which the platform demands after 3 s."""
+RESTORE_DELAY_S = 0.3
+"""Seconds from reading the record of this host's earlier daemon to restoring its
+backend server. Peers that know of its departure tell this daemon as soon as they have
+a link to it."""
 READINESS_PROPAGATION_S = 2.3
 """Seconds after which callers have stopped sending to a daemon that is not ready."""
 KILL_MARGIN_S = 0.5
@@ -173,7 +177,7 @@
             own_host=settings.host,
             on_own_lost=self.registration.restore_record,
             on_loaded=lambda: self._peers.select_peers(),
-            on_own_seen=self._restore_backend,
+            on_own_seen=self._restore_from_record,
             own_revision=lambda: self.registration.written_revision,
         )
         self.feed = StoreFeed(
@@ -193,6 +197,9 @@
             own_host=settings.host,
             own_region=settings.region,
             make_entry=self._make_entry,
+            on_departure=lambda departure: self.backend.mark_leaving(
+                departure.backend, departure.started_ms
+            ),
             clock=clock,
         )
 
@@ -466,32 +473,42 @@
             settings.advertised_address,
             self.backend.entry,
             self._record_revision,
+            self.backend.departure,
         )
 
-    def _restore_backend(self, entry: HostEntry) -> None:
-        """Restore the backend server from the record of this host's earlier daemon.
+    def _restore_from_record(self, entry: HostEntry) -> None:
+        """Restore what the record of this host's earlier daemon tells.
 
         Notes
         -----
         The restored state holds until the next heartbeat. This is safe if the
         backend server has been replaced meanwhile, because each request names its
         backend server and any other one refuses it. Only a ready state is restored:
-        the earlier daemon also writes a leaving state when just the daemon stops.
+        the earlier daemon also writes a leaving state when just the daemon stops. The
+        record may lack a departure that was acknowledged during an outage of the store.
         """
-        backend = entry.backend
-        if self.backend.entry is not None or backend is None:
-            return
-        if backend.state is not ServingState.READY:
+        if entry.incarnation >= self._incarnation:
             return
+        departure, backend = entry.departure, entry.backend
+        if departure is not None:
+            self.backend.mark_leaving(departure.backend, departure.started_ms)
+        if backend is not None and backend.state is ServingState.READY:
+            self._start_task(self._restore_backend(backend))
+
+    async def _restore_backend(self, backend: BackendEntry) -> None:
+        """Restore a backend server unless a heartbeat or departure arrives before."""
+        await asyncio.sleep(RESTORE_DELAY_S)
         if (
-            entry.incarnation < self._incarnation
-            and self._lifecycle.stopping_at is None
+            self.backend.entry is not None
+            or self.backend.has_left(backend)
+            or self._lifecycle.stopping_at is not None
         ):
-            _log.info(
-                "backend server restored from the stored host record",
-                backend=backend.backend,
-            )
-            self.backend.apply_announcement(backend)
+            return
+        _log.info(
+            "backend server restored from the stored host record",
+            backend=backend.backend,
+        )
+        self.backend.apply_announcement(backend)
 
     def _publish_backend_change(self) -> None:
         self._record_revision += 1
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -35,7 +35,12 @@
 )
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
-from almondrouter.state.hosts import HostEntry, decode_host, encode_host
+from almondrouter.state.hosts import (
+    Departure,
+    HostEntry,
+    decode_host,
+    encode_host,
+)
 from almondrouter.state.snapshot import Destination
 from almondrouter.transport.links import CallLinkPool
 
@@ -72,6 +77,8 @@
         Host and region of this daemon.
     make_entry
         Returns the current record of this host.
+    on_departure
+        Called with a departure on this host that a peer has reminded it of.
     clock
         Source of monotonic time.
     """
@@ -86,8 +93,10 @@
         own_host: str,
         own_region: str,
         make_entry: Callable[[], HostEntry],
+        on_departure: Callable[[Departure], None],
         clock: Clock,
     ) -> None:
+        self._on_departure = on_departure
         self._links = links
         self._directory = directory
         self._routes = routes
@@ -112,13 +121,19 @@
         self._catch_up_task: asyncio.Task | None = None
         self._compressed_routes = (-1, b"")
 
-    def make_notice(self, silent_peers: tuple[str, ...] = ()) -> HostNotice:
+    def make_notice(
+        self,
+        silent_peers: tuple[str, ...] = (),
+        *,
+        departure: Departure | None = None,
+    ) -> HostNotice:
         """Return a notice with this host's record, version and store reachability."""
         return HostNotice(
             encode_host(self._make_entry()),
             self._routes.version,
             self._feed.reaches_store,
             silent_peers,
+            departure,
         )
 
     def handle_notice(self, notice: Notice) -> None:
@@ -139,6 +154,9 @@
         else:
             self._hosts_without_store.add(entry.host)
         self._directory.put(entry)
+        if notice.departure is not None:
+            self._on_departure(notice.departure)
+        self._remind_of_departure(entry)
         if entry.host != self._own_host:
             # The sender needs the record of this host, whatever hosts it knows.
             self._links.preconnect(entry.peer_address)
@@ -153,6 +171,20 @@
         if behind and self._feed.watching and self._is_region_peer(entry):
             self._links.send_notice(entry.peer_address, self._make_full_routes_notice())
 
+    def _remind_of_departure(self, entry: HostEntry) -> None:
+        """Tell a daemon of a departure that it acknowledged before it restarted."""
+        departure = self._directory.find_departure(entry.host)
+        if departure is None or departure == entry.departure:
+            return
+        _log.info(
+            "telling a daemon of a departure that its record does not name",
+            peer=entry.host,
+            backend=departure.backend,
+            started_ms=departure.started_ms,
+        )
+        notice = self.make_notice(departure=departure)
+        self._links.send_notice(entry.peer_address, notice)
+
     def relay_routes(self) -> None:
         """Send the configuration in force to the region if this daemon is its relay."""
         if not self._feed.watching:
--- a/tests/test_almondrouterd_backendcontrol.py
+++ b/tests/test_almondrouterd_backendcontrol.py
@@ -52,7 +52,8 @@
     async def store_state(self):
         if not self.store_answers:
             await asyncio.Event().wait()
-        self.stored.append(self.backend.entry.state)
+        entry = self.backend.entry
+        self.stored.append(entry and entry.state)
 
     async def post(self, path, body=b""):
         request = CallerRequest("POST", path, (), body)
@@ -138,6 +139,25 @@
         self.assertEqual(200, await self.post(path, body))
         self.assertEqual([LEAVING], self.stored)
 
+    async def test_departure_of_an_unknown_server_is_stored(self):
+        """Guards against a departure that only the daemon's memory has.
+
+        A restarted daemon may be told of it before the first heartbeat.
+        """
+        self.backend.entry = None
+        self.assertEqual(200, await self.post(DEREGISTER_PATH + "i-1", b""))
+        self.assertEqual([None], self.stored)
+        self.assertEqual("i-1", self.backend.departure.backend)
+
+    async def test_stopping_daemon_records_a_departure(self):
+        """Guards against a departure that the next daemon of the host cannot know."""
+        self.stopping = True
+        self.backend.change_state(LEAVING, reason="test")
+        self.assertIsNone(self.backend.departure)
+        self.assertEqual(200, await self.send_heartbeat(state="draining"))
+        self.assertEqual("i-1", self.backend.departure.backend)
+        self.assertEqual([LEAVING], self.stored)
+
     @patch.object(backendcontrol, "MAX_STORE_WAIT_S", 0.01)
     async def test_leaving_is_acknowledged_without_the_store(self):
         """Guards against leaving servers without acknowledgement in a store outage."""
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import tempfile
+import time
 import unittest
 from collections import Counter
 from pathlib import Path
@@ -14,14 +15,18 @@
 import msgspec
 from parameterized import parameterized
 
-from almondrouter_standins.platform_backend import SLOTS
+from almondrouter_standins.platform_backend import DRAIN_PERIOD_S, SLOTS
 from almondrouter_standins.platform_fleet import (
     CONFIGURATION_KEY,
     STOP_GRACE_PERIOD_S,
     PlatformFleet,
 )
 from almondrouter_standins.platform_store import StoreFault
-from almondrouterd.hostdaemon import READINESS_PROPAGATION_S, STORE_WATCH_DELAY_S
+from almondrouterd.hostdaemon import (
+    READINESS_PROPAGATION_S,
+    RESTORE_DELAY_S,
+    STORE_WATCH_DELAY_S,
+)
 from almondrouterd.platform.store import CALL_TIMEOUT_S
 from platform_support import make_configuration as make_document
 
@@ -209,6 +214,29 @@
         await self.fleet.wait_until_ready(0)
         self.assert_guarantees()
 
+    @parameterized.expand([("killed", signal.SIGKILL), ("stopped", signal.SIGTERM)])
+    async def test_departure_in_a_store_outage_outlives_the_daemon(self, _, end):
+        """Guards against requests to a server that left, after its daemon restarts.
+
+        The store has only the earlier record, by which the server is ready.
+        """
+        await self.start_fleet(stop_within=SHORT_GRACE_PERIOD_S)
+        self.fleet.store.fault = StoreFault.UNAVAILABLE
+        backend = self.fleet.backends[0]
+        backend.state = "draining"
+        while not backend.acknowledged["draining"]:
+            await asyncio.sleep(0.02)
+        backend.sends_heartbeats = False
+        await self.fleet.stop_daemon(0, end)
+        self.fleet.store.fault = StoreFault.NONE
+        await self.fleet.start_daemon(0)
+        await self.fleet.wait_until_ready(0)
+        drained_at = backend.draining_since + DRAIN_PERIOD_S
+        await asyncio.sleep(max(0.0, drained_at - time.monotonic()) + RESTORE_DELAY_S)
+        statuses = await self.send_requests(60, hosts=(0, 1, 2))
+        self.assertEqual({200: 60}, statuses)
+        self.assert_guarantees()
+
     async def test_graceful_stop_cuts_no_request(self):
         """Guards against a graceful stop that drops requests in flight."""
         await self.start_fleet()
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -22,7 +22,7 @@
     RoutesNotice,
     RoutesQuery,
 )
-from almondrouter.state.hosts import encode_host
+from almondrouter.state.hosts import Departure, encode_host
 from almondrouterd import peers as peers_module
 from almondrouterd.hostdaemon import LINK_POLICY
 from almondrouterd.peers import Peers
@@ -119,8 +119,10 @@
             own_host="h5",
             own_region="r",
             make_entry=lambda: make_entry("h5"),
+            on_departure=lambda departure: self.departures.append(departure),
             clock=SystemClock(),
         )
+        self.departures = []
         delay = peers_module.CATCH_UP_DELAY_S
         peers_module.CATCH_UP_DELAY_S = 0.01
         self.addCleanup(setattr, peers_module, "CATCH_UP_DELAY_S", delay)
@@ -138,6 +140,19 @@
         self.assertEqual(1, len(self.directory.find_destinations("s")))
         self.assertEqual(["h6:1"], self.links.warmed)
 
+    async def test_restarted_daemon_is_reminded_of_a_departure(self):
+        """Guards against a departure that is forgotten if the store never had it."""
+        left = Departure("b1", 1)
+        self.receive_notice(departure=left)
+        self.assertEqual([], self.links.notices)
+        self.receive_notice(incarnation=2)
+        [(address, reminder)] = self.links.notices
+        self.assertEqual(("h6:1", left), (address, reminder.departure))
+        self.peers.handle_notice(reminder)
+        self.assertEqual([left], self.departures)
+        self.receive_notice(incarnation=2, departure=left)
+        self.assertEqual(1, len(self.links.notices))
+
     async def test_silent_peers_mark_the_host_as_isolated(self):
         """Guards against an isolated host that still reports itself as ready."""
         for number in range(10, 15):
@@ -402,5 +417,6 @@
         own_host="h6",
         own_region="r",
         make_entry=None,
+        on_departure=None,
         clock=SystemClock(),
     )
--- a/tests/test_coordination_directory.py
+++ b/tests/test_coordination_directory.py
@@ -9,18 +9,34 @@
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
+from almondrouter.coordination import directory
 from almondrouter.coordination.directory import LOST_RECORD_GRACE_S, HostDirectory
-from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
+from almondrouter.state.hosts import (
+    BackendEntry,
+    Departure,
+    HostEntry,
+    ServingState,
+)
 
 READY, LEAVING = ServingState.READY, ServingState.LEAVING
 
 
 def make_entry(
-    host="h1", *, incarnation=1, change=0, state=READY, backend="b1", region="r"
+    host="h1",
+    *,
+    incarnation=1,
+    change=0,
+    state=READY,
+    backend="b1",
+    region="r",
+    started=1,
+    departure=None,
 ):
     """Return the record of a host."""
-    entry = BackendEntry(backend, 1, "s", 4, state)
-    return HostEntry(host, incarnation, "dc", region, f"{host}:1", entry, change)
+    entry = BackendEntry(backend, started, "s", 4, state)
+    return HostEntry(
+        host, incarnation, "dc", region, f"{host}:1", entry, change, departure
+    )
 
 
 class HostDirectoryTest(unittest.TestCase):
@@ -76,6 +92,35 @@
         self.directory.put(msgspec.structs.replace(make_entry("h2"), backend=None))
         self.assertEqual([], self.find_backends())
 
+    @parameterized.expand(
+        [
+            ("same start", {}, []),
+            ("later start", {"started": 2}, ["b1"]),
+            ("another server", {"backend": "b2"}, ["b2"]),
+        ]
+    )
+    def test_departure_outlives_the_daemon_that_announced_it(self, _, next_, expected):
+        """Guards against requests to a server that left, from its restarted daemon.
+
+        The daemon restores its server from a record that is older than the departure.
+        """
+        left = make_entry(state=LEAVING, change=1, departure=Departure("b1", 1))
+        self.directory.put(left)
+        self.directory.mark_lost("h1")
+        self.clock.advance(LOST_RECORD_GRACE_S)
+        self.directory.expire()
+        self.directory.put(make_entry(incarnation=2, **next_))
+        self.assertEqual(expected, self.find_backends())
+
+    def test_departures_are_bounded(self):
+        """Guards against memory that grows with each host there ever was."""
+        with patch.object(directory, "MAX_DEPARTURES", 3):
+            for number in range(5):
+                departure = Departure("b1", 1)
+                self.directory.put(make_entry(f"h{number}", departure=departure))
+        known = [n for n in range(5) if self.directory.find_departure(f"h{n}")]
+        self.assertEqual([2, 3, 4], known)
+
     def test_lost_record_may_return(self):
         """Guards against a store outage that empties the directory.
 
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -15,7 +15,7 @@
 from almondrouter.protocol.calls import BodyOffer
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
-from almondrouter.state.hosts import BackendEntry, ServingState
+from almondrouter.state.hosts import BackendEntry, Departure, ServingState
 from almondrouter.transport.calls import BackendResponse, BackendSender
 from almondrouterd.platform.headers import PlatformDialect
 from calls_support import CallAssertions, make_request
@@ -195,6 +195,22 @@
         self.backend.apply_announcement(make_entry(started=2))
         self.assertEqual(READY, self.backend.entry.state)
 
+    @parameterized.expand(
+        [
+            ("report", lambda t: t.apply_announcement(make_entry(state=LEAVING))),
+            ("deregistered", lambda t: t.mark_leaving("b", None)),
+        ]
+    )
+    async def test_departure_is_published_even_if_the_daemon_stops(self, _, leave):
+        """Guards against a departure that looks like the stop of a daemon only."""
+        self.backend.change_state(LEAVING, reason="the daemon stops")
+        self.assertIsNone(self.backend.departure)
+        changes = self.changes
+        for _ in range(2):
+            leave(self.backend)
+            self.assertEqual(Departure("b", 1), self.backend.departure)
+            self.assertEqual(changes + 1, self.changes)
+
     async def test_request_for_another_server_is_not_run(self):
         """Guards against running a request on a server that reuses an address."""
         await self.assert_fails(
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -19,7 +19,7 @@
     Registration,
 )
 from almondrouter.coordination.storefeed import StoreFeed, find_common_prefix
-from almondrouter.state.hosts import ServingState, encode_host
+from almondrouter.state.hosts import Departure, ServingState, encode_host
 from almondrouter_standins.platform_store import PlatformStoreServer, StoreFault
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
 from almondrouterd.platform.store import PlatformStore
@@ -27,6 +27,8 @@
 from platform_support import make_configuration
 from test_coordination_directory import make_entry
 
+OUTAGE_S = 0.3
+
 
 class StoreFeedTest(unittest.IsolatedAsyncioTestCase):
     """A store feed and a registration connected to a store stand-in over sockets."""
@@ -395,6 +397,21 @@
         hosts = {entry.host for entry in self.directory.entries}
         self.assertIn("own", hosts)
 
+    @parameterized.expand([("not stored", True), ("none", False)])
+    async def test_withdrawal_waits_for_an_outage_if_a_departure(self, _, departed):
+        """Guards against a stale record from which a departed server is restored."""
+        key = HOSTS_PREFIX + "own"
+        await wait_until(lambda: key in self.server.keys)
+        self.server.fault = StoreFault.UNAVAILABLE
+        if departed:
+            self.entry = make_entry("own", departure=Departure("b1", 1))
+        withdrawal = asyncio.create_task(self.registration.withdraw())
+        await asyncio.wait([withdrawal], timeout=OUTAGE_S)
+        self.assertEqual(departed, not withdrawal.done())
+        self.server.fault = StoreFault.NONE
+        await withdrawal
+        self.assertEqual(departed, key not in self.server.keys)
+
     async def test_withdrawn_record_is_gone_at_once(self):
         """Guards against calls to a stopped host until its lease expires."""
         key = HOSTS_PREFIX + "own"
