Let standbys notice a silent relay within a second

Cause: a link without calls may be silent for 3 s. The link to the relay too, and nobody else reads the store while the relay counts as alive.

Change: the three daemons that follow the relay by name probe the hosts before them as if calls were pending. Others need not: a relay sends versions to its whole region.

--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -388,6 +388,7 @@
         self._links: dict[str, OutboundLink] = {}
         self._silent_links: set[OutboundLink] = set()
         self._probed: Collection[str] | None = None
+        self._closely_probed: Collection[str] = ()
         self._kept: Collection[str] | None = None
         self._newly_silent: list[str] = []
         self._ticked_at: float | None = None
@@ -464,6 +465,10 @@
         """
         self._probed = peer_addresses
 
+    def set_closely_probed(self, peer_addresses: Collection[str]) -> None:
+        """Choose the peers that have to respond soon on idle links, too."""
+        self._closely_probed = peer_addresses
+
     def set_kept(self, peer_addresses: Collection[str]) -> None:
         """Choose the peers whose idle links stay open; by default `ping_idle` decides.
 
@@ -521,7 +526,8 @@
         return link.stream.last_received_at > oldest
 
     def _get_silence_factor(self, link_key: str, link: OutboundLink) -> float:
-        if link.pending or link.is_suspected:
+        closely_probed = link_key in self._closely_probed
+        if link.pending or link.is_suspected or closely_probed:
             return 1.0
         if self._probed is None or link_key in self._probed:
             return IDLE_SILENCE_FACTOR
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -260,6 +260,10 @@
         relay = self._election.find_relay(candidates)
         relays = {e.peer_address for e in self._directory.entries if e.host == relay}
         self._links.set_probed(probed | relays)
+        predecessors = set(self._election.list_predecessors(candidates))
+        self._links.set_closely_probed(
+            {e.peer_address for e in self._directory.entries if e.host in predecessors}
+        )
         if has_few_responsive(len(probed), sum(map(self._links.is_alive, probed))):
             self._links.suspect_all()
 
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -23,6 +23,8 @@
 )
 from almondrouter_standins.platform_store import StoreFault
 from almondrouterd.hostdaemon import (
+    LINK_POLICY,
+    PEER_MAINTENANCE_INTERVAL_S,
     READINESS_PROPAGATION_S,
     RESTORE_DELAY_S,
     STORE_WATCH_DELAY_S,
@@ -39,6 +41,9 @@
 """Seconds from the stop signal to the kill in tests whose requests outlast it."""
 LEAST_STABLE_WINDOW_S = 3.0
 """Seconds after a start from which the platform counts a daemon as in touch."""
+LEAST_CONFIG_APPLY_S = 2.5
+"""Least ``config_apply_s`` of the platform: seconds from the acknowledgement of a
+version until it has to be in force."""
 LONG_RUN_S = 4.5
 """Run time of a request that outlasts the short grace period."""
 LONG_TIMEOUT_S = 8.0
@@ -265,6 +270,25 @@
         """
         self.assertLess(STORE_WATCH_DELAY_S + CALL_TIMEOUT_S, LEAST_STABLE_WINDOW_S)
 
+    def test_standby_reads_a_version_in_time_if_the_relay_is_frozen(self):
+        """Guards against old versions in a region whose relay has just been frozen."""
+        noticed = LINK_POLICY.max_silence + PEER_MAINTENANCE_INTERVAL_S
+        self.assertLess(noticed + CALL_TIMEOUT_S, LEAST_CONFIG_APPLY_S)
+
+    async def test_version_spreads_while_the_relay_is_frozen(self):
+        """Guards against a region that waits for the frozen relay to wake."""
+        await self.start_fleet()
+        relay = self.fleet.daemons[0]
+        self.fleet.send_signal(0, signal.SIGSTOP)
+        try:
+            await self.fleet.store.put(CONFIGURATION_KEY, make_configuration(5))
+            await self.wait_for_versions(5, hosts=(1, 2))
+            self.assertIsNone(relay.returncode)
+        finally:
+            self.fleet.send_signal(0, signal.SIGCONT)
+        await self.wait_for_versions(5)
+        self.assert_guarantees()
+
     @parameterized.expand([("sent before it", False), ("sent after it", True)])
     async def test_stop_answers_requests_that_wait_elsewhere(self, _, sent_after):
         """Guards against a stop that cuts requests waiting for a slot elsewhere.
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -43,6 +43,7 @@
         self.queries = []
         self.warmed = []
         self.probed = frozenset()
+        self.closely_probed = frozenset()
         self.kept = frozenset()
         self.silent = []
         self.suspected = []
@@ -56,6 +57,9 @@
     def set_probed(self, addresses):
         self.probed = addresses
 
+    def set_closely_probed(self, addresses):
+        self.closely_probed = addresses
+
     def set_kept(self, addresses):
         self.kept = addresses
 
@@ -249,6 +253,15 @@
         self.assertIn("h10:1", self.links.probed)
         self.assertLessEqual(len(self.links.probed), PROBED_SUCCESSORS + 1)
 
+    async def test_standby_probes_the_relay_closely(self):
+        """Guards against a version that a frozen relay holds back for too long."""
+        self.receive_notice("h4")
+        self.receive_notice("h6")
+        for alive in (True, False):
+            self.links.alive = alive
+            self.peers.run_maintenance()
+            self.assertEqual({"h4:1"}, self.links.closely_probed)
+
     async def test_malformed_notices_change_nothing(self):
         """Guards against malformed notices that stop the daemon or change its state."""
         self.peers.handle_notice(HostNotice(b"{", 3, True))
--- a/tests/test_coordination_relays.py
+++ b/tests/test_coordination_relays.py
@@ -30,6 +30,20 @@
         candidates = [RelayCandidate(*other) for other in others]
         self.assertEqual(expected, election.is_relay(candidates))
 
+    @parameterized.expand(
+        [
+            ("first", "", ""),
+            ("second", "a", "a"),
+            ("fourth", "abc", "abc"),
+            ("fifth", "abcd", ""),
+        ]
+    )
+    def test_standbys(self, _, before, expected):
+        """Guards against a relay whose silence is noticed late, or costly to notice."""
+        election = RelayElection("k", reaches_store=lambda: True)
+        others = [RelayCandidate(host, False, True) for host in (*before, "x", "y")]
+        self.assertEqual([*expected], election.list_predecessors(others))
+
     def test_exactly_one_daemon_that_reaches_the_store_watches_it(self):
         """Guards against store failures on some hosts that leave no relay."""
         hosts = "abcd"
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -377,6 +377,24 @@
         await self.pass_time(2)
         self.assertEqual(int(kept), self.pool.link_count)
 
+    async def test_closely_probed_peer_has_to_respond_soon(self):
+        """Guards against a frozen relay that counts as alive while its link is idle."""
+        address = await self.open_idle_links(silent=True)
+        self.pool.set_closely_probed({address})
+        await self.pass_time(0.75)
+        self.assertTrue(self.pool.is_alive(address))
+        await self.pass_time(0.5)
+        self.assertFalse(self.pool.is_alive(address))
+        self.assertEqual([address], self.pool.take_newly_silent())
+
+    async def test_closely_probed_peer_that_responds_stays(self):
+        """Guards against a relay that is replaced although it responds."""
+        address = await self.open_idle_links(silent=False)
+        self.pool.set_closely_probed({address})
+        await self.pass_time(20)
+        self.assertTrue(self.pool.is_alive(address))
+        self.assertEqual([], self.pool.take_newly_silent())
+
     @parameterized.expand([("reported",), ("own pause",)])
     async def test_suspected_peer_has_to_respond_soon(self, reason):
         """Guards against calls to a silent host that others have reported."""
