Ignore odd entries of other writers instead of ending a task

Cause: msgspec raises RecursionError for a value that is nested deeply in a field that it skips. Only its own errors were caught, so that the task that reads the store ended. Numbers beyond 64 bits, ports out of range and records without slots or names were accepted: the first cannot be sent to peers, and uvloop cuts the second to 16 bits.

Change: all decoders of data from outside catch MALFORMED_DATA_ERRORS; records and heartbeats are models with bounds, and a record needs an address with a port in range.

--- a/packages/almondctl/src/almondctl/logs.py
+++ b/packages/almondctl/src/almondctl/logs.py
@@ -12,7 +12,7 @@
 from almondctl.connections import Connections
 from almondctl.exits import ExitCode
 from almondctl.output import Result
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
 
 STATE_CONTEXT_S = 3.0
 """Seconds before and after a request within which state changes are shown with it."""
@@ -97,7 +97,7 @@
             str(required["event"]),
             fields,
         )
-    except (msgspec.DecodeError, UnicodeDecodeError, KeyError, TypeError, ValueError):
+    except (*MALFORMED_DATA_ERRORS, KeyError, TypeError, ValueError):
         return None
 
 
--- a/packages/almondrouter/src/almondrouter/addresses.py
+++ b/packages/almondrouter/src/almondrouter/addresses.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import re
+
+MAX_PORT = 65_535
+_ADDRESS = re.compile(r"(\[[0-9A-Fa-f:.%]{2,63}\]|[0-9A-Za-z_.-]{1,63}):([0-9]{1,5})")
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP address and the port of an ``ip:port`` address.
@@ -10,3 +15,9 @@
     """
     host, _, port = address.rpartition(":")
     return host.removeprefix("[").removesuffix("]"), int(port)
+
+
+def is_valid_address(address: str) -> bool:
+    """Return whether a text is an ``ip:port`` address with a port in range."""
+    match = _ADDRESS.fullmatch(address)
+    return match is not None and 0 < int(match[2]) <= MAX_PORT
--- a/packages/almondrouter/src/almondrouter/coordination/claimbatches.py
+++ b/packages/almondrouter/src/almondrouter/coordination/claimbatches.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from almondrouter.clock import Clock
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
 from almondrouter.protocol.control import Claim, ClaimReply, ClaimRequest
 from almondrouter.protocol.keys import (
     CLAIM_RETENTION_S,
@@ -263,7 +263,7 @@
         claim_id, host, incarnation = msgspec.json.decode(
             value, type=tuple[str, str, int]
         )
-    except msgspec.DecodeError:
+    except MALFORMED_DATA_ERRORS:
         return None
     return Claim(key, claim_id, host, incarnation)
 
--- a/packages/almondrouter/src/almondrouter/coordination/deltas.py
+++ b/packages/almondrouter/src/almondrouter/coordination/deltas.py
@@ -12,7 +12,7 @@
 import msgspec
 import xxhash
 
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
 
 _CHUNK_SEPARATOR = b'{"name":'
 """Separates chunks: each route of an encoded configuration begins with it.
@@ -67,7 +67,7 @@
     """
     try:
         delta = msgspec.msgpack.decode(zlib.decompress(data), type=_Delta)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (*MALFORMED_DATA_ERRORS, zlib.error) as error:
         raise AlmondError(ErrorCode.FRAME_MALFORMED, str(error)) from error
     chunks = older.split(_CHUNK_SEPARATOR)
     newer: list[bytes] = []
--- a/packages/almondrouter/src/almondrouter/coordination/history.py
+++ b/packages/almondrouter/src/almondrouter/coordination/history.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from almondrouter.errors import (
+    MALFORMED_DATA_ERRORS,
     ErrorCode,
     Finding,
     FindingsError,
@@ -102,7 +103,7 @@
 def _decode_record(item: KeyValue) -> ChangeRecord:
     try:
         return msgspec.json.decode(item.value, type=ChangeRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         code = ErrorCode.STORE_RESPONSE_INVALID
         raise FindingsError([Finding(item.key, code, str(error))]) from error
 
--- a/packages/almondrouter/src/almondrouter/coordination/seeds.py
+++ b/packages/almondrouter/src/almondrouter/coordination/seeds.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from almondrouter.coordination.watchers import WatcherChoice
-from almondrouter.errors import AlmondError
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.state.registry import HostRecord, Registry
 from almondrouter.transport.store import Put, Store, Transaction
@@ -112,5 +112,5 @@
         found = await self._store.read(self._key)
         try:
             return msgspec.json.decode(found.items[0].value, type=list[str])
-        except (IndexError, msgspec.DecodeError, UnicodeDecodeError):
+        except (*MALFORMED_DATA_ERRORS, IndexError):
             return []
--- a/packages/almondrouter/src/almondrouter/coordination/storewatch.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storewatch.py
@@ -12,7 +12,7 @@
 from almondrouter.clock import Clock
 from almondrouter.coordination.activation import EMPTY_HEAD, Activation
 from almondrouter.coordination.alarms import Alarm, Alarms
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
 from almondrouter.protocol.control import Head
 from almondrouter.protocol.keys import StoreKeys
 from almondrouter.state.changes import ChangeRecord
@@ -266,7 +266,7 @@
             if item.key != self._keys.history_record(record.version):
                 message = f"{item.key} holds the record of version {record.version}"
                 raise AlmondError(ErrorCode.STORE_RESPONSE_INVALID, message)
-        except (msgspec.DecodeError, UnicodeDecodeError, AlmondError) as error:
+        except (*MALFORMED_DATA_ERRORS, AlmondError) as error:
             self._report_invalid_record(item.mod_revision, f"{item.key}: {error}")
             return None
         return record
--- a/packages/almondrouter/src/almondrouter/errors.py
+++ b/packages/almondrouter/src/almondrouter/errors.py
@@ -5,6 +5,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
+MALFORMED_DATA_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""Exceptions of the msgspec decoders for data that another writer made. Values that are
+nested too deeply raise a ``RecursionError``."""
+
 
 class ErrorCode(StrEnum):
     """Machine-readable error codes, documented in ``docs/errors.md``."""
--- a/packages/almondrouter/src/almondrouter/protocol/codec.py
+++ b/packages/almondrouter/src/almondrouter/protocol/codec.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
 
 PROTOCOL_VERSION = 1
 MAX_CONTROL_FRAME_BYTES = 2_000_000
@@ -54,7 +54,7 @@
         self._check_size(len(data))
         try:
             return self._decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED_DATA_ERRORS as error:
             raise AlmondError(ErrorCode.FRAME_MALFORMED, str(error)) from error
 
     def _check_size(self, size: int) -> None:
--- a/packages/almondrouter/src/almondrouter/state/hosts.py
+++ b/packages/almondrouter/src/almondrouter/state/hosts.py
@@ -7,10 +7,21 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.addresses import is_valid_address
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
+
+MAX_SLOTS = 10_000
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that all JSON and MessagePack decoders read exactly."""
+
+Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+BackendId = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]{1,120}\Z")]
 
 
 class ServingState(StrEnum):
@@ -34,10 +45,10 @@
         Service that it serves, and number of requests that it runs concurrently.
     """
 
-    backend: str
-    started_ms: int
-    service: str
-    slots: int
+    backend: BackendId
+    started_ms: Integer
+    service: Name
+    slots: Slots
     state: ServingState
 
 
@@ -52,8 +63,8 @@
         Its start time in Unix milliseconds; earlier starts have left, too.
     """
 
-    backend: str
-    started_ms: int
+    backend: BackendId
+    started_ms: Integer
 
     def includes(self, entry: BackendEntry) -> bool:
         """Return whether a backend server has left according to this announcement."""
@@ -78,13 +89,13 @@
         server is also ``leaving`` without one, while only its daemon stops.
     """
 
-    host: str
-    incarnation: int
+    host: Name
+    incarnation: Integer
     data_centre: str
     region: str
     peer_address: str
     backend: BackendEntry | None = None
-    change: int = 0
+    change: Integer = 0
     departure: Departure | None = None
 
     @property
@@ -110,6 +121,10 @@
         ``store_response_invalid`` if the value is not a valid record.
     """
     try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError as error:
+        entry = _DECODER.decode(data)
+    except MALFORMED_DATA_ERRORS as error:
         raise AlmondError(ErrorCode.STORE_RESPONSE_INVALID, str(error)) from error
+    if not is_valid_address(entry.peer_address):
+        message = f"peer address {entry.peer_address!r} is not ip:port"
+        raise AlmondError(ErrorCode.STORE_RESPONSE_INVALID, message)
+    return entry
--- a/packages/almondrouter/src/almondrouter/state/targets.py
+++ b/packages/almondrouter/src/almondrouter/state/targets.py
@@ -10,7 +10,7 @@
 import msgspec
 import xxhash
 
-from almondrouter.errors import ErrorCode, Finding, FindingsError
+from almondrouter.errors import MALFORMED_DATA_ERRORS, ErrorCode, Finding, FindingsError
 
 MAX_CONFIGURATION_BYTES = 1_000_000
 MAX_ANSWER_WITHIN_MS = 600_000
@@ -136,7 +136,7 @@
         raise FindingsError([Finding("configuration", code, message)])
     try:
         return msgspec.json.decode(data, type=document_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         code = ErrorCode.CONFIGURATION_MALFORMED
         raise FindingsError([Finding("configuration", code, str(error))]) from error
 
--- a/packages/almondrouter/src/almondrouter/transport/envelopes.py
+++ b/packages/almondrouter/src/almondrouter/transport/envelopes.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from almondrouter.clock import Clock
-from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
 from almondrouter.protocol.codec import MAX_CONTROL_FRAME_BYTES, PROTOCOL_VERSION
 from almondrouter.protocol.control import CONTROL_CODEC, ControlMessage, Refused
 from almondrouter.transport.control import ByteCount, ControlEndpoint, ControlHandler
@@ -206,7 +206,7 @@
             )
         try:
             return _DECODER.decode(frame)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED_DATA_ERRORS as error:
             raise AlmondError(ErrorCode.FRAME_MALFORMED, str(error)) from error
 
     def _check_envelope(self, envelope: Envelope) -> None:
--- a/packages/almondrouterd/src/almondrouterd/admin.py
+++ b/packages/almondrouterd/src/almondrouterd/admin.py
@@ -8,7 +8,12 @@
 
 import msgspec
 
-from almondrouter.errors import AlmondError, ErrorCode, FindingsError
+from almondrouter.errors import (
+    MALFORMED_DATA_ERRORS,
+    AlmondError,
+    ErrorCode,
+    FindingsError,
+)
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouterd.backendmonitor import BackendAnnouncement
@@ -122,7 +127,7 @@
     ) -> CallerResponse:
         try:
             announcement = msgspec.json.decode(request.body, type=BackendAnnouncement)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED_DATA_ERRORS as error:
             raise AlmondError(ErrorCode.HEADER_INVALID, str(error)) from error
         self._daemon.backends.announce(announcement)
         return _make_json_response({"host": self._daemon.host})
--- a/packages/almondrouterd/src/almondrouterd/platform/configuration.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/configuration.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from almondrouter.errors import ErrorCode, Finding, FindingsError
+from almondrouter.errors import MALFORMED_DATA_ERRORS, ErrorCode, Finding, FindingsError
 from almondrouter.state.routes import (
     CallerLimits,
     RouteTable,
@@ -78,7 +78,7 @@
     """
     try:
         configuration = _DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         code = ErrorCode.CONFIGURATION_MALFORMED
         raise FindingsError([Finding(CONFIGURATION_KEY, code, str(error))]) from error
     findings = _validate_configuration(configuration)
--- a/packages/almondrouterd/src/almondrouterd/platform/heartbeats.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/heartbeats.py
@@ -7,40 +7,45 @@
 
 import msgspec
 
-from almondrouter.errors import AlmondError, ErrorCode
-from almondrouter.state.hosts import BackendEntry, ServingState
+from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
+from almondrouter.state.hosts import (
+    BackendEntry,
+    Integer,
+    Name,
+    ServingState,
+    Slots,
+)
 
 HEARTBEAT_PATH = "/almondrouter/Instances.Heartbeat/"
 DEREGISTER_PATH = "/almondrouter/Instances.Deregister/"
 READY_PATH = "/almondrouter/readyz"
 ACKNOWLEDGEMENT = b"{}"
-MAX_SLOTS = 10_000
 
 _BACKEND_ID = re.compile(r"[!-~]{1,120}")
 
 
 class _Info(msgspec.Struct):
-    service: str
-    slots: int
+    service: Name
+    slots: Slots
     zone: str = ""
     version: str = ""
 
 
 class _Status(msgspec.Struct):
     state: str
-    sequence: int
+    sequence: Integer
     cold_remaining_s: float = 0.0
 
 
 class _Heartbeat(msgspec.Struct):
     address: str
-    born: int
+    born: Integer
     info: _Info
     status: _Status
 
 
 class _Deregistration(msgspec.Struct):
-    born: int = 0
+    born: Integer = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,18 +92,11 @@
         )
     try:
         heartbeat = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise AlmondError(ErrorCode.VALUE_OUT_OF_RANGE, str(error)) from error
     state = _STATES.get(heartbeat.status.state)
-    if (
-        state is None
-        or not heartbeat.info.service
-        or not 0 < heartbeat.info.slots <= MAX_SLOTS
-    ):
-        message = (
-            f"invalid state {heartbeat.status.state!r}, no service, "
-            f"or {heartbeat.info.slots} slots out of range"
-        )
+    if state is None:
+        message = f"invalid state {heartbeat.status.state!r}"
         raise AlmondError(ErrorCode.VALUE_OUT_OF_RANGE, message)
     entry = BackendEntry(
         backend, heartbeat.born, heartbeat.info.service, heartbeat.info.slots, state
@@ -112,5 +110,5 @@
         return 0
     try:
         return _DEREGISTRATION_DECODER.decode(body).born
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED_DATA_ERRORS:
         return 0
--- a/packages/almondrouterd/src/almondrouterd/platform/store.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -12,6 +12,7 @@
 
 from almondrouter.clock import Clock
 from almondrouter.errors import (
+    MALFORMED_DATA_ERRORS,
     AlmondError,
     ErrorCode,
     StoreOutcomeUnknownError,
@@ -310,5 +311,5 @@
         raise AlmondError(ErrorCode.STORE_RESPONSE_INVALID, message)
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise AlmondError(ErrorCode.STORE_RESPONSE_INVALID, str(error)) from error
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -26,6 +26,7 @@
 from calls_support import wait_until
 from platform_support import make_configuration
 from test_coordination_directory import make_entry
+from test_state_hosts import ODD_RECORDS
 
 OUTAGE_S = 0.3
 
@@ -232,6 +233,18 @@
         names = {entry.host for entry in self.directory.entries}
         self.assertEqual({"own", "h1"}, names)
 
+    @parameterized.expand(ODD_RECORDS)
+    async def test_odd_record_does_not_end_the_feed(self, _, data):
+        """Guards against versions that never come into force, and hosts unknown."""
+        self.feed.set_watching(True)
+        await self.server.put(HOSTS_PREFIX + "h0", data)
+        await self.server.put(HOSTS_PREFIX + "h1", encode_host(make_entry("h1")))
+        await self.feed._read_prefixes(self.feed._subscribers, stale=False)
+        await self.put_version(3)
+        await self.wait_for_version(3)
+        self.assertIn("h1", {entry.host for entry in self.directory.entries})
+        self.assertNotIn("h0", {entry.host for entry in self.directory.entries})
+
     async def test_polling_daemon_reads_nothing_until_asked(self):
         """Guards against a store load that grows with the number of daemons."""
         await self.put_version(1)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -145,6 +145,7 @@
     @parameterized.expand(
         [
             ("no JSON", b"{", ErrorCode.CONFIGURATION_MALFORMED),
+            ("nested", b"[" * 3_000, ErrorCode.CONFIGURATION_MALFORMED),
             ("cut short", make_configuration()[:-9], ErrorCode.CONFIGURATION_MALFORMED),
             (
                 "version",
@@ -200,6 +201,9 @@
     @parameterized.expand(
         [
             ("bytes", "i-1", b"\xff\xfe"),
+            ("nested", "i-1", b"[" * 3_000),
+            ("start too large", "i-1", make_heartbeat("a:1", born=10**22)),
+            ("start before 1970", "i-1", make_heartbeat("a:1", born=-1)),
             ("state", "i-1", make_heartbeat("a:1", state="gone")),
             ("no start", "i-1", make_heartbeat("a:1").replace(b'"born"', b'"x"')),
             ("start as text", "i-1", make_heartbeat("a:1", born="1000")),
@@ -214,7 +218,16 @@
         with self.assertRaises(AlmondError):
             decode_heartbeat(backend, body)
 
-    @parameterized.expand([(b"", 0), (b'{"born":5}', 5), (b"{", 0), (b"[]", 0)])
+    @parameterized.expand(
+        [
+            (b"", 0),
+            (b'{"born":5}', 5),
+            (b"{", 0),
+            (b"[]", 0),
+            (b"[" * 3_000, 0),
+            (b'{"born":10000000000000000000000}', 0),
+        ]
+    )
     def test_leaving(self, body, expected):
         """Guards against a malformed deregistration that raises an error."""
         self.assertEqual(expected, decode_deregistration(body))
--- a/tests/test_transport_broken_messages.py
+++ b/tests/test_transport_broken_messages.py
@@ -7,23 +7,31 @@
 
 import asyncio
 import unittest
+import zlib
 
 import msgspec
 from parameterized import parameterized
 
 from almondrouter.clock import SystemClock
+from almondrouter.coordination.deltas import apply_delta
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.protocol.calls import CALL_CODEC
+from almondrouter.protocol.control import CONTROL_CODEC
 from almondrouter.protocol.headers import Outcome
 from almondrouter.transport.callers import CallerServer
-from almondrouter.transport.calls import CallerResponse
+from almondrouter.transport.calls import BackendResponse, CallerResponse
 from almondrouter.transport.frames import FrameStream
 from almondrouter.transport.links import CallLinkPool
 from almondrouter.transport.store import Put, Transaction
-from almondrouterd.platform.store import PlatformStore
+from almondrouterd.platform.store import PlatformStore, decode_response
 from calls_support import CallAssertions, make_hello, make_reply, make_request
 
 TIMEOUT_S = 5.0
+NESTING = 3_000
+NESTED = b"\x91" * NESTING
+NESTED_DELTA = b"\x93\x00\x90" + NESTED
+"""Digest 0, no parts, and a field that this version does not know."""
+NESTED_RESPONSE = BackendResponse(200, (), b'{"x":' + b"[" * NESTING)
 
 
 async def start_server(case, serve):
@@ -74,6 +82,23 @@
             await pool.close()
 
 
+class NestedMessageTest(unittest.TestCase):
+    """Messages that are nested more deeply than the decoders can follow."""
+
+    @parameterized.expand(
+        [
+            ("frame", CALL_CODEC.decode, b"\x93\x05\x01" + NESTED),
+            ("control message", CONTROL_CODEC.decode, b"\x92\xa2sq" + NESTED),
+            ("delta", lambda data: apply_delta(b"", zlib.compress(data)), NESTED_DELTA),
+            ("store", lambda data: decode_response(data, dict), NESTED_RESPONSE),
+        ]
+    )
+    def test_nested_message_is_malformed(self, _, decode, data):
+        """Guards against a message that ends a task with an unexpected exception."""
+        with self.assertRaises(AlmondError):
+            decode(data)
+
+
 class BrokenStoreResponseTest(unittest.IsolatedAsyncioTestCase):
     """The store's response breaks off; what it was asked may have been done."""
 
