Refuse calls late in a stop that cannot be answered before its end

Cause: a stopping daemon serves the calls of requests that it waits for, and compared the time that was left with nothing but zero.

Evidence: test_stop_cuts_no_request_that_it_took_late, with real daemons, got [504, 504] for [503, 503] before the change, and test_nested_call_late_in_a_stop sent the late call.

Change: once new requests are refused, a request is sent only if the target latency of its route fits before the last answers. Otherwise it is refused at once as not run.

Ruled out: new requests of callers are refused from 2.3 s after the signal on, on kept connections as well, and requests of peers from the signal on.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -341,7 +341,7 @@
             destination, pending.retry = pending.retry, None
             return destination
         call = pending.call
-        if now >= min(call.deadline, self._answers_until):
+        if now >= min(call.deadline, self._find_last_send(pending)):
             return None
         if call.useful_until > self._answers_until:
             pending.call = msgspec.structs.replace(
@@ -354,11 +354,23 @@
             demand=make_demand(pending, now),
         )
 
+    def _find_last_send(self, pending: _PendingRequest) -> float:
+        """Return the time after which a stopping daemon sends a request no more.
+
+        Notes
+        -----
+        Once new requests are refused, what cannot be answered within its target latency
+        would probably be cut while a backend server is at work on it.
+        """
+        if not self._refuses_new:
+            return self._answers_until
+        return self._answers_until - pending.route.target_latency
+
     def _explain_no_attempt(self, pending: _PendingRequest) -> ErrorCode:
         now = self._clock.monotonic()
         if now >= pending.call.deadline:
             return ErrorCode.DEADLINE_EXCEEDED
-        if now >= self._answers_until:
+        if now >= self._find_last_send(pending):
             return ErrorCode.STOPPING
         return ErrorCode.NO_BACKEND
 
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -44,6 +44,9 @@
 LEAST_CONFIG_APPLY_S = 2.5
 """Least ``config_apply_s`` of the platform: seconds from the acknowledgement of a
 version until it has to be in force."""
+LATE_CALL_S = 0.4
+"""Seconds from the end of new requests to a call that is late in the short grace
+period: less than the target latency before its end."""
 LONG_RUN_S = 4.5
 """Run time of a request that outlasts the short grace period."""
 LONG_TIMEOUT_S = 8.0
@@ -373,6 +376,34 @@
         self.assertEqual(0, await stop)
         self.assert_guarantees()
 
+    async def test_stop_cuts_no_request_that_it_took_late(self):
+        """Guards against requests that are passed on just before the daemon ends.
+
+        A nested call that may not be repeated, of a request that outlasts the stop.
+        """
+        await self.start_fleet(stop_within=SHORT_GRACE_PERIOD_S)
+        stopping, draining, slow = self.fleet.backends
+        draining.state = "draining"
+        while not draining.acknowledged["draining"]:
+            await asyncio.sleep(0.02)
+        stopping.run_time = slow.run_time = (LONG_RUN_S, LONG_RUN_S)
+        runs = self.fleet.ledger.runs.total()
+        parents = self.start_requests(2, host=0)
+        while self.fleet.ledger.runs.total() < runs + 2:
+            await asyncio.sleep(0.02)
+        stop = asyncio.create_task(self.fleet.stop_daemon(0, signal.SIGTERM))
+        await asyncio.sleep(READINESS_PROPAGATION_S + LATE_CALL_S)
+        nested = await asyncio.gather(
+            *(
+                self.fleet.send(0, "/pay/1", parent=attempt)
+                for attempt in list(self.fleet.ledger.runs)[-2:]
+            )
+        )
+        self.assertEqual([503, 503], nested, self.fleet.read_logs())
+        self.assertEqual(0, await stop)
+        await asyncio.gather(*parents)
+        self.assert_guarantees()
+
     async def test_draining_server_gets_no_new_requests(self):
         """Guards against new requests to a backend server that is draining."""
         await self.start_fleet()
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -315,6 +315,20 @@
         nested = await self.send(script=[make_answer()], attempt_id="parent.child")
         self.assertEqual(200, nested.status)
 
+    @parameterized.expand([("in time", 0.41, 200, 1), ("late", 0.39, 503, 0)])
+    async def test_nested_call_late_in_a_stop(self, _, left, status, sent):
+        """Guards against requests that are taken and then cut at the end of the grace.
+
+        The target latency of the route is 0.4 s.
+        """
+        self.forwarder.refuse_new_requests()
+        self.forwarder.stop_answering(self.clock.monotonic() + left)
+        self.running.add("parent")
+        response = await self.send(script=[make_answer()], attempt_id="parent.child")
+        self.assertEqual((status, sent), (response.status, len(self.links.calls)))
+        if not sent:
+            self.assertIn(("Almond-Code", "stopping"), response.headers)
+
     async def test_withdrawn_request_is_not_tried_elsewhere(self):
         """Guards against a second attempt of a request that its daemon withdrew."""
         withdrawn = make_reply(ErrorCode.CALL_CANCELLED)
