Restart the background tasks of the host daemon after unexpected exceptions

Cause: the daemon for hosting platforms logged "background task failed and is not restarted". The daemon for clusters restarted its tasks of the distribution already.

Change: both use coordination/restarts.py, which logs the failure with its trace and runs the work again after 1 s.

--- a/packages/almondrouter/src/almondrouter/coordination/distribution.py
+++ b/packages/almondrouter/src/almondrouter/coordination/distribution.py
@@ -7,14 +7,13 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
-from logbook import Logger
-
 from almondrouter.clock import Clock
 from almondrouter.coordination.activation import Activation
 from almondrouter.coordination.alarms import Alarm, Alarms
 from almondrouter.coordination.catchup import START_JITTER_S, CatchUp
 from almondrouter.coordination.fleet import Fleet, HostRanking
 from almondrouter.coordination.pulls import ConfigurationPuller
+from almondrouter.coordination.restarts import run_with_restart
 from almondrouter.coordination.seeds import SeedKeeper
 from almondrouter.coordination.storewatch import StoreWatch
 from almondrouter.coordination.watchers import (
@@ -48,9 +47,7 @@
 MEMBERSHIP_TIMEOUT_S = 3.0
 # Membership changes within this interval cause one selection of watchers.
 RECONCILE_DEBOUNCE_S = 0.1
-RESTART_DELAY_S = 1.0
 
-_LOG = Logger(__name__)
 _TaskBody = Callable[[], Awaitable[None]]
 
 
@@ -207,7 +204,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _start_task(self, work: _TaskBody) -> asyncio.Task[None]:
-        task = asyncio.create_task(_run_with_restart(work))
+        task = asyncio.create_task(run_with_restart(work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
@@ -352,16 +349,3 @@
 
     def _list_unreachable(self) -> set[str]:
         return set(self._membership.unreachable_data_centres())
-
-
-async def _run_with_restart(work: _TaskBody) -> None:
-    """Run ``work`` until it returns; run it again after an unexpected exception.
-
-    If a task ended silently, this daemon would never get another version.
-    """
-    while True:
-        try:
-            return await work()
-        except Exception:
-            _LOG.exception("configuration distribution task failed; restarting it")
-            await asyncio.sleep(RESTART_DELAY_S)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import random as random_module
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, fields, replace
 from http import HTTPStatus
 
@@ -25,6 +25,7 @@
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.coordination.placement import LowestCostPolicy
 from almondrouter.coordination.registration import HostRecords, Registration
+from almondrouter.coordination.restarts import run_with_restart
 from almondrouter.coordination.storefeed import StoreFeed
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
@@ -317,12 +318,12 @@
         for server in self._list_servers():
             await server.start()
         await self.links.start()
-        for coroutine in (
-            self.feed.run(),
-            self.registration.run(),
-            self._maintain_peers_forever(),
+        for work in (
+            self.feed.run,
+            self.registration.run,
+            self._maintain_peers_forever,
         ):
-            self._start_task(coroutine)
+            self._start_forever(work)
         _log.info(
             "daemon started",
             incarnation=self._incarnation,
@@ -442,6 +443,9 @@
             async with asyncio.timeout(seconds):
                 await self.callers.drain()
 
+    def _start_forever(self, work: Callable[[], Awaitable[None]]) -> None:
+        self._start_task(run_with_restart(work))
+
     def _start_task(self, coroutine: Coroutine) -> None:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._log_task_failure)
