--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -16,7 +16,7 @@
 
 MAX_DEPARTURES = 2_000
 """Limit of remembered departures, one per host. They are kept beyond the records of
-their hosts, as a daemon that restarts asks for its own."""
+their hosts, as a daemon that has restarted is reminded of its own."""
 
 _log = EventLogger("directory")
 
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -355,12 +355,12 @@
         )
 
     def _find_last_send(self, pending: _PendingRequest) -> float:
-        """Return the time after which a stopping daemon sends a request no more.
+        """Return the time after which this daemon no longer sends a request.
 
         Notes
         -----
-        Once new requests are refused, what cannot be answered within its target latency
-        would probably be cut while a backend server is at work on it.
+        Once a stopping daemon refuses new requests, what cannot be answered within its
+        target latency would probably be cut while a backend server is at work on it.
         """
         if not self._refuses_new:
             return self._answers_until
--- a/packages/almondrouter/src/almondrouter/transport/listeners.py
+++ b/packages/almondrouter/src/almondrouter/transport/listeners.py
@@ -117,10 +117,9 @@
 
     Notes
     -----
-    Sets ``SO_LINGER``; does nothing for transports without a socket. It also holds if
-    the process is killed.
+    Sets ``SO_LINGER``; does nothing for transports that are closing or have no socket.
     """
     connected = transport.get_extra_info("socket")
-    if connected is not None:
+    if connected is not None and not transport.is_closing():
         linger = struct.pack("ii", enabled, 0)
         connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
