Acknowledge a departure only once it outlasts the process

A host that reached neither the store nor any other host acknowledged a departure after 0.5 s that only its process knew of. Restarted before it was reconnected, the daemon would send requests to the server again.

Cause: the acknowledgement waited for the store for 0.5 s and then was given in any case.

The restart on a host that is cut off was read, not run.

Change: peers confirm a departure that is new to them, or that comes from a host without the store, and do not answer a confirmation. Without the store and without a confirmation the daemon answers 503; the server, which gets no new requests from the first report on, reports again.

Test replaced: test_leaving_is_acknowledged_without_the_store demanded the acknowledgement even if nobody else knew of the departure, which the platform's rules don't ask for; it now says that a peer knows, and a second test checks the other case.

--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -217,7 +217,7 @@
     silent_peers
         Peer addresses of daemons that the sender has just found silent.
     departure
-        Departure on the receiver's host that its record does not name.
+        Departure on the receiver's host, which the sender knows of.
     """
 
     record: bytes
--- a/packages/almondrouterd/src/almondrouterd/backendcontrol.py
+++ b/packages/almondrouterd/src/almondrouterd/backendcontrol.py
@@ -10,7 +10,7 @@
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.logs import EventLogger
-from almondrouter.state.hosts import ServingState
+from almondrouter.state.hosts import Departure, ServingState
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouterd.platform.heartbeats import (
     ACKNOWLEDGEMENT,
@@ -45,12 +45,16 @@
         but do not make the backend server ready again.
     store_state
         Awaited until the store has the state of the backend server.
+    is_known_by_peers
+        Returns whether a peer knows of a departure.
 
     Notes
     -----
     A daemon that restarts restores its backend server from the store. The state of a
     leaving one is therefore stored before it is acknowledged. While the store does not
-    respond, it is acknowledged without that: the backend server leaves in any case.
+    respond, it is enough that a peer knows of it, which tells the restarted daemon. If
+    neither does, there is no acknowledgement: the backend server gets no new requests
+    meanwhile, and reports its state again.
     """
 
     def __init__(
@@ -61,7 +65,9 @@
         routes: ActiveRoutes,
         is_stopping: Callable[[], bool],
         store_state: Callable[[], Awaitable[None]],
+        is_known_by_peers: Callable[[Departure], bool],
     ) -> None:
+        self._is_known_by_peers = is_known_by_peers
         self._backend = backend
         self._backend_address = backend_address
         self._routes = routes
@@ -85,23 +91,30 @@
                 "heartbeat or deregistration refused", path=path, reason=error.message
             )
             return CallerResponse(HTTPStatus.BAD_REQUEST, (), b"")
-        await self._store_leaving_state()
+        if not await self._store_leaving_state():
+            return CallerResponse(HTTPStatus.SERVICE_UNAVAILABLE, (), b"")
         return CallerResponse(HTTPStatus.OK, _JSON, ACKNOWLEDGEMENT)
 
-    async def _store_leaving_state(self) -> None:
+    async def _store_leaving_state(self) -> bool:
+        """Return whether a departure, if there is one, outlasts this process."""
         entry, departure = self._backend.entry, self._backend.departure
         if departure is None:
-            return
+            return True
         if entry is not None and entry.state is not ServingState.LEAVING:
-            return
+            return True
         try:
             async with asyncio.timeout(MAX_STORE_WAIT_S):
                 await self._store_state()
         except TimeoutError:
-            _log.warning(
-                "leaving backend server acknowledged before the store knows of it",
-                backend=departure.backend,
+            acknowledged = self._is_known_by_peers(departure)
+            event = (
+                "leaving backend server acknowledged before the store knows of it"
+                if acknowledged
+                else "leaving not acknowledged; neither store nor peers know of it"
             )
+            _log.warning(event, backend=departure.backend)
+            return acknowledged
+        return True
 
     def _handle_heartbeat(self, backend: str, body: bytes) -> None:
         report = decode_heartbeat(backend, body)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -282,6 +282,7 @@
             routes=self.routes,
             is_stopping=lambda: self._lifecycle.stopping_at is not None,
             store_state=self.registration.wait_until_written,
+            is_known_by_peers=self._peers.has_confirmed,
         )
         self._control_server = self._make_internal_server(
             settings.backend_control_address, control.handle
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -78,7 +78,7 @@
     make_entry
         Returns the current record of this host.
     on_departure
-        Called with a departure on this host that a peer has reminded it of.
+        Called with a departure on this host that a peer knows of.
     clock
         Source of monotonic time.
     """
@@ -97,6 +97,7 @@
         clock: Clock,
     ) -> None:
         self._on_departure = on_departure
+        self._confirmed_departure: Departure | None = None
         self._links = links
         self._directory = directory
         self._routes = routes
@@ -153,10 +154,13 @@
             self._hosts_without_store.discard(entry.host)
         else:
             self._hosts_without_store.add(entry.host)
+        known = self._directory.find_departure(entry.host)
         self._directory.put(entry)
         if notice.departure is not None:
+            self._confirmed_departure = notice.departure
             self._on_departure(notice.departure)
-        self._remind_of_departure(entry)
+        elif entry.departure != known or not notice.reaches_store:
+            self._confirm_departure(entry)
         if entry.host != self._own_host:
             # The sender needs the record of this host, whatever hosts it knows.
             self._links.preconnect(entry.peer_address)
@@ -171,20 +175,31 @@
         if behind and self._feed.watching and self._is_region_peer(entry):
             self._links.send_notice(entry.peer_address, self._make_full_routes_notice())
 
-    def _remind_of_departure(self, entry: HostEntry) -> None:
-        """Tell a daemon of a departure that it acknowledged before it restarted."""
+    def _confirm_departure(self, entry: HostEntry) -> None:
+        """Tell a daemon which departure on its host this one knows of.
+
+        Notes
+        -----
+        It may acknowledge the departure then without the store. If it has restarted
+        since it did so, its record does not name the departure any more.
+        """
         departure = self._directory.find_departure(entry.host)
-        if departure is None or departure == entry.departure:
+        if departure is None:
             return
-        _log.info(
-            "telling a daemon of a departure that its record does not name",
-            peer=entry.host,
-            backend=departure.backend,
-            started_ms=departure.started_ms,
-        )
+        if departure != entry.departure:
+            _log.info(
+                "telling a daemon of a departure that its record does not name",
+                peer=entry.host,
+                backend=departure.backend,
+                started_ms=departure.started_ms,
+            )
         notice = self.make_notice(departure=departure)
         self._links.send_notice(entry.peer_address, notice)
 
+    def has_confirmed(self, departure: Departure) -> bool:
+        """Return whether a peer knows of a departure on this host."""
+        return self._confirmed_departure == departure
+
     def relay_routes(self) -> None:
         """Send the configuration in force to the region if this daemon is its relay."""
         if not self._feed.watching:
--- a/tests/test_almondrouterd_backendcontrol.py
+++ b/tests/test_almondrouterd_backendcontrol.py
@@ -12,7 +12,7 @@
 from almondrouter.coordination.activeroutes import ActiveRoutes
 from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.localbackend import LocalBackend
-from almondrouter.state.hosts import ServingState
+from almondrouter.state.hosts import Departure, ServingState
 from almondrouter.transport.calls import CallerRequest
 from almondrouterd import backendcontrol
 from almondrouterd.backendcontrol import BackendControl
@@ -32,6 +32,7 @@
         self.stopping = False
         self.stored = []
         self.store_answers = True
+        self.known_by_peers = []
         self.routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
         self.backend = LocalBackend(
             sender=None,
@@ -46,6 +47,7 @@
             routes=self.routes,
             is_stopping=lambda: self.stopping,
             store_state=self.store_state,
+            is_known_by_peers=lambda departure: departure in self.known_by_peers,
         )
         self.assertEqual(200, await self.send_heartbeat())
 
@@ -162,8 +164,19 @@
     async def test_leaving_is_acknowledged_without_the_store(self):
         """Guards against leaving servers without acknowledgement in a store outage."""
         self.store_answers = False
+        self.known_by_peers = [Departure("i-1", 1000)]
         self.assertEqual(200, await self.send_heartbeat(state="draining"))
 
+    @patch.object(backendcontrol, "MAX_STORE_WAIT_S", 0.01)
+    async def test_leaving_that_nobody_else_knows_of_is_not_acknowledged(self):
+        """Guards against a promise that is forgotten when the daemon restarts."""
+        self.store_answers = False
+        self.known_by_peers = [Departure("i-1", 999)]
+        self.assertEqual(503, await self.send_heartbeat(state="draining"))
+        self.assertEqual(LEAVING, self.backend.entry.state)
+        self.known_by_peers = [Departure("i-1", 1000)]
+        self.assertEqual(200, await self.post(DEREGISTER_PATH + "i-1"))
+
     async def test_stopping_daemon_ignores_a_new_start(self):
         """Guards against a heartbeat that makes a stopping daemon's backend ready."""
         self.stopping = True
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -245,6 +245,23 @@
         self.assertEqual({200: 60}, statuses)
         self.assert_guarantees()
 
+    async def test_departure_that_nobody_else_knows_of_is_not_acknowledged(self):
+        """Guards against a promise that a restart of the daemon would break."""
+        await self.start_fleet(hosts=1)
+        self.fleet.store.fault = StoreFault.UNAVAILABLE
+        backend = self.fleet.backends[0]
+        backend.state = "draining"
+        event = "leaving not acknowledged; neither store nor peers know of it"
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while event not in self.fleet.read_logs():
+                await asyncio.sleep(0.02)
+        self.assertEqual(0, backend.acknowledged["draining"])
+        self.fleet.store.fault = StoreFault.NONE
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while not backend.acknowledged["draining"]:
+                await asyncio.sleep(0.02)
+        self.assert_guarantees()
+
     async def test_graceful_stop_cuts_no_request(self):
         """Guards against a graceful stop that drops requests in flight."""
         await self.start_fleet()
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -148,7 +148,7 @@
         """Guards against a departure that is forgotten if the store never had it."""
         left = Departure("b1", 1)
         self.receive_notice(departure=left)
-        self.assertEqual([], self.links.notices)
+        self.links.notices.clear()
         self.receive_notice(incarnation=2)
         [(address, reminder)] = self.links.notices
         self.assertEqual(("h6:1", left), (address, reminder.departure))
@@ -157,6 +157,31 @@
         self.receive_notice(incarnation=2, departure=left)
         self.assertEqual(1, len(self.links.notices))
 
+    @parameterized.expand(
+        [
+            ("new", None, True, True),
+            ("known", Departure("b1", 1), True, False),
+            ("known, no store", Departure("b1", 1), False, True),
+        ]
+    )
+    async def test_departure_is_confirmed(self, _, known, reaches_store, expected):
+        """Guards against an acknowledgement of which only one process knows.
+
+        A confirmation is not answered, or two daemons would send them without end.
+        """
+        left = Departure("b1", 1)
+        self.receive_notice(departure=known)
+        self.links.notices.clear()
+        self.receive_notice(departure=left, reaches_store=reaches_store)
+        confirmed = [notice.departure for _, notice in self.links.notices]
+        self.assertEqual([left] if expected else [], confirmed)
+        self.assertFalse(self.peers.has_confirmed(left))
+        self.links.notices.clear()
+        record = encode_host(make_entry("h7", departure=Departure("b7", 1)))
+        self.peers.handle_notice(HostNotice(record, 0, False, (), left))
+        self.assertTrue(self.peers.has_confirmed(left))
+        self.assertEqual([], self.links.notices)
+
     async def test_silent_peers_mark_the_host_as_isolated(self):
         """Guards against an isolated host that still reports itself as ready."""
         for number in range(10, 15):
