Keep the exit tests off the addresses of the review cases

Cause: a run of the whole script beside the review cases failed once (1476 passed, 1 failed): test_signals_until_the_exit_1, "address already in use" on 127.13.0.1:9464. The exit tests take loopback networks 127.10 to 127.19, the review cases 127.2 to 127.19.

Evidence: with port 9464 held on these ten networks the test fails with the same line; with the change it passes while they are held.

Change: the exit tests take 127.100 to 127.109. What they check is as before. Two runs of the whole script on one machine still collide.

--- a/tests/test_platform_main.py
+++ b/tests/test_platform_main.py
@@ -15,7 +15,7 @@
 from almondrouter_standins.platform_fleet import PlatformFleet
 from platform_support import make_configuration
 
-NETWORKS = iter(range(10 + os.getpid() % 5, 20))
+NETWORKS = iter(range(100 + os.getpid() % 5, 110))
 
 
 class ExitTest(unittest.IsolatedAsyncioTestCase):
