Let reports not prolong the silence of a closely probed peer

Cause, read in the code: a standby that finds the relay silent tells the others, and the report restarted the timer of a link that was being checked already. The standby that takes over so noticed up to 1 s later than it would have by itself.

Evidence: test_report_does_not_prolong_the_silence_of_a_closely_probed_peer failed before the change (the peer still counts as alive after 1.25 s of silence).

Change: a report concerns only links that are not checked yet.

Result: the tests of links, peers and relays pass.

--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -477,9 +477,12 @@
         self._kept = peer_addresses
 
     def suspect(self, peer_address: str) -> None:
-        """Check the link to a peer soon, unless the peer has sent something lately."""
+        """Check the link to a peer soon, unless the peer has sent something lately.
+
+        A link that is checked already is not given more time.
+        """
         link = self._links.get(peer_address)
-        if link is None or link.pending or link.is_suspected:
+        if link is None or self._is_checked(peer_address, link):
             return
         now = self._clock.monotonic()
         if now - link.stream.last_received_at >= self._policy.ping_interval:
@@ -526,8 +529,7 @@
         return link.stream.last_received_at > oldest
 
     def _get_silence_factor(self, link_key: str, link: OutboundLink) -> float:
-        closely_probed = link_key in self._closely_probed
-        if link.pending or link.is_suspected or closely_probed:
+        if self._is_checked(link_key, link):
             return 1.0
         if self._probed is None or link_key in self._probed:
             return IDLE_SILENCE_FACTOR
@@ -536,6 +538,12 @@
         silence = interval * IDLE_PINGS_PER_SILENCE
         return max(IDLE_SILENCE_FACTOR, silence / self._policy.max_silence)
 
+    def _is_checked(self, link_key: str, link: OutboundLink) -> bool:
+        """Return whether the peer of a link has to respond soon."""
+        if link.pending or link.is_suspected:
+            return True
+        return link_key in self._closely_probed
+
     def tick(self) -> None:
         """Ping the peers of pending calls; suspend silent links, close idle ones."""
         now = self._clock.monotonic()
--- a/tests/test_transport_links.py
+++ b/tests/test_transport_links.py
@@ -387,6 +387,16 @@
         self.assertFalse(self.pool.is_alive(address))
         self.assertEqual([address], self.pool.take_newly_silent())
 
+    async def test_report_does_not_prolong_the_silence_of_a_closely_probed_peer(self):
+        """Guards against standbys that delay one another by their reports."""
+        address = await self.open_idle_links(silent=True)
+        self.pool.set_closely_probed({address})
+        await self.pass_time(0.75)
+        self.pool.suspect(address)
+        self.pool.suspect_all()
+        await self.pass_time(0.5)
+        self.assertFalse(self.pool.is_alive(address))
+
     async def test_closely_probed_peer_that_responds_stays(self):
         """Guards against a relay that is replaced although it responds."""
         address = await self.open_idle_links(silent=False)
