Log a fingerprint of requests that may have run without a response

The lines of such attempts now carry the same fingerprint. test_log_tells_which_attempts_were_one_request failed before (no such field).

--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -15,6 +15,7 @@
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.intake import BodyIntake
+from almondrouter.coordination.quarantine import compute_fingerprint
 from almondrouter.coordination.slots import Grant, SlotQueue
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
@@ -241,6 +242,7 @@
                 slots=load.slots,
                 service_time=round(load.service_time, 4),
                 version=request.version,
+                **describe_content(request, error),
             )
             raise
 
@@ -394,6 +396,19 @@
         )
 
 
+def make_fingerprint(request: CallRequest) -> str:
+    """Return a digest that is the same each time a caller sends a request again."""
+    scope = f"{request.class_name}\0{request.caller_service}"
+    return compute_fingerprint(scope, request.method, request.target, request.body)
+
+
+def describe_content(request: CallRequest, error: CallError) -> dict[str, str]:
+    """Return the log field by which attempts of one request are recognised."""
+    if error.outcome is Outcome.NOT_RUN:
+        return {}
+    return {"fingerprint": make_fingerprint(request)}
+
+
 def _find_max_idle(request: CallRequest) -> float | None:
     """Return the longest idle time of a connection for a request; None for any."""
     if not request.attempt_id:
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 import msgspec
 from parameterized import parameterized
@@ -154,6 +155,23 @@
         await self.assert_fails(self.backend.run(self.request()), code, outcome)
         self.assertTrue(self.backend.queue.is_idle)
 
+    async def test_log_tells_which_attempts_were_one_request(self):
+        """Guards against logs in which a request that comes again looks like a new one."""
+        failed = CallError(
+            ErrorCode.BACKEND_FAILED, "connection lost", outcome=Outcome.UNKNOWN
+        )
+        self.sender.script = [failed] * 3
+        again = msgspec.structs.replace(self.request(), attempt_id="again")
+        other = msgspec.structs.replace(self.request(), target="/other")
+        with patch("almondrouter.coordination.localbackend._log.request") as log:
+            for request in (self.request(), again, other):
+                await self.assert_fails(
+                    self.backend.run(request), failed.code, Outcome.UNKNOWN
+                )
+        first, second, third = (call[1]["fingerprint"] for call in log.call_args_list)
+        self.assertEqual(first, second)
+        self.assertNotEqual(first, third)
+
     async def test_unsigned_failure_is_passed_on(self):
         """Guards against altering the status of an error response."""
         self.sender.script = [BackendResponse(500, (), b"")]
