--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
@@ -20,6 +20,10 @@
 from almondrouter.transport.calls import BackendResponse, CallerRequest, CallerResponse
 
 HEARTBEAT_INTERVAL_S = 0.3
+RESTART_DELAY_S = 0.5
+"""Seconds from a crash to the start of the next backend server on the host."""
+CRASH_DELAY_S = 0.02
+"""Seconds for which a request runs before it crashes its backend server."""
 SLOTS = 4
 DRAIN_PERIOD_S = 2.5
 """Seconds from the first acknowledged heartbeat in state ``draining`` until a backend
@@ -47,6 +51,8 @@
         Descriptions of violated guarantees.
     outcomes
         Number of responses by status, and of failed requests by error code.
+    crashes
+        Number of crashes by the target of the request that caused them.
     """
 
     arrivals: Counter[str] = field(default_factory=Counter)
@@ -55,6 +61,7 @@
     non_repeatable: set[str] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
+    crashes: Counter[str] = field(default_factory=Counter)
     _attempts: int = 0
 
     def begin_attempt(self, method: str, *, parent: str = "") -> str:
@@ -126,6 +133,8 @@
         ``draining``.
     acknowledged
         Number of acknowledged heartbeats by state.
+    crashing_targets
+        Targets of requests that crash the backend server once it runs them.
     """
 
     def __init__(
@@ -153,9 +162,18 @@
         self._sequence = 0
         self._started_ms = int(time.time() * 1000)
         self._task: asyncio.Task | None = None
+        self._restart: asyncio.Task | None = None
+        self._restarts = 0
+        self._first_name = name
         self.acknowledged = Counter[str]()
-        self.server = CallerServer(
-            address=f"{ip}:7001", handler=self._handle, max_body_bytes=MAX_BODY_BYTES
+        self.crashing_targets: set[str] = set()
+        self.server = self._make_server()
+
+    def _make_server(self) -> CallerServer:
+        return CallerServer(
+            address=f"{self._ip}:7001",
+            handler=self._handle,
+            max_body_bytes=MAX_BODY_BYTES,
         )
 
     async def start(self) -> None:
@@ -165,9 +183,27 @@
 
     async def close(self) -> None:
         """Stop the heartbeats and close the server without draining."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in (self._task, self._restart):
+            if task is not None:
+                task.cancel()
+        await self.server.close()
+
+    def crash(self) -> None:
+        """End at once without an answer; start again as another backend server."""
+        if self._restart is None or self._restart.done():
+            self._restart = asyncio.create_task(self._crash_and_restart())
+
+    async def _crash_and_restart(self) -> None:
+        self._task.cancel()
         await self.server.close()
+        await asyncio.sleep(RESTART_DELAY_S)
+        self._restarts += 1
+        self.name = f"{self._first_name}-restart-{self._restarts}"
+        self._sequence, self._running = 0, 0
+        self.acknowledged.clear()
+        self._started_ms = int(time.time() * 1000)
+        self.server = self._make_server()
+        await self.start()
 
     async def _handle(self, request: CallerRequest) -> CallerResponse:
         received = dict(request.headers)
@@ -183,6 +219,8 @@
         self._ledger.runs[attempt] += 1
         self._check_not_drained(attempt)
         try:
+            if request.target in self.crashing_targets:
+                await self._crash_under(request.target)
             await asyncio.sleep(self._random.uniform(*self.run_time))
         finally:
             self._running -= 1
@@ -193,6 +231,12 @@
         )
         return CallerResponse(HTTPStatus.OK, headers, body, framed=not unframed)
 
+    async def _crash_under(self, target: str) -> None:
+        await asyncio.sleep(CRASH_DELAY_S)
+        self._ledger.crashes[target] += 1
+        self.crash()
+        await asyncio.Event().wait()
+
     def _check_not_drained(self, attempt: str) -> None:
         since = self.draining_since
         if since is not None and time.monotonic() - since > DRAIN_PERIOD_S:
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -156,7 +156,7 @@
         self.assertTrue(self.backend.queue.is_idle)
 
     async def test_log_tells_which_attempts_were_one_request(self):
-        """Guards against logs in which a request that comes again looks like a new one."""
+        """Guards against logs in which a request that comes again looks new."""
         failed = CallError(
             ErrorCode.BACKEND_FAILED, "connection lost", outcome=Outcome.UNKNOWN
         )
