Refuse requests that crash the backend servers that run them

Cause: the daemon for hosting platforms kept no memory of the requests under which a backend server ended; the quarantine existed only in the daemon for clusters.

Change: when all connections to its backend server are lost and new ones are refused, a daemon takes it out at once and names the interrupted requests in its record, which peers and the store get. Three crashes, one of them under a sending at which another crash was known, condemn a request for 60 s, twice as long after each later crash. The daemon that gets it and the one beside the backend server refuse it as not run. Verdicts spread over all links. Crashes at the same moment condemn nothing, a completed run clears everywhere.

--- a/packages/almondrouter-standins/src/almondrouter_standins/call_dependencies.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/call_dependencies.py
@@ -188,7 +188,7 @@
         if not completed:
             self.failed_runs.append(completed)
 
-    async def check_for_crash(self, backend: str) -> None:
+    async def check_for_crash(self, backend: str, fingerprint: str) -> None:
         """Record a backend server whose connection failed."""
         assert self._running[backend], "no request to it is in flight"
         self.checked_backends.append(backend)
--- a/packages/almondrouter/src/almondrouter/coordination/crashes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/crashes.py
@@ -31,11 +31,11 @@
         """Record that a request has ended; ``completed`` if it got a response."""
 
     @abstractmethod
-    async def check_for_crash(self, backend: str) -> None:
-        """Determine whether a backend server whose connection failed has crashed.
+    async def check_for_crash(self, backend: str, fingerprint: str) -> None:
+        """Determine whether a backend server has crashed under a request.
 
-        Must be called before `end_request`, so that the failed request still counts
-        as in flight.
+        Called for a request whose connection failed, and before `end_request`, so that
+        it still counts as in flight.
         """
 
 
@@ -78,7 +78,7 @@
         if messages:
             self._publish(*messages)
 
-    async def check_for_crash(self, backend: str) -> None:  # noqa: D102
+    async def check_for_crash(self, backend: str, fingerprint: str) -> None:  # noqa: D102
         await self._probe(backend)
 
     def record_crash(self, backend: str) -> QuarantineMessage:
--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -38,10 +38,19 @@
         Returns whether the daemon at a peer address has sent data recently. The
         lease of a record expires while its writer cannot reach the store; a host
         that still responds on its link is therefore kept without a record.
+    on_record
+        Called with each record that is new.
     """
 
-    def __init__(self, *, clock: Clock, is_alive: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        is_alive: Callable[[str], bool],
+        on_record: Callable[[HostEntry], None] = lambda entry: None,
+    ) -> None:
         self._clock = clock
+        self._on_record = on_record
         self._is_alive = is_alive
         self._hosts: dict[str, _KnownHost] = {}
         self._host_by_address: dict[str, str] = {}
@@ -83,6 +92,7 @@
         _log.info("host record changed", **describe_entry(entry))
         self._hosts[entry.host] = _KnownHost(entry)
         self._record_change()
+        self._on_record(entry)
 
     def find_departure(self, host: str) -> Departure | None:
         """Return the latest departure that records of a host have named."""
--- a/packages/almondrouter/src/almondrouter/coordination/egress.py
+++ b/packages/almondrouter/src/almondrouter/coordination/egress.py
@@ -161,7 +161,7 @@
             completed = True
         except CallError as error:
             if error.code is ErrorCode.BACKEND_FAILED:
-                await self._quarantine.check_for_crash(request.backend)
+                await self._quarantine.check_for_crash(request.backend, fingerprint)
             raise
         finally:
             self._quarantine.end_request(
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -156,6 +156,9 @@
     on_newer_version
         Called with a configuration version above that of the request, and the
         address of the daemon that has it.
+    find_condemned_until
+        Returns the time until which a request is refused because it crashes backend
+        servers, in monotonic seconds; None if it may be sent.
     on_finished
         Called with route name, outcome, error code and seconds of each request.
     """
@@ -177,6 +180,7 @@
         host: str,
         own_service: str,
         on_newer_version: Callable[[int, str], None],
+        find_condemned_until: Callable[[CallRequest], float | None],
         on_finished: Callable[[str, Outcome, str, float], None],
     ) -> None:
         self._table = table
@@ -193,6 +197,7 @@
         self._own_service = own_service
         self._is_running = is_running
         self._on_newer_version = on_newer_version
+        self._find_condemned_until = find_condemned_until
         self._on_finished = on_finished
         self._patience = CallerPatience(clock)
         self._demand = DemandMonitor(clock)
@@ -237,7 +242,10 @@
         if route is None:
             return self._refuse_request(info, ErrorCode.CLASS_UNKNOWN, table.version)
         pending = self._prepare_request(request, info, route, table.version, arrived_at)
-        reply = await self._try_destinations(pending)
+        if self._find_condemned_until(pending.call) is not None:
+            reply = make_reply(ErrorCode.CONDEMNED)
+        else:
+            reply = await self._try_destinations(pending)
         self._record_result(pending, reply)
         return self._make_response(pending, reply)
 
@@ -439,6 +447,8 @@
         needed = route.target_latency * MIN_RETRY_TIME_SHARE
         if self._clock.monotonic() + needed > pending.call.deadline:
             return False
+        if self._find_condemned_until(pending.call) is not None:
+            return False
         return self._spend_retry(pending)
 
     def _spend_retry(self, pending: _PendingRequest) -> bool:
@@ -527,7 +537,8 @@
         self._on_finished(pending.route.name, reply.outcome, reply.code, elapsed)
         if reply.outcome is Outcome.COMPLETE and not is_server_error(reply):
             return
-        if not pending.call.nested:
+        condemned = reply.code == ErrorCode.CONDEMNED.value
+        if not pending.call.nested and not condemned:
             self._patience.record_unserved(pending.route.name)
         _log.request(
             "request failed",
@@ -557,14 +568,18 @@
         headers: tuple[tuple[str, str], ...] = ((names.CODE, reply.code),)
         if reply.outcome is Outcome.NOT_RUN:
             status = HTTPStatus.SERVICE_UNAVAILABLE
-            target = pending.route.target_latency
-            delay = (
-                self._random.uniform(MIN_RETRY_AFTER_SHARE, MAX_RETRY_AFTER_SHARE)
-                * target
-            )
-            headers = (*headers, (RETRY_AFTER, f"{delay:.3f}"))
+            retry_after = self._choose_retry_after(pending)
+            headers = (*headers, (RETRY_AFTER, f"{retry_after:.3f}"))
         return CallerResponse(status, headers, b"")
 
+    def _choose_retry_after(self, pending: _PendingRequest) -> float:
+        """Return the ``Retry-After`` in seconds for a request that has not run."""
+        condemned_until = self._find_condemned_until(pending.call)
+        if condemned_until is not None:
+            return condemned_until - self._clock.monotonic()
+        share = self._random.uniform(MIN_RETRY_AFTER_SHARE, MAX_RETRY_AFTER_SHARE)
+        return share * pending.route.target_latency
+
     def _refuse_request(
         self,
         info: RequestInfo,
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.crashes import CrashGuard
 from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.quarantine import compute_fingerprint
 from almondrouter.coordination.slots import Grant, SlotQueue
@@ -60,6 +61,8 @@
         Source of monotonic time.
     intake
         Schedules the transfer of long bodies to this host.
+    guard
+        Refuses requests that crash backend servers.
     on_changed
         Called after `entry` or `departure` has changed.
     """
@@ -71,9 +74,11 @@
         dialect: Dialect,
         clock: Clock,
         intake: BodyIntake,
+        guard: CrashGuard,
         on_changed: Callable[[], None],
     ) -> None:
         self._intake = intake
+        self._guard = guard
         self._sender = sender
         self._dialect = dialect
         self._clock = clock
@@ -248,14 +253,17 @@
 
     async def _run_request(self, request: CallRequest) -> CallReply:
         self._check_destination(request)
+        fingerprint = make_fingerprint(request)
+        self._guard.check_not_condemned(fingerprint)
         queue = self.queue
         grant = await queue.acquire(request)
         try:
             self._check_destination(request)
+            self._check_for_suspicion(fingerprint)
         except CallError:
             queue.release(grant, measured=False)
             raise
-        run = asyncio.ensure_future(self._run_with_slot(request))
+        run = asyncio.ensure_future(self._run_guarded(request, fingerprint))
         self._runs[run] = request.attempt_id
         # A task that is cancelled before its first step runs none of its code, so that
         # the slot is released by a callback.
@@ -332,6 +340,44 @@
             message = f"backend server {entry.backend!r} is {entry.state.value}"
             raise CallError(ErrorCode.NO_BACKEND, message)
 
+    def _check_for_suspicion(self, fingerprint: str) -> None:
+        """Refuse a request that crashes backend servers, or must not run beside others.
+
+        It may have come under suspicion while it waited for its slot.
+        """
+        self._guard.check_not_condemned(fingerprint)
+        if not self._guard.may_run_now(self.current_start, fingerprint):
+            message = "another request suspected of a crash is in flight on this host"
+            raise CallError(ErrorCode.OVERLOADED, message)
+
+    @property
+    def current_start(self) -> str:
+        """Id of the backend server with its start, which differ for each start."""
+        entry = self.entry
+        return f"{entry.backend}/{entry.started_ms}" if entry else ""
+
+    async def _run_guarded(self, request: CallRequest, fingerprint: str) -> CallReply:
+        """Run a request; tell the guard whether the backend server crashed under it."""
+        guard, start = self._guard, self.current_start
+        completed = False
+        guard.begin_request(start, fingerprint)
+        try:
+            reply = await self._run_with_slot(request)
+            completed = True
+        except CallError as error:
+            if error.code is ErrorCode.BACKEND_FAILED:
+                await guard.check_for_crash(start, fingerprint)
+            raise
+        finally:
+            guard.end_request(start, fingerprint, completed=completed)
+        return reply
+
+    def mark_crashed(self, start: str) -> None:
+        """Take the backend server out of use if it is still that start of it."""
+        if start == self.current_start:
+            self.counts["crashed"] += 1
+            self.change_state(ServingState.DOWN, reason="it crashed")
+
     async def _run_with_slot(self, request: CallRequest) -> CallReply:
         response = await self._send_request(request)
         return self._interpret_response(request, response)
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -203,6 +203,21 @@
     accepts_compressed: bool = False
 
 
+class CrashVerdict(msgspec.Struct, frozen=True, array_like=True):
+    """Tells that a request is condemned, or cleared of the suspicion.
+
+    Parameters
+    ----------
+    fingerprint
+        Digest of the request.
+    crashes
+        Backend servers that crashed under it; 0 if it has completed since.
+    """
+
+    fingerprint: str
+    crashes: int
+
+
 class HostNotice(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """Sends the host record of the sender to a peer; has no reply.
 
@@ -218,6 +233,9 @@
         Peer addresses of daemons that the sender has just found silent.
     departure
         Departure on the receiver's host, which the sender knows of.
+    verdicts
+        Requests that the sender refuses, or has heard to be harmless, as they crash
+        backend servers or do not.
     """
 
     record: bytes
@@ -225,6 +243,7 @@
     reaches_store: bool
     silent_peers: tuple[str, ...] = ()
     departure: Departure | None = None
+    verdicts: tuple[CrashVerdict, ...] = ()
 
 
 class RoutesNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
--- a/packages/almondrouter/src/almondrouter/state/hosts.py
+++ b/packages/almondrouter/src/almondrouter/state/hosts.py
@@ -15,12 +15,15 @@
 from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
 
 MAX_SLOTS = 10_000
+MAX_SUSPECTS = 64
+"""Most suspects that a record names; a few times the requests that run at once."""
 MAX_INTEGER = 2**53 - 1
 """Largest integer that all JSON and MessagePack decoders read exactly."""
 
 Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Fingerprint = Annotated[str, msgspec.Meta(pattern=r"\A[0-9a-f]{32}\Z")]
 BackendId = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]{1,120}\Z")]
 
 
@@ -71,6 +74,27 @@
         return entry.backend == self.backend and entry.started_ms <= self.started_ms
 
 
+class CrashSuspect(msgspec.Struct, frozen=True):
+    """Request that was in flight when backend servers of a host crashed.
+
+    Parameters
+    ----------
+    fingerprint
+        Digest of the request, the same for each of its attempts.
+    crashes
+        Number of these crashes.
+    repeated
+        Whether it had been sent, in one of them, although an earlier crash was known.
+    """
+
+    fingerprint: Fingerprint
+    crashes: Integer
+    repeated: bool = False
+
+
+Suspects = Annotated[tuple[CrashSuspect, ...], msgspec.Meta(max_length=MAX_SUSPECTS)]
+
+
 class HostEntry(msgspec.Struct, frozen=True):
     """Daemon and the backend server on its host.
 
@@ -87,6 +111,8 @@
     departure
         Latest departure that a backend server of the host has announced. A backend
         server is also ``leaving`` without one, while only its daemon stops.
+    suspects
+        Requests under which backend servers of the host have crashed.
     """
 
     host: Name
@@ -97,6 +123,7 @@
     backend: BackendEntry | None = None
     change: Integer = 0
     departure: Departure | None = None
+    suspects: Suspects = ()
 
     @property
     def recency_key(self) -> tuple[int, int]:
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -34,6 +34,11 @@
 )
 
 CONNECT_TIMEOUT_S = 1.0
+CRASH_SETTLING_S = 0.01
+"""Time in which all connections to a backend server that has crashed are found lost."""
+CRASH_CHECKS = 3
+"""New connections that have to be lost until a server that accepts them counts as
+alive; one that is about to end may accept some."""
 MAX_IDLE_S = 30.0
 """Time after which an idle connection is no longer reused.
 
@@ -133,6 +138,7 @@
         self._waiters: deque[asyncio.Future[None]] = deque()
         self._learned_max_idle = float("inf")
         self._learned_max_idle_until = 0.0
+        self._closed = False
 
     @property
     def connections(self) -> int:
@@ -141,6 +147,7 @@
 
     async def close(self) -> None:
         """Close all connections; requests in flight fail."""
+        self._closed = True
         for connection in tuple(self._open):
             connection.abort()
 
@@ -222,6 +229,19 @@
                     self._wake_next_waiter()
                 raise
 
+    async def has_crashed(self) -> bool:
+        """Return whether all connections are lost and the server refuses new ones."""
+        for _ in range(CRASH_CHECKS):
+            await asyncio.sleep(CRASH_SETTLING_S)
+            if self._closed or any(found.is_open for found in self._open):
+                return False
+            try:
+                connection = await self._open_connection()
+            except CallError as error:
+                return isinstance(error.__cause__, ConnectionRefusedError)
+            self._release_connection(connection)
+        return False
+
     def drop_idle_connections(self) -> None:
         """Close all idle connections, which may be stale after one of them failed."""
         while self._idle:
@@ -433,6 +453,11 @@
         finally:
             self._future = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither end has closed the connection."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def can_identify(self, attempt_id: str, now: float) -> bool:
         """Return whether the connection is usable and an attempt has not failed on it.
 
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -18,11 +18,13 @@
 
 from almondrouter.clock import SuspendAwareClock
 from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.crashevidence import CrashEvidence
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.forwarding import Forwarder
+from almondrouter.coordination.hostcrashes import HostCrashGuard
 from almondrouter.coordination.intake import BodyIntake
-from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.localbackend import LocalBackend, make_fingerprint
 from almondrouter.coordination.placement import LowestCostPolicy
 from almondrouter.coordination.registration import HostRecords, Registration
 from almondrouter.coordination.restarts import run_with_restart
@@ -102,6 +104,8 @@
 request has not run; less than `KILL_MARGIN_S`."""
 LAST_ANSWERS_TIMEOUT_S = 0.1
 """Seconds after that for sending the answers to the remaining callers."""
+VERDICTS_DELAY_S = 0.02
+"""Seconds in which verdicts on requests are collected before the peers hear of them."""
 MAX_BACKEND_CONNECTIONS = 100
 """Connections to the backend server, which accepts only a few more than these from
 all its clients together."""
@@ -159,7 +163,18 @@
             policy=LINK_POLICY,
             make_notice=lambda: self._peers.make_notice(),
         )
-        self.directory = HostDirectory(clock=clock, is_alive=self.links.is_alive)
+        self._evidence = CrashEvidence(
+            host=settings.host,
+            clock=clock,
+            on_suspects_changed=self._publish_backend_change,
+            on_verdicts_changed=self._announce_verdicts,
+        )
+        self._verdicts_timer: asyncio.TimerHandle | None = None
+        self.directory = HostDirectory(
+            clock=clock,
+            is_alive=self.links.is_alive,
+            on_record=self._evidence.merge_record,
+        )
         self.routes = ActiveRoutes(
             CONFIGURATION_KEY,
             decode_routes,
@@ -197,6 +212,7 @@
             feed=self.feed,
             own_host=settings.host,
             own_region=settings.region,
+            evidence=self._evidence,
             make_entry=self._make_entry,
             on_departure=lambda departure: self.backend.mark_leaving(
                 departure.backend, departure.started_ms
@@ -219,6 +235,11 @@
             intake=BodyIntake(
                 bytes_per_second=settings.link_bytes_per_second, clock=clock
             ),
+            guard=HostCrashGuard(
+                evidence=self._evidence,
+                has_crashed=self.backend_client.has_crashed,
+                on_crash=lambda start: self.backend.mark_crashed(start),
+            ),
             on_changed=self._publish_backend_change,
         )
         self.retry_budget = FleetRetryBudget(
@@ -250,6 +271,7 @@
             host=settings.host,
             own_service=settings.own_service,
             on_newer_version=self._peers.catch_up_to,
+            find_condemned_until=self._find_condemned_until,
             on_finished=self._metrics.record_call,
         )
 
@@ -301,6 +323,7 @@
             self._metrics,
             routes=self.routes,
             directory=self.directory,
+            evidence=self._evidence,
             log_writer=log_writer,
         )
         register_call_metrics(
@@ -479,6 +502,7 @@
             self.backend.entry,
             self._record_revision,
             self.backend.departure,
+            self._evidence.suspects,
         )
 
     def _restore_from_record(self, entry: HostEntry) -> None:
@@ -494,6 +518,7 @@
         """
         if entry.incarnation >= self._incarnation:
             return
+        self._evidence.restore(entry)
         departure, backend = entry.departure, entry.backend
         if departure is not None:
             self.backend.mark_leaving(departure.backend, departure.started_ms)
@@ -521,6 +546,22 @@
         self.links.notify_all()
         self.registration.update()
 
+    def _announce_verdicts(self) -> None:
+        """Tell the peers soon which requests were condemned or cleared."""
+        if self._verdicts_timer is None:
+            self._verdicts_timer = asyncio.get_running_loop().call_later(
+                VERDICTS_DELAY_S, self._send_verdicts
+            )
+
+    def _send_verdicts(self) -> None:
+        self._verdicts_timer = None
+        self.links.notify_all()
+
+    def _find_condemned_until(self, request: CallRequest) -> float | None:
+        if not self._evidence.has_condemned:
+            return None
+        return self._evidence.find_condemned_until(make_fingerprint(request))
+
     async def _handle_caller_request(self, request: CallerRequest) -> CallerResponse:
         return await self._forwarder.handle(request)
 
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -6,6 +6,7 @@
 from collections.abc import Hashable, Mapping
 
 from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.crashevidence import CrashEvidence
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.localbackend import LocalBackend
@@ -21,6 +22,7 @@
     *,
     routes: ActiveRoutes,
     directory: HostDirectory,
+    evidence: CrashEvidence,
     log_writer: LineWriter,
 ) -> None:
     """Register metrics of the configuration, the known hosts and the log."""
@@ -32,6 +34,11 @@
     metrics.add_gauge(
         "almond_hosts", "Known hosts", lambda: make_unlabelled_samples(len(directory))
     )
+    metrics.add_gauge(
+        "almond_condemned_requests",
+        "Requests refused because they crash backend servers",
+        lambda: make_unlabelled_samples(evidence.count_condemned()),
+    )
     metrics.add_counter(
         "almond_log_lines_dropped_total",
         "Log lines that were not written",
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -13,6 +13,7 @@
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.crashevidence import CrashEvidence
 from almondrouter.coordination.deltas import apply_delta, make_delta
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.isolation import IsolationDetector
@@ -75,6 +76,8 @@
         Reads or watches the store.
     own_host, own_region
         Host and region of this daemon.
+    evidence
+        Requests that crash backend servers, as far as this daemon knows.
     make_entry
         Returns the current record of this host.
     on_departure
@@ -92,6 +95,7 @@
         feed: StoreFeed,
         own_host: str,
         own_region: str,
+        evidence: CrashEvidence,
         make_entry: Callable[[], HostEntry],
         on_departure: Callable[[Departure], None],
         clock: Clock,
@@ -104,6 +108,7 @@
         self._feed = feed
         self._own_host = own_host
         self._own_region = own_region
+        self._evidence = evidence
         self._make_entry = make_entry
         self._clock = clock
         self._election = RelayElection(
@@ -135,6 +140,7 @@
             self._feed.reaches_store,
             silent_peers,
             departure,
+            self._evidence.verdicts,
         )
 
     def handle_notice(self, notice: Notice) -> None:
@@ -156,6 +162,7 @@
             self._hosts_without_store.add(entry.host)
         known = self._directory.find_departure(entry.host)
         self._directory.put(entry)
+        self._evidence.merge_verdicts(notice.verdicts)
         if notice.departure is not None:
             self._confirmed_departure = notice.departure
             self._on_departure(notice.departure)
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from almondrouter.coordination.crashevidence import CrashEvidence
+from almondrouter.coordination.hostcrashes import HostCrashGuard
+
 SERVICE = "orders"
 
 
@@ -45,3 +48,26 @@
         "status": {"state": state, "sequence": sequence, "cold_remaining_s": 0},
     }
     return msgspec.json.encode(document | changes)
+
+
+def make_evidence(clock, *, host="own", on_suspects=None, on_verdicts=None):
+    """Return evidence about requests that crash backend servers."""
+    return CrashEvidence(
+        host=host,
+        clock=clock,
+        on_suspects_changed=on_suspects or (lambda: None),
+        on_verdicts_changed=on_verdicts or (lambda: None),
+    )
+
+
+def make_crash_guard(clock, *, evidence=None, has_crashed=None, on_crash=None):
+    """Return the guard of a backend server that has not crashed by default."""
+
+    async def has_not_crashed():
+        return False
+
+    return HostCrashGuard(
+        evidence=evidence or make_evidence(clock),
+        has_crashed=has_crashed or has_not_crashed,
+        on_crash=on_crash or (lambda start: None),
+    )
--- a/tests/test_almondrouterd_backendcontrol.py
+++ b/tests/test_almondrouterd_backendcontrol.py
@@ -19,7 +19,7 @@
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
 from almondrouterd.platform.headers import PlatformDialect
 from almondrouterd.platform.heartbeats import DEREGISTER_PATH, HEARTBEAT_PATH
-from platform_support import make_configuration, make_heartbeat
+from platform_support import make_configuration, make_crash_guard, make_heartbeat
 
 READY, LEAVING = ServingState.READY, ServingState.LEAVING
 OWN, OTHER = "10.0.0.1:80", "10.0.0.2:80"
@@ -39,6 +39,7 @@
             dialect=PlatformDialect(),
             clock=ManualClock(),
             intake=BodyIntake(bytes_per_second=1_000_000, clock=ManualClock()),
+            guard=make_crash_guard(ManualClock()),
             on_changed=lambda: None,
         )
         self.control = BackendControl(
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -18,6 +18,7 @@
 from almondrouter.coordination.subsets import REMOTE_SERVERS_PER_SERVICE
 from almondrouter.protocol.calls import (
     CALL_CODEC,
+    CrashVerdict,
     HostNotice,
     RoutesNotice,
     RoutesQuery,
@@ -27,7 +28,7 @@
 from almondrouterd.hostdaemon import LINK_POLICY
 from almondrouterd.peers import Peers
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
-from platform_support import SERVICE, make_configuration
+from platform_support import SERVICE, make_configuration, make_evidence
 from test_coordination_directory import make_entry
 
 QUERYING_PEERS = 40
@@ -110,6 +111,7 @@
         self.directory = HostDirectory(
             clock=SystemClock(), is_alive=self.links.is_alive
         )
+        self.evidence = make_evidence(SystemClock(), host="h5")
         self.routes = ActiveRoutes(
             CONFIGURATION_KEY,
             decode_routes,
@@ -122,6 +124,7 @@
             feed=self.feed,
             own_host="h5",
             own_region="r",
+            evidence=self.evidence,
             make_entry=lambda: make_entry("h5"),
             on_departure=lambda departure: self.departures.append(departure),
             clock=SystemClock(),
@@ -134,6 +137,15 @@
         peers_module.REREAD_DELAY_S = 0.01
         self.addCleanup(setattr, peers_module, "REREAD_DELAY_S", delay)
 
+    async def test_verdicts_of_a_peer_are_taken_over_and_passed_on(self):
+        """Guards against a request that is refused only where its servers crashed."""
+        verdict = CrashVerdict("a" * 32, 3)
+        record = encode_host(make_entry("h6"))
+        notice = HostNotice(record, 0, True, verdicts=(verdict,))
+        self.peers.handle_notice(notice)
+        self.assertIsNotNone(self.evidence.find_condemned_until("a" * 32))
+        self.assertEqual((verdict,), self.peers.make_notice().verdicts)
+
     def receive_notice(self, host="h6", *, version=0, reaches_store=True, **entry):
         record = encode_host(make_entry(host, **entry))
         self.peers.handle_notice(HostNotice(record, version, reaches_store))
@@ -454,6 +466,7 @@
         feed=FakeFeed(),
         own_host="h6",
         own_region="r",
+        evidence=make_evidence(SystemClock()),
         make_entry=None,
         on_departure=None,
         clock=SystemClock(),
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -85,6 +85,7 @@
         self.links = ScriptedLinks()
         self.running = set()
         self.finished = []
+        self.condemned_until, self.condemned_after_calls = None, 0
         self.newer_versions = []
         self.table = decode_routes(make_configuration())
         directory = HostDirectory(clock=self.clock, is_alive=lambda _: True)
@@ -112,6 +113,7 @@
             on_newer_version=lambda version, address: self.newer_versions.append(
                 version
             ),
+            find_condemned_until=self.find_condemned_until,
             on_finished=lambda *result: self.finished.append(result),
         )
 
@@ -124,6 +126,34 @@
         request = CallerRequest("GET", path, tuple(sent.items()), body)
         return await self.forwarder.handle(request)
 
+    async def test_condemned_request_is_refused_at_once(self):
+        """Guards against sending on what crashes backend servers.
+
+        Its caller learns when it may run again, and that it has not run.
+        """
+        self.condemned_until = self.clock.monotonic() + 42.0
+        response = await self.send("/pay/1")
+        self.assertEqual([], self.links.calls)
+        self.assertEqual(503, response.status)
+        self.assertEqual("42.000", dict(response.headers)["retry-after"])
+
+    async def test_request_condemned_by_its_first_attempt_is_not_repeated(self):
+        """Guards against a repeat that crashes one more backend server.
+
+        The first attempt has run, so that the request is not refused as not run.
+        """
+        self.condemned_until = self.clock.monotonic() + 42.0
+        self.condemned_after_calls = 1
+        failed = self.make_error(ErrorCode.BACKEND_FAILED, UNKNOWN)
+        response = await self.send(script=[failed])
+        self.assertEqual(1, len(self.links.calls))
+        self.assertEqual(502, response.status)
+
+    def find_condemned_until(self, call):
+        if len(self.links.calls) < self.condemned_after_calls:
+            return None
+        return self.condemned_until
+
     def make_error(self, code, outcome=NOT_RUN):
         return CallError(code, "scripted", outcome=outcome)
 
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -11,15 +11,16 @@
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.intake import BodyIntake
-from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.localbackend import LocalBackend, make_fingerprint
 from almondrouter.errors import ErrorCode
-from almondrouter.protocol.calls import BodyOffer
+from almondrouter.protocol.calls import BodyOffer, CrashVerdict
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.state.hosts import BackendEntry, Departure, ServingState
 from almondrouter.transport.calls import BackendResponse, BackendSender
 from almondrouterd.platform.headers import PlatformDialect
 from calls_support import CallAssertions, make_request
+from platform_support import make_crash_guard, make_evidence
 
 READY, LEAVING, DOWN = ServingState.READY, ServingState.LEAVING, ServingState.DOWN
 SIGNED = (("response-signature", "s"),)
@@ -57,15 +58,26 @@
         self.clock = ManualClock()
         self.sender = ScriptedSender()
         self.changes = 0
+        self.has_crashed = False
+        self.evidence = make_evidence(self.clock)
         self.backend = LocalBackend(
             sender=self.sender,
             dialect=PlatformDialect(),
             clock=self.clock,
             intake=BodyIntake(bytes_per_second=1_000_000, clock=self.clock),
+            guard=make_crash_guard(
+                self.clock,
+                evidence=self.evidence,
+                has_crashed=self.check_crash,
+                on_crash=lambda start: self.backend.mark_crashed(start),
+            ),
             on_changed=self.count_change,
         )
         self.backend.apply_announcement(make_entry())
 
+    async def check_crash(self):
+        return self.has_crashed
+
     def count_change(self):
         self.changes += 1
 
@@ -155,6 +167,61 @@
         await self.assert_fails(self.backend.run(self.request()), code, outcome)
         self.assertTrue(self.backend.queue.is_idle)
 
+    @parameterized.expand(
+        [
+            ("crashed", True, DOWN, ErrorCode.NO_BACKEND),
+            ("cut an answer", False, READY, None),
+        ]
+    )
+    async def test_lost_connection(self, _, crashed, state, code):
+        """Guards against requests to a server that crashed, until one is refused."""
+        failed = CallError(
+            ErrorCode.BACKEND_FAILED, "connection lost", outcome=Outcome.UNKNOWN
+        )
+        self.sender.script = [failed, BackendResponse(200, SIGNED, b"")]
+        self.has_crashed = crashed
+        await self.assert_fails(
+            self.backend.run(self.request()), failed.code, Outcome.UNKNOWN
+        )
+        self.assertEqual(state, self.backend.entry.state)
+        reply = await self.backend.handle_call(self.request())
+        self.assertEqual(code.value if code else "", reply.code)
+
+    async def test_request_condemned_while_it_waits_is_not_run(self):
+        """Guards against running what has crashed other servers in the meantime."""
+        self.sender.script = [BackendResponse(200, SIGNED, b"")]
+        blocker = await self.backend.queue.acquire(self.request())
+        request = self.request()
+        waiting = asyncio.create_task(self.backend.handle_call(request))
+        await asyncio.sleep(0)
+        verdict = CrashVerdict(make_fingerprint(request), 3)
+        self.evidence.merge_verdicts((verdict,))
+        self.backend.queue.release(blocker, measured=False)
+        for reply in (await waiting, await self.backend.handle_call(request)):
+            self.assertEqual(
+                (ErrorCode.CONDEMNED.value, Outcome.NOT_RUN),
+                (reply.code, reply.outcome),
+            )
+        self.assertEqual([], self.sender.sent)
+        self.assertTrue(self.backend.queue.is_idle)
+
+    @parameterized.expand(
+        [
+            ("attempt", {"attempt_id": "again"}, True),
+            ("host it was sent to", {"backend": "c"}, True),
+            ("path", {"target": "/other"}, False),
+            ("body", {"body": b"other"}, False),
+            ("service of its caller", {"caller_service": "other"}, False),
+        ]
+    )
+    async def test_same_request_with_another(self, _, change, is_same):
+        """Guards against missing a request that comes again, or blaming another."""
+        request = self.request()
+        changed = msgspec.structs.replace(request, **change)
+        self.assertEqual(
+            is_same, make_fingerprint(request) == make_fingerprint(changed)
+        )
+
     async def test_log_tells_which_attempts_were_one_request(self):
         """Guards against logs in which a request that comes again looks new."""
         failed = CallError(
--- a/tests/test_load_replays.py
+++ b/tests/test_load_replays.py
@@ -36,7 +36,7 @@
 from almondrouter_standins.virtual_time import run_virtual
 from almondrouterd.platform.configuration import decode_routes
 from almondrouterd.platform.headers import PlatformDialect
-from platform_support import SERVICE, make_configuration
+from platform_support import SERVICE, make_configuration, make_crash_guard
 
 HOSTS = 42
 SERVERS = 14
@@ -81,6 +81,7 @@
             dialect=PlatformDialect(),
             clock=clock,
             intake=BodyIntake(bytes_per_second=bytes_per_second, clock=clock),
+            guard=make_crash_guard(clock),
             on_changed=lambda: None,
         )
 
@@ -203,6 +204,7 @@
             random=rng,
             host=host.entry.host,
             own_service="callers",
+            find_condemned_until=lambda _: None,
             on_newer_version=lambda version, address: None,
             on_finished=lambda *result: None,
         )
--- a/tests/test_state_hosts.py
+++ b/tests/test_state_hosts.py
@@ -8,11 +8,21 @@
 from parameterized import parameterized
 
 from almondrouter.errors import AlmondError, ErrorCode
-from almondrouter.state.hosts import Departure, decode_host, encode_host
+from almondrouter.state.hosts import (
+    MAX_SUSPECTS,
+    CrashSuspect,
+    Departure,
+    decode_host,
+    encode_host,
+)
 from test_coordination_directory import make_entry
 
+SUSPECT = {"fingerprint": "a" * 32, "crashes": 1}
 NESTED = b"[" * 3_000 + b"]" * 3_000
-RECORD = make_entry(departure=Departure("b0", 1))
+RECORD = msgspec.structs.replace(
+    make_entry(departure=Departure("b0", 1)),
+    suspects=(CrashSuspect("a" * 32, 1),),
+)
 
 
 def change_record(**fields):
@@ -22,7 +32,7 @@
         *path, last = name.split("__")
         place = document
         for part in path:
-            place = place[part]
+            place = place[int(part) if part.isdigit() else part]
         place[last] = value
     return msgspec.json.encode(document)
 
@@ -53,6 +63,10 @@
     ("no address", change_record(peer_address="")),
     ("long address", change_record(peer_address="a" * 300 + ":1")),
     ("address of another type", change_record(peer_address=7)),
+    ("suspects of another type", change_record(suspects=7)),
+    ("fingerprint of another form", change_record(suspects__0__fingerprint="x")),
+    ("negative crashes", change_record(suspects__0__crashes=-1)),
+    ("too many suspects", change_record(suspects=[SUSPECT] * (MAX_SUSPECTS + 1))),
 ]
 """Values under the key of a host that name no backend server to use."""
 
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -247,6 +247,34 @@
         await self.server.wait_closed()
         await self.assert_fails(self.send(), ErrorCode.NO_BACKEND, Outcome.NOT_RUN)
 
+    @parameterized.expand(
+        [
+            ("ended", True, False, False, True),
+            ("cut one answer", False, False, False, False),
+            ("cut one answer of two", False, True, False, False),
+            ("client closed", True, False, True, False),
+        ]
+    )
+    async def test_crash_of_the_server(self, _, ends, busy, closes, expected):
+        """Guards against taking one lost connection for a crash, and missing one."""
+        if busy:
+            running = asyncio.create_task(self.send())
+            await wait_until(lambda: len(self.requests) == 1)
+        self.script = (OK[:-4], True)
+        if ends:
+            self.server.close()
+            self.script = None
+        else:
+            await self.assert_fails(
+                self.send(), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN
+            )
+        if closes:
+            await self.client.close()
+        self.assertEqual(expected, await self.client.has_crashed())
+        if busy:
+            self.release.set()
+            self.assertEqual(b"body", (await running).body)
+
     async def test_deadline_before_sending_is_not_run(self):
         """Guards against sending a request after its deadline."""
         code = ErrorCode.DEADLINE_EXCEEDED
--- a/tests/test_transport_backends_copies.py
+++ b/tests/test_transport_backends_copies.py
@@ -21,6 +21,7 @@
 from almondrouter.transport.backends import BackendClient
 from almondrouterd.platform.headers import PlatformDialect
 from calls_support import CallAssertions, make_request
+from platform_support import make_crash_guard
 
 TIMEOUT_S = 2.0
 COPY_LEAD_S = 0.02
@@ -82,6 +83,7 @@
             dialect=PlatformDialect(),
             clock=clock,
             intake=BodyIntake(bytes_per_second=1_000_000, clock=clock),
+            guard=make_crash_guard(clock),
             on_changed=lambda: None,
         )
         self.backend.apply_announcement(
