Try odd bytes without end in lengths, codings and at the links; copy frames once less

A report of other operators: bytes that are no answer, without end, fill the memory of the machine that called.

--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -407,7 +407,8 @@
             end = body + length
             if len(data) < end:
                 break
-            frame = CALL_CODEC.decode(bytes(data[body:end]))
+            # A slice of the buffer itself would be one more copy of a long frame.
+            frame = CALL_CODEC.decode(bytes(memoryview(data)[body:end]))
             begin = end
             self._traffic.frames_received += 1
             self._dispatch_frame(frame)
--- a/tests/test_transport_inputs_endless.py
+++ b/tests/test_transport_inputs_endless.py
@@ -22,6 +22,7 @@
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.calls import CallerRequest
 from almondrouter.transport.frames import FrameStream
+from almondrouter.transport.links import CallLinkServer
 from almondrouter.transport.readers import RequestReader, RequestSink
 from almondrouterd.platform.store import PlatformStore
 from calls_support import make_hello, wait_until
@@ -34,6 +35,7 @@
 """Several copies of a request at its limits, each header an object of its own."""
 SMALL_BUFFER = 8_192
 PING_ROUNDS = 300
+FLOOD_BLOCKS = 1_000
 POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 TRAILERS = CHUNKED + b"4\r\nbody\r\n0\r\n"
@@ -78,6 +80,9 @@
             ("header name", POST, b"x", INVALID, MAX_HEADER_BYTES),
             ("header value", POST + b"name: ", b"x", INVALID, MAX_HEADER_BYTES),
             ("small headers", POST, b"a: b\r\n", INVALID, MAX_HEADER_BYTES),
+            ("length", POST + b"Content-Length: ", b"1", INVALID, MAX_HEADER_BYTES),
+            ("zeros", POST + b"Content-Length: ", b"0", INVALID, MAX_HEADER_BYTES),
+            ("spaces", POST + b"Content-Length:", b" ", INVALID, MAX_HEADER_BYTES),
             ("one chunk", CHUNKED + b"fffffffff\r\n", b"x", TOO_LARGE, MAX_BODY_BYTES),
             ("chunks", CHUNKED, b"2\r\nxy\r\n", TOO_LARGE, 4 * MAX_BODY_BYTES),
             ("chunk size", CHUNKED, b"0", INVALID, MAX_HEADER_BYTES),
@@ -170,6 +175,43 @@
         self.assertEqual(ErrorCode.FRAME_TOO_LARGE, self.ends[0].code)
 
 
+class EndlessLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Something other than a daemon connects to the links of this daemon."""
+
+    async def asyncSetUp(self):
+        self.server = CallLinkServer(
+            address="127.0.0.1:0",
+            hello=make_hello("server"),
+            handler=None,
+            clock=SystemClock(),
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+
+    @parameterized.expand(
+        [
+            ("odd bytes", b"", b"odd "),
+            ("empty frames", b"", bytes(4)),
+            ("frames of another kind", b"", b"\x00\x00\x00\x01\x90"),
+            ("frame at the limit", MAX_CALL_FRAME_BYTES.to_bytes(4, "big"), b"x"),
+        ]
+    )
+    async def test_bytes_that_are_no_frames(self, _, prefix, unit):
+        """Guards against odd bytes that are kept until their sender has had enough."""
+        host, port = self.server.address.rsplit(":", 1)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        _, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(prefix)
+        with self.assertRaises(ConnectionError):
+            for _ in range(FLOOD_BLOCKS):
+                writer.write(unit * (BLOCK_BYTES // len(unit)))
+                await writer.drain()
+        peak = tracemalloc.get_traced_memory()[1]
+        self.assertLess(peak, 2 * MAX_CALL_FRAME_BYTES + MAX_HELD_BYTES)
+
+
 class EndlessPagesTest(unittest.IsolatedAsyncioTestCase):
     """The store always says that there is a further page."""
 
