Recognise a crashing request although its route was renamed or leads elsewhere

The fingerprint held the name of the route. It now holds the virtual host. test_same_request_with_another failed before (name of its route, virtual host).

--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -443,8 +443,12 @@
 
 
 def make_fingerprint(request: CallRequest) -> str:
-    """Return a digest that is the same each time a caller sends a request again."""
-    scope = f"{request.class_name}\0{request.caller_service}"
+    """Return a digest that is the same each time a caller sends a request again.
+
+    Its route may have another name by then, or lead to another service.
+    """
+    virtual_host = dict(request.headers).get("host", "")
+    scope = f"{virtual_host}\0{request.caller_service}"
     return compute_fingerprint(scope, request.method, request.target, request.body)
 
 
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -209,6 +209,8 @@
         [
             ("attempt", {"attempt_id": "again"}, True),
             ("host it was sent to", {"backend": "c"}, True),
+            ("name of its route", {"class_name": "other"}, True),
+            ("virtual host", {"headers": (("host", "other"),)}, False),
             ("path", {"target": "/other"}, False),
             ("body", {"body": b"other"}, False),
             ("service of its caller", {"caller_service": "other"}, False),
