Blame only the isolated request for a crash, not what ran beside it

By review: a common request that runs beside the cause in three crashes within some tens of milliseconds would be condemned with it. A request that already has two crashes runs beside no other such one, so that it alone is blamed for the next. Before, the test test_requests_beside_an_isolated_one_are_not_blamed failed: both were listed.

--- a/packages/almondrouter/src/almondrouter/coordination/hostcrashes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/hostcrashes.py
@@ -108,9 +108,22 @@
         if backend != self._crashed:
             self._crashed, self._blamed = backend, set()
             self._on_crash(backend)
+        interrupted = self._select_likely_causes(interrupted)
         in_flight = {f: s for f, s in interrupted.items() if f not in self._blamed}
         self._blamed.update(in_flight)
         _log.warning(
             "backend server crashed", backend=backend, in_flight=list(in_flight)
         )
         self._evidence.record_crash(in_flight)
+
+    def _select_likely_causes(self, interrupted: dict[str, bool]) -> dict[str, bool]:
+        """Return the requests to blame: only the isolated one if there was one.
+
+        Those beside it were in flight in fewer crashes, or have completed since.
+        """
+        isolated = {
+            fingerprint: was_suspect
+            for fingerprint, was_suspect in interrupted.items()
+            if self._evidence.must_be_isolated(fingerprint)
+        }
+        return isolated or interrupted
--- a/tests/test_coordination_hostcrashes.py
+++ b/tests/test_coordination_hostcrashes.py
@@ -78,6 +78,14 @@
         self.guard.end_request("b/3", REQUEST, completed=True)
         self.assertTrue(self.guard.may_run_now("b/3", OTHER))
 
+    async def test_requests_beside_an_isolated_one_are_not_blamed(self):
+        """Guards against condemning what ran beside the cause again and again."""
+        for start in (START, NEXT_START):
+            await self.interrupt(REQUEST, start=start)
+        self.assertTrue(self.evidence.must_be_isolated(REQUEST))
+        await self.interrupt(REQUEST, OTHER, start="b/3")
+        self.assertEqual((CrashSuspect(REQUEST, 3, True),), self.evidence.suspects)
+
     async def test_condemned_request_is_refused_as_not_run(self):
         """Guards against running it at a server that it would crash, too."""
         self.evidence.merge_verdicts((CrashVerdict(REQUEST, 3),))
