Send a request that crashes backend servers in the soak

After the faults at most three of 24 more sendings may crash a backend server, and no other request may be refused for it. Such runs have no fault proxies before the backend servers, which would accept connections after a crash.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
@@ -166,7 +166,7 @@
         self._restarts = 0
         self._first_name = name
         self.acknowledged = Counter[str]()
-        self.crashing_targets: set[str] = set()
+        self.crashing_targets: frozenset[str] = frozenset()
         self.server = self._make_server()
 
     def _make_server(self) -> CallerServer:
--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -94,11 +94,16 @@
     proxied_hosts
         Number of hosts, the first ones, whose daemons reach the store and their
         backend servers, and are reached by others, through fault proxies.
+    proxied_backends
+        Whether the fault proxies of these hosts also stand before their backend
+        servers. Such a proxy accepts connections although the backend server has ended.
     stop_within
         Seconds from the stop signal to the kill, as written to the settings.
 
     Attributes
     ----------
+    crashing_targets
+        Targets of requests that crash the backend servers; set before the start.
     unframed_share
         Share of the responses of backend servers to safe requests that have no length.
 
@@ -115,10 +120,12 @@
         random: random_module.Random,
         network_octet: int,
         proxied_hosts: int = 0,
+        proxied_backends: bool = True,
         stop_within: float = STOP_GRACE_PERIOD_S,
     ) -> None:
         self._directory = directory
         self._stop_within = stop_within
+        self._proxied_backends = proxied_backends
         self.random = random
         self.ledger = RunLedger()
         self.store = PlatformStoreServer()
@@ -128,6 +135,7 @@
         self._clients: dict[int, BackendClient] = {}
         self.backend_replacements = [0] * hosts
         self.unframed_share = 0.0
+        self.crashing_targets: frozenset[str] = frozenset()
         self._log_starts = [0] * hosts
         self.backends = [self._make_backend(number) for number in range(hosts)]
         self.last_attempt_id = ""
@@ -139,7 +147,7 @@
         for proxy in self._list_proxies():
             await proxy.start()
         for backend in self.backends:
-            backend.unframed_share = self.unframed_share
+            self._configure_backend(backend)
             await backend.start()
         await asyncio.gather(*map(self.start_daemon, range(len(self.ips))))
         await asyncio.gather(*map(self.wait_until_ready, range(len(self.ips))))
@@ -170,9 +178,13 @@
         await self.backends[number].close()
         self.backend_replacements[number] += 1
         self.backends[number] = self._make_backend(number)
-        self.backends[number].unframed_share = self.unframed_share
+        self._configure_backend(self.backends[number])
         await self.backends[number].start()
 
+    def _configure_backend(self, backend: PlatformBackend) -> None:
+        backend.unframed_share = self.unframed_share
+        backend.crashing_targets = self.crashing_targets
+
     def is_started(self, number: int) -> bool:
         """Return whether a host's daemon has logged its start since it was launched."""
         log = self._get_log_path(number)
@@ -379,7 +391,8 @@
         )
 
     def _find_backend_address(self, number: int) -> str:
-        return f"{self.ips[number]}:{7011 if self._is_proxied(number) else 7001}"
+        proxied = self._proxied_backends and self._is_proxied(number)
+        return f"{self.ips[number]}:{7011 if proxied else 7001}"
 
     def _is_proxied(self, number: int) -> bool:
         return number < len(self.proxies)
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak.py
@@ -31,6 +31,7 @@
 )
 from almondrouter_standins.soak_checks import (
     find_dropped_requests,
+    find_innocent_refusals,
     find_log_lines,
     find_version_regressions,
 )
@@ -73,6 +74,16 @@
 """First of the second octets of the loopback addresses that seeds use in turn."""
 NETWORK_OCTET_COUNT = 100
 PATHS = ("/read/1", "/pay/1", "/pay/big")
+CRASHING_PATH = "/read/crash"
+CRASHING_INTERVAL_S = 0.7
+"""Seconds between the requests that crash the backend servers that run them."""
+CRASHES_UNTIL_KNOWN = 3
+"""Crashes after which such a request has to be refused."""
+STABLE_WINDOW_S = 3.0
+"""Seconds after the last fault and crash until that holds at each daemon."""
+LATE_CRASHING_REQUESTS = 24
+MAX_LATE_CRASHES = 3
+"""Crashes by these requests that the platform still allows."""
 
 
 class Soak:
@@ -90,6 +101,8 @@
         Number of daemons; callers of more hosts each send fewer requests.
     unframed_share
         Share of the responses to safe requests that end with their connections.
+    crashing
+        Whether one of the requests crashes each backend server that runs it.
     """
 
     def __init__(
@@ -100,8 +113,11 @@
         network_octet: int,
         hosts: int = HOSTS,
         unframed_share: float = 0.0,
+        crashing: bool = False,
     ) -> None:
         self._hosts = hosts
+        self._crashing = crashing
+        self._crashing_attempts: set[str] = set()
         self._max_pause = MAX_CALLER_PAUSE_S * hosts / HOSTS
         self._seed = seed
         self._stopping = asyncio.Event()
@@ -113,7 +129,10 @@
             random=self._make_random("backend servers"),
             network_octet=network_octet,
             proxied_hosts=min(hosts, PROXIED_HOSTS),
+            proxied_backends=not crashing,
         )
+        if crashing:
+            self.fleet.crashing_targets = frozenset({CRASHING_PATH})
         self.fleet.unframed_share = unframed_share
         injectors = max(INJECTORS, hosts // HOSTS_PER_INJECTOR)
         self.injectors = [
@@ -161,6 +180,8 @@
         senders += [
             asyncio.create_task(caller.run(self._stopping)) for caller in self._callers
         ]
+        if self._crashing:
+            senders.append(asyncio.create_task(self._crash_forever()))
         faults_ended = asyncio.Event()
         operator = asyncio.create_task(self._change_configuration(faults_ended))
         await asyncio.gather(
@@ -173,6 +194,8 @@
         await self._recover(await operator)
         self._stopping.set()
         await asyncio.gather(*senders)
+        if self._crashing:
+            await self._check_crashing_requests()
         await self._check_final_requests()
         for number in range(self._hosts):
             self.injectors[0].check_running(number)
@@ -182,8 +205,38 @@
             + [text for caller in self._callers for text in caller.find_violations()]
             + find_version_regressions(fleet.list_log_paths())
             + find_dropped_requests(fleet.list_log_paths(), fleet.ledger)
+            + find_innocent_refusals(fleet.list_log_paths(), self._crashing_attempts)
         )
 
+    async def _crash_forever(self) -> None:
+        random = self._make_random("crashing requests")
+        while not self._stopping.is_set():
+            await self._send_crashing_request(random.randrange(self._hosts))
+            await asyncio.sleep(CRASHING_INTERVAL_S)
+
+    async def _send_crashing_request(self, number: int) -> None:
+        _, attempt = await self.fleet.send_with_attempt_id(
+            number, CRASHING_PATH, time_limit=REQUEST_TIMEOUT_S, patience=PATIENCE_S
+        )
+        self._crashing_attempts.add(attempt)
+
+    async def _check_crashing_requests(self) -> None:
+        """Check that the crashing request is refused at each host by now."""
+        crashes, number = self.fleet.ledger.crashes, 0
+        while crashes[CRASHING_PATH] < CRASHES_UNTIL_KNOWN:
+            await self._send_crashing_request(number % self._hosts)
+            number += 1
+        await asyncio.sleep(STABLE_WINDOW_S)
+        known = crashes[CRASHING_PATH]
+        for late in range(LATE_CRASHING_REQUESTS):
+            await self.fleet.wait_until_ready(late % self._hosts)
+            await self._send_crashing_request(late % self._hosts)
+        if crashes[CRASHING_PATH] - known > MAX_LATE_CRASHES:
+            self._violations.append(
+                f"a request that had crashed {known} backend servers crashed "
+                f"{crashes[CRASHING_PATH] - known} more"
+            )
+
     async def _change_configuration(self, faults_ended: asyncio.Event) -> int:
         """Store one version after the other; return the last one."""
         random = self._make_random("operator")
@@ -281,6 +334,7 @@
     network_octet: int,
     hosts: int = HOSTS,
     unframed_share: float = 0.0,
+    crashing: bool = False,
 ) -> list[str]:
     """Run one seed and clean up; return descriptions of the violated guarantees.
 
@@ -292,6 +346,7 @@
         network_octet=network_octet,
         hosts=hosts,
         unframed_share=unframed_share,
+        crashing=crashing,
     )
     try:
         return await soak.run()
@@ -302,7 +357,12 @@
 
 
 def run_seed_keeping_logs(
-    seed: int, logs: Path, *, hosts: int = HOSTS, unframed_share: float = 0.0
+    seed: int,
+    logs: Path,
+    *,
+    hosts: int = HOSTS,
+    unframed_share: float = 0.0,
+    crashing: bool = False,
 ) -> list[str]:
     """Run one seed; keep its logs only if it violated a guarantee.
 
@@ -321,6 +381,7 @@
             network_octet=network_octet,
             hosts=hosts,
             unframed_share=unframed_share,
+            crashing=crashing,
         )
     )
     if violations:
@@ -352,6 +413,11 @@
         default=0.0,
         help="share of the responses to safe requests without a length (default: 0)",
     )
+    parser.add_argument(
+        "--crashing",
+        action="store_true",
+        help="send a request that crashes each backend server that runs it",
+    )
     parser.add_argument(
         "--logs",
         type=Path,
@@ -367,6 +433,7 @@
             arguments.logs,
             hosts=arguments.hosts,
             unframed_share=arguments.unframed_share,
+            crashing=arguments.crashing,
         )
         failed += bool(violations)
         elapsed = time.monotonic() - began
--- a/packages/almondrouter-standins/src/almondrouter_standins/soak_checks.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/soak_checks.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from almondrouter.errors import ErrorCode
 from almondrouter_standins.platform_backend import RunLedger
 
 DROPPED_EVENT = "connection of the caller ended before the response"
@@ -58,6 +59,21 @@
     return found
 
 
+def find_innocent_refusals(paths: Sequence[Path], crashing: set[str]) -> list[str]:
+    """Return the requests refused as crashing that are not among these attempts."""
+    found = []
+    for path in paths:
+        for line in path.read_bytes().splitlines():
+            fields = parse_log_line(line)
+            if fields.get("code") != ErrorCode.CONDEMNED.value:
+                continue
+            if fields["request"] not in crashing:
+                found.append(
+                    f"{path.name}: {fields['request']} was refused as crashing"
+                )
+    return found
+
+
 def find_log_lines(paths: Sequence[Path], violations: Sequence[str]) -> list[str]:
     """Return the log lines about the attempts that violations name."""
     attempts = set(ATTEMPT_ID.findall(" ".join(violations)))
--- a/tests/test_almondrouterd_host_crashes.py
+++ b/tests/test_almondrouterd_host_crashes.py
@@ -40,9 +40,8 @@
             network_octet=next(NETWORKS),
         )
         self.addAsyncCleanup(self.fleet.close)
+        self.fleet.crashing_targets = frozenset({CRASHING})
         await self.fleet.start(make_configuration(1, timeout=5.0))
-        for backend in self.fleet.backends:
-            backend.crashing_targets.add(CRASHING)
 
     @property
     def crashes(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,6 +52,10 @@
         """
         self.assertEqual([], self.run_seed(700, unframed_share=0.01))
 
+    def test_request_that_crashes_its_backend_servers(self):
+        """Guards against sending it on after faults, and refusing others for it."""
+        self.assertEqual([], self.run_seed(800, crashing=True))
+
     def run_seed(self, seed, **options):
         """Return the violations of a seed."""
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_standins_soak_checks.py
+++ b/tests/test_standins_soak_checks.py
@@ -13,6 +13,7 @@
 from almondrouter_standins.soak_checks import (
     DROPPED_EVENT,
     find_dropped_requests,
+    find_innocent_refusals,
     find_log_lines,
     find_version_regressions,
 )
@@ -57,6 +58,14 @@
         ledger.arrivals[ATTEMPT] += arrived
         self.assertEqual(expected, bool(find_dropped_requests(paths, ledger)))
 
+    @parameterized.expand(
+        [("condemned", "other", 1), ("condemned", ATTEMPT, 0), ("limited", "other", 0)]
+    )
+    def test_innocent_refusal(self, code, request, expected):
+        """Guards against requests that are refused for the crash of another one."""
+        paths = self.write_log({"event": "x", "code": code, "request": request})
+        self.assertEqual(expected, len(find_innocent_refusals(paths, {ATTEMPT})))
+
     @parameterized.expand([((1, 2, 15), 0), ((2, 1), 1), ((2, 2), 1)])
     def test_versions(self, versions, expected):
         """Guards against a version that goes back unnoticed."""
