Keep the most crashes that any daemon of a host has recorded

By review: a daemon that restarts twice before it has read its own record replaced what peers knew of it with less, so that a request could be sent on to servers of that host. test_restart_of_a_daemon_hides_nothing failed before (1 crash in place of 3).

--- a/packages/almondrouter/src/almondrouter/coordination/crashevidence.py
+++ b/packages/almondrouter/src/almondrouter/coordination/crashevidence.py
@@ -92,7 +92,8 @@
         """Take over the suspects of a later record; return the affected requests."""
         affected = set(self.current)
         if entry.incarnation != self.incarnation:
-            self.earlier |= self.current
+            known = {*self.earlier, *self.current}
+            self.earlier = {f: self.find(f) for f in known}
             self.incarnation = entry.incarnation
         self.current = {suspect.fingerprint: suspect for suspect in entry.suspects}
         return affected | set(self.current)
