--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -234,8 +234,8 @@
     departure
         Departure on the receiver's host, which the sender knows of.
     verdicts
-        Requests that the sender refuses, or has heard to be harmless, as they crash
-        backend servers or do not.
+        Requests that the sender refuses because they crash backend servers, and those
+        that were cleared of this a moment ago.
     """
 
     record: bytes
