Add the shared interfaces of tenants, quotas, roll-outs and transfers

Parts that are built side by side need the same names: TenantPolicy, the bounds of the settings, CallRequest.tenant and accepts_parts, Load.link_wait and run_time_factor, and the version of a backend server in its entry and in Destination. Frame and record fields are appended with defaults, so that daemons of the version before decode them.

--- a/packages/almondrouter/src/almondrouter/coordination/directory.py
+++ b/packages/almondrouter/src/almondrouter/coordination/directory.py
@@ -210,6 +210,7 @@
                 incarnation=entry.incarnation,
                 slots=backend.slots,
                 suspect=False,
+                version=backend.version,
             )
             grouped.setdefault(backend.service, []).append(destination)
         self._destinations = {
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -178,9 +178,7 @@
         entry = self.entry
         if entry is None or entry.state in (state, ServingState.LEAVING):
             return
-        self.entry = BackendEntry(
-            entry.backend, entry.started_ms, entry.service, entry.slots, state
-        )
+        self.entry = msgspec.structs.replace(entry, state=state)
         _log.info(
             "backend server changed state",
             backend=entry.backend,
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -93,6 +93,10 @@
     overdue
         Whether the response can hardly be within the target latency any more. The call
         waits behind the others of its rank.
+    tenant
+        Name of the tenant that holds the caller's key; empty without one.
+    accepts_parts
+        Whether the sender can receive the body of the response in parts.
     """
 
     call_id: int
@@ -114,6 +118,8 @@
     attempt_id: str = ""
     max_wait: float = -1.0
     overdue: bool = False
+    tenant: str = ""
+    accepts_parts: bool = False
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -127,6 +133,11 @@
         Smoothed time in seconds for which a call occupies a slot.
     queued_by_rank
         Queued calls by priority rank; their sum is ``queued``.
+    link_wait
+        Seconds until the network link of the host could begin to carry another long
+        response.
+    run_time_factor
+        How long work takes on the host at the moment, relative to its usual time.
     """
 
     slots: int
@@ -134,6 +145,8 @@
     queued: int
     service_time: float
     queued_by_rank: tuple[int, ...] = ()
+    link_wait: float = 0.0
+    run_time_factor: float = 1.0
 
 
 class CallReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/almondrouter/src/almondrouter/state/hosts.py
+++ b/packages/almondrouter/src/almondrouter/state/hosts.py
@@ -23,6 +23,7 @@
 Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Version = Annotated[str, msgspec.Meta(max_length=200)]
 Fingerprint = Annotated[str, msgspec.Meta(pattern=r"\A[0-9a-f]{32}\Z")]
 BackendId = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]{1,120}\Z")]
 
@@ -46,6 +47,8 @@
         Start time in Unix milliseconds; distinguishes restarts under the same id.
     service, slots
         Service that it serves, and number of requests that it runs concurrently.
+    version
+        Version of its software; empty if it names none.
     """
 
     backend: BackendId
@@ -53,6 +56,7 @@
     service: Name
     slots: Slots
     state: ServingState
+    version: Version = ""
 
 
 class Departure(msgspec.Struct, frozen=True):
--- a/packages/almondrouter/src/almondrouter/state/routes.py
+++ b/packages/almondrouter/src/almondrouter/state/routes.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from almondrouter.state.tenants import TenantPolicy
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceShare:
@@ -106,12 +108,15 @@
         Routes by virtual host, those with longer prefixes first.
     services
         Policies by service name.
+    tenants
+        Policies by tenant name; empty if requests need no key.
     """
 
     version: int
     hosts: Mapping[str, tuple[RouteTarget, ...]]
     services: Mapping[str, ServicePolicy]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    tenants: Mapping[str, TenantPolicy] = field(default_factory=dict)
 
     def find(self, host: str, path: str) -> RouteTarget | None:
         """Return the route of a virtual host with the longest prefix of ``path``.
--- a/packages/almondrouter/src/almondrouter/state/snapshot.py
+++ b/packages/almondrouter/src/almondrouter/state/snapshot.py
@@ -26,6 +26,7 @@
     incarnation: int
     slots: int
     suspect: bool
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/almondrouterd/src/almondrouterd/platform/heartbeats.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/heartbeats.py
@@ -14,6 +14,7 @@
     Name,
     ServingState,
     Slots,
+    Version,
 )
 
 HEARTBEAT_PATH = "/almondrouter/Instances.Heartbeat/"
@@ -28,7 +29,7 @@
     service: Name
     slots: Slots
     zone: str = ""
-    version: str = ""
+    version: Version = ""
 
 
 class _Status(msgspec.Struct):
@@ -99,7 +100,12 @@
         message = f"invalid state {heartbeat.status.state!r}"
         raise AlmondError(ErrorCode.VALUE_OUT_OF_RANGE, message)
     entry = BackendEntry(
-        backend, heartbeat.born, heartbeat.info.service, heartbeat.info.slots, state
+        backend,
+        heartbeat.born,
+        heartbeat.info.service,
+        heartbeat.info.slots,
+        state,
+        heartbeat.info.version,
     )
     return BackendReport(entry, heartbeat.address, heartbeat.status.sequence)
 
--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -10,6 +10,7 @@
 
 from almondrouter.coordination.fleetretries import FleetRetryLimits
 from almondrouter.errors import ErrorCode, Finding, FindingsError
+from almondrouter.state.bounds import QuotaBounds, RevocationBounds, RolloutBounds
 
 SETTINGS_VARIABLE = "ALMONDROUTER_SETTINGS"
 
@@ -28,6 +29,14 @@
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     budget_extra: float = 50.0
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_s: float = 5.0
+    strict_revoke: bool = False
+    revoke_s: float = 5.0
 
 
 class _Provider(msgspec.Struct):
@@ -93,6 +102,8 @@
         Capacity of the network link of the host.
     is_first_start
         Whether the whole fleet starts for the first time.
+    quota_bounds, rollout_bounds, revocation
+        Bounds on the quotas of tenants, on roll-outs, and on removed keys.
     """
 
     host: str
@@ -112,6 +123,9 @@
     repeat_limits: FleetRetryLimits
     link_bytes_per_second: float
     is_first_start: bool = False
+    quota_bounds: QuotaBounds = QuotaBounds()
+    rollout_bounds: RolloutBounds = RolloutBounds()
+    revocation: RevocationBounds = RevocationBounds()
 
 
 BYTES_PER_MEGABIT = 125_000
@@ -173,6 +187,13 @@
         ),
         link_bytes_per_second=compute_link_rate(file.limits.link_mbps),
         is_first_start=file.bootstrap,
+        quota_bounds=QuotaBounds(
+            bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
+        ),
+        rollout_bounds=RolloutBounds(
+            bounds.exposure_share, bounds.exposure_slack, bounds.rollback_s
+        ),
+        revocation=RevocationBounds(bounds.strict_revoke, bounds.revoke_s),
     )
 
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -194,7 +194,7 @@
         """Guards against a draining server that is decoded as ready."""
         report = decode_heartbeat("i-1", make_heartbeat("a:1", state=state))
         self.assertEqual(
-            ("i-1", 1000, SERVICE, 4, expected),
+            ("i-1", 1000, SERVICE, 4, expected, "v1"),
             msgspec.structs.astuple(report.entry),
         )
 
