Move pending requests out of the forwarder

What a pending request is, when it is overdue, and what it demands of its destination form a concept of their own.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -9,7 +9,6 @@
 import math
 import random as random_module
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import msgspec
@@ -19,12 +18,13 @@
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.patience import CallerPatience
-from almondrouter.coordination.routing import Demand, LoadBalancingPolicy
+from almondrouter.coordination.pending import PendingRequest, make_demand, make_offer
+from almondrouter.coordination.routing import LoadBalancingPolicy
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
 from almondrouter.protocol import headers as names
-from almondrouter.protocol.calls import BodyOffer, CallReply, CallRequest
+from almondrouter.protocol.calls import CallReply, CallRequest
 from almondrouter.protocol.dialect import Dialect, RequestInfo
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, choose_status, make_reply
@@ -45,13 +45,6 @@
 MIN_RETRY_TIME_SHARE = 0.3
 """Least time until the deadline for a retry, as a share of the target latency; with
 less time, a retry is unlikely to complete."""
-MIN_ON_TIME_SHARE = 0.45
-"""Least time left of the target latency, as a share of it, with which a request is not
-overdue. With less, queues would refuse it as it can hardly be on time, although its
-caller still waits for a late response."""
-OVERDUE_SHARE = 0.4
-"""Share of the time until its deadline for which an overdue request may wait and run;
-its caller can use the rest for another attempt."""
 MIN_RETRY_AFTER_SHARE = 0.15
 """Least ``Retry-After``, as a share of the target latency."""
 MAX_RETRY_AFTER_SHARE = 0.45
@@ -85,44 +78,6 @@
 LocalRunner = Callable[[CallRequest], Awaitable[CallReply]]
 
 
-@dataclass(slots=True)
-class _PendingRequest:
-    """A caller's request that has no response yet.
-
-    Parameters
-    ----------
-    call
-        The call to send; each attempt sets the name of the backend server and the
-        longest wait.
-    arrived_at
-        Monotonic seconds at which the caller began to send the request.
-    sent
-        Attempts that may have reached a backend server.
-    refusals
-        Attempts that a destination refused.
-    misses
-        Attempts whose destination had no backend server or could not be reached.
-    corrections
-        Attempts that a destination declined as busier than expected.
-    excluded
-        Names of the backend servers that are not to be tried again.
-    retry
-        Destination of the next attempt, if the retry budget has granted it already.
-    """
-
-    info: RequestInfo
-    route: RouteTarget
-    service: str
-    call: CallRequest
-    arrived_at: float
-    sent: int = 0
-    refusals: int = 0
-    misses: int = 0
-    corrections: int = 0
-    excluded: set[str] = field(default_factory=set)
-    retry: Destination | None = None
-
-
 class Forwarder:
     """Forwards each request of a caller to a backend server.
 
@@ -256,7 +211,7 @@
         route: RouteTarget,
         version: int,
         now: float,
-    ) -> _PendingRequest:
+    ) -> PendingRequest:
         time_left = route.answer_within
         if info.time_left is not None:
             time_left = min(time_left, info.time_left)
@@ -291,24 +246,12 @@
         service = self._splitter.choose(route)
         if not nested:
             self._retry_budget.record_request(service)
-        pending = _PendingRequest(info, route, service, call, now)
+        pending = PendingRequest(info, route, service, call, now)
         if not nested:
-            self._mark_if_overdue(pending, now)
+            pending.mark_if_overdue(now)
         return pending
 
-    def _mark_if_overdue(self, pending: _PendingRequest, now: float) -> None:
-        """Let a request wait behind others if it can hardly be on time any more."""
-        call = pending.call
-        # A route or caller may allow less than the target latency from the start.
-        time_allowed = call.deadline - pending.arrived_at
-        needed = MIN_ON_TIME_SHARE * min(pending.route.target_latency, time_allowed)
-        if not call.overdue and now + needed > call.useful_until:
-            useful_until = now + OVERDUE_SHARE * (call.deadline - now)
-            pending.call = msgspec.structs.replace(
-                call, overdue=True, useful_until=useful_until
-            )
-
-    async def _try_destinations(self, pending: _PendingRequest) -> CallReply:
+    async def _try_destinations(self, pending: PendingRequest) -> CallReply:
         """Send a request to one destination after another until one gives a result.
 
         Returns
@@ -341,10 +284,10 @@
                 break
         return result or refusal or make_reply(self._explain_no_attempt(pending))
 
-    def _choose_destination(self, pending: _PendingRequest) -> Destination | None:
+    def _choose_destination(self, pending: PendingRequest) -> Destination | None:
         now = self._clock.monotonic()
         if pending.sent and not pending.call.nested:
-            self._mark_if_overdue(pending, now)
+            pending.mark_if_overdue(now)
         if pending.retry is not None:
             destination, pending.retry = pending.retry, None
             return destination
@@ -362,7 +305,7 @@
             demand=make_demand(pending, now),
         )
 
-    def _find_last_send(self, pending: _PendingRequest) -> float:
+    def _find_last_send(self, pending: PendingRequest) -> float:
         """Return the time after which this daemon no longer sends a request.
 
         Notes
@@ -374,7 +317,7 @@
             return self._answers_until
         return self._answers_until - pending.route.target_latency
 
-    def _explain_no_attempt(self, pending: _PendingRequest) -> ErrorCode:
+    def _explain_no_attempt(self, pending: PendingRequest) -> ErrorCode:
         now = self._clock.monotonic()
         if now >= pending.call.deadline:
             return ErrorCode.DEADLINE_EXCEEDED
@@ -383,7 +326,7 @@
         return ErrorCode.NO_BACKEND
 
     def _find_max_wait(
-        self, destination: Destination, pending: _PendingRequest
+        self, destination: Destination, pending: PendingRequest
     ) -> float:
         """Return the longest wait for a slot in seconds; negative if unbounded."""
         if pending.corrections >= MAX_CORRECTIONS:
@@ -393,7 +336,7 @@
         wait = self._balancer.find_max_wait(destination, now=now, demand=demand)
         return -1.0 if wait is None else wait
 
-    def _may_try_elsewhere(self, pending: _PendingRequest, reply: CallReply) -> bool:
+    def _may_try_elsewhere(self, pending: PendingRequest, reply: CallReply) -> bool:
         if reply.code in _UNAVAILABLE_CODES:
             pending.misses += 1
             return pending.misses < MAX_MISSES
@@ -409,13 +352,13 @@
             return self._spend_retry(pending)
         return True
 
-    def _may_retry(self, pending: _PendingRequest) -> bool:
+    def _may_retry(self, pending: PendingRequest) -> bool:
         if pending.retry is not None:
             return True
         return self._claim_retry(pending, sent=pending.sent)
 
     def _abandon_silent(
-        self, destination: Destination, pending: _PendingRequest
+        self, destination: Destination, pending: PendingRequest
     ) -> bool:
         """Return whether to give up an attempt because its destination is silent.
 
@@ -433,7 +376,7 @@
             pending.retry = other
         return pending.retry is not None
 
-    def _claim_retry(self, pending: _PendingRequest, *, sent: int) -> bool:
+    def _claim_retry(self, pending: PendingRequest, *, sent: int) -> bool:
         """Take a retry from the budget if a request may be sent again.
 
         Parameters
@@ -451,13 +394,13 @@
             return False
         return self._spend_retry(pending)
 
-    def _spend_retry(self, pending: _PendingRequest) -> bool:
+    def _spend_retry(self, pending: PendingRequest) -> bool:
         return self._retry_budget.try_spend(
             pending.service, rank=pending.route.priority
         )
 
     async def _send_attempt(
-        self, destination: Destination, pending: _PendingRequest
+        self, destination: Destination, pending: PendingRequest
     ) -> CallReply:
         call = msgspec.structs.replace(
             pending.call,
@@ -508,7 +451,7 @@
         return reply
 
     async def _send_over_link(
-        self, destination: Destination, call: CallRequest, pending: _PendingRequest
+        self, destination: Destination, call: CallRequest, pending: PendingRequest
     ) -> CallReply:
         """Send a call to another daemon, a long body only after its offer was accepted.
 
@@ -532,7 +475,7 @@
             abandon_silent=lambda: self._abandon_silent(destination, pending),
         )
 
-    def _record_result(self, pending: _PendingRequest, reply: CallReply) -> None:
+    def _record_result(self, pending: PendingRequest, reply: CallReply) -> None:
         elapsed = self._clock.monotonic() - pending.arrived_at
         self._on_finished(pending.route.name, reply.outcome, reply.code, elapsed)
         if reply.outcome is Outcome.COMPLETE and not is_server_error(reply):
@@ -560,7 +503,7 @@
         )
 
     def _make_response(
-        self, pending: _PendingRequest, reply: CallReply
+        self, pending: PendingRequest, reply: CallReply
     ) -> CallerResponse:
         if reply.outcome is Outcome.COMPLETE:
             return CallerResponse(reply.status, reply.headers, reply.body, reply.framed)
@@ -572,7 +515,7 @@
             headers = (*headers, (RETRY_AFTER, f"{retry_after:.3f}"))
         return CallerResponse(status, headers, b"")
 
-    def _choose_retry_after(self, pending: _PendingRequest) -> float:
+    def _choose_retry_after(self, pending: PendingRequest) -> float:
         """Return the ``Retry-After`` in seconds for a request that has not run."""
         condemned_until = self._find_condemned_until(pending.call)
         if condemned_until is not None:
@@ -602,31 +545,6 @@
         return CallerResponse(choose_status(Outcome.NOT_RUN, code), headers, b"")
 
 
-def make_demand(pending: _PendingRequest, now: float) -> Demand:
-    """Return what a request requires of its next destination at a given time."""
-    call = pending.call
-    return Demand(
-        len(call.body),
-        call.nested,
-        pending.route.target_latency,
-        pending.route.priority + call.overdue,
-        call.useful_until - now,
-    )
-
-
-def make_offer(call: CallRequest) -> BodyOffer:
-    """Return the offer that asks a daemon whether to send the body of a call."""
-    return BodyOffer(
-        call_id=0,
-        class_name=call.class_name,
-        backend=call.backend,
-        rank=call.rank,
-        size=len(call.body),
-        deadline=call.deadline,
-        useful_until=call.useful_until,
-    )
-
-
 def is_server_error(reply: CallReply) -> bool:
     """Return whether a backend server responded with a server error (5xx)."""
     return (
