Admit requests by the key of their tenant

Cause: configurations with tenants were accepted without them, so that keys were passed on to backend servers, unknown and missing keys were served, and a client could claim another tenant's name.

TenantAdmission finds the tenant before a destination is chosen; 401 without exactly one known key unless the route is public or the call is nested. The tenant's priority precedes the route's. Downloads are repeatable like safe requests. Configurations with faulty tenants are refused whole.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -20,6 +20,7 @@
 from almondrouter.coordination.patience import CallerPatience
 from almondrouter.coordination.pending import PendingRequest, make_demand, make_offer
 from almondrouter.coordination.routing import LoadBalancingPolicy
+from almondrouter.coordination.tenants.admission import Admitted, TenantAdmission
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
@@ -65,6 +66,7 @@
         ErrorCode.BACKEND_REFUSED,
     )
 )
+_RETRIED_LATER_CODES = frozenset({ErrorCode.NOT_READY, ErrorCode.STOPPING})
 _UNAVAILABLE_CODES = frozenset(
     code.value
     for code in (
@@ -89,6 +91,8 @@
         Known hosts and their backend servers.
     balancer
         Chooses the destination of each attempt.
+    admission
+        Finds the tenant of each request by its key.
     splitter
         Chooses the service for each request of a route with several services.
     retry_budget
@@ -124,6 +128,7 @@
         table: Callable[[], RouteTable | None],
         directory: HostDirectory,
         balancer: LoadBalancingPolicy,
+        admission: TenantAdmission,
         splitter: TrafficSplitter,
         retry_budget: FleetRetryBudget,
         links: CallLinks,
@@ -141,6 +146,7 @@
         self._table = table
         self._directory = directory
         self._balancer = balancer
+        self._admission = admission
         self._splitter = splitter
         self._retry_budget = retry_budget
         self._links = links
@@ -183,20 +189,22 @@
         info = self._dialect.read_request(request.headers)
         table = self._table()
         if table is None:
-            return self._refuse_request(
-                info, ErrorCode.NOT_READY, 0, retry_after=UNSERVED_RETRY_AFTER_S
-            )
+            return self._refuse_request(info, ErrorCode.NOT_READY, 0)
         if self._refuses_new and not self._is_running(info.parent_id):
-            return self._refuse_request(
-                info,
-                ErrorCode.STOPPING,
-                table.version,
-                retry_after=UNSERVED_RETRY_AFTER_S,
-            )
+            return self._refuse_request(info, ErrorCode.STOPPING, table.version)
         route = table.find(info.virtual_host, request.target.partition("?")[0])
         if route is None:
             return self._refuse_request(info, ErrorCode.CLASS_UNKNOWN, table.version)
-        pending = self._prepare_request(request, info, route, table.version, arrived_at)
+        nested = self._is_running(info.parent_id)
+        try:
+            admitted = self._admission.admit(
+                info.headers, route, table.tenants, nested=nested
+            )
+        except CallError as error:
+            return self._refuse_request(info, error.code, table.version)
+        pending = self._prepare_request(
+            request, info, route, admitted, nested, table.version, arrived_at
+        )
         if self._find_condemned_until(pending.call) is not None:
             reply = make_reply(ErrorCode.CONDEMNED)
         else:
@@ -209,13 +217,14 @@
         request: CallerRequest,
         info: RequestInfo,
         route: RouteTarget,
+        admitted: Admitted,
+        nested: bool,
         version: int,
         now: float,
     ) -> PendingRequest:
         time_left = route.answer_within
         if info.time_left is not None:
             time_left = min(time_left, info.time_left)
-        nested = self._is_running(info.parent_id)
         self._demand.record(route.name)
         if nested:
             # The parent request fails without this response, so that it is useful
@@ -230,18 +239,19 @@
             backend="",
             method=request.method,
             target=request.target,
-            headers=info.headers,
+            headers=admitted.headers,
             body=request.body,
             deadline=now + time_left,
             key="",
             traceparent="",
             version=version,
-            rank=route.priority,
+            rank=admitted.rank,
             repeatable=route.repeatable,
             useful_until=useful_until,
             nested=nested,
             caller_service=self._own_service,
             attempt_id=info.attempt_id,
+            tenant=admitted.tenant.name if admitted.tenant else "",
         )
         service = self._splitter.choose(route)
         if not nested:
@@ -395,9 +405,7 @@
         return self._spend_retry(pending)
 
     def _spend_retry(self, pending: PendingRequest) -> bool:
-        return self._retry_budget.try_spend(
-            pending.service, rank=pending.route.priority
-        )
+        return self._retry_budget.try_spend(pending.service, rank=pending.call.rank)
 
     async def _send_attempt(
         self, destination: Destination, pending: PendingRequest
@@ -528,8 +536,6 @@
         info: RequestInfo,
         code: ErrorCode,
         version: int,
-        *,
-        retry_after: float = 0.0,
     ) -> CallerResponse:
         self._on_finished("", Outcome.NOT_RUN, code.value, 0.0)
         _log.request(
@@ -540,8 +546,8 @@
             version=version,
         )
         headers: tuple[tuple[str, str], ...] = ((names.CODE, code.value),)
-        if retry_after:
-            headers = (*headers, (RETRY_AFTER, f"{retry_after:.3f}"))
+        if code in _RETRIED_LATER_CODES:
+            headers = (*headers, (RETRY_AFTER, f"{UNSERVED_RETRY_AFTER_S:.3f}"))
         return CallerResponse(choose_status(Outcome.NOT_RUN, code), headers, b"")
 
 
--- a/packages/almondrouter/src/almondrouter/coordination/pending.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pending.py
@@ -81,7 +81,7 @@
         len(call.body),
         call.nested,
         pending.route.target_latency,
-        pending.route.priority + call.overdue,
+        call.rank + call.overdue,
         call.useful_until - now,
     )
 
--- a/packages/almondrouter/src/almondrouter/errors.py
+++ b/packages/almondrouter/src/almondrouter/errors.py
@@ -69,6 +69,7 @@
     LIMIT_UNAVAILABLE = "limit_unavailable"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CONDEMNED = "condemned"
+    KEY_UNKNOWN = "key_unknown"
     BACKEND_REFUSED = "backend_refused"
     BACKEND_FAILED = "backend_failed"
     CALL_CANCELLED = "call_cancelled"
--- a/packages/almondrouter/src/almondrouter/protocol/dialect.py
+++ b/packages/almondrouter/src/almondrouter/protocol/dialect.py
@@ -64,6 +64,14 @@
     def read_request(self, headers: HeaderList) -> RequestInfo:
         """Read the headers of a caller's request."""
 
+    @abstractmethod
+    def read_keys(self, headers: HeaderList) -> list[str]:
+        """Return the keys of a caller's request, one for each header that holds one."""
+
+    @abstractmethod
+    def drop_credentials(self, headers: HeaderList) -> HeaderList:
+        """Return the headers without keys and without a claimed tenant."""
+
     @abstractmethod
     def write_request(self, request: CallRequest, *, time_left: float) -> HeaderList:
         """Return the headers of a request for the backend server.
--- a/packages/almondrouter/src/almondrouter/protocol/outcomes.py
+++ b/packages/almondrouter/src/almondrouter/protocol/outcomes.py
@@ -30,6 +30,7 @@
     ErrorCode.HEADER_INVALID: 400,
     ErrorCode.KEY_MISSING: 400,
     ErrorCode.KEY_INVALID: 400,
+    ErrorCode.KEY_UNKNOWN: 401,
     ErrorCode.CLASS_UNKNOWN: 404,
     ErrorCode.SERVICE_UNKNOWN: 404,
     ErrorCode.CONDEMNED: 409,
--- a/packages/almondrouter/src/almondrouter/state/routes.py
+++ b/packages/almondrouter/src/almondrouter/state/routes.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from almondrouter.state.tenants import TenantPolicy
+from almondrouter.state.tenants import TenantTable
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +50,8 @@
         Limit on the backend servers that one request is sent to.
     priority
         Priority rank of the route; rank 0 is served first.
+    public
+        Whether requests need no key, even if the configuration has tenants.
     """
 
     name: str
@@ -60,6 +62,7 @@
     target_latency: float
     max_attempts: int
     priority: int
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,14 +112,14 @@
     services
         Policies by service name.
     tenants
-        Policies by tenant name; empty if requests need no key.
+        Tenants and their keys; None if requests need no key.
     """
 
     version: int
     hosts: Mapping[str, tuple[RouteTarget, ...]]
     services: Mapping[str, ServicePolicy]
     limits: CallerLimits = field(default_factory=CallerLimits)
-    tenants: Mapping[str, TenantPolicy] = field(default_factory=dict)
+    tenants: TenantTable | None = None
 
     def find(self, host: str, path: str) -> RouteTarget | None:
         """Return the route of a virtual host with the longest prefix of ``path``.
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -29,6 +29,7 @@
 from almondrouter.coordination.registration import HostRecords, Registration
 from almondrouter.coordination.restarts import run_with_restart
 from almondrouter.coordination.storefeed import StoreFeed
+from almondrouter.coordination.tenants.admission import TenantAdmission
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger, LineWriter
@@ -260,6 +261,9 @@
             table=lambda: self.routes.table,
             directory=self.directory,
             balancer=self._placement,
+            admission=TenantAdmission(
+                self._dialect, may_trust_keys=self._may_trust_keys
+            ),
             splitter=TrafficSplitter(self._random),
             retry_budget=self.retry_budget,
             links=self.links,
@@ -484,6 +488,11 @@
             await asyncio.sleep(PEER_MAINTENANCE_INTERVAL_S)
             self._peers.run_maintenance()
 
+    def _may_trust_keys(self) -> bool:
+        """Return whether this daemon has heard of the configuration lately enough."""
+        bounds = self.settings.revocation
+        return not bounds.strict or self._peers.hears_of_routes(within=bounds.within)
+
     def _get_caller_limits(self) -> CallerLimits:
         table = self.routes.table
         return table.limits if table is not None else CallerLimits()
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -126,6 +126,7 @@
         self._hosts_without_store: set[str] = set()
         self._catch_up_task: asyncio.Task | None = None
         self._compressed_routes = (-1, b"")
+        self._routes_heard_at = clock.monotonic()
 
     def make_notice(
         self,
@@ -216,6 +217,24 @@
             if self._is_region_peer(entry):
                 self._links.send_notice(entry.peer_address, notice)
 
+    def hears_of_routes(self, *, within: float) -> bool:
+        """Return whether a new configuration would have reached this daemon.
+
+        Parameters
+        ----------
+        within
+            Seconds for which it may have been out of reach.
+        """
+        now = self._clock.monotonic()
+        if self._feed.watching and self._feed.reaches_store:
+            self._routes_heard_at = now
+        elif not self._feed.watching:
+            relay = self._election.find_relay(self._list_relay_candidates())
+            entries = [e for e in self._directory.entries if e.host == relay]
+            if any(self._links.is_alive(entry.peer_address) for entry in entries):
+                self._routes_heard_at = now
+        return now - self._routes_heard_at <= within
+
     def answer_routes_query(self, query: RoutesQuery) -> CallReply:
         """Return the configuration in force as the reply to a peer's query."""
         headers, body = (), self._routes.stored_form
--- a/packages/almondrouterd/src/almondrouterd/platform/configuration.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/configuration.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import re
+from collections import Counter
 from types import MappingProxyType
+from typing import Annotated
 
 import msgspec
 
 from almondrouter.errors import MALFORMED_DATA_ERRORS, ErrorCode, Finding, FindingsError
+from almondrouter.state.hosts import Name
 from almondrouter.state.routes import (
     CallerLimits,
     RouteTable,
@@ -16,10 +19,13 @@
     ServiceShare,
     sort_routes,
 )
+from almondrouter.state.tenants import TenantPolicy, TenantTable, digest_key
 
 CONFIGURATION_KEY = "op/config"
 _VERSION = re.compile(r"r([0-9]{1,15})")
-_REPEATABLE_TYPE = "safe"
+_REPEATABLE_TYPES = frozenset({"safe", "download"})
+MAX_KEY_BYTES = 1024
+"""Longest key of a tenant; longer ones would not fit beside other headers."""
 
 
 class _Share(msgspec.Struct):
@@ -35,6 +41,7 @@
     target_latency_s: float
     max_attempts: int
     priority: int = 0
+    public: bool = False
     service: str | None = None
     backends: tuple[_Share, ...] = ()
     """Services with their weights; the platform names the field ``backends``."""
@@ -51,6 +58,14 @@
     max_connections: int = 100
 
 
+class _Tenant(msgspec.Struct):
+    name: Name
+    api_keys: tuple[str, ...] = ()
+    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 32_768
     max_body_bytes: int = 64 * 1024 * 1024
@@ -63,6 +78,7 @@
     virtual_hosts: tuple[_VirtualHost, ...]
     services: tuple[_Service, ...]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 _DECODER = msgspec.json.Decoder(_Configuration)
@@ -112,7 +128,25 @@
             if not sum(share.weight for share in shares) > 0:
                 code = ErrorCode.VALUE_OUT_OF_RANGE
                 findings.append(Finding(place, code, "no service has a weight above 0"))
-    return findings
+    return findings + _validate_tenants(configuration.tenants or ())
+
+
+def _validate_tenants(tenants: tuple[_Tenant, ...]) -> list[Finding]:
+    """Find the errors of tenants; no finding shows a key."""
+    faults = []
+    names = Counter(tenant.name for tenant in tenants)
+    faults += [(name, "declared twice") for name, count in names.items() if count > 1]
+    holders: dict[str, str] = {}
+    for tenant in tenants:
+        for key in tenant.api_keys:
+            holder = holders.setdefault(key, tenant.name)
+            if holder != tenant.name:
+                faults.append((tenant.name, f"has a key of tenant {holder}"))
+            if not 0 < len(key.encode()) <= MAX_KEY_BYTES:
+                message = f"a key has not 1 to {MAX_KEY_BYTES} bytes"
+                faults.append((tenant.name, message))
+    code = ErrorCode.VALUE_OUT_OF_RANGE
+    return [Finding(f"tenants.{name}", code, fault) for name, fault in faults]
 
 
 def _compile_routes(configuration: _Configuration) -> RouteTable:
@@ -135,19 +169,38 @@
             limits.header_timeout_s,
             limits.idle_timeout_s,
         ),
+        tenants=_compile_tenants(configuration.tenants),
     )
 
 
+def _compile_tenants(tenants: tuple[_Tenant, ...] | None) -> TenantTable | None:
+    if tenants is None:
+        return None
+    policies = {
+        tenant.name: TenantPolicy(
+            tenant.name, tenant.priority, tenant.rate_per_s, tenant.burst
+        )
+        for tenant in tenants
+    }
+    owners = {
+        digest_key(key.encode()): tenant.name
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+    return TenantTable(MappingProxyType(policies), MappingProxyType(owners))
+
+
 def _compile_route(path: _Path) -> RouteTarget:
     return RouteTarget(
         name=path.name,
         prefix=path.path_prefix,
         shares=_make_shares(path),
-        repeatable=path.route_type == _REPEATABLE_TYPE,
+        repeatable=path.route_type in _REPEATABLE_TYPES,
         answer_within=path.timeout_s,
         target_latency=path.target_latency_s,
         max_attempts=max(1, path.max_attempts),
         priority=path.priority,
+        public=path.public,
     )
 
 
--- a/packages/almondrouterd/src/almondrouterd/platform/headers.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/headers.py
@@ -15,8 +15,11 @@
 EXPECTED_BACKEND = "expected-instance"
 NOT_EXECUTED = "not-executed"
 CALLER_SERVICE = "caller-service"
+KEY = "key"
+TENANT = "tenant-id"
 
 _SET_BY_DAEMON = frozenset({TIME_LEFT_MS, EXPECTED_BACKEND, CALLER_SERVICE})
+_CREDENTIALS = frozenset({KEY, TENANT})
 _STRIPPED_FROM_REQUEST = HOP_BY_HOP_HEADERS | _SET_BY_DAEMON
 _PARENT_SEPARATOR = "."
 """Separates the parent's id from a nested call's own part in an attempt id. In practice
@@ -47,14 +50,22 @@
             drop_headers(headers, _STRIPPED_FROM_REQUEST),
         )
 
+    def read_keys(self, headers: HeaderList) -> list[str]:  # noqa: D102
+        return [value for name, value in headers if name == KEY]
+
+    def drop_credentials(self, headers: HeaderList) -> HeaderList:  # noqa: D102
+        return tuple(item for item in headers if item[0] not in _CREDENTIALS)
+
     def write_request(  # noqa: D102
         self, request: CallRequest, *, time_left: float
     ) -> HeaderList:
+        tenant = ((TENANT, request.tenant),) if request.tenant else ()
         return (
             *request.headers,
             (TIME_LEFT_MS, str(max(1, int(time_left * 1000)))),
             (EXPECTED_BACKEND, request.backend),
             (CALLER_SERVICE, request.caller_service),
+            *tenant,
         )
 
     def read_response(self, status: int, headers: HeaderList) -> ResponseInfo:  # noqa: D102
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -19,6 +19,7 @@
     Forwarder,
 )
 from almondrouter.coordination.routing import RoundRobin
+from almondrouter.coordination.tenants.admission import TenantAdmission
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import BodyOffer, CallReply, CallRequest
@@ -100,6 +101,7 @@
             table=lambda: self.table,
             directory=directory,
             balancer=self.balancer,
+            admission=TenantAdmission(PlatformDialect()),
             splitter=TrafficSplitter(random.Random(1)),
             retry_budget=self.retry_budget,
             links=self.links,
--- a/tests/test_load_replays.py
+++ b/tests/test_load_replays.py
@@ -23,6 +23,7 @@
 from almondrouter.coordination.patience import CallerPatience
 from almondrouter.coordination.placement import LowestCostPolicy
 from almondrouter.coordination.subsets import LinkSubset
+from almondrouter.coordination.tenants.admission import TenantAdmission
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.protocol.calls import BodyOffer
 from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
@@ -190,6 +191,7 @@
                 clock=clock,
                 is_reachable=lambda found: found.peer_address in linked,
             ),
+            admission=TenantAdmission(PlatformDialect()),
             splitter=TrafficSplitter(rng),
             retry_budget=FleetRetryBudget(
                 FleetRetryLimits(0.2, 60.0, 10.0),
