Follow what a backend server takes and how fast it works at the moment

Cause: the daemon beside a backend server sent it as many requests as it had announced. Servers that take fewer refuse or reset the rest, as do servers that still run requests whose callers have left. A refused connection of a full server took it out of use until its next heartbeat, and a changed number of slots in a heartbeat was not applied. The load header of responses was not read.

The slot of a cancelled or timed out run stays taken for its expected remaining time, unless the server reports that it runs no more. A server that refuses a connection while it runs requests and has responded within 1 s is full: the request goes to another server without a retry of the budget.

--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import Counter
 from collections.abc import Callable
 from http import HTTPStatus
@@ -27,7 +28,7 @@
     LinkRequest,
     Load,
 )
-from almondrouter.protocol.dialect import Dialect
+from almondrouter.protocol.dialect import BackendLoad, Dialect
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, make_reply
 from almondrouter.state.hosts import BackendEntry, Departure, ServingState
@@ -42,12 +43,37 @@
 """Limit of stored departures, one per backend server name; a host has one backend
 server at a time."""
 
+MAX_SILENCE_S = 1.0
+"""Time since its last response within which a backend server that runs requests and
+refuses a connection counts as full. Otherwise it is taken for ended."""
+
 _UNLOGGED_CODES = frozenset({ErrorCode.BUSIER_THAN_EXPECTED, ErrorCode.CALL_CANCELLED})
 """Codes after which the sending daemon tries again, or logs why it withdrew."""
 
+
 _log = EventLogger("backend")
 
 
+class _RefusedError(CallError):
+    """A backend server refused a request without running it.
+
+    Parameters
+    ----------
+    report
+        Load that it reported with the refusal.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        code: ErrorCode = ErrorCode.BACKEND_REFUSED,
+        report: BackendLoad | None = None,
+    ) -> None:
+        super().__init__(code, message)
+        self.report = report
+
+
 class LocalBackend:
     """Runs requests on the backend server of this host.
 
@@ -85,6 +111,7 @@
         self._on_changed = on_changed
         self._runs: dict[asyncio.Task[CallReply], str] = {}
         self._departures: dict[str, int] = {}
+        self._responded_at = -math.inf
         self.entry: BackendEntry | None = None
         self.departure: Departure | None = None
         """Latest departure that a backend server of this host has announced."""
@@ -118,6 +145,8 @@
             if departed:
                 self._on_changed()
             return
+        else:
+            self.queue.usable.announce(entry.slots)
         self.entry = entry
         _log.info(
             "backend server announced",
@@ -293,10 +322,27 @@
     ) -> None:
         """Release the slot of a run that has ended in any way."""
         self._runs.pop(run, None)
+        if run.cancelled():
+            queue.abandon(grant)
+            return
         # If no caller retrieves the exception, asyncio logs it as an error.
-        failed = run.cancelled() or run.exception() is not None
-        measured = not failed and run.result().status < HTTPStatus.INTERNAL_SERVER_ERROR
-        queue.release(grant, measured=measured)
+        error = run.exception()
+        if error is None:
+            queue.usable.record_accepted(grant.level)
+            status = run.result().status
+            measured = status < HTTPStatus.INTERNAL_SERVER_ERROR
+            queue.release(grant, measured=measured)
+            return
+        code = error.code if isinstance(error, CallError) else None
+        if code is ErrorCode.DEADLINE_EXCEEDED and error.outcome is Outcome.UNKNOWN:
+            queue.abandon(grant)
+            return
+        if isinstance(error, _RefusedError):
+            queue.usable.record_refused(grant.level, error.report)
+        elif code is ErrorCode.BACKEND_FAILED:
+            # Some backend servers reset the connection when they are full.
+            queue.usable.record_refused(grant.level)
+        queue.release(grant, measured=False)
 
     async def answer_offer(self, offer: BodyOffer) -> CallReply:
         """Reply to the offer of a long body at the time when its transfer may start.
@@ -403,13 +449,27 @@
         except CallError as error:
             self.counts[error.code.value] += 1
             if error.code is ErrorCode.NO_BACKEND:
+                if self._is_alive() and isinstance(error.__cause__, ConnectionError):
+                    message = "the backend server is full and refuses connections"
+                    # It has not received the request, so that another attempt is no
+                    # retry.
+                    code = ErrorCode.OVERLOADED
+                    raise _RefusedError(message, code=code) from error
                 self.change_state(ServingState.DOWN, reason=error.message)
             raise
 
+    def _is_alive(self) -> bool:
+        """Return whether the backend server runs other requests and has responded."""
+        silence = self._clock.monotonic() - self._responded_at
+        return len(self._runs) > 1 and silence < MAX_SILENCE_S
+
     def _interpret_response(
         self, request: CallRequest, response: BackendResponse
     ) -> CallReply:
         response_info = self._dialect.read_response(response.status, response.headers)
+        self._responded_at = self._clock.monotonic()
+        if response_info.load is not None and not response_info.misdirected:
+            self.queue.apply_report(response_info.load)
         if response_info.misdirected:
             self.counts["misdirected"] += 1
             self.change_state(
@@ -420,9 +480,9 @@
             )
         if not response_info.executed:
             self.counts["shed"] += 1
-            raise CallError(
-                ErrorCode.BACKEND_REFUSED,
+            raise _RefusedError(
                 "the backend server refused the request without running it",
+                report=response_info.load,
             )
         if not response_info.genuine and response.status < HTTPStatus.MULTIPLE_CHOICES:
             self.counts["not_genuine"] += 1
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -86,7 +86,7 @@
     destinations
         The backend servers of the service.
     service_time
-        Median seconds that a request runs.
+        Median seconds that a request usually runs.
     occupancy
         Average number of running and waiting requests per slot.
     until
@@ -307,7 +307,7 @@
     ) -> _Baseline:
         found = [self._occupancy.find(d.backend) for d in destinations]
         entries = [entry for entry in found if entry and entry.slots]
-        times = [entry.service_time for entry in entries]
+        times = [entry.usual_service_time for entry in entries]
         weights = [entry.weight(now) for entry in entries]
         calls = sum(
             weight * entry.reported_calls(rank) / entry.slots
@@ -342,7 +342,8 @@
         slots = entry.slots or destination.slots
         weight = entry.weight(now, half_life=SERVICE_TIME_HALF_LIFE_SECONDS)
         seconds = baseline.service_time
-        run_time = seconds + weight * (entry.service_time - seconds)
+        run_time = seconds + weight * (entry.usual_service_time - seconds)
+        run_time *= 1.0 + weight * (entry.run_time_factor - 1.0)
         baseline_calls = baseline.occupancy * slots
         calls = entry.calls(now, rank=demand.rank, typical_calls=baseline_calls)
         wait = max(0.0, calls + 1 - slots) * run_time / slots
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -197,6 +197,7 @@
                 service_time=load.service_time,
                 now=now,
                 queued_by_rank=load.queued_by_rank,
+                run_time_factor=load.run_time_factor,
             )
         return now
 
--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -18,8 +18,10 @@
 from dataclasses import dataclass
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.concurrency import RunTimeFactor, UsableSlots
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import CallRequest, LinkRequest, Load
+from almondrouter.protocol.dialect import BackendLoad
 from almondrouter.protocol.outcomes import CallError
 
 SERVICE_TIME_WEIGHT = 0.1
@@ -55,10 +57,13 @@
         Class of the request, whose service time the run measures.
     started_at
         Monotonic seconds at which the slot was granted.
+    level
+        Number of slots in use since then, including this one.
     """
 
     class_name: str
     started_at: float
+    level: int = 1
 
 
 @dataclass(slots=True, eq=False)
@@ -94,9 +99,11 @@
     """
 
     def __init__(self, slots: int, *, clock: Clock) -> None:
-        self.slots = slots
+        self.usable = UsableSlots(slots, clock=clock)
+        self.run_time_factor = RunTimeFactor(clock)
         self._clock = clock
         self._running: set[Grant] = set()
+        self._abandoned: dict[Grant, asyncio.TimerHandle] = {}
         self._queue: list[_Waiter] = []
         self._sequence = itertools.count()
         self._service_time = _MovingAverage()
@@ -105,6 +112,11 @@
         self._nested_until = 0.0
         self.counts: Counter[str] = Counter()
 
+    @property
+    def slots(self) -> int:
+        """Number of requests that the backend server takes at once at the moment."""
+        return self.usable.limit
+
     @property
     def is_idle(self) -> bool:
         """Whether no request runs or waits."""
@@ -156,13 +168,53 @@
         self._running.remove(grant)
         now = self._clock.monotonic()
         if measured:
-            seconds = now - grant.started_at
+            seconds = (now - grant.started_at) / self.run_time_factor.value
             self._service_time.add(seconds)
             self._class_service_times.setdefault(
                 grant.class_name, _MovingAverage()
             ).add(seconds)
         self._grant_waiting(now)
 
+    def abandon(self, grant: Grant) -> None:
+        """Release a slot when the run of a request without a caller should have ended.
+
+        Notes
+        -----
+        The backend server may run on when the connection of a request is closed. If
+        the run time of the class has never been measured, the slot is released at once.
+        """
+        known = grant.class_name in self._class_service_times
+        expected = self.estimate_run_time(grant.class_name) if known else 0.0
+        expected *= RUN_TIME_MARGIN
+        left = grant.started_at + expected - self._clock.monotonic()
+        if left <= 0 or grant not in self._running:
+            self.release(grant, measured=False)
+            return
+        self.counts["abandoned"] += 1
+        loop = asyncio.get_running_loop()
+        self._abandoned[grant] = loop.call_later(left, self._end_abandoned, grant)
+
+    def _end_abandoned(self, grant: Grant) -> None:
+        self._abandoned.pop(grant).cancel()
+        self.release(grant, measured=False)
+
+    def apply_report(self, report: BackendLoad) -> None:
+        """Apply the load that the backend server reports with a response.
+
+        Notes
+        -----
+        If it reports no more requests than those that have a caller, it has stopped
+        the abandoned ones. The request of this response still counts as running here,
+        but not in the report.
+        """
+        self.usable.record_report(report)
+        if report.run_time_factor is not None:
+            self.run_time_factor.record(report.run_time_factor)
+        active = len(self._running) - len(self._abandoned) - 1
+        surplus = max(0, report.running + report.waiting - active)
+        while len(self._abandoned) > surplus:
+            self._end_abandoned(next(iter(self._abandoned)))
+
     def load(self) -> Load:
         """Return the current load; it is exact, not sampled."""
         ranks = Counter(min(get_load_rank(w.request), MAX_RANK) for w in self._queue)
@@ -171,8 +223,9 @@
             slots=self.slots,
             in_use=len(self._running),
             queued=len(self._queue),
-            service_time=self._service_time.value,
+            service_time=self._service_time.value * self.run_time_factor.value,
             queued_by_rank=tuple(ranks[rank] for rank in range(depth)),
+            run_time_factor=self.run_time_factor.value,
         )
 
     def refuse_waiting(self, code: ErrorCode, message: str) -> None:
@@ -198,11 +251,13 @@
     def estimate_run_time(self, class_name: str) -> float:
         """Return the expected run time of a request of a class in seconds."""
         average = self._class_service_times.get(class_name, self._service_time)
-        return average.value or DEFAULT_SERVICE_TIME_S
+        usual = average.value or DEFAULT_SERVICE_TIME_S
+        return usual * self.run_time_factor.value
 
     def _get_release_interval(self) -> float:
         """Return the mean seconds between two releases when all slots are in use."""
-        return (self._service_time.value or DEFAULT_SERVICE_TIME_S) / self.slots
+        usual = self._service_time.value or DEFAULT_SERVICE_TIME_S
+        return usual * self.run_time_factor.value / self.slots
 
     def _has_free_slot(self, request: CallRequest, now: float) -> bool:
         usable = self.slots
@@ -214,7 +269,7 @@
         return bool(self._queue) and self._queue[0].order[0] <= get_queue_rank(request)
 
     def _grant_slot(self, request: CallRequest, now: float) -> Grant:
-        grant = Grant(request.class_name, now)
+        grant = Grant(request.class_name, now, len(self._running) + 1)
         self._running.add(grant)
         return grant
 
--- a/packages/almondrouter/src/almondrouter/protocol/dialect.py
+++ b/packages/almondrouter/src/almondrouter/protocol/dialect.py
@@ -34,6 +34,25 @@
     headers: HeaderList
 
 
+@dataclass(frozen=True, slots=True)
+class BackendLoad:
+    """Load that a backend server reports with a response.
+
+    Parameters
+    ----------
+    running, waiting, slots
+        Requests that run and wait there, and number that it runs at once.
+    run_time_factor
+        How long work takes there at the moment, relative to its usual time; None if
+        it is not reported.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    run_time_factor: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseInfo:
     """Information from the headers of a backend server's response.
@@ -49,12 +68,15 @@
         body was not altered on the way.
     headers
         Headers to forward.
+    load
+        Load of the backend server; None if it is not reported or is malformed.
     """
 
     executed: bool
     misdirected: bool
     genuine: bool
     headers: HeaderList
+    load: BackendLoad | None = None
 
 
 class Dialect(ABC):
--- a/packages/almondrouter/src/almondrouter/state/occupancy.py
+++ b/packages/almondrouter/src/almondrouter/state/occupancy.py
@@ -21,7 +21,7 @@
 
     Parameters
     ----------
-    slots, in_use, queued, service_time, queued_by_rank
+    slots, in_use, queued, service_time, queued_by_rank, run_time_factor
         As in `Load`, from the last report; ``slots`` is 0 before the first report.
     reported_at
         Monotonic time of the report in seconds.
@@ -39,6 +39,12 @@
     reported_at: float = 0.0
     in_flight: int = 0
     started_since_report: int = 0
+    run_time_factor: float = 1.0
+
+    @property
+    def usual_service_time(self) -> float:
+        """Service time in seconds without what slows the host down at the moment."""
+        return self.service_time / self.run_time_factor
 
     def weight(
         self, now: float, *, half_life: float = REPORT_HALF_LIFE_SECONDS
@@ -128,6 +134,7 @@
         service_time: float,
         now: float,
         queued_by_rank: tuple[int, ...] = (),
+        run_time_factor: float = 1.0,
     ) -> None:
         """Store the load that the daemon on the backend server's host reports."""
         entry = self._entries.get(backend)
@@ -137,6 +144,7 @@
         entry.slots, entry.in_use, entry.queued = slots, in_use, queued
         entry.service_time = service_time
         entry.queued_by_rank = queued_by_rank
+        entry.run_time_factor = run_time_factor if run_time_factor > 0 else 1.0
         entry.reported_at = now
         entry.started_since_report = 0
 
--- a/packages/almondrouterd/src/almondrouterd/platform/headers.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/headers.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from http import HTTPStatus
 
 from almondrouter.protocol.calls import CallRequest, HeaderList
-from almondrouter.protocol.dialect import Dialect, RequestInfo, ResponseInfo
+from almondrouter.protocol.dialect import (
+    BackendLoad,
+    Dialect,
+    RequestInfo,
+    ResponseInfo,
+)
 from almondrouter.protocol.headers import HOP_BY_HOP_HEADERS
 
 ATTEMPT_ID = "attempt-id"
@@ -17,6 +23,9 @@
 CALLER_SERVICE = "caller-service"
 KEY = "key"
 TENANT = "tenant-id"
+LOAD = "instance-load"
+"""Holds running, waiting, slots and, from some instances, how long work takes at the
+moment in hundredths of its usual time, separated by commas."""
 
 _SET_BY_DAEMON = frozenset({TIME_LEFT_MS, EXPECTED_BACKEND, CALLER_SERVICE})
 _CREDENTIALS = frozenset({KEY, TENANT})
@@ -25,6 +34,7 @@
 """Separates the parent's id from a nested call's own part in an attempt id. In practice
 nested ids extend the parent's, but the platform does not document it, so no guarantee
 depends on the parent id: it only affects scheduling and retry budgets."""
+_LOAD = re.compile(r"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,5}))?", re.ASCII)
 MAX_TIME_LEFT_MS = 3_600_000
 """Milliseconds to which a longer time in a request's header is reduced."""
 
@@ -77,6 +87,7 @@
             misdirected=misdirected,
             genuine=SIGNATURE in found and "content-encoding" not in found,
             headers=drop_headers(headers, HOP_BY_HOP_HEADERS),
+            load=parse_load(found.get(LOAD, "")),
         )
 
     def is_response_to(  # noqa: D102
@@ -95,6 +106,19 @@
     return min(int(text), MAX_TIME_LEFT_MS) / 1000
 
 
+def parse_load(text: str) -> BackendLoad | None:
+    """Return the load that a header reports, or None if it is malformed."""
+    found = _LOAD.fullmatch(text.replace(" ", ""))
+    if found is None:
+        return None
+    running, waiting, slots = (int(found[i]) for i in (1, 2, 3))
+    hundredths = int(found[4] or 0)
+    if not slots:
+        return None
+    factor = hundredths / 100 if hundredths else None
+    return BackendLoad(running, waiting, slots, factor)
+
+
 def drop_headers(headers: HeaderList, dropped: frozenset[str]) -> HeaderList:
     """Return the headers without `dropped` and the names that `Connection` lists."""
     for name, value in headers:
--- a/tests/test_coordination_localbackend.py
+++ b/tests/test_coordination_localbackend.py
@@ -260,6 +260,28 @@
         self.backend.apply_announcement(make_entry())
         self.assertEqual(200, (await self.backend.run(self.request())).status)
 
+    async def test_full_server_that_refuses_a_connection_stays_in_use(self):
+        """Guards against taking a server for ended because it accepts no more."""
+        refused = CallError(ErrorCode.NO_BACKEND, "refused")
+        refused.__cause__ = ConnectionRefusedError()
+        answer = BackendResponse(200, (*SIGNED, ("instance-load", "1,0,2,300")), b"")
+        self.sender.script = [answer, answer, refused]
+        slots = msgspec.structs.replace(make_entry(), slots=2)
+        self.backend.apply_announcement(slots)
+        reply = await self.backend.handle_call(self.request())
+        self.assertEqual((2, 3.0), (reply.load.slots, reply.load.run_time_factor))
+        self.sender.release.clear()
+        calls = [self.backend.handle_call(self.request()) for _ in range(2)]
+        runs = asyncio.gather(*calls)
+        while len(self.sender.sent) < 3:
+            await asyncio.sleep(0)
+        self.sender.release.set()
+        codes = [(reply.code, reply.outcome) for reply in await runs]
+        not_run = (ErrorCode.OVERLOADED.value, Outcome.NOT_RUN)
+        self.assertEqual([("", Outcome.COMPLETE), not_run], codes)
+        self.assertEqual(READY, self.backend.entry.state)
+        self.assertEqual(1, self.backend.load.slots)
+
     @parameterized.expand(
         [
             ("older start", make_entry(started=0, state=LEAVING), READY),
--- a/tests/test_coordination_placement.py
+++ b/tests/test_coordination_placement.py
@@ -136,6 +136,14 @@
         self.unreachable = {"near", "beside", "far"}
         self.assertEqual(NEAR, self.choose())
 
+    def test_server_that_is_slow_at_the_moment(self):
+        """Guards against run times that are expected as if hosts were never busy."""
+        for other, factor in ((NEAR, 3.0), (BESIDE, 1.0)):
+            self.report(other, load=Load(10, 0, 0, 0.1 * factor, (), 0.0, factor))
+        self.assertEqual(BESIDE, self.choose(among=(NEAR, BESIDE)))
+        self.clock.advance(20)
+        self.assertEqual(NEAR, self.choose(among=(NEAR, BESIDE)))
+
     def test_old_report_does_not_look_idle(self):
         """Guards against bursts to a server only because its last report is old."""
         full = make_destination("full", data_centre="here-3")
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -10,6 +10,7 @@
 from parameterized import parameterized
 
 from almondrouter.errors import AlmondError, ErrorCode, FindingsError
+from almondrouter.protocol.dialect import BackendLoad
 from almondrouter.state.hosts import ServingState
 from almondrouterd.platform.configuration import decode_routes
 from almondrouterd.platform.headers import PlatformDialect
@@ -298,6 +299,19 @@
         found = (answer.executed, answer.misdirected, answer.genuine)
         self.assertEqual(tuple(map(bool, expected)), found)
 
+    @parameterized.expand(
+        [
+            ("3,0,8", BackendLoad(3, 0, 8)),
+            ("3, 0, 8, 140", BackendLoad(3, 0, 8, 1.4)),
+            *((text, None) for text in ("", "3", "3,0", "-1,0,8", "3,0,0", "a,b,c")),
+            *((text, None) for text in ("3,0,8,", "3,0,8,1e9", "\u0663,0,8", "9" * 99)),
+        ]
+    )
+    def test_load(self, text, expected):
+        """Guards against loads that are read from malformed headers."""
+        answer = self.dialect.read_response(200, (("instance-load", text),))
+        self.assertEqual(expected, answer.load)
+
     @parameterized.expand(
         [
             ("own", False, True),
