Send long replies in paced parts

Cause: a long reply went to its connection at once, so that short frames of the same host, most of all replies of nested calls, waited behind it on the host's link: 430 ms behind a body of 540 KB at 10 Mbit/s.

Bodies over 16 KB now leave in ReplyPart frames of 6.5 ms each to peers whose calls have accepts_parts. One scheduler of the host paces them over all connections at 0.95 of the link's rate; every other byte leaves at once and is charged to the same bucket. A body whose parts do not fit together fails its call with unknown outcome.

--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
@@ -0,0 +1,80 @@
+"""Sends the parts of all long responses of this host, paced over all connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from almondrouter.clock import Clock
+from almondrouter.coordination.transfers.budget import LinkBudget
+from almondrouter.coordination.transfers.queue import TransferQueue
+from almondrouter.transport.transfers import Transfer, TransferPacer
+
+MIN_TIMER_S = 0.001
+"""Shortest wait for the next part in seconds; event loops count in milliseconds."""
+
+
+class TransferScheduler(TransferPacer):
+    """Sends one part after the other as fast as the link carries them.
+
+    Connections have buffers of their own, so that a link is only shared in the intended
+    order if little is handed to them in advance.
+
+    Parameters
+    ----------
+    budget
+        Token bucket of the link; the connections charge it with all they send.
+    clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, budget: LinkBudget, clock: Clock) -> None:
+        self.budget = budget
+        self._clock = clock
+        self._queue = TransferQueue(budget.rate)
+        self._timer: asyncio.TimerHandle | None = None
+        self.counts: Counter[str] = Counter()
+
+    @property
+    def waiting_transfers(self) -> int:
+        """Number of transfers in progress."""
+        return len(self._queue)
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of all transfers that have yet to leave."""
+        return self._queue.waiting_bytes
+
+    @property
+    def part_bytes(self) -> int:
+        """Length of a part in bytes."""
+        return self.budget.part_bytes
+
+    def add(self, transfer: Transfer) -> None:  # noqa: D102
+        self.counts["started"] += 1
+        self._queue.add(transfer)
+        self.wake()
+
+    def discard(self, transfer: Transfer) -> None:  # noqa: D102
+        self._queue.discard(transfer)
+        self.counts["dropped" if transfer.remaining else "finished"] += 1
+
+    def wake(self) -> None:  # noqa: D102
+        if self._timer is None:
+            self._send_due()
+
+    def _send_due(self) -> None:
+        self._timer = None
+        while self._queue:
+            if wait := self.budget.wait:
+                loop = asyncio.get_running_loop()
+                self._timer = loop.call_later(max(wait, MIN_TIMER_S), self._send_due)
+                return
+            transfer = self._queue.choose(self._clock.monotonic())
+            if transfer is None:
+                # No connection takes a part; `wake` goes on.
+                return
+            self.counts["parts"] += 1
+            transfer.send_part(transfer, self.budget.part_bytes)
+            if not transfer.remaining:
+                self._queue.discard(transfer)
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -162,6 +162,8 @@
         Configuration version in force where the call ran; 0 if unknown.
     framed
         Whether the HTTP framing shows that the body is complete.
+    parts_bytes
+        Length of the body if it was sent before, as `ReplyPart` frames.
     """
 
     call_id: int
@@ -173,6 +175,7 @@
     load: Load | None
     version: int = 0
     framed: bool = True
+    parts_bytes: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -308,12 +311,33 @@
     key: str = ""
 
 
+class ReplyPart(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Part of the body of a `CallReply`, which follows the last part.
+
+    Sent only for calls with ``accepts_parts``. Parts are sent in order, without gaps.
+
+    Parameters
+    ----------
+    size
+        Length of the whole body in bytes.
+    offset
+        Bytes of the body before this part.
+    data
+        The part; not empty.
+    """
+
+    call_id: int
+    size: int
+    offset: int
+    data: bytes
+
+
 Notice = HostNotice | RoutesNotice
 """Frames without a reply that a daemon pushes to its peers."""
 
 LinkRequest = CallRequest | ClaimQuery | RoutesQuery | BodyOffer
 """Frames that the receiver answers with a `CallReply`."""
 
-CallFrame = Hello | Ping | Pong | LinkRequest | CallReply | Cancel | Notice
+CallFrame = Hello | Ping | Pong | LinkRequest | CallReply | Cancel | Notice | ReplyPart
 
 CALL_CODEC: Codec[CallFrame] = Codec(CallFrame, max_bytes=MAX_CALL_FRAME_BYTES)
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -73,6 +73,9 @@
         of this module.
     find_request_id
         Returns the id of a request from its headers, for log lines.
+    on_sent
+        Called with the length of each response that leaves, and the IP address of its
+        caller.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         clock: Clock | None = None,
         limits: Callable[[], CallerLimits] | None = None,
         find_request_id: Callable[[HeaderList], str] = lambda headers: "",
+        on_sent: Callable[[int, str], None] = lambda size, peer: None,
     ) -> None:
         super().__init__(address)
         default = CallerLimits(
@@ -95,6 +99,7 @@
         self.version = version
         self.clock = clock or SystemClock()
         self.find_request_id = find_request_id
+        self.on_sent = on_sent
         self.framing = FramingHistory(self.clock)
         self.connections: set[CallerConnection] = set()
         self.draining = False
@@ -414,7 +419,9 @@
             # must not end in order before all is written.
             self._transport.set_write_buffer_limits(high=0)
             set_reset_on_close(self._transport, enabled=True)
-        self._transport.write(encode_response(response, keep_alive=keep_alive))
+        data = encode_response(response, keep_alive=keep_alive)
+        self._server.on_sent(len(data), self._reader.peer)
+        self._transport.write(data)
         if not response.framed and not self.is_writing:
             set_reset_on_close(self._transport, enabled=False)
 
--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -93,12 +93,26 @@
 
 @dataclass(slots=True)
 class FrameTraffic:
-    """Frames and bytes on all links of one side of a daemon."""
+    """Frames and bytes on all links of one side of a daemon.
+
+    Parameters
+    ----------
+    on_sent
+        Called with the length of each frame that leaves.
+    """
 
     frames_sent: int = 0
     frames_received: int = 0
     bytes_sent: int = 0
     bytes_received: int = 0
+    on_sent: Callable[[int], None] | None = None
+
+    def record_sent(self, size: int) -> None:
+        """Count a frame that leaves."""
+        self.frames_sent += 1
+        self.bytes_sent += size
+        if self.on_sent is not None:
+            self.on_sent(size)
 
 
 class FrameStream(asyncio.Protocol):
@@ -147,6 +161,8 @@
         self._on_end: Callable[[Exception], None] = self._unread_frames.put_nowait
         self._writable = asyncio.Event()
         self._writable.set()
+        self.on_writable: Callable[[], None] | None = None
+        """Called when the connection becomes writable again."""
         self._closed = asyncio.Event()
         self._handshake_done = False
         self._ended = False
@@ -238,8 +254,7 @@
         data = CALL_CODEC.encode(frame)
         if self._transport.is_closing():
             return
-        self._traffic.frames_sent += 1
-        self._traffic.bytes_sent += _LENGTH_BYTES + len(data)
+        self._traffic.record_sent(_LENGTH_BYTES + len(data))
         self._transport.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
 
     @property
@@ -382,6 +397,8 @@
 
     def resume_writing(self) -> None:  # noqa: D102
         self._writable.set()
+        if self.on_writable is not None:
+            self.on_writable()
 
     def data_received(self, data: bytes) -> None:  # noqa: D102
         self._last_received_at = self._clock.monotonic()
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -42,6 +42,9 @@
 )
 from almondrouter.transport.listeners import Listener, run_periodically
 from almondrouter.transport.outbound_link import OutboundLink
+from almondrouter.transport.parts import MAX_PARTED_BYTES, is_parted, send_body
+from almondrouter.transport.receivebudget import ReceiveBudget
+from almondrouter.transport.transfers import TransferPacer
 
 CONNECT_TIMEOUT_S = 1.0
 """Least time limit for connecting to a daemon, including the handshake.
@@ -133,6 +136,8 @@
         Called with each call that its sender cancels. Returns whether the handler
         will now reply that the call has not run; otherwise the handler is cancelled.
         Body offers are always cancelled, as they never run.
+    pacer
+        Sends long bodies in parts; if None, they are sent at once.
 
     Notes
     -----
@@ -151,7 +156,9 @@
         policy: LinkPolicy | None = None,
         on_notice: Callable[[Notice], None] | None = None,
         withdraw: Callable[[LinkRequest], bool] = lambda request: False,
+        pacer: TransferPacer | None = None,
     ) -> None:
+        self._pacer = pacer
         self._on_notice = on_notice
         self._withdraw = withdraw
         self._policy = policy or LinkPolicy()
@@ -205,13 +212,16 @@
                 link.stream.close()
 
     def _make_stream(self) -> FrameStream:
-        return FrameStream(
+        stream = FrameStream(
             self._clock,
             on_connect=self._serve_link,
             max_silence=self._policy.max_inbound_silence,
             ping_interval=self._policy.ping_interval,
             traffic=self.traffic,
         )
+        if self._pacer is not None:
+            stream.on_writable = self._pacer.wake
+        return stream
 
     async def _serve_link(self, stream: FrameStream) -> None:
         """Run the handshake, then handle the frames of the link as they arrive."""
@@ -303,6 +313,8 @@
     async def _answer_call(self, link: _InboundLink, request: LinkRequest) -> None:
         try:
             reply = await self._handle_call(request)
+            if self._pacer is not None and is_parted(request, reply):
+                reply = await send_body(self._pacer, link.stream, request, reply)
             if not link.stream.is_writable:
                 # The call stays open meanwhile, so that a silent caller is noticed.
                 await link.stream.wait_writable()
@@ -385,6 +397,7 @@
         self._hello = hello
         self._clock = clock
         self._deadlines = Deadlines(clock)
+        self._parts_budget = ReceiveBudget(MAX_PARTED_BYTES)
         self._links: dict[str, OutboundLink] = {}
         self._silent_links: set[OutboundLink] = set()
         self._probed: Collection[str] | None = None
@@ -617,7 +630,9 @@
             if stream is not None:
                 stream.close()
             raise
-        link = OutboundLink(stream, self._clock, self._deadlines, self.counts)
+        link = OutboundLink(
+            stream, self._clock, self._deadlines, self.counts, self._parts_budget
+        )
         self._links[link_key] = link
         self._send_own_notice(link_key)
         stream.set_callbacks(
--- a/packages/almondrouter/src/almondrouter/transport/outbound_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/outbound_link.py
@@ -15,13 +15,17 @@
 from almondrouter.protocol.calls import (
     CallFrame,
     CallReply,
+    CallRequest,
     Cancel,
     LinkRequest,
+    ReplyPart,
 )
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import FrameStream
+from almondrouter.transport.parts import PartedBody
+from almondrouter.transport.receivebudget import ReceiveBudget
 
 REPLY_GRACE_S = 0.1
 """Time that a call waits for its reply beyond the deadline.
@@ -38,6 +42,7 @@
     reply: asyncio.Future[CallReply]
     abandon_silent: Callable[[], bool]
     sent: bool = False
+    body: PartedBody | None = None
 
 
 class OutboundLink:
@@ -53,6 +58,8 @@
         Timer that is shared by the calls of all links.
     counts
         Event counters, shared by all links of the pool.
+    parts_budget
+        Memory for bodies that are received in parts, shared as well.
     """
 
     def __init__(
@@ -61,7 +68,9 @@
         clock: Clock,
         deadlines: Deadlines,
         counts: Counter[str],
+        parts_budget: ReceiveBudget,
     ) -> None:
+        self._parts_budget = parts_budget
         self.stream = stream
         self.used_at = clock.monotonic()
         self.pending: dict[int, _PendingCall] = {}
@@ -93,7 +102,7 @@
                 async with asyncio.timeout(deadline - self._clock.monotonic()):
                     await self.stream.wait_writable()
             self._check_sendable(request.deadline)
-            self.stream.send(msgspec.structs.replace(request, call_id=call_id))
+            self.stream.send(_number_request(request, call_id))
             call.sent = True
             self._deadlines.add(future, deadline)
             return await future
@@ -104,6 +113,8 @@
         finally:
             self.used_at = self._clock.monotonic()
             self.pending.pop(call_id, None)
+            if call.body is not None:
+                call.body.release()
             self._deadlines.discard(future)
             if not self.pending and not self._lost:
                 self.stream.set_patient(False)
@@ -181,17 +192,21 @@
         return CallError(ErrorCode.PEER_TIMEOUT, message, outcome=Outcome.UNKNOWN)
 
     def handle_frame(self, frame: CallFrame) -> None:
-        """Complete the call that a reply belongs to.
+        """Complete the call that a reply belongs to, or take a part of its body.
 
         Notes
         -----
-        A reply without a pending call is discarded and counted as late.
+        A reply or part without a pending call is discarded and counted as late. A body
+        whose parts do not fit together fails its call: the request has run.
 
         Raises
         ------
         AlmondError
-            ``frame_malformed`` if the frame is not a reply.
+            ``frame_malformed`` if the frame is neither a reply nor a part.
         """
+        if isinstance(frame, ReplyPart):
+            self._take_part(frame)
+            return
         if not isinstance(frame, CallReply):
             raise AlmondError(
                 ErrorCode.FRAME_MALFORMED, f"unexpected {type(frame).__name__} frame"
@@ -200,7 +215,36 @@
         if call is None or call.reply.done():
             self._counts["late"] += 1
             return
-        call.reply.set_result(frame)
+        if call.body is None and not frame.parts_bytes:
+            call.reply.set_result(frame)
+            return
+        body = call.body or PartedBody(self._parts_budget)
+        try:
+            call.reply.set_result(body.complete(frame))
+        except ValueError as error:
+            self._fail_body(call, error)
+
+    def _take_part(self, part: ReplyPart) -> None:
+        call = self.pending.get(part.call_id)
+        if call is None or call.reply.done():
+            self._counts["late_parts"] += 1
+            return
+        if call.body is None:
+            call.body = PartedBody(self._parts_budget)
+        try:
+            call.body.add(part)
+        except ValueError as error:
+            self._fail_body(call, error)
+
+    def _fail_body(self, call: _PendingCall, error: ValueError) -> None:
+        self._counts["bodies_broken"] += 1
+        call.reply.set_exception(ConnectionResetError(str(error)))
+
+
+def _number_request(request: LinkRequest, call_id: int) -> LinkRequest:
+    if isinstance(request, CallRequest):
+        return msgspec.structs.replace(request, call_id=call_id, accepts_parts=True)
+    return msgspec.structs.replace(request, call_id=call_id)
 
 
 def has_result(future: asyncio.Future) -> bool:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -30,6 +30,8 @@
 from almondrouter.coordination.restarts import run_with_restart
 from almondrouter.coordination.storefeed import StoreFeed
 from almondrouter.coordination.tenants.admission import TenantAdmission
+from almondrouter.coordination.transfers.budget import LinkBudget
+from almondrouter.coordination.transfers.scheduler import TransferScheduler
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger, LineWriter
@@ -223,6 +225,11 @@
 
     def _build_calls(self) -> None:
         settings, clock = self.settings, self._clock
+        self._link_budget = LinkBudget(
+            bytes_per_second=settings.link_bytes_per_second, clock=clock
+        )
+        self.links.traffic.on_sent = self._link_budget.charge
+        self.transfers = TransferScheduler(self._link_budget, clock)
         self.backend_client = BackendClient(
             settings.backend_address,
             connections=MAX_BACKEND_CONNECTIONS,
@@ -289,6 +296,7 @@
             clock=clock,
             limits=self._get_caller_limits,
             find_request_id=self._find_request_id,
+            on_sent=self._charge_response,
         )
         self.link_server = CallLinkServer(
             address=settings.peer_address,
@@ -298,7 +306,9 @@
             policy=LINK_POLICY,
             on_notice=self._peers.handle_notice,
             withdraw=self.backend.withdraw,
+            pacer=self.transfers,
         )
+        self.link_server.traffic.on_sent = self._link_budget.charge
         self._ready_server = self._make_internal_server(
             settings.ready_address, self._handle_ready
         )
@@ -493,6 +503,11 @@
         bounds = self.settings.revocation
         return not bounds.strict or self._peers.hears_of_routes(within=bounds.within)
 
+    def _charge_response(self, size: int, peer: str) -> None:
+        if peer != self.settings.ip:
+            # Responses to the backend server of this host do not leave it.
+            self._link_budget.charge(size)
+
     def _get_caller_limits(self) -> CallerLimits:
         table = self.routes.table
         return table.limits if table is not None else CallerLimits()
