Admit long responses by what the link carries

Cause: requests with long responses took slots although their responses could not arrive by their deadlines, and placement did not know the links of hosts.

TransferAdmission refuses, before a slot is taken, what cannot arrive by the deadline behind the transfers that wait and the responses that are expected (moving average by route). Load.link_wait is reported and added to the expected wait and to max_wait of routes with long responses; their length replaces the assumed share in the cost of distance.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -21,6 +21,7 @@
 from almondrouter.coordination.pending import PendingRequest, make_demand, make_offer
 from almondrouter.coordination.routing import LoadBalancingPolicy
 from almondrouter.coordination.tenants.admission import Admitted, TenantAdmission
+from almondrouter.coordination.transfers.sizes import ResponseSizes
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
@@ -162,6 +163,7 @@
         self._on_finished = on_finished
         self._patience = CallerPatience(clock)
         self._demand = DemandMonitor(clock)
+        self._response_sizes = ResponseSizes()
         self._answers_until = math.inf
         self._refuses_new = False
 
@@ -257,6 +259,7 @@
         if not nested:
             self._retry_budget.record_request(service)
         pending = PendingRequest(info, route, service, call, now)
+        pending.response_bytes = self._response_sizes.expect(route.name)
         if not nested:
             pending.mark_if_overdue(now)
         return pending
@@ -487,6 +490,7 @@
         elapsed = self._clock.monotonic() - pending.arrived_at
         self._on_finished(pending.route.name, reply.outcome, reply.code, elapsed)
         if reply.outcome is Outcome.COMPLETE and not is_server_error(reply):
+            self._response_sizes.record(pending.route.name, len(reply.body))
             return
         condemned = reply.code == ErrorCode.CONDEMNED.value
         if not pending.call.nested and not condemned:
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -19,6 +19,7 @@
 from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.quarantine import compute_fingerprint
 from almondrouter.coordination.slots import Grant, SlotQueue
+from almondrouter.coordination.transfers.admission import TransferAdmission
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
 from almondrouter.protocol.calls import (
@@ -91,6 +92,8 @@
         Refuses requests that crash backend servers.
     on_changed
         Called after `entry` or `departure` has changed.
+    transfers
+        Admits requests with long responses; if None, all are admitted.
     """
 
     def __init__(
@@ -102,7 +105,9 @@
         intake: BodyIntake,
         guard: CrashGuard,
         on_changed: Callable[[], None],
+        transfers: TransferAdmission | None = None,
     ) -> None:
+        self._transfers = transfers
         self._intake = intake
         self._guard = guard
         self._sender = sender
@@ -256,7 +261,7 @@
             will not run later.
         """
         try:
-            return await self._run_request(request)
+            return await self._run_admitted(request)
         except CallError as error:
             if error.code in _UNLOGGED_CODES:
                 raise
@@ -278,6 +283,17 @@
             )
             raise
 
+    async def _run_admitted(self, request: CallRequest) -> CallReply:
+        """Run a request if the link can carry its response in time."""
+        if self._transfers is None:
+            return await self._run_request(request)
+        self._check_destination(request)
+        run_time = self.queue.estimate_run_time(request.class_name)
+        with self._transfers.admit(request, run_time=run_time):
+            reply = await self._run_request(request)
+        self._transfers.record(request.class_name, len(reply.body))
+        return reply
+
     async def _run_request(self, request: CallRequest) -> CallReply:
         self._check_destination(request)
         fingerprint = make_fingerprint(request)
@@ -315,7 +331,10 @@
         """Current load; None if the backend server accepts no work."""
         if self.entry is None or self.entry.state is not ServingState.READY:
             return None
-        return self.queue.load()
+        load = self.queue.load()
+        if self._transfers is None:
+            return load
+        return msgspec.structs.replace(load, link_wait=self._transfers.link_wait)
 
     def _finish_run(
         self, run: asyncio.Task[CallReply], queue: SlotQueue, grant: Grant
--- a/packages/almondrouter/src/almondrouter/coordination/pending.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pending.py
@@ -47,6 +47,8 @@
         Names of the backend servers that are not to be tried again.
     retry
         Destination of the next attempt, if the retry budget has granted it already.
+    response_bytes
+        Expected length of the response if the route's responses are long, else 0.
     """
 
     info: RequestInfo
@@ -60,6 +62,7 @@
     corrections: int = 0
     excluded: set[str] = field(default_factory=set)
     retry: Destination | None = None
+    response_bytes: int = 0
 
     def mark_if_overdue(self, now: float) -> None:
         """Let a request wait behind others if it can hardly be on time any more."""
@@ -83,6 +86,7 @@
         pending.route.target_latency,
         call.rank + call.overdue,
         call.useful_until - now,
+        pending.response_bytes,
     )
 
 
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -40,8 +40,8 @@
 request is worth."""
 SAME_REGION_RESPONSE_COST_SHARE = 0.03
 OTHER_REGION_RESPONSE_COST_SHARE = 0.2
-"""Cost of the response's transfer, as a share of the target latency, because the
-length of the response is unknown in advance. The two shares are in proportion to the
+"""Cost of the response's transfer, as a share of the target latency, unless the
+responses of the route are known to be long. The two shares are in proportion to the
 price of traffic."""
 SAME_REGION_EXTRA_WAIT_S = 0.02
 OTHER_REGION_EXTRA_WAIT_S = 0.08
@@ -273,7 +273,7 @@
         return self._random.sample(members, SAMPLES_PER_TIER)
 
     def _compute_distance_cost(self, destination: Destination, demand: Demand) -> float:
-        megabytes = demand.body_bytes / 1e6
+        megabytes = (demand.body_bytes + demand.response_bytes) / 1e6
         if destination.host == self._host:
             return 0.0
         if destination.data_centre == self._data_centre:
@@ -281,11 +281,13 @@
         if destination.region == self._region:
             delay = SAME_REGION_ROUND_TRIP_S
             price = SAME_REGION_S_PER_MB * megabytes
-            price += SAME_REGION_RESPONSE_COST_SHARE * demand.target_latency
+            share = SAME_REGION_RESPONSE_COST_SHARE
         else:
             delay = OTHER_REGION_ROUND_TRIP_S
             price = OTHER_REGION_S_PER_MB * megabytes
-            price += OTHER_REGION_RESPONSE_COST_SHARE * demand.target_latency
+            share = OTHER_REGION_RESPONSE_COST_SHARE
+        if not demand.response_bytes:
+            price += share * demand.target_latency
         return delay * (NESTED_DISTANCE_FACTOR if demand.nested else 1.0) + price
 
     def _get_baseline(
@@ -347,6 +349,9 @@
         baseline_calls = baseline.occupancy * slots
         calls = entry.calls(now, rank=demand.rank, typical_calls=baseline_calls)
         wait = max(0.0, calls + 1 - slots) * run_time / slots
+        if demand.response_bytes:
+            # The link carries other responses while the request runs.
+            wait += max(0.0, entry.weight(now) * entry.link_wait - run_time)
         return _Estimate(wait, run_time, calls / slots)
 
 
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -48,6 +48,8 @@
         Rank of the route; 0 is served first.
     time_left
         Seconds from now after which a response is no longer useful.
+    response_bytes
+        Expected length of the response if the route's responses are long, else 0.
     """
 
     body_bytes: int
@@ -55,6 +57,7 @@
     target_latency: float
     rank: int
     time_left: float = float("inf")
+    response_bytes: int = 0
 
 
 class LoadBalancingPolicy(ABC):
@@ -198,6 +201,7 @@
                 now=now,
                 queued_by_rank=load.queued_by_rank,
                 run_time_factor=load.run_time_factor,
+                link_wait=load.link_wait,
             )
         return now
 
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
@@ -10,6 +10,9 @@
 from almondrouter.coordination.transfers.queue import TransferQueue
 from almondrouter.transport.transfers import Transfer, TransferPacer
 
+ONWARD_DELAY_S = 0.03
+"""Time in seconds from the last byte on this link until its daemon has it and passes it
+on to the caller; half a round trip to another region takes 20 ms."""
 MIN_TIMER_S = 0.001
 """Shortest wait for the next part in seconds; event loops count in milliseconds."""
 
@@ -40,18 +43,25 @@
         """Number of transfers in progress."""
         return len(self._queue)
 
-    @property
-    def waiting_bytes(self) -> int:
-        """Bytes of all transfers that have yet to leave."""
-        return self._queue.waiting_bytes
+    def count_bytes_by_rank(self) -> Counter[int]:
+        """Return the bytes that have yet to leave by rank."""
+        return self._queue.count_bytes_by_rank()
 
-    @property
-    def part_bytes(self) -> int:
-        """Length of a part in bytes."""
-        return self.budget.part_bytes
+    def estimate_onward_time(self, size: int) -> float:
+        """Return the seconds from the end of a transfer until the caller has it all.
+
+        Notes
+        -----
+        The daemon beside the caller sends the whole body over the link of its host,
+        which is taken to be as fast as this one.
+        """
+        return ONWARD_DELAY_S + size / self.budget.rate
 
     def add(self, transfer: Transfer) -> None:  # noqa: D102
         self.counts["started"] += 1
+        onward = self.estimate_onward_time(transfer.remaining)
+        transfer.useful_until -= onward
+        transfer.deadline -= onward
         self._queue.add(transfer)
         self.wake()
 
--- a/packages/almondrouter/src/almondrouter/state/occupancy.py
+++ b/packages/almondrouter/src/almondrouter/state/occupancy.py
@@ -21,7 +21,7 @@
 
     Parameters
     ----------
-    slots, in_use, queued, service_time, queued_by_rank, run_time_factor
+    slots, in_use, queued, service_time, queued_by_rank, run_time_factor, link_wait
         As in `Load`, from the last report; ``slots`` is 0 before the first report.
     reported_at
         Monotonic time of the report in seconds.
@@ -40,6 +40,7 @@
     in_flight: int = 0
     started_since_report: int = 0
     run_time_factor: float = 1.0
+    link_wait: float = 0.0
 
     @property
     def usual_service_time(self) -> float:
@@ -135,6 +136,7 @@
         now: float,
         queued_by_rank: tuple[int, ...] = (),
         run_time_factor: float = 1.0,
+        link_wait: float = 0.0,
     ) -> None:
         """Store the load that the daemon on the backend server's host reports."""
         entry = self._entries.get(backend)
@@ -145,6 +147,7 @@
         entry.service_time = service_time
         entry.queued_by_rank = queued_by_rank
         entry.run_time_factor = run_time_factor if run_time_factor > 0 else 1.0
+        entry.link_wait = link_wait
         entry.reported_at = now
         entry.started_since_report = 0
 
--- a/packages/almondrouter/src/almondrouter/transport/parts.py
+++ b/packages/almondrouter/src/almondrouter/transport/parts.py
@@ -10,7 +10,12 @@
 from almondrouter.protocol.headers import Outcome
 from almondrouter.transport.frames import FrameStream
 from almondrouter.transport.receivebudget import ReceiveBudget
-from almondrouter.transport.transfers import Transfer, TransferPacer, get_transfer_rank
+from almondrouter.transport.transfers import (
+    Transfer,
+    TransferPacer,
+    get_transfer_rank,
+    get_useful_until,
+)
 
 MIN_PARTED_BYTES = 16_384
 """Longest body that is sent at once; the link of a host carries one of this length in
@@ -53,7 +58,7 @@
     transfer = Transfer(
         rank=get_transfer_rank(request),
         remaining=len(body),
-        useful_until=request.useful_until or request.deadline,
+        useful_until=get_useful_until(request),
         deadline=request.deadline,
         send_part=send_part,
         is_writable=lambda: stream.is_writable,
--- a/packages/almondrouter/src/almondrouter/transport/transfers.py
+++ b/packages/almondrouter/src/almondrouter/transport/transfers.py
@@ -54,3 +54,16 @@
 def get_transfer_rank(request: CallRequest) -> int:
     """Return the rank of the response to a request."""
     return -1 if request.nested else request.rank
+
+
+def get_useful_until(request: CallRequest) -> float:
+    """Return the time until which the response to a request has its full value.
+
+    Notes
+    -----
+    That of an overdue request has passed. What the request tells instead is when its
+    caller can still use an error.
+    """
+    if request.overdue:
+        return 0.0
+    return request.useful_until or request.deadline
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -30,6 +30,7 @@
 from almondrouter.coordination.restarts import run_with_restart
 from almondrouter.coordination.storefeed import StoreFeed
 from almondrouter.coordination.tenants.admission import TenantAdmission
+from almondrouter.coordination.transfers.admission import TransferAdmission
 from almondrouter.coordination.transfers.budget import LinkBudget
 from almondrouter.coordination.transfers.scheduler import TransferScheduler
 from almondrouter.coordination.weights import TrafficSplitter
@@ -59,6 +60,7 @@
     register_call_metrics,
     register_link_metrics,
     register_state_metrics,
+    register_transfer_metrics,
 )
 from almondrouterd.metrics import DaemonMetrics
 from almondrouterd.peers import Peers
@@ -230,6 +232,7 @@
         )
         self.links.traffic.on_sent = self._link_budget.charge
         self.transfers = TransferScheduler(self._link_budget, clock)
+        self.transfer_admission = TransferAdmission(self.transfers, clock)
         self.backend_client = BackendClient(
             settings.backend_address,
             connections=MAX_BACKEND_CONNECTIONS,
@@ -249,6 +252,7 @@
                 on_crash=lambda start: self.backend.mark_crashed(start),
             ),
             on_changed=self._publish_backend_change,
+            transfers=self.transfer_admission,
         )
         self.retry_budget = FleetRetryBudget(
             settings.repeat_limits,
@@ -348,6 +352,9 @@
             callers=self.callers,
         )
         register_link_metrics(self._metrics, links=self.links, server=self.link_server)
+        register_transfer_metrics(
+            self._metrics, scheduler=self.transfers, admission=self.transfer_admission
+        )
         address = f"{self.settings.ip}:{self.settings.metrics_port}"
         self._metrics_server = self._make_internal_server(address, self._handle_metrics)
 
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -10,6 +10,8 @@
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.transfers.admission import TransferAdmission
+from almondrouter.coordination.transfers.scheduler import TransferScheduler
 from almondrouter.logs import LineWriter
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.links import CallLinkPool, CallLinkServer
@@ -112,6 +114,30 @@
     )
 
 
+def register_transfer_metrics(
+    metrics: DaemonMetrics,
+    *,
+    scheduler: TransferScheduler,
+    admission: TransferAdmission,
+) -> None:
+    """Register metrics of the long responses that leave over the link of the host."""
+    metrics.add_gauge(
+        "almond_transfer_waiting_bytes",
+        "Bytes of long responses that have yet to leave, by rank",
+        lambda: _read_counts(scheduler.count_bytes_by_rank(), "rank"),
+    )
+    metrics.add_gauge(
+        "almond_link_wait_seconds",
+        "Seconds until the link has carried what waits and what is expected",
+        lambda: make_unlabelled_samples(admission.link_wait),
+    )
+    metrics.add_counter(
+        "almond_transfer_events_total",
+        "Long responses admitted, refused, sent in parts and dropped",
+        lambda: _read_counts(scheduler.counts + admission.counts, "event"),
+    )
+
+
 def _read_traffic(
     sides: Mapping[str, CallLinkPool | CallLinkServer], unit: str
 ) -> Samples:
--- /dev/null
+++ b/tests/test_coordination_transfers.py
@@ -0,0 +1,280 @@
+"""Order, pacing and admission of long responses, in virtual time without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import unittest
+from contextlib import ExitStack
+
+import msgspec
+from parameterized import parameterized
+
+from almondrouter.clock import ManualClock
+from almondrouter.coordination.transfers.admission import TransferAdmission
+from almondrouter.coordination.transfers.budget import LINK_SHARE, LinkBudget
+from almondrouter.coordination.transfers.queue import TransferQueue
+from almondrouter.coordination.transfers.scheduler import TransferScheduler
+from almondrouter.coordination.transfers.sizes import MAX_ROUTES, ResponseSizes
+from almondrouter.errors import ErrorCode
+from almondrouter.protocol.outcomes import CallError
+from almondrouter.transport.transfers import Transfer, get_useful_until
+from almondrouter_standins.virtual_time import run_virtual
+from calls_support import make_request
+
+LINK_BYTES_PER_SECOND = 1_250_000.0
+"""A link of 10 Mbit/s."""
+MEAN_BYTES, MIN_BYTES, MAX_BYTES = 90_000, 400, 540_000
+TARGET_S, DEADLINE_S, RUN_S = 1.0, 3.6, 0.129
+LATE_VALUE = 0.3
+SHORT_BYTES, SHORT_INTERVAL_S = 600, 0.02
+"""Replies of nested calls that leave beside the transfers."""
+
+
+def make_transfer(remaining, *, rank=0, useful=9.0, deadline=9.0, writable=True):
+    """Return a transfer that sends nothing."""
+    return Transfer(
+        rank, remaining, useful, deadline, lambda t, n: None, lambda: writable
+    )
+
+
+class OrderTest(unittest.TestCase):
+    """Transfers on a link of 100 bytes per second, at time 0."""
+
+    @parameterized.expand(
+        [
+            ("urgent rank", [(100, {"rank": 1}), (900, {"rank": 0})], 1),
+            ("nested", [(100, {"rank": 0}), (900, {"rank": -1})], 1),
+            ("earliest", [(100, {"useful": 9}), (300, {"useful": 5})], 1),
+            ("longest left out", [(300, {"useful": 3}), (100, {"useful": 3.5})], 1),
+            ("late behind on time", [(100, {"useful": 0}), (400, {"useful": 5})], 1),
+            ("late before lower rank", [(200, {"useful": 0}), (9, {"rank": 1})], 0),
+            ("lost is last", [(200, {"deadline": 1}), (800, {"rank": 5})], 1),
+            ("shortest of the late", [(200, {"useful": 0}), (90, {"useful": 0})], 1),
+            ("unwritable", [(100, {"writable": False}), (900, {"rank": 3})], 1),
+            ("first of equals", [(100, {}), (100, {})], 0),
+        ]
+    )
+    def test_next_transfer(self, _, transfers, expected):
+        """Guards against an order in which the most valuable responses are late."""
+        queue = TransferQueue(rate=100.0)
+        added = [make_transfer(size, **options) for size, options in transfers]
+        for transfer in added:
+            queue.add(transfer)
+        self.assertIs(added[expected], queue.choose(0.0))
+
+    def test_no_writable_connection(self):
+        """Guards against parts for a receiver that does not read."""
+        queue = TransferQueue(rate=100.0)
+        queue.add(make_transfer(100, writable=False))
+        self.assertIsNone(queue.choose(0.0))
+
+    def test_overdue_request_has_no_time_of_full_value(self):
+        """Guards against taking the time limit of an overdue request for its target."""
+        request = msgspec.structs.replace(make_request(deadline=9.0), useful_until=5.0)
+        overdue = msgspec.structs.replace(request, overdue=True)
+        self.assertEqual(
+            (5.0, 0.0), (get_useful_until(request), get_useful_until(overdue))
+        )
+
+
+class SizesTest(unittest.TestCase):
+    """Expected sizes by route."""
+
+    def test_only_long_responses_are_expected(self):
+        """Guards against an admission that affects routes with short responses."""
+        sizes = ResponseSizes()
+        for size in (100, 200):
+            sizes.record("short", size)
+            sizes.record("long", size * 1_000)
+        expected = [sizes.expect(route) for route in ("short", "long", "unknown")]
+        self.assertEqual([0, 150_000, 0], expected)
+
+    def test_routes_are_bounded(self):
+        """Guards against memory that grows with each configuration."""
+        sizes = ResponseSizes()
+        for number in range(MAX_ROUTES + 1):
+            sizes.record(str(number), 100_000)
+        self.assertEqual(0, sizes.expect("0"))
+
+
+class Link:
+    """A link that carries bytes in the order in which they were handed to it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.budget = LinkBudget(bytes_per_second=LINK_BYTES_PER_SECOND, clock=clock)
+        self.free_at = 0.0
+        self.bytes = 0
+
+    def send(self, size):
+        """Hand over bytes; return the time at which the link has carried them."""
+        self.budget.charge(size)
+        self.bytes += size
+        self.free_at = max(self.free_at, self.clock.monotonic())
+        self.free_at += size / LINK_BYTES_PER_SECOND
+        return self.free_at
+
+
+class Replay:
+    """Requests with long responses of one server, and short frames beside them."""
+
+    def __init__(self, load, *, seed=1, seconds=30):
+        self.random = random.Random(seed)
+        self.clock = ManualClock(monotonic=0.0)
+        self.link = Link(self.clock)
+        self.scheduler = TransferScheduler(self.link.budget, self.clock)
+        self.admission = TransferAdmission(self.scheduler, self.clock)
+        self.rate = load * LINK_BYTES_PER_SECOND / MEAN_BYTES
+        self.seconds = seconds
+        self.arrivals = 0
+        self.values = {0: [], 1: [], 2: []}
+        self.refused = 0
+        self.short_delays = []
+
+    async def run(self):
+        short = asyncio.create_task(self.send_short_frames())
+        tasks = []
+        while self.clock.monotonic() < self.seconds:
+            await asyncio.sleep(self.random.expovariate(self.rate))
+            tasks.append(asyncio.create_task(self.serve(self.choose_size())))
+        await asyncio.gather(*tasks)
+        short.cancel()
+
+    def choose_size(self):
+        size = 0
+        while not MIN_BYTES <= size <= MAX_BYTES:
+            # The mean within the bounds is about 90 KB.
+            size = int(self.random.lognormvariate(math.log(MEAN_BYTES) - 0.4, 1.0))
+        return size
+
+    async def send_short_frames(self):
+        while True:
+            await asyncio.sleep(SHORT_INTERVAL_S)
+            delay = self.link.send(SHORT_BYTES) - self.clock.monotonic()
+            self.short_delays.append(delay)
+
+    async def serve(self, size):
+        began = self.clock.monotonic()
+        rank = self.random.choice((0, 1, 1, 2))
+        request = msgspec.structs.replace(
+            make_request(deadline=began + DEADLINE_S),
+            rank=rank,
+            useful_until=began + TARGET_S,
+        )
+        try:
+            with self.admission.admit(request, run_time=RUN_S):
+                await asyncio.sleep(self.random.gammavariate(4, RUN_S / 4))
+        except CallError:
+            self.refused += 1
+            self.values[rank].append(0.0)
+            return
+        self.admission.record(request.class_name, size)
+        arrived_at = await self.transfer(size, request)
+        elapsed = arrived_at - began
+        value = 1.0 if elapsed <= TARGET_S else LATE_VALUE
+        self.values[rank].append(value if elapsed <= DEADLINE_S else 0.0)
+
+    async def transfer(self, size, request):
+        arrived_at = asyncio.get_running_loop().create_future()
+
+        def send_part(transfer, limit):
+            sent = min(limit, transfer.remaining)
+            transfer.remaining -= sent
+            at = self.link.send(sent)
+            if not transfer.remaining:
+                arrived_at.set_result(at)
+
+        onward = self.scheduler.estimate_onward_time(size)
+        transfer = Transfer(
+            request.rank, size, request.useful_until, request.deadline, send_part
+        )
+        try:
+            self.scheduler.add(transfer)
+            async with asyncio.timeout(request.deadline - self.clock.monotonic()):
+                return await arrived_at + onward
+        except TimeoutError:
+            return math.inf
+        finally:
+            self.scheduler.discard(transfer)
+
+    @property
+    def mean_value(self):
+        values = [value for served in self.values.values() for value in served]
+        return sum(values) / len(values)
+
+
+class ReplayTest(unittest.TestCase):
+    """A link of 10 Mbit/s at 0.6, 1.0 and 1.5 times its rate."""
+
+    @parameterized.expand([(0.6, 0.95, 0.98), (1.0, 0.84, 0.98), (1.5, 0.64, 0.98)])
+    def test_value_and_delay_of_short_frames(self, load, value, urgent_value):
+        """Guards against overload that delays all responses, or short frames."""
+        replay = Replay(load)
+        run_virtual(replay.run(), replay.clock)
+        self.assertGreater(replay.mean_value, value)
+        urgent = replay.values[0]
+        self.assertGreater(sum(urgent) / len(urgent), urgent_value)
+        self.assertLess(max(replay.short_delays), 0.02)
+
+    def test_link_is_used_fully(self):
+        """Guards against pacing that leaves a part of the link idle under overload."""
+        replay = Replay(1.5)
+        run_virtual(replay.run(), replay.clock)
+        used = replay.link.bytes / LINK_BYTES_PER_SECOND / replay.clock.monotonic()
+        self.assertGreater(used, 0.9 * LINK_SHARE)
+
+
+class AdmissionTest(unittest.TestCase):
+    """A request whose response takes 0.5 s on a link with a given backlog."""
+
+    def setUp(self):
+        self.clock = ManualClock(monotonic=0.0)
+        budget = LinkBudget(
+            bytes_per_second=LINK_BYTES_PER_SECOND / LINK_SHARE, clock=self.clock
+        )
+        self.scheduler = TransferScheduler(budget, self.clock)
+        self.admission = TransferAdmission(self.scheduler, self.clock)
+        self.admission.record("long", 625_000)
+        self.admission.record("short", 1_000)
+
+    def admit(self, *, route="long", within=3.6, max_wait=-1.0, rank=1, nested=False):
+        request = msgspec.structs.replace(
+            make_request(deadline=within, class_name=route),
+            max_wait=max_wait,
+            rank=rank,
+            nested=nested,
+        )
+        return self.admission.admit(request, run_time=0.1)
+
+    @parameterized.expand(
+        [
+            ("idle", 0, {}, None),
+            ("arrives too late", 0, {"within": 1.1}, ErrorCode.OVERLOADED),
+            ("behind others", 6, {}, ErrorCode.OVERLOADED),
+            ("before less urgent ones", 6, {"rank": 0}, None),
+            ("nested", 6, {"nested": True}, None),
+            ("short route", 6, {"route": "short", "within": 0.1}, None),
+            ("wait below the limit", 1, {"max_wait": 0.5}, None),
+            ("busy", 1, {"max_wait": 0.3}, ErrorCode.BUSIER_THAN_EXPECTED),
+        ]
+    )
+    def test_admission(self, _, admitted, options, code):
+        """Guards against running what cannot arrive, and refusing what can."""
+        others = self.enterContext(ExitStack())
+        for _ in range(admitted):
+            others.enter_context(self.admit(within=99))
+        if code is None:
+            with self.admit(**options):
+                return
+        with self.assertRaises(CallError) as caught, self.admit(**options):
+            pass
+        self.assertEqual(code, caught.exception.code)
+
+    def test_end_of_a_request_frees_the_link(self):
+        """Guards against requests that failed and still count as waiting."""
+        with self.assertRaises(KeyError), self.admit():
+            self.assertAlmostEqual(0.5, self.admission.link_wait)
+            raise KeyError
+        self.assertEqual(0.0, self.admission.link_wait)
--- a/tests/test_transport_parts.py
+++ b/tests/test_transport_parts.py
@@ -93,7 +93,7 @@
         call.cancel()
         await wait_until(lambda: not self.scheduler.waiting_transfers)
         self.assertEqual(1, self.scheduler.counts["dropped"])
-        self.assertEqual(0, self.scheduler.waiting_bytes)
+        self.assertFalse(self.scheduler.count_bytes_by_rank())
 
     async def test_link_end_between_parts(self):
         """Guards against a cut body that passes for a whole or for one not run."""
