Divide the quotas of tenants among daemons

A tenant has a rate and a burst over all daemons, and no daemon sees more than its own requests. The owner of a group of tenants grants tokens to the daemons that report to it, with a quorum of them; daemons admit from these tokens. The modules have no sockets and are not wired yet.

--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
@@ -0,0 +1,277 @@
+"""Owner of the quotas of a group of tenants, which answers the reports of daemons."""
+
+from __future__ import annotations
+
+import functools
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from almondrouter.coordination.quotas.ledger import TenantLedger
+from almondrouter.coordination.quotas.ranking import rank_hosts
+from almondrouter.protocol.quotas import (
+    FleetUse,
+    QuotaGrant,
+    QuotaReport,
+    TenantGrant,
+)
+from almondrouter.state.bounds import QuotaBounds
+from almondrouter.state.tenants import TenantPolicy
+
+QUORUM_AGE_S = 0.7
+"""Seconds after a grant for which the daemon that confirmed it counts as reporting to
+this owner; less than the time for which daemons stay with an owner
+(`sessions.COMMITMENT_S`), so that no two owners have a quorum."""
+STANDBYS = 2
+"""Daemons that are told the use of all tenants: those that own the group next."""
+MAX_GRANTS_KEPT = 64
+"""Grants of each daemon whose times are remembered until they are confirmed."""
+LEDGER_IDLE_S = 120.0
+"""Seconds after the last report about a tenant at which its ledger is dropped."""
+
+
+@dataclass(slots=True)
+class _Member:
+    """A daemon that reports to this owner.
+
+    Parameters
+    ----------
+    incarnation
+        Start time of the daemon.
+    report
+        Number of its last report.
+    echo
+        Number of the last grant that it confirmed.
+    confirmed_at
+        Monotonic seconds at which that grant was sent.
+    reported_at
+        Monotonic seconds of its last report.
+    sent
+        Numbers and times of grants that it has not confirmed.
+    unconfirmed
+        Tenants in the grants since.
+    """
+
+    incarnation: int
+    report: int = 0
+    echo: int = 0
+    confirmed_at: float = -math.inf
+    reported_at: float = -math.inf
+    unconfirmed: set[str] = field(default_factory=set)
+    sent: deque[tuple[int, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_GRANTS_KEPT)
+    )
+
+    def confirm(self, echo: int) -> None:
+        """Enter the number of the last grant that the daemon has received."""
+        while self.sent and self.sent[0][0] <= echo:
+            number, sent_at = self.sent.popleft()
+            if number == echo:
+                self.echo, self.confirmed_at = number, sent_at
+
+
+class QuotaOwner:
+    """Divides the quotas of one group of tenants among the daemons that report.
+
+    Parameters
+    ----------
+    host, group
+        Name of this host, and the group.
+    bounds
+        Bounds of the deployment.
+    find_policy
+        Returns the policy of a tenant in force; None if it has no limit.
+    list_hosts
+        Returns the hosts whose daemons take part in quotas.
+    first_number
+        Number of the first grant, random, so that a daemon does not confirm a grant of
+        an earlier process of this host.
+    starts_full_until
+        Monotonic seconds until which no other owner can have granted anything.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        group: str,
+        *,
+        bounds: QuotaBounds,
+        find_policy: Callable[[str], TenantPolicy | None],
+        list_hosts: Callable[[], frozenset[str]],
+        first_number: int,
+        starts_full_until: float,
+    ) -> None:
+        self._host = host
+        self._group = group
+        self._bounds = bounds
+        self._find_policy = find_policy
+        self._list_hosts = list_hosts
+        self._number = first_number
+        self._members: dict[str, _Member] = {}
+        self._ledgers: dict[str, TenantLedger] = {}
+        self._tight: set[str] = set()
+        self._owned_since: float | None = None
+        self._find_standbys = functools.lru_cache(maxsize=1)(self._list_standbys)
+        self._starts_full_until = starts_full_until
+
+    def count_members(self, now: float) -> int:
+        """Return the daemons that report to this owner."""
+        oldest = now - QUORUM_AGE_S
+        return sum(m.confirmed_at > oldest for m in self._members.values())
+
+    def has_quorum(self, now: float) -> bool:
+        """Return whether most of the daemons report to this owner."""
+        oldest = now - QUORUM_AGE_S
+        hosts = self._list_hosts()
+        members = sum(
+            host in hosts and member.confirmed_at > oldest
+            for host, member in self._members.items()
+        )
+        return 2 * members > len(hosts)
+
+    def handle_report(
+        self, report: QuotaReport, now: float, *, other_owner: str = ""
+    ) -> QuotaGrant | None:
+        """Enter a report and return the grant; None if a later report is known.
+
+        Parameters
+        ----------
+        other_owner
+            Host that this daemon knows to own the group; empty if it knows none.
+        """
+        member = self._find_member(report)
+        if member is None:
+            return None
+        member.report, member.reported_at = report.number, now
+        member.confirm(report.echo)
+        key = (report.host, report.incarnation)
+        self._acknowledge(member, report, key, now)
+        self._number += 1
+        member.sent.append((self._number, now))
+        has_quorum = self._update_quorum(now)
+        self._record_uses(report, key, now)
+        grants: list[TenantGrant] = []
+        told: tuple[FleetUse, ...] = ()
+        if has_quorum:
+            grants = self._grant_all(report, key, now)
+            grants += self._recall_idle(report, key, now)
+            member.unconfirmed |= {grant.tenant for grant in grants}
+            told = self._tell_standby(report, now)
+        return QuotaGrant(
+            self._host,
+            self._group,
+            self._number,
+            report.number,
+            has_quorum,
+            tuple(grants),
+            "" if has_quorum else other_owner,
+            told,
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget the tenants and daemons that nothing has been heard of for long."""
+        for tenant, ledger in list(self._ledgers.items()):
+            if now - ledger.last_report_at > LEDGER_IDLE_S:
+                del self._ledgers[tenant]
+                self._tight.discard(tenant)
+        for host, member in list(self._members.items()):
+            if now - member.reported_at > LEDGER_IDLE_S:
+                del self._members[host]
+
+    def _acknowledge(
+        self, member: _Member, report: QuotaReport, key: tuple[str, int], now: float
+    ) -> None:
+        """Enter that a daemon has replaced its allowances for idle tenants."""
+        if not member.unconfirmed or report.echo != member.echo:
+            return
+        for tenant in member.unconfirmed.difference(use.tenant for use in report.uses):
+            if tenant in self._ledgers:
+                self._ledgers[tenant].acknowledge(key, report.echo, now)
+        if not member.sent:
+            member.unconfirmed.clear()
+
+    def _find_member(self, report: QuotaReport) -> _Member | None:
+        member = self._members.get(report.host)
+        if member is None or member.incarnation < report.incarnation:
+            member = self._members[report.host] = _Member(report.incarnation)
+        is_late = report.number <= member.report
+        return None if is_late or member.incarnation > report.incarnation else member
+
+    def _update_quorum(self, now: float) -> bool:
+        """Return whether there is a quorum; note since when."""
+        if not self.has_quorum(now):
+            self._owned_since = None
+            return False
+        if self._owned_since is None:
+            is_full = now < self._starts_full_until
+            self._owned_since = -math.inf if is_full else now
+        return True
+
+    def _record_uses(
+        self, report: QuotaReport, key: tuple[str, int], now: float
+    ) -> None:
+        for use in report.uses:
+            ledger = self._ledgers.get(use.tenant)
+            if ledger is None:
+                ledger = self._ledgers[use.tenant] = TenantLedger(self._bounds)
+            ledger.record(key, use, echo=report.echo, is_first=report.is_first, now=now)
+
+    def _grant_all(
+        self, report: QuotaReport, key: tuple[str, int], now: float
+    ) -> list[TenantGrant]:
+        grants = []
+        owned_for = math.inf if self._owned_since is None else now - self._owned_since
+        for use in report.uses:
+            policy = self._find_policy(use.tenant)
+            if policy is None:
+                continue
+            ledger = self._ledgers[use.tenant]
+            grants.append(
+                ledger.grant(
+                    key,
+                    use.tenant,
+                    policy,
+                    number=self._number,
+                    owned_for=owned_for,
+                    now=now,
+                )
+            )
+            if ledger.is_tight:
+                self._tight.add(use.tenant)
+            else:
+                self._tight.discard(use.tenant)
+        return grants
+
+    def _tell_standby(self, report: QuotaReport, now: float) -> tuple[FleetUse, ...]:
+        """Return the use of all tenants, if the daemon is a standby.
+
+        Notes
+        -----
+        A new owner then knows of each tenant, even if all daemons with requests of it
+        have died with the earlier owner.
+        """
+        if report.host not in self._find_standbys(self._list_hosts()):
+            return ()
+        described = {use.tenant for use in report.uses}
+        found = (
+            ledger.describe(tenant, now)
+            for tenant, ledger in self._ledgers.items()
+            if tenant not in described
+        )
+        return tuple(use for use in found if use.fleet)
+
+    def _list_standbys(self, hosts: frozenset[str]) -> list[str]:
+        ranked = rank_hosts(self._group, hosts - {self._host})
+        return ranked[:STANDBYS]
+
+    def _recall_idle(
+        self, report: QuotaReport, key: tuple[str, int], now: float
+    ) -> list[TenantGrant]:
+        """Return grants that take back what others need and this daemon does not."""
+        idle = self._tight.difference(use.tenant for use in report.uses)
+        recalled = (
+            self._ledgers[tenant].recall(key, tenant, number=self._number, now=now)
+            for tenant in idle
+        )
+        return [grant for grant in recalled if grant is not None]
--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/ranking.py
@@ -0,0 +1,28 @@
+"""Groups of tenants, and the order in which hosts own them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+
+import xxhash
+
+GROUP_HOSTS = 100
+"""Hosts for each owner."""
+
+
+def count_groups(hosts: int) -> int:
+    """Return the number of groups of tenants, each with an owner of its own."""
+    return max(1, math.ceil(hosts / GROUP_HOSTS))
+
+
+def find_group(tenant: str, groups: int) -> str:
+    """Return the name of the group that a tenant belongs to."""
+    return f"{xxhash.xxh32_intdigest(tenant.encode()) % groups}/{groups}"
+
+
+def rank_hosts(group: str, hosts: Collection[str]) -> list[str]:
+    """Return the hosts in the order in which they are to own a group."""
+    return sorted(
+        hosts, key=lambda host: xxhash.xxh64_intdigest(f"{group} {host}".encode())
+    )
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -6,6 +6,7 @@
 
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES, Codec
 from almondrouter.protocol.headers import Outcome
+from almondrouter.protocol.quotas import QuotaGrant, QuotaReport
 from almondrouter.state.hosts import Departure
 
 HeaderList = tuple[tuple[str, str], ...]
@@ -252,6 +253,8 @@
     verdicts
         Requests that the sender refuses because they crash backend servers, and those
         that were cleared of this a moment ago.
+    knows_quotas
+        Whether the sender knows `QuotaReport` and `QuotaGrant`.
     """
 
     record: bytes
@@ -260,6 +263,7 @@
     silent_peers: tuple[str, ...] = ()
     departure: Departure | None = None
     verdicts: tuple[CrashVerdict, ...] = ()
+    knows_quotas: bool = False
 
 
 class RoutesNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
@@ -332,7 +336,7 @@
     data: bytes
 
 
-Notice = HostNotice | RoutesNotice
+Notice = HostNotice | RoutesNotice | QuotaReport | QuotaGrant
 """Frames without a reply that a daemon pushes to its peers."""
 
 LinkRequest = CallRequest | ClaimQuery | RoutesQuery | BodyOffer
