Limit the requests of tenants by their quotas

The forwarder takes a token after the key of a request has been checked, and returns it if the request has certainly not run. A retry that may run twice takes another one. Without a token the caller gets 429 with a Retry-After. The frames go only to daemons whose notices say that they know quotas.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -19,6 +19,8 @@
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.patience import CallerPatience
 from almondrouter.coordination.pending import PendingRequest, make_demand, make_offer
+from almondrouter.coordination.quotas.allowances import QuotaToken
+from almondrouter.coordination.quotas.service import QuotaExceededError, QuotaService
 from almondrouter.coordination.routing import LoadBalancingPolicy
 from almondrouter.coordination.tenants.admission import Admitted, TenantAdmission
 from almondrouter.coordination.weights import TrafficSplitter
@@ -66,7 +68,9 @@
         ErrorCode.BACKEND_REFUSED,
     )
 )
-_RETRIED_LATER_CODES = frozenset({ErrorCode.NOT_READY, ErrorCode.STOPPING})
+_RETRIED_LATER_CODES = frozenset(
+    {ErrorCode.NOT_READY, ErrorCode.STOPPING, ErrorCode.LIMITED}
+)
 _UNAVAILABLE_CODES = frozenset(
     code.value
     for code in (
@@ -93,6 +97,8 @@
         Chooses the destination of each attempt.
     admission
         Finds the tenant of each request by its key.
+    quotas
+        Limits the requests of each tenant; None if none are limited.
     splitter
         Chooses the service for each request of a route with several services.
     retry_budget
@@ -129,6 +135,7 @@
         directory: HostDirectory,
         balancer: LoadBalancingPolicy,
         admission: TenantAdmission,
+        quotas: QuotaService | None = None,
         splitter: TrafficSplitter,
         retry_budget: FleetRetryBudget,
         links: CallLinks,
@@ -147,6 +154,7 @@
         self._directory = directory
         self._balancer = balancer
         self._admission = admission
+        self._quotas = quotas
         self._splitter = splitter
         self._retry_budget = retry_budget
         self._links = links
@@ -200,18 +208,37 @@
             admitted = self._admission.admit(
                 info.headers, route, table.tenants, nested=nested
             )
+            token = await self._take_token(admitted, nested=nested)
+        except QuotaExceededError as error:
+            return self._refuse_request(
+                info, error.code, table.version, error.retry_after
+            )
         except CallError as error:
             return self._refuse_request(info, error.code, table.version)
         pending = self._prepare_request(
             request, info, route, admitted, nested, table.version, arrived_at
         )
-        if self._find_condemned_until(pending.call) is not None:
-            reply = make_reply(ErrorCode.CONDEMNED)
-        else:
-            reply = await self._try_destinations(pending)
+        pending.token = token
+        try:
+            if self._find_condemned_until(pending.call) is not None:
+                reply = make_reply(ErrorCode.CONDEMNED)
+            else:
+                reply = await self._try_destinations(pending)
+        finally:
+            if token is not None:
+                token.settle(self._clock.monotonic())
         self._record_result(pending, reply)
         return self._make_response(pending, reply)
 
+    async def _take_token(
+        self, admitted: Admitted, *, nested: bool
+    ) -> QuotaToken | None:
+        """Take a token of the tenant's quota; None if the request does not count."""
+        tenant = admitted.tenant
+        if self._quotas is None or tenant is None or nested or tenant.rate <= 0:
+            return None
+        return await self._quotas.admit(tenant)
+
     def _prepare_request(
         self,
         request: CallerRequest,
@@ -405,6 +432,9 @@
         return self._spend_retry(pending)
 
     def _spend_retry(self, pending: PendingRequest) -> bool:
+        token = pending.token
+        if token is not None and not token.take_another(self._clock.monotonic()):
+            return False
         return self._retry_budget.try_spend(pending.service, rank=pending.call.rank)
 
     async def _send_attempt(
@@ -438,6 +468,8 @@
                 failed=is_server_error(reply)
                 or reply.code == ErrorCode.BACKEND_REFUSED.value,
             )
+            if pending.token is not None and _may_have_arrived(outcome, reply):
+                pending.token.record_use()
         if reply.version > call.version:
             self._on_newer_version(reply.version, destination.peer_address)
         corrected = reply.code == ErrorCode.BUSIER_THAN_EXPECTED.value
@@ -536,6 +568,7 @@
         info: RequestInfo,
         code: ErrorCode,
         version: int,
+        retry_after: float = UNSERVED_RETRY_AFTER_S,
     ) -> CallerResponse:
         self._on_finished("", Outcome.NOT_RUN, code.value, 0.0)
         _log.request(
@@ -547,10 +580,22 @@
         )
         headers: tuple[tuple[str, str], ...] = ((names.CODE, code.value),)
         if code in _RETRIED_LATER_CODES:
-            headers = (*headers, (RETRY_AFTER, f"{UNSERVED_RETRY_AFTER_S:.3f}"))
+            headers = (*headers, (RETRY_AFTER, f"{retry_after:.3f}"))
         return CallerResponse(choose_status(Outcome.NOT_RUN, code), headers, b"")
 
 
+def _may_have_arrived(outcome: Outcome | None, reply: CallReply) -> bool:
+    """Return whether an attempt may have reached a backend server.
+
+    Parameters
+    ----------
+    outcome
+        Outcome of the attempt; None if its caller has gone away.
+    """
+    refused_by_backend = reply.code == ErrorCode.BACKEND_REFUSED.value
+    return outcome is not Outcome.NOT_RUN or refused_by_backend
+
+
 def is_server_error(reply: CallReply) -> bool:
     """Return whether a backend server responded with a server error (5xx)."""
     return (
--- a/packages/almondrouter/src/almondrouter/coordination/pending.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pending.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from almondrouter.coordination.quotas.allowances import QuotaToken
 from almondrouter.coordination.routing import Demand
 from almondrouter.protocol.calls import BodyOffer, CallRequest
 from almondrouter.protocol.dialect import RequestInfo
@@ -47,6 +48,8 @@
         Names of the backend servers that are not to be tried again.
     retry
         Destination of the next attempt, if the retry budget has granted it already.
+    token
+        Tokens of the tenant's quota; None if the request does not count.
     """
 
     info: RequestInfo
@@ -60,6 +63,7 @@
     corrections: int = 0
     excluded: set[str] = field(default_factory=set)
     retry: Destination | None = None
+    token: QuotaToken | None = None
 
     def mark_if_overdue(self, now: float) -> None:
         """Let a request wait behind others if it can hardly be on time any more."""
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -27,6 +27,7 @@
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, make_reply
+from almondrouter.protocol.quotas import QuotaGrant, QuotaReport
 from almondrouter.transport.calls import CallLinks
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import (
@@ -516,6 +517,8 @@
         link = self._links.get(peer_address)
         if link is not None:
             link.stream.send(notice)
+            if isinstance(notice, QuotaReport | QuotaGrant):
+                link.used_at = self._clock.monotonic()
 
     def _send_own_notice(self, link_key: str) -> None:
         if self._make_notice is not None and not link_key.endswith(_BULK_SUFFIX):
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -26,6 +26,7 @@
 from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.localbackend import LocalBackend, make_fingerprint
 from almondrouter.coordination.placement import LowestCostPolicy
+from almondrouter.coordination.quotas.service import TICK_S, QuotaService
 from almondrouter.coordination.registration import HostRecords, Registration
 from almondrouter.coordination.restarts import run_with_restart
 from almondrouter.coordination.storefeed import StoreFeed
@@ -43,13 +44,16 @@
     HeaderList,
     Hello,
     LinkRequest,
+    Notice,
     RoutesQuery,
 )
 from almondrouter.protocol.codec import PROTOCOL_VERSION
 from almondrouter.protocol.outcomes import make_reply
+from almondrouter.protocol.quotas import QuotaGrant, QuotaReport
 from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
 from almondrouter.state.occupancy import OccupancyTable
 from almondrouter.state.routes import CallerLimits
+from almondrouter.state.tenants import TenantTable
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import CallerRequest, CallerResponse
@@ -58,6 +62,7 @@
 from almondrouterd.hostmetrics import (
     register_call_metrics,
     register_link_metrics,
+    register_quota_metrics,
     register_state_metrics,
 )
 from almondrouterd.metrics import DaemonMetrics
@@ -67,6 +72,7 @@
 from almondrouterd.platform.heartbeats import READY_PATH
 from almondrouterd.platform.settings import HostSettings
 from almondrouterd.platform.store import PlatformStore
+from almondrouterd.quotalinks import QuotaLinks
 
 LINK_POLICY = LinkPolicy(
     ping_interval=0.3,
@@ -107,6 +113,9 @@
 request has not run; less than `KILL_MARGIN_S`."""
 LAST_ANSWERS_TIMEOUT_S = 0.1
 """Seconds after that for sending the answers to the remaining callers."""
+GREETING_INTERVAL_S = 2.0
+"""Seconds between attempts of an owner of quotas to reach the daemons of which it has
+no notice; those that know no quotas do not count for its quorum."""
 VERDICTS_DELAY_S = 0.02
 """Seconds in which verdicts on requests are collected before the peers hear of them."""
 MAX_BACKEND_CONNECTIONS = 100
@@ -208,6 +217,9 @@
             poll_until=self._lifecycle.started_at + STORE_WATCH_DELAY_S,
             first_read_may_be_stale=settings.is_first_start,
         )
+        self._quota_links = QuotaLinks(
+            settings.host, directory=self.directory, links=self.links
+        )
         self._peers = Peers(
             links=self.links,
             directory=self.directory,
@@ -221,6 +233,7 @@
                 departure.backend, departure.started_ms
             ),
             clock=clock,
+            on_host_notice=self._quota_links.handle_notice,
         )
 
     def _build_calls(self) -> None:
@@ -264,6 +277,20 @@
             clock=clock,
             is_reachable=self._peers.is_reachable,
         )
+        self.quotas = QuotaService(
+            (settings.host, self._incarnation),
+            bounds=settings.quota_bounds,
+            find_tenants=self._find_tenants,
+            list_hosts=self._quota_links.list_hosts,
+            is_usable=self._quota_links.is_usable,
+            send=self._quota_links.send,
+            call_later=lambda delay, work: asyncio.get_running_loop().call_later(
+                delay, work
+            ),
+            clock=clock,
+            random=self._random,
+            is_first_start=settings.is_first_start,
+        )
         self._forwarder = Forwarder(
             table=lambda: self.routes.table,
             directory=self.directory,
@@ -271,6 +298,7 @@
             admission=TenantAdmission(
                 self._dialect, may_trust_keys=self._may_trust_keys
             ),
+            quotas=self.quotas,
             splitter=TrafficSplitter(self._random),
             retry_budget=self.retry_budget,
             links=self.links,
@@ -304,7 +332,7 @@
             handler=self._handle_peer_call,
             clock=clock,
             policy=LINK_POLICY,
-            on_notice=self._peers.handle_notice,
+            on_notice=self._handle_notice,
             withdraw=self.backend.withdraw,
             pacer=self.transfers,
         )
@@ -347,6 +375,7 @@
             store=self._store,
             callers=self.callers,
         )
+        register_quota_metrics(self._metrics, quotas=self.quotas)
         register_link_metrics(self._metrics, links=self.links, server=self.link_server)
         address = f"{self.settings.ip}:{self.settings.metrics_port}"
         self._metrics_server = self._make_internal_server(address, self._handle_metrics)
@@ -360,6 +389,7 @@
             self.feed.run,
             self.registration.run,
             self._maintain_peers_forever,
+            self._divide_quotas_forever,
         ):
             self._start_forever(work)
         _log.info(
@@ -498,6 +528,26 @@
             await asyncio.sleep(PEER_MAINTENANCE_INTERVAL_S)
             self._peers.run_maintenance()
 
+    async def _divide_quotas_forever(self) -> None:
+        greet_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.quotas.tick()
+            now = self._clock.monotonic()
+            if now >= greet_at and self.quotas.is_owner:
+                greet_at = now + GREETING_INTERVAL_S
+                self._quota_links.greet_unknown()
+
+    def _find_tenants(self) -> TenantTable | None:
+        table = self.routes.table
+        return table.tenants if table is not None else None
+
+    def _handle_notice(self, notice: Notice) -> None:
+        if isinstance(notice, QuotaReport | QuotaGrant):
+            self.quotas.handle_frame(notice)
+        else:
+            self._peers.handle_notice(notice)
+
     def _may_trust_keys(self) -> bool:
         """Return whether this daemon has heard of the configuration lately enough."""
         bounds = self.settings.revocation
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -10,6 +10,7 @@
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.quotas.service import QuotaService
 from almondrouter.logs import LineWriter
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.links import CallLinkPool, CallLinkServer
@@ -85,6 +86,30 @@
     )
 
 
+def register_quota_metrics(metrics: DaemonMetrics, *, quotas: QuotaService) -> None:
+    """Register metrics of the quotas of tenants."""
+    metrics.add_counter(
+        "almond_quota_events_total",
+        "Requests admitted and refused by the quotas of tenants; frames about them",
+        lambda: _read_counts(quotas.counts, "event"),
+    )
+    metrics.add_counter(
+        "almond_quota_refused_total",
+        "Requests refused by quotas, by tenant",
+        lambda: _read_counts(quotas.refused, "tenant"),
+    )
+    metrics.add_gauge(
+        "almond_quota_groups",
+        "Groups of tenants whose owner has a quorum and answers this daemon",
+        lambda: make_unlabelled_samples(quotas.count_attached()),
+    )
+    metrics.add_gauge(
+        "almond_quota_members",
+        "Daemons that report to this one, by group of tenants",
+        lambda: [({"group": g}, n) for g, n in quotas.count_members().items()],
+    )
+
+
 def register_link_metrics(
     metrics: DaemonMetrics, *, links: CallLinkPool, server: CallLinkServer
 ) -> None:
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -84,6 +84,8 @@
         Called with a departure on this host that a peer knows of.
     clock
         Source of monotonic time.
+    on_host_notice
+        Called with each notice of another daemon and the host record in it.
     """
 
     def __init__(
@@ -99,7 +101,9 @@
         make_entry: Callable[[], HostEntry],
         on_departure: Callable[[Departure], None],
         clock: Clock,
+        on_host_notice: Callable[[HostEntry, HostNotice], None] | None = None,
     ) -> None:
+        self._on_host_notice = on_host_notice
         self._on_departure = on_departure
         self._confirmed_departure: Departure | None = None
         self._links = links
@@ -142,6 +146,7 @@
             silent_peers,
             departure,
             self._evidence.verdicts,
+            knows_quotas=True,
         )
 
     def handle_notice(self, notice: Notice) -> None:
@@ -157,6 +162,8 @@
         except AlmondError as error:
             _log.warning("undecodable host notice ignored", reason=error.message)
             return
+        if self._on_host_notice is not None:
+            self._on_host_notice(entry, notice)
         if notice.reaches_store:
             self._hosts_without_store.discard(entry.host)
         else:
