--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -106,6 +106,8 @@
         Targets of requests that crash the backend servers; set before the start.
     unframed_share
         Share of the responses of backend servers to safe requests that have no length.
+    key
+        Key of a tenant that callers send; empty for none.
 
     Notes
     -----
@@ -135,6 +137,7 @@
         self._clients: dict[int, BackendClient] = {}
         self.backend_replacements = [0] * hosts
         self.unframed_share = 0.0
+        self.key = ""
         self.crashing_targets: frozenset[str] = frozenset()
         self._log_starts = [0] * hosts
         self.backends = [self._make_backend(number) for number in range(hosts)]
@@ -346,6 +349,7 @@
         headers = (
             ("attempt-id", attempt),
             ("deadline-ms", str(int(time_limit * 1000))),
+            *((("key", self.key),) if self.key else ()),
         )
         deadline = time.monotonic() + time_limit + patience
         try:
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import random
 import signal
@@ -71,6 +72,7 @@
         seed=1,
         stop_within=STOP_GRACE_PERIOD_S,
         configuration=None,
+        key="",
     ):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -82,6 +84,7 @@
             network_octet=next(NETWORKS),
             stop_within=stop_within,
         )
+        self.fleet.key = key
         self.addAsyncCleanup(self.fleet.close)
         await self.fleet.start(configuration or make_configuration(1))
 
@@ -437,6 +440,28 @@
         self.assertLessEqual(len(backend.server.connections), connections)
         self.assert_guarantees()
 
+    async def test_quota_holds_over_all_daemons(self):
+        """Guards against daemons that each admit the whole quota, also a restarted one.
+
+        The bound of the default settings is (2 x 5 + 4) x 1.1 + 20 in 5 s.
+        """
+        tenant = {"name": "mill", "api_keys": ["k"], "rate_per_s": 2, "burst": 4}
+        document = make_document(1, timeout=TIMEOUT_S, tenants=[tenant])
+        await self.start_fleet(configuration=document, key="k")
+        for restart in (None, 0, 1):
+            if restart is not None:
+                await self.fleet.stop_daemon(restart, signal.SIGKILL)
+                await self.fleet.start_daemon(restart)
+                await self.fleet.wait_until_ready(restart)
+            runs = self.fleet.ledger.runs.total()
+            began_at = time.monotonic()
+            statuses = await self.send_requests(90, hosts=range(3), paths=("/read/1",))
+            windows = math.ceil((time.monotonic() - began_at) / 5.0)
+            self.assertGreater(statuses[429], 0)
+            served = self.fleet.ledger.runs.total() - runs
+            self.assertLessEqual(served, 35 * windows)
+        self.assert_guarantees()
+
     async def test_settings_are_reloaded(self):
         """Guards against a reload at SIGHUP that is ignored or partly applied."""
         await self.start_fleet()
--- a/tests/test_coordination_forwarding.py
+++ b/tests/test_coordination_forwarding.py
@@ -18,6 +18,8 @@
     MAX_UNOFFERED_BYTES,
     Forwarder,
 )
+from almondrouter.coordination.quotas.allowances import Allowance
+from almondrouter.coordination.quotas.service import QuotaExceededError
 from almondrouter.coordination.routing import RoundRobin
 from almondrouter.coordination.tenants.admission import TenantAdmission
 from almondrouter.coordination.weights import TrafficSplitter
@@ -25,6 +27,7 @@
 from almondrouter.protocol.calls import BodyOffer, CallReply, CallRequest
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError, make_reply
+from almondrouter.protocol.quotas import TenantGrant
 from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
 from almondrouter.transport.calls import CallerRequest, CallLinks
 from almondrouterd.platform.configuration import decode_routes
@@ -69,6 +72,26 @@
         return item
 
 
+class ScriptedQuotas:
+    """Grants some tokens, then refuses; counts the tokens that are used."""
+
+    def __init__(self, tokens):
+        self.allowance = Allowance(5.0)
+        grant = TenantGrant("mill", tokens, tokens, False, 0, 0, 0)
+        self.allowance.apply(grant, asked_at=1000.0, now=1000.0)
+
+    async def admit(self, policy):
+        token = self.allowance.take(1000.0)
+        if token is None:
+            raise QuotaExceededError("scripted", retry_after=1.25)
+        return token
+
+    def count(self):
+        """Return the tokens used and held."""
+        use = self.allowance.make_use("mill", 1000.0, is_first=False)
+        return use.used, use.held
+
+
 class BoundedWaitRoundRobin(RoundRobin):
     """Round robin that gives each call a maximum wait."""
 
@@ -310,6 +333,57 @@
         self.assertEqual((503, []), (response.status, self.links.calls))
         self.assertIn(("Almond-Code", "deadline_exceeded"), response.headers)
 
+    def limit(self, tokens, *, rate=5):
+        """Let the configuration name a tenant, and grant it some tokens."""
+        tenant = {"name": "mill", "api_keys": ["k"], "rate_per_s": rate}
+        self.table = decode_routes(make_configuration(tenants=[tenant]))
+        self.forwarder._quotas = quotas = ScriptedQuotas(tokens)
+        return quotas
+
+    @parameterized.expand(
+        [
+            ("answered", [make_answer()], (1, 0)),
+            ("refused as not run", [OVERLOADED_REPLY] * MAX_REFUSALS, (0, 0)),
+            ("refused, then answered", [OVERLOADED_REPLY, make_answer()], (1, 0)),
+            ("lost, then answered", [REPLY_LOST, make_answer()], (2, 0)),
+            ("backend refused", [make_reply(ErrorCode.BACKEND_REFUSED)] * 2, (2, 0)),
+        ]
+    )
+    async def test_tokens_of_a_request(self, _, script, expected):
+        """Guards against tokens that are lost, or attempts that have none."""
+        quotas = self.limit(9)
+        await self.send(script=script, key="k")
+        self.assertEqual(expected, quotas.count())
+
+    async def test_retry_needs_a_token_of_its_own(self):
+        """Guards against retries beyond the quota; the first attempt may have run."""
+        quotas = self.limit(1)
+        response = await self.send(script=[REPLY_LOST, make_answer()], key="k")
+        self.assertEqual((504, 1), (response.status, len(self.links.calls)))
+        self.assertEqual((1, 0), quotas.count())
+
+    async def test_request_over_the_quota_is_refused(self):
+        """Guards against refusals without the time to return, or after a run."""
+        self.limit(0)
+        response = await self.send(key="k")
+        headers = dict(response.headers)
+        self.assertEqual((429, []), (response.status, self.links.calls))
+        self.assertEqual("1.250", headers["retry-after"])
+        self.assertEqual("limited", headers["Almond-Code"])
+
+    @parameterized.expand(
+        [
+            ("nested", {"rate": 5}, {"key": "k", "attempt_id": "parent.1"}),
+            ("without a rate", {"rate": 0}, {"key": "k"}),
+        ]
+    )
+    async def test_uncounted_request_needs_no_token(self, _, options, headers):
+        """Guards against quotas on requests that count for no tenant."""
+        self.limit(0, **options)
+        self.running.add("parent")
+        response = await self.send(script=[make_answer()], **headers)
+        self.assertEqual(200, response.status)
+
     async def test_route_bounds_the_wait(self):
         """Guards against deadlines beyond the route's limit for a response."""
         await self.send(script=[make_answer()], deadline_ms="9000")
