--- a/packages/almondrouter/src/almondrouter/coordination/pending.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pending.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from almondrouter.coordination.quotas.allowances import QuotaToken
 from almondrouter.coordination.routing import Demand
 from almondrouter.protocol.calls import BodyOffer, CallRequest
 from almondrouter.protocol.dialect import RequestInfo
@@ -49,6 +50,8 @@
         Destination of the next attempt, if the retry budget has granted it already.
     response_bytes
         Expected length of the response if the route's responses are long, else 0.
+    token
+        Tokens of the tenant's quota; None if the request does not count.
     """
 
     info: RequestInfo
@@ -63,6 +66,7 @@
     excluded: set[str] = field(default_factory=set)
     retry: Destination | None = None
     response_bytes: int = 0
+    token: QuotaToken | None = None
 
     def mark_if_overdue(self, now: float) -> None:
         """Let a request wait behind others if it can hardly be on time any more."""
