Roll a service out to another version under a lease

Cause: a new version of a service took its share of requests at once, whatever its faults. Change: orders under op/rollout/ are tried with a small, counted share; one daemon with a lease compares both versions and writes the status. The configuration and the orders come with one read and one watch of their common prefix.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
@@ -53,6 +53,8 @@
         Number of responses by status, and of failed requests by error code.
     crashes
         Number of crashes by the target of the request that caused them.
+    served
+        Number of requests that were run to their end, by version.
     """
 
     arrivals: Counter[str] = field(default_factory=Counter)
@@ -62,6 +64,7 @@
     violations: list[str] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
     crashes: Counter[str] = field(default_factory=Counter)
+    served: Counter[str] = field(default_factory=Counter)
     _attempts: int = 0
 
     def begin_attempt(self, method: str, *, parent: str = "") -> str:
@@ -135,6 +138,10 @@
         Number of acknowledged heartbeats by state.
     crashing_targets
         Targets of requests that crash the backend server once it runs them.
+    version
+        Version that it announces; empty for none.
+    failure_share
+        Share of the responses that are server errors.
     """
 
     def __init__(
@@ -154,6 +161,8 @@
         self.state = "ready"
         self.run_time = RUN_TIME_RANGE_S
         self.unframed_share = 0.0
+        self.version = ""
+        self.failure_share = 0.0
         self._service = service
         self._ip = ip
         self._ledger = ledger
@@ -224,6 +233,10 @@
             await asyncio.sleep(self._random.uniform(*self.run_time))
         finally:
             self._running -= 1
+        self._ledger.served[self.version] += 1
+        if self._random.random() < self.failure_share:
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+            return CallerResponse(status, echo_headers, b"")
         body = make_response_body(attempt, request.target, request.body)
         headers = (*echo_headers, ("response-signature", "s"))
         unframed = (
@@ -256,7 +269,11 @@
         document = {
             "address": self._address,
             "born": self._started_ms,
-            "info": {"service": self._service, "slots": SLOTS},
+            "info": {
+                "service": self._service,
+                "slots": SLOTS,
+                "version": self.version,
+            },
             "status": {"state": self.state, "sequence": self._sequence},
         }
         state = self.state
--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -106,6 +106,8 @@
         Targets of requests that crash the backend servers; set before the start.
     unframed_share
         Share of the responses of backend servers to safe requests that have no length.
+    version
+        Version of backend servers for which no other is set.
 
     Notes
     -----
@@ -135,6 +137,7 @@
         self._clients: dict[int, BackendClient] = {}
         self.backend_replacements = [0] * hosts
         self.unframed_share = 0.0
+        self.version = ""
         self.crashing_targets: frozenset[str] = frozenset()
         self._log_starts = [0] * hosts
         self.backends = [self._make_backend(number) for number in range(hosts)]
@@ -173,16 +176,21 @@
                 stderr=log,
             )
 
-    async def replace_backend(self, number: int) -> None:
+    async def replace_backend(
+        self, number: int, *, version: str = "", failure_share: float = 0.0
+    ) -> None:
         """Close a host's backend server without draining and start a new one."""
         await self.backends[number].close()
         self.backend_replacements[number] += 1
         self.backends[number] = self._make_backend(number)
+        self.backends[number].version = version
+        self.backends[number].failure_share = failure_share
         self._configure_backend(self.backends[number])
         await self.backends[number].start()
 
     def _configure_backend(self, backend: PlatformBackend) -> None:
         backend.unframed_share = self.unframed_share
+        backend.version = backend.version or self.version
         backend.crashing_targets = self.crashing_targets
 
     def is_started(self, number: int) -> bool:
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -19,6 +19,7 @@
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.patience import CallerPatience
 from almondrouter.coordination.pending import PendingRequest, make_demand, make_offer
+from almondrouter.coordination.rollouts.versions import VersionFilter
 from almondrouter.coordination.routing import LoadBalancingPolicy
 from almondrouter.coordination.tenants.admission import Admitted, TenantAdmission
 from almondrouter.coordination.transfers.sizes import ResponseSizes
@@ -121,6 +122,10 @@
         servers, in monotonic seconds; None if it may be sent.
     on_finished
         Called with route name, outcome, error code and seconds of each request.
+    versions
+        Narrows the destinations while versions differ within a service.
+    on_nested_failure
+        Called with the attempt id of a running request whose nested call has failed.
     """
 
     def __init__(
@@ -143,7 +148,11 @@
         on_newer_version: Callable[[int, str], None],
         find_condemned_until: Callable[[CallRequest], float | None],
         on_finished: Callable[[str, Outcome, str, float], None],
+        versions: VersionFilter | None = None,
+        on_nested_failure: Callable[[str], None] = lambda attempt_id: None,
     ) -> None:
+        self._versions = versions or VersionFilter(directory, host=host, clock=clock)
+        self._on_nested_failure = on_nested_failure
         self._table = table
         self._directory = directory
         self._balancer = balancer
@@ -311,12 +320,20 @@
             pending.call = msgspec.structs.replace(
                 call, useful_until=self._answers_until
             )
-        return self._balancer.choose(
-            self._directory.find_destinations(pending.service),
-            now=now,
-            excluded=pending.excluded,
-            demand=make_demand(pending, now),
+        choices = self._versions.list_choices(
+            pending.service,
+            pending.route.name,
+            is_first=pending.is_first_attempt,
+            repeatable=pending.route.repeatable,
         )
+        demand = make_demand(pending, now)
+        for destinations in choices:
+            destination = self._balancer.choose(
+                destinations, now=now, excluded=pending.excluded, demand=demand
+            )
+            if destination is not None:
+                return destination
+        return None
 
     def _find_last_send(self, pending: PendingRequest) -> float:
         """Return the time after which this daemon no longer sends a request.
@@ -492,6 +509,8 @@
         if reply.outcome is Outcome.COMPLETE and not is_server_error(reply):
             self._response_sizes.record(pending.route.name, len(reply.body))
             return
+        if pending.call.nested:
+            self._on_nested_failure(pending.info.parent_id)
         condemned = reply.code == ErrorCode.CONDEMNED.value
         if not pending.call.nested and not condemned:
             self._patience.record_unserved(pending.route.name)
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -18,6 +18,7 @@
 from almondrouter.coordination.crashes import CrashGuard
 from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.quarantine import compute_fingerprint
+from almondrouter.coordination.rollouts.tally import RunTally
 from almondrouter.coordination.slots import Grant, SlotQueue
 from almondrouter.coordination.transfers.admission import TransferAdmission
 from almondrouter.errors import ErrorCode
@@ -94,6 +95,11 @@
         Called after `entry` or `departure` has changed.
     transfers
         Admits requests with long responses; if None, all are admitted.
+    tally
+        Counts results by version and route during roll-outs.
+    is_barred
+        Returns whether a version of a service was rolled back, so that its servers
+        refuse requests.
     """
 
     def __init__(
@@ -106,7 +112,11 @@
         guard: CrashGuard,
         on_changed: Callable[[], None],
         transfers: TransferAdmission | None = None,
+        tally: RunTally | None = None,
+        is_barred: Callable[[str, str], bool] = lambda service, version: False,
     ) -> None:
+        self._tally = tally or RunTally(clock)
+        self._is_barred = is_barred
         self._transfers = transfers
         self._intake = intake
         self._guard = guard
@@ -153,6 +163,7 @@
         else:
             self.queue.usable.announce(entry.slots)
         self.entry = entry
+        self._tally.note_start(self.current_start)
         _log.info(
             "backend server announced",
             backend=entry.backend,
@@ -402,6 +413,9 @@
         if entry.state is not ServingState.READY:
             message = f"backend server {entry.backend!r} is {entry.state.value}"
             raise CallError(ErrorCode.NO_BACKEND, message)
+        if self._is_barred(entry.service, entry.version):
+            message = f"version {entry.version!r} was rolled back"
+            raise CallError(ErrorCode.NO_BACKEND, message)
 
     def _check_for_suspicion(self, fingerprint: str) -> None:
         """Refuse a request that crashes backend servers, or must not run beside others.
@@ -442,8 +456,20 @@
             self.change_state(ServingState.DOWN, reason="it crashed")
 
     async def _run_with_slot(self, request: CallRequest) -> CallReply:
-        response = await self._send_request(request)
-        return self._interpret_response(request, response)
+        version = self.entry.version if self.entry else ""
+        run = self._tally.begin(version, request.class_name, request.attempt_id)
+        result: CallReply | CallError | None = None
+        responded = False
+        try:
+            response = await self._send_request(request)
+            responded = True
+            result = self._interpret_response(request, response)
+        except CallError as error:
+            result = error
+            raise
+        finally:
+            self._tally.end(run, result, responded=responded)
+        return result
 
     async def _send_request(self, request: CallRequest) -> BackendResponse:
         time_left = request.deadline - self._clock.monotonic()
--- a/packages/almondrouter/src/almondrouter/coordination/pending.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pending.py
@@ -64,6 +64,11 @@
     retry: Destination | None = None
     response_bytes: int = 0
 
+    @property
+    def is_first_attempt(self) -> bool:
+        """Whether no destination has been tried."""
+        return not (self.excluded or self.corrections or self.sent)
+
     def mark_if_overdue(self, now: float) -> None:
         """Let a request wait behind others if it can hardly be on time any more."""
         call = self.call
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -11,7 +11,13 @@
 from almondrouter.clock import Clock
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.logs import EventLogger
-from almondrouter.transport.store import KeyValue, Store, WatchBatch, WatchEvent
+from almondrouter.transport.store import (
+    KeyValue,
+    ReadResult,
+    Store,
+    WatchBatch,
+    WatchEvent,
+)
 
 INITIAL_BACKOFF_S = 0.1
 """Seconds before the first retry after a failed store call."""
@@ -284,8 +290,16 @@
         self, subscribers: Sequence[StoreSubscriber], *, stale: bool
     ) -> None:
         revisions = []
+        shared: ReadResult | None = None
         for subscriber in subscribers:
-            result = await self._store.read_prefix(subscriber.prefix, stale=stale)
+            if subscriber.is_watched and self._prefix:
+                # One read serves all watched keys, as one watch does.
+                shared = shared or await self._store.read_prefix(
+                    self._prefix, stale=stale
+                )
+                result = select_prefix(shared, subscriber.prefix)
+            else:
+                result = await self._store.read_prefix(subscriber.prefix, stale=stale)
             subscriber.load(result.items, stale=stale, revision=result.revision)
             if not result.items:
                 self._absent.add(subscriber.prefix)
@@ -392,6 +406,12 @@
             _log.warning("store unreachable; retrying", code=code, reason=reason)
 
 
+def select_prefix(result: ReadResult, prefix: str) -> ReadResult:
+    """Return the part of a read whose keys have a prefix."""
+    items = tuple(item for item in result.items if item.key.startswith(prefix))
+    return ReadResult(items, result.revision)
+
+
 def find_common_prefix(prefixes: Sequence[str]) -> str:
     """Return the longest string that all prefixes start with."""
     shortest, longest = min(prefixes), max(prefixes)
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -7,6 +7,7 @@
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES, Codec
 from almondrouter.protocol.headers import Outcome
 from almondrouter.state.hosts import Departure
+from almondrouter.state.rollouts import RolloutPhase
 
 HeaderList = tuple[tuple[str, str], ...]
 
@@ -252,6 +253,8 @@
     verdicts
         Requests that the sender refuses because they crash backend servers, and those
         that were cleared of this a moment ago.
+    knows_rollouts
+        Whether the sender can decode `RolloutReport` and `RolloutPlan`.
     """
 
     record: bytes
@@ -260,6 +263,7 @@
     silent_peers: tuple[str, ...] = ()
     departure: Departure | None = None
     verdicts: tuple[CrashVerdict, ...] = ()
+    knows_rollouts: bool = False
 
 
 class RoutesNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
@@ -311,6 +315,110 @@
     key: str = ""
 
 
+class VersionCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Responses of one version of a backend server on one route.
+
+    Parameters
+    ----------
+    version, route
+        What was counted.
+    responses, failures
+        Responses since the order, and those of them that count as failures.
+    run_time, run_time_squares
+        Sums of the run times and of their squares, in seconds.
+    in_flight, in_flight_time
+        Requests that run now, and the sum of the seconds for which they have run.
+    """
+
+    version: str
+    route: str
+    responses: int
+    failures: int
+    run_time: float
+    run_time_squares: float
+    in_flight: int = 0
+    in_flight_time: float = 0.0
+
+
+class RolloutReport(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Reports to the coordinator of a roll-out; has no reply.
+
+    Parameters
+    ----------
+    service, order_revision
+        Service, and revision of the order that the sender knows.
+    host, incarnation
+        Sender, and the start of its daemon.
+    token, step
+        Fencing token and number of the step that the sender has in force; 0 if none.
+    reached
+        Furthest phase that the sender has had in force for this order.
+    order_age
+        Seconds since the order as far as the sender knows.
+    running_old
+        Requests on the sender's own server, if that is one of the service and not of
+        the ordered version.
+    counts
+        What the sender's own server of the service has answered since the order.
+    """
+
+    service: str
+    order_revision: int
+    host: str
+    incarnation: int
+    token: int
+    step: int
+    reached: RolloutPhase
+    order_age: float
+    running_old: int
+    counts: tuple[VersionCounts, ...] = ()
+
+
+class RolloutPlan(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Permits requests to the version of a roll-out for a limited time; has no reply.
+
+    Parameters
+    ----------
+    service, order_revision, target_version, duration
+        The order; a receiver that did not know it learns it from here.
+    order_age
+        Seconds since the order when the plan was sent.
+    token, step
+        Fencing token of the coordinator, and number of the step. Token 0 only makes an
+        order, or its removal, known.
+    phase, share
+        Phase, and share of the service's requests for the new version.
+    is_stored
+        Whether a final phase is in the store already.
+    valid_until
+        Time until which the plan may be used, on the monotonic clock of the sender.
+    established
+        Version that serves the other requests; empty if unknown.
+    servers
+        Backend servers that get the trial requests.
+    suspect
+        Whether there is evidence against the version, though too little to decide.
+    peer_address
+        Address of the coordinator, which receives the reports.
+    """
+
+    service: str
+    order_revision: int
+    target_version: str
+    duration: float
+    order_age: float
+    token: int
+    step: int
+    phase: RolloutPhase
+    share: float = 0.0
+    valid_until: float = 0.0
+    established: str = ""
+    servers: tuple[str, ...] = ()
+    suspect: bool = False
+    peer_address: str = ""
+    is_stored: bool = False
+
+
 class ReplyPart(msgspec.Struct, frozen=True, array_like=True, tag=15):
     """Part of the body of a `CallReply`, which follows the last part.
 
@@ -332,7 +440,7 @@
     data: bytes
 
 
-Notice = HostNotice | RoutesNotice
+Notice = HostNotice | RoutesNotice | RolloutReport | RolloutPlan
 """Frames without a reply that a daemon pushes to its peers."""
 
 LinkRequest = CallRequest | ClaimQuery | RoutesQuery | BodyOffer
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -23,6 +23,7 @@
     HostNotice,
     LinkRequest,
     Notice,
+    RolloutPlan,
 )
 from almondrouter.protocol.codec import MAX_CALL_FRAME_BYTES
 from almondrouter.protocol.headers import Outcome
@@ -257,6 +258,10 @@
         elif isinstance(frame, Cancel):
             self._cancel_call(link, frame.call_id)
         elif isinstance(frame, Notice) and self._on_notice is not None:
+            if isinstance(frame, RolloutPlan):
+                # A paused receiver reads plans late; they must not last longer for it.
+                valid_until = link.stream.offset.to_local_time(frame.valid_until)
+                frame = msgspec.structs.replace(frame, valid_until=valid_until)
             self._on_notice(frame)
         else:
             raise AlmondError(
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -44,6 +44,7 @@
     HeaderList,
     Hello,
     LinkRequest,
+    Notice,
     RoutesQuery,
 )
 from almondrouter.protocol.codec import PROTOCOL_VERSION
@@ -59,6 +60,7 @@
 from almondrouterd.hostmetrics import (
     register_call_metrics,
     register_link_metrics,
+    register_rollout_metrics,
     register_state_metrics,
     register_transfer_metrics,
 )
@@ -69,6 +71,7 @@
 from almondrouterd.platform.heartbeats import READY_PATH
 from almondrouterd.platform.settings import HostSettings
 from almondrouterd.platform.store import PlatformStore
+from almondrouterd.rolloutsetup import make_rollout_parts
 
 LINK_POLICY = LinkPolicy(
     ping_interval=0.3,
@@ -185,6 +188,13 @@
             decode_routes,
             on_activated=lambda: self._peers.relay_routes(),
         )
+        self._rollouts = make_rollout_parts(
+            directory=self.directory,
+            links=self.links,
+            routes=self.routes,
+            host=settings.host,
+            clock=clock,
+        )
         self.registration = Registration(
             self._store,
             make_entry=self._make_entry,
@@ -203,7 +213,7 @@
         )
         self.feed = StoreFeed(
             self._store,
-            (self.routes, records),
+            (self.routes, self._rollouts.orders, records),
             clock=clock,
             random=self._random,
             on_connection_changed=self.links.notify_all,
@@ -223,6 +233,9 @@
                 departure.backend, departure.started_ms
             ),
             clock=clock,
+            on_rollout_support=lambda host, knows: self._rollouts.members.note(
+                host, knows_rollouts=knows
+            ),
         )
 
     def _build_calls(self) -> None:
@@ -253,6 +266,18 @@
             ),
             on_changed=self._publish_backend_change,
             transfers=self.transfer_admission,
+            tally=self._rollouts.tally,
+            is_barred=self._rollouts.versions.is_barred,
+        )
+        self._rollouts.connect(
+            settings=lambda: self.settings,
+            store=self._store,
+            backend=self.backend,
+            directory=self.directory,
+            clock=clock,
+            random=self._random,
+            incarnation=self._incarnation,
+            is_relay=lambda: self.feed.watching,
         )
         self.retry_budget = FleetRetryBudget(
             settings.repeat_limits,
@@ -288,6 +313,8 @@
             on_newer_version=self._peers.catch_up_to,
             find_condemned_until=self._find_condemned_until,
             on_finished=self._metrics.record_call,
+            versions=self._rollouts.versions,
+            on_nested_failure=self._rollouts.tally.mark_nested_failure,
         )
 
     def _build_servers(self) -> None:
@@ -308,7 +335,7 @@
             handler=self._handle_peer_call,
             clock=clock,
             policy=LINK_POLICY,
-            on_notice=self._peers.handle_notice,
+            on_notice=self._handle_notice,
             withdraw=self.backend.withdraw,
             pacer=self.transfers,
         )
@@ -355,6 +382,11 @@
         register_transfer_metrics(
             self._metrics, scheduler=self.transfers, admission=self.transfer_admission
         )
+        register_rollout_metrics(
+            self._metrics,
+            rollouts=self._rollouts.manager,
+            orders=self._rollouts.orders,
+        )
         address = f"{self.settings.ip}:{self.settings.metrics_port}"
         self._metrics_server = self._make_internal_server(address, self._handle_metrics)
 
@@ -367,6 +399,7 @@
             self.feed.run,
             self.registration.run,
             self._maintain_peers_forever,
+            self._rollouts.manager.run,
         ):
             self._start_forever(work)
         _log.info(
@@ -596,6 +629,10 @@
     async def _handle_caller_request(self, request: CallerRequest) -> CallerResponse:
         return await self._forwarder.handle(request)
 
+    def _handle_notice(self, notice: Notice) -> None:
+        if not self._rollouts.handle_notice(notice):
+            self._peers.handle_notice(notice)
+
     async def _handle_peer_call(self, request: LinkRequest) -> CallReply:
         if isinstance(request, RoutesQuery):
             return self._peers.answer_routes_query(request)
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -10,9 +10,12 @@
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
 from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.rollouts.manager import Rollouts
+from almondrouter.coordination.rollouts.orders import OrderBook
 from almondrouter.coordination.transfers.admission import TransferAdmission
 from almondrouter.coordination.transfers.scheduler import TransferScheduler
 from almondrouter.logs import LineWriter
+from almondrouter.state.rollouts import RolloutPhase
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.links import CallLinkPool, CallLinkServer
 from almondrouterd.metrics import DaemonMetrics, Samples, make_unlabelled_samples
@@ -138,6 +141,47 @@
     )
 
 
+def register_rollout_metrics(
+    metrics: DaemonMetrics, *, rollouts: Rollouts, orders: OrderBook
+) -> None:
+    """Register metrics of roll-outs."""
+    metrics.add_gauge(
+        "almond_rollout_share",
+        "Share of the requests for the ordered version",
+        lambda: [({"service": s}, share) for s, _, share in rollouts.list_states()],
+    )
+    metrics.add_gauge(
+        "almond_rollout_phase",
+        "1 for the phase of each roll-out that this daemon knows, 0 for the others",
+        lambda: [
+            ({"service": service, "phase": phase.value}, float(phase is reached))
+            for service, reached, _ in rollouts.list_states()
+            for phase in RolloutPhase
+        ],
+    )
+    metrics.add_gauge(
+        "almond_rollout_responses",
+        "Responses of both versions since the order, at the coordinator",
+        lambda: [
+            ({"service": service, "version": version}, count)
+            for service, version, count, _ in rollouts.list_evidence()
+        ],
+    )
+    metrics.add_gauge(
+        "almond_rollout_failure_share",
+        "Failed share of these responses",
+        lambda: [
+            ({"service": service, "version": version}, share)
+            for service, version, _, share in rollouts.list_evidence()
+        ],
+    )
+    metrics.add_counter(
+        "almond_rollout_events_total",
+        "Orders refused, plans, reports and coordinations, and failed store calls",
+        lambda: _read_counts(orders.counts + rollouts.counts, "event"),
+    )
+
+
 def _read_traffic(
     sides: Mapping[str, CallLinkPool | CallLinkServer], unit: str
 ) -> Samples:
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -84,6 +84,8 @@
         Called with a departure on this host that a peer knows of.
     clock
         Source of monotonic time.
+    on_rollout_support
+        Called with the host of each notice and whether it takes part in roll-outs.
     """
 
     def __init__(
@@ -99,7 +101,9 @@
         make_entry: Callable[[], HostEntry],
         on_departure: Callable[[Departure], None],
         clock: Clock,
+        on_rollout_support: Callable[[str, bool], None] = lambda host, knows: None,
     ) -> None:
+        self._on_rollout_support = on_rollout_support
         self._on_departure = on_departure
         self._confirmed_departure: Departure | None = None
         self._links = links
@@ -142,6 +146,7 @@
             silent_peers,
             departure,
             self._evidence.verdicts,
+            knows_rollouts=True,
         )
 
     def handle_notice(self, notice: Notice) -> None:
@@ -161,6 +166,7 @@
             self._hosts_without_store.discard(entry.host)
         else:
             self._hosts_without_store.add(entry.host)
+        self._on_rollout_support(entry.host, notice.knows_rollouts)
         known = self._directory.find_departure(entry.host)
         self._directory.put(entry)
         self._evidence.merge_verdicts(notice.verdicts)
