Judge versions of small services in time, and find hosts that joined late

Change: the trial may use part of the slack, a suspect version falls back to its trial, young servers wait longer for the step whole, requests overflow to old servers for 2 s only, the lease names the coordinator's address, and a daemon reads changed host records if it does not know the servers of a plan. Statuses are read only where it is open which version was there first.

--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
@@ -20,11 +20,25 @@
 COLLECTION_S = 1.2
 """Longest wait for the first reports of all daemons, to which links may have to be
 opened. An earlier coordinator may have come further."""
+TRIAL_SLACK_PER_S = 0.08
+"""Requests a second that the trial may get beyond its share, relative to the slack that
+the settings allow; over the 5 s of a usual trial, 0.4 of it. Without them, a service
+with some tens of requests a second has too few trial responses on each route."""
+MAX_SLACK_SHARE = 0.25
+"""Limit of the share that these requests add."""
+SETTLED_TRIAL_S = 10.0
+"""Age of a trial whose share no longer grows."""
+MIN_RATE_PERIOD_S = 1.0
+"""Seconds since the order after which the service's rate of requests is known."""
 MIN_TRIAL_RESPONSES = 100
 SUFFICIENT_TRIAL_SHARE = 0.55
 """Share of the duration after which fewer responses suffice."""
 LATEST_WHOLE_SHARE = 0.6
 """Share of the duration after which a version without evidence against it gets all."""
+LATEST_YOUNG_WHOLE_SHARE = 0.75
+"""The same while the first server has been ready for less than `MIN_READY_S`. A version
+that appears some seconds after its order would otherwise get all requests before faults
+of its first seconds show; completion is still in time."""
 MIN_READY_S = 5.0
 """Seconds from the first ready server to the step ``whole``; some faults appear only
 seconds after the start."""
@@ -207,7 +221,7 @@
         if not collected and now - self._began_at < COLLECTION_S:
             return
         if self._reached is RolloutPhase.WHOLE and not suspect:
-            self._begin_whole(now, suspect=suspect)
+            self._begin_whole(now)
             return
         self._trial_at = now
         self._set_step(Step(RolloutPhase.TRIAL))
@@ -216,17 +230,31 @@
         self, now: float, view: FleetView, elapsed: float, *, suspect: bool
     ) -> None:
         if not suspect and self._may_begin_whole(now, view, elapsed):
-            self._begin_whole(now, suspect=suspect)
+            self._begin_whole(now)
             return
-        share = self._compute_trial_share(now)
+        share = self._compute_trial_share(now, elapsed * self.order.duration)
         servers = self._choose_trial_servers(view, share)
         self._set_step(Step(RolloutPhase.TRIAL, share, servers, suspect))
 
-    def _compute_trial_share(self, now: float) -> float:
+    def _compute_trial_share(self, now: float, age: float) -> float:
         doublings = int((now - self._trial_at) / SHARE_DOUBLING_S)
-        allowed = self._bounds.exposure_share
-        growing = FIRST_TRIAL_SHARE * 2 ** min(doublings, 10)
-        return allowed * min(MAX_TRIAL_SHARE, growing)
+        growth = min(1.0, FIRST_TRIAL_SHARE / MAX_TRIAL_SHARE * 2 ** min(doublings, 9))
+        share = MAX_TRIAL_SHARE * self._bounds.exposure_share
+        if doublings:
+            share += self._find_slack_share(age)
+        return round(growth * share, 3)
+
+    def _find_slack_share(self, age: float) -> float:
+        """Return the share that stands for the slack; small for a busy service."""
+        allowed = self._bounds.exposure_slack
+        responses = self.evidence.count_responses(new=False)
+        exposed = self.evidence.count_responses(new=True)
+        free = 0.5 * allowed - max(
+            0.0, exposed - self._bounds.exposure_share * responses
+        )
+        if age < MIN_RATE_PERIOD_S or not responses or free <= 0:
+            return 0.0
+        return min(MAX_SLACK_SHARE, TRIAL_SLACK_PER_S * allowed * age / responses)
 
     def _choose_trial_servers(self, view: FleetView, share: float) -> tuple[str, ...]:
         """Choose as many new servers as make each as busy as an old one."""
@@ -238,31 +266,40 @@
     def _may_begin_whole(self, now: float, view: FleetView, elapsed: float) -> bool:
         if not view.new_servers:
             return False
+        if not self._is_old_enough(now, view, MIN_READY_S):
+            return elapsed >= LATEST_YOUNG_WHOLE_SHARE
         if elapsed >= LATEST_WHOLE_SHARE:
             return True
-        if view.ready_since is None or now - view.ready_since < MIN_READY_S:
-            return False
         responses = self.evidence.count_responses(new=True)
         return responses >= MIN_TRIAL_RESPONSES or elapsed >= SUFFICIENT_TRIAL_SHARE
 
-    def _begin_whole(self, now: float, *, suspect: bool) -> None:
+    def _is_old_enough(self, now: float, view: FleetView, seconds: float) -> bool:
+        return view.ready_since is not None and now - view.ready_since >= seconds
+
+    def _begin_whole(self, now: float) -> None:
         self._whole_at, self._all_whole_at = now, None
-        self._set_step(Step(RolloutPhase.WHOLE, 1.0, (), suspect))
+        self._set_step(Step(RolloutPhase.WHOLE, 1.0))
         self._whole_number = self.number
 
     def _continue_whole(
         self, now: float, view: FleetView, elapsed: float, *, suspect: bool
     ) -> None:
-        self._set_step(Step(RolloutPhase.WHOLE, 1.0, (), suspect))
+        if suspect and self.decision is None:
+            # Back to the share of the trial, at which the evidence costs less.
+            self._trial_at = now - SETTLED_TRIAL_S
+            self._continue_trial(now, view, elapsed, suspect=suspect)
+            return
         live = self._list_live(now)
         if not all(self._is_in_whole(member) for member in live):
             self._all_whole_at = None
             return
         if self._all_whole_at is None:
             self._all_whole_at = now
-        if suspect or not view.new_servers:
+        if not view.new_servers:
             return
-        seen_enough = now - self._whole_at >= MIN_WHOLE_S
+        seen_enough = now - self._whole_at >= MIN_WHOLE_S and self._is_old_enough(
+            now, view, MIN_READY_S + MIN_WHOLE_S
+        )
         if not seen_enough and elapsed < EARLIEST_END_SHARE:
             return
         if elapsed >= NO_WAIT_SHARE or self._have_old_servers_finished(live):
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/decisions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/decisions.py
@@ -68,7 +68,9 @@
 
     async def read_all(self) -> list[RolloutStatus]:
         """Return the statuses of all services."""
-        result = await self._store.read_prefix(self._codec.statuses_prefix)
+        prefix = self._codec.statuses_prefix
+        # A decision that is too new for this read arrives with the plans.
+        result = await self._store.read_prefix(prefix, stale=True)
         found = (self._codec.decode(i.value, i.mod_revision) for i in result.items)
         return [status for status in found if status is not None]
 
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/lease.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/lease.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random as random_module
+from collections import Counter
 from collections.abc import Callable
 
 from almondrouter.clock import Clock
@@ -14,6 +16,13 @@
 RENEWAL_INTERVAL_S = 0.6
 """Seconds between renewals; two may fail before the lease expires."""
 RETRY_INTERVAL_S = 0.2
+ELECTION_DELAY_S = 0.5
+"""Longest random delay before an attempt to become coordinator."""
+OTHER_HOSTS_DELAY_S = 0.6
+"""Additional delay of daemons that are not beside a server of the service."""
+FAILED_ATTEMPT_DELAY_S = 0.25
+MAX_RETRY_DELAY_S = 2.0
+"""Longest delay after attempts that failed because the store did not respond."""
 
 
 class CoordinatorLease:
@@ -26,19 +35,25 @@
     service
         Service whose roll-out is coordinated.
     owner
-        Value of the key, different for each start of a daemon.
+        Name of this daemon, different for each of its starts.
+    peer_address
+        Address at which other daemons reach this one; others find it in the key.
     clock
         Source of monotonic time, which includes time spent suspended.
     """
 
-    def __init__(self, store: Store, service: str, *, owner: str, clock: Clock) -> None:
+    def __init__(
+        self, store: Store, service: str, *, owner: str, peer_address: str, clock: Clock
+    ) -> None:
         self._store = store
         self.key = LEASES_PREFIX + service
-        self._owner = owner.encode()
+        self._value = f"{owner} {peer_address}".encode()
         self._clock = clock
         self._lease: Lease | None = None
         self.token = 0
         """Revision at which the key was created; 0 while the lease is not held."""
+        self.holder_address = ""
+        """Address of the daemon that was found to hold the lease."""
 
     @property
     def is_held(self) -> bool:
@@ -58,10 +73,11 @@
         AlmondError
             If the store does not respond.
         """
-        if (await self._store.read(self.key)).items:
+        for item in (await self._store.read(self.key)).items:
+            self.holder_address = item.value.decode(errors="replace").rpartition(" ")[2]
             return False
         self._lease = await self._store.grant_lease(LEASE_TTL_S)
-        put = Put(self.key, self._owner, self._lease.lease_id)
+        put = Put(self.key, self._value, self._lease.lease_id)
         try:
             result = await self._store.commit(
                 Transaction((Compare(self.key, 0),), (put,))
@@ -75,7 +91,7 @@
     async def _find_own_key(self) -> None:
         """Look whether a write whose response was lost has taken effect."""
         for item in (await self._store.read(self.key)).items:
-            if item.value == self._owner:
+            if item.value == self._value:
                 self.token = item.create_revision
 
     async def keep(self, on_lost: Callable[[], None]) -> None:
@@ -101,3 +117,50 @@
             await self._store.revoke_lease(self._lease)
         except AlmondError:
             return
+
+
+class AttemptSchedule:
+    """When this daemon tries to become the coordinator of each service.
+
+    Parameters
+    ----------
+    clock, random
+        Sources of monotonic time and of the delays.
+    """
+
+    def __init__(self, clock: Clock, random: random_module.Random) -> None:
+        self._clock = clock
+        self._random = random
+        self._due_at: dict[str, float] = {}
+        self._failures: Counter[str] = Counter()
+
+    def reset(self, service: str) -> None:
+        """Make no attempt, as there is a coordinator or no order."""
+        self._due_at.pop(service, None)
+
+    def is_due(self, service: str, *, is_near: bool) -> bool:
+        """Return whether to make an attempt now; the first call starts the delay.
+
+        Parameters
+        ----------
+        is_near
+            Whether this daemon is beside a server of the service.
+        """
+        now = self._clock.monotonic()
+        if service not in self._due_at:
+            delay = ELECTION_DELAY_S * self._random.random()
+            delay += 0.0 if is_near else OTHER_HOSTS_DELAY_S
+            backoff = FAILED_ATTEMPT_DELAY_S * self._failures[service]
+            self._due_at[service] = now + delay + min(MAX_RETRY_DELAY_S, backoff)
+        if now < self._due_at[service]:
+            return False
+        del self._due_at[service]
+        return True
+
+    def record_failure(self, service: str) -> None:
+        """Wait longer, as the store did not respond."""
+        self._failures[service] += 1
+
+    def record_response(self, service: str) -> None:
+        """Wait no longer than usual, as the store has responded."""
+        self._failures.pop(service, None)
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/manager.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/manager.py
@@ -10,11 +10,14 @@
 from almondrouter.clock import Clock
 from almondrouter.coordination.rollouts.coordinator import FleetView
 from almondrouter.coordination.rollouts.decisions import Decisions
-from almondrouter.coordination.rollouts.lease import CoordinatorLease
-from almondrouter.coordination.rollouts.members import RolloutMembers
+from almondrouter.coordination.rollouts.lease import AttemptSchedule, CoordinatorLease
+from almondrouter.coordination.rollouts.members import RecordSearch, RolloutMembers
 from almondrouter.coordination.rollouts.orders import KnownOrder, OrderBook
 from almondrouter.coordination.rollouts.reporting import LocalResults, ReportSchedule
-from almondrouter.coordination.rollouts.session import CoordinatorSession
+from almondrouter.coordination.rollouts.session import (
+    CoordinatorSession,
+    make_announcement,
+)
 from almondrouter.coordination.rollouts.versions import VersionFilter
 from almondrouter.errors import AlmondError
 from almondrouter.logs import EventLogger
@@ -29,12 +32,7 @@
 from almondrouter.transport.store import Store
 
 TICK_S = 0.1
-ELECTION_DELAY_S = 0.5
-"""Longest random delay before an attempt to become coordinator."""
-OTHER_HOSTS_DELAY_S = 0.6
-"""Additional delay of daemons that are not beside a server of the service."""
-MAX_RETRY_DELAY_S = 2.0
-"""Longest delay after attempts that failed because the store did not respond."""
+STATUS_RETRY_S = 0.5
 LINKS_INTERVAL_S = 0.5
 """Interval at which a coordinator opens missing links."""
 
@@ -68,6 +66,8 @@
         Returns whether this daemon watches the store for its region.
     find_ready
         Returns name and version of the ready servers of a service.
+    request_records
+        Reads soon which host records have changed in the store.
     """
 
     def __init__(
@@ -87,7 +87,9 @@
         region: str,
         is_relay: Callable[[], bool],
         find_ready: Callable[[str], list[tuple[str, str]]],
+        request_records: Callable[[], None] = lambda: None,
     ) -> None:
+        self._search = RecordSearch(find_ready, request_records, clock)
         self._store = store
         self._decisions = decisions
         self._orders = orders
@@ -105,8 +107,7 @@
         self._wake = asyncio.Event()
         self._statuses_wanted = False
         self._statuses_read = False
-        self._attempt_at: dict[str, float] = {}
-        self._failed_attempts: Counter[str] = Counter()
+        self._attempts = AttemptSchedule(clock, random)
         self._tasks: dict[str, asyncio.Task] = {}
         self._sessions: dict[str, CoordinatorSession] = {}
         self._schedules: dict[str, ReportSchedule] = {}
@@ -117,7 +118,7 @@
         """Begin a roll-out that was ordered, or end one whose order was removed."""
         known = self._orders.find(service)
         self._versions.set_order(service, known.order if known else None)
-        self._attempt_at.pop(service, None)
+        self._attempts.reset(service)
         self._schedules.pop(service, None)
         self._sessions.pop(service, None)
         if task := self._tasks.pop(service, None):
@@ -162,6 +163,7 @@
             self._apply_decision(service, plan.phase, is_stored=plan.is_stored)
         else:
             self._report_if_due(service)
+            self._search.look_for_servers(plan)
 
     def handle_report(self, report: RolloutReport) -> None:
         """Take over the report of another daemon, if this one coordinates."""
@@ -200,6 +202,11 @@
             found.append((order.service, state.reached, share))
         return found
 
+    @property
+    def coordinated(self) -> dict[str, RolloutPhase | None]:
+        """Decisions, if any, about the services that this daemon coordinates."""
+        return {s: item.coordinator.decision for s, item in self._sessions.items()}
+
     def list_evidence(self) -> list[tuple[str, str, int, float]]:
         """Return service, version, responses and failure share, while coordinating."""
         found = []
@@ -228,7 +235,7 @@
             if state.ready_since is None and self._list_new_servers(known.order):
                 state.ready_since = now
             self._report_if_due(service)
-            self._continue_election(known, now)
+            self._continue_election(known)
         if self._sessions and now >= self._links_at:
             self._links_at = now + LINKS_INTERVAL_S
             self._members.open_links()
@@ -250,30 +257,18 @@
         state = self._versions.get(service)
         return self._results.make_report(service, state, order_age=age)
 
-    def _continue_election(self, known: KnownOrder, now: float) -> None:
+    def _continue_election(self, known: KnownOrder) -> None:
         """Attempt to become coordinator if none has sent a plan for a while."""
         service = known.order.service
         if service in self._tasks:
             return
         if self._versions.find_valid_plan(service) is not None:
-            self._attempt_at.pop(service, None)
-            return
-        if service not in self._attempt_at:
-            self._schedule_attempt(service)
-        if now >= self._attempt_at[service]:
-            del self._attempt_at[service]
+            self._attempts.reset(service)
+        elif self._attempts.is_due(service, is_near=self._results.serves(service)):
             task = asyncio.create_task(self._attempt(known))
             self._tasks[service] = task
             task.add_done_callback(lambda done: self._finish_attempt(service, done))
 
-    def _schedule_attempt(self, service: str) -> None:
-        delay = ELECTION_DELAY_S * self._random.random()
-        if not self._results.serves(service):
-            delay += OTHER_HOSTS_DELAY_S
-        failed = self._failed_attempts[service]
-        delay += min(MAX_RETRY_DELAY_S, 0.25 * failed)
-        self._attempt_at[service] = self._clock.monotonic() + delay
-
     def _finish_attempt(self, service: str, task: asyncio.Task) -> None:
         if self._tasks.get(service) is task:
             del self._tasks[service]
@@ -285,7 +280,11 @@
         """Look for a decision in the store, or become the coordinator."""
         service = known.order.service
         lease = CoordinatorLease(
-            self._store, service, owner=self._owner, clock=self._clock
+            self._store,
+            service,
+            owner=self._owner,
+            peer_address=self._peer_address,
+            clock=self._clock,
         )
         try:
             status, _ = await self._decisions.read(service)
@@ -294,12 +293,13 @@
             if not self._versions.get(service).needs_coordinator:
                 return
             if not await lease.try_acquire():
+                self._members.contact(lease.holder_address)
                 return
         except AlmondError as error:
-            self._failed_attempts[service] += 1
+            self._attempts.record_failure(service)
             self.counts[error.code.value] += 1
             return
-        self._failed_attempts.pop(service, None)
+        self._attempts.record_response(service)
         await self._coordinate(known, lease)
 
     async def _coordinate(self, known: KnownOrder, lease: CoordinatorLease) -> None:
@@ -350,7 +350,7 @@
             statuses = await self._decisions.read_all()
         except AlmondError as error:
             self.counts[error.code.value] += 1
-            await asyncio.sleep(ELECTION_DELAY_S * (1 + self._random.random()))
+            await asyncio.sleep(STATUS_RETRY_S * (1 + self._random.random()))
             return
         self._statuses_wanted, self._statuses_read = False, True
         for status in statuses:
@@ -384,20 +384,10 @@
 
     def _announce(self, service: str, known: KnownOrder | None) -> None:
         """Make an order, or its removal, known in the region."""
-        now = self._clock.monotonic()
-        phase, order = RolloutPhase.WAITING, known.order if known else None
-        if order is None:
-            phase = RolloutPhase.REMOVED
-        plan = RolloutPlan(
-            service=service,
-            order_revision=(
-                order.revision if order else self._orders.find_removal(service)
-            ),
-            target_version=order.target_version if order else "",
-            duration=order.duration if order else 0.0,
-            order_age=now - known.ordered_at if known else 0.0,
-            token=0,
-            step=0,
-            phase=phase,
+        plan = make_announcement(
+            service,
+            known,
+            removed_at=self._orders.find_removal(service),
+            now=self._clock.monotonic(),
         )
         self._members.broadcast(plan, region=self._region)
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/members.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/members.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
+from almondrouter.clock import Clock
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.protocol.calls import RolloutPlan, RolloutReport
 from almondrouter.state.hosts import HostEntry
 
+RECORDS_INTERVAL_S = 2.5
+"""Shortest interval between reads of changed host records."""
+
 
 class NoticeLinks(Protocol):
     """What roll-outs need of the links between daemons."""
@@ -58,6 +63,11 @@
             if entry.host != self._own_host:
                 self._links.preconnect(entry.peer_address)
 
+    def contact(self, address: str) -> None:
+        """Open the link to a coordinator, which learns of this daemon by that."""
+        if address:
+            self._links.preconnect(address)
+
     def list_linked(self) -> frozenset[str]:
         """Return this host and the linked hosts that take part."""
         linked = {e.host for e in self._list_members() if self._is_alive(e)}
@@ -83,3 +93,41 @@
 
     def _is_alive(self, entry: HostEntry) -> bool:
         return self._links.is_alive(entry.peer_address)
+
+
+class RecordSearch:
+    """Looks for the servers of a plan that this daemon does not know.
+
+    Servers of other regions tell only some hosts of this one of their start.
+
+    Parameters
+    ----------
+    find_ready
+        Returns name and version of the ready servers of a service.
+    request_records
+        Reads soon which host records have changed in the store.
+    clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        find_ready: Callable[[str], list[tuple[str, str]]],
+        request_records: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        self._find_ready = find_ready
+        self._request_records = request_records
+        self._clock = clock
+        self._allowed_at = 0.0
+
+    def look_for_servers(self, plan: RolloutPlan) -> None:
+        """Read changed records if a plan needs servers that are not known."""
+        now = self._clock.monotonic()
+        if not plan.share or now < self._allowed_at:
+            return
+        ready = self._find_ready(plan.service)
+        known = {name for name, version in ready if version == plan.target_version}
+        if not known or not known.issuperset(plan.servers):
+            self._allowed_at = now + RECORDS_INTERVAL_S
+            self._request_records()
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/reporting.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/reporting.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from almondrouter.coordination.localbackend import LocalBackend
+from almondrouter.coordination.rollouts.servicestate import ServiceVersions
 from almondrouter.coordination.rollouts.tally import RunTally
-from almondrouter.coordination.rollouts.versions import ServiceVersions
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import RolloutReport
 
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/session.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/session.py
@@ -13,6 +13,7 @@
 from almondrouter.logs import EventLogger
 from almondrouter.protocol.calls import RolloutPlan, RolloutReport
 from almondrouter.state.bounds import RolloutBounds
+from almondrouter.state.rollouts import RolloutPhase
 
 TICK_S = 0.1
 """Interval at which the coordinator looks at the evidence."""
@@ -174,3 +175,34 @@
             failed=round(coordinator.evidence.find_failure_share(new=True), 4),
             after=round(age, 3),
         )
+
+
+def make_announcement(
+    service: str, known: KnownOrder | None, *, removed_at: int, now: float
+) -> RolloutPlan:
+    """Return a plan that makes an order known, or its removal.
+
+    Parameters
+    ----------
+    known
+        The order; None if it was removed.
+    removed_at
+        Revision of its removal.
+    now
+        Monotonic seconds.
+    """
+    if known is None:
+        return RolloutPlan(
+            service, removed_at, "", 0.0, 0.0, 0, 0, RolloutPhase.REMOVED
+        )
+    order = known.order
+    return RolloutPlan(
+        service=service,
+        order_revision=order.revision,
+        target_version=order.target_version,
+        duration=order.duration,
+        order_age=now - known.ordered_at,
+        token=0,
+        step=0,
+        phase=RolloutPhase.WAITING,
+    )
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/tally.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/tally.py
@@ -132,7 +132,7 @@
         run: Run | None,
         result: CallReply | CallError | None,
         *,
-        responded: bool = True,
+        responded: bool = False,
     ) -> None:
         """Record the end of a run.
 
@@ -141,7 +141,7 @@
         result
             The response or error; None if the run was cancelled, which is no result.
         responded
-            Whether the server sent a response, whatever it was worth.
+            Whether an error is about a response that the server sent.
         """
         if run is None or run not in self._runs:
             return
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/verdict.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/verdict.py
@@ -29,7 +29,7 @@
 SUSPECT_RUN_TIME_RATIO = 2.0
 SUSPECT_Z = 1.28
 """Normal deviate of 90%, for evidence that holds a roll-out up."""
-SUSPECT_MIN_FAILURES = 2
+SUSPECT_MIN_FAILURES = 3
 SUSPECT_MIN_TIMED_RESPONSES = 6
 
 
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
@@ -8,82 +8,26 @@
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.rollouts.servicestate import (
+    SeenVersion,
+    ServiceVersions,
+    find_first,
+)
 from almondrouter.protocol.calls import RolloutPlan
 from almondrouter.state.hosts import BackendEntry
-from almondrouter.state.rollouts import FINAL_PHASES, RolloutOrder, RolloutPhase
+from almondrouter.state.rollouts import RolloutOrder, RolloutPhase
 from almondrouter.state.snapshot import Destination
 
-SEEN_TOGETHER_S = 5.0
-"""Seconds within which versions count as seen at the same time, as after the start of
-a daemon; the start times of their servers then tell which was there first."""
 FORGOTTEN_AFTER_S = 30.0
 """Seconds without any server after which a version counts as new when it returns."""
+OVERFLOW_S = 2.0
+"""Seconds in the step ``whole`` in which requests that no new server takes may go to
+the old ones. The roll-out cannot be completed while requests run there."""
 MAX_CREDITS = 4096
 
 Choices = tuple[Sequence[Destination], ...]
 
 
-@dataclass(slots=True)
-class _SeenVersion:
-    """A version of a service: when it was seen, and its earliest server start."""
-
-    first_seen: float
-    started_ms: int
-    missing_since: float | None = None
-
-
-@dataclass(slots=True)
-class ServiceVersions:
-    """What this daemon knows of the versions of a service.
-
-    Parameters
-    ----------
-    completed
-        Target of the last completed order; empty without one.
-    order
-        Order in force; None without one.
-    plan
-        Last accepted plan for the order.
-    reached
-        Furthest phase that was in force for the order; a final one if it is decided.
-    is_settled
-        Whether the decision about the order is in the store.
-    ready_since
-        Monotonic seconds at which a server of the ordered version was first ready.
-    """
-
-    completed: str = ""
-    order: RolloutOrder | None = None
-    plan: RolloutPlan | None = None
-    reached: RolloutPhase = RolloutPhase.WAITING
-    is_settled: bool = False
-    ready_since: float | None = None
-    seen: dict[str, _SeenVersion] = field(default_factory=dict)
-    credits: dict[str, float] = field(default_factory=dict)
-
-    @property
-    def is_open(self) -> bool:
-        """Whether an order is in force that is not decided."""
-        return self.order is not None and self.reached not in FINAL_PHASES
-
-    @property
-    def needs_coordinator(self) -> bool:
-        """Whether an order is in force whose decision is not yet in the store."""
-        return self.order is not None and not self.is_settled
-
-    @property
-    def rolled_back(self) -> str:
-        """Version that was rolled back; empty if none was."""
-        if self.order is None or self.reached is not RolloutPhase.ROLLED_BACK:
-            return ""
-        return self.order.target_version
-
-    @property
-    def step(self) -> tuple[int, int]:
-        """Fencing token and number of the step of the last plan."""
-        return (self.plan.token, self.plan.step) if self.plan else (0, 0)
-
-
 @dataclass(slots=True)
 class _Split:
     """Destinations of a service by what may be sent to them.
@@ -116,7 +60,7 @@
     clock
         Source of monotonic time.
     on_mixed
-        Called with a service in which versions differ without an order.
+        Called with a service of whose versions several may have been there first.
     """
 
     def __init__(
@@ -148,7 +92,7 @@
         state = self.get(service)
         state.order, state.plan = order, None
         state.reached, state.ready_since = RolloutPhase.WAITING, None
-        state.is_settled = False
+        state.is_settled, state.whole_since = False, None
         state.credits.clear()
         self._splits.pop(service, None)
 
@@ -184,6 +128,10 @@
             return False
         if (plan.token, plan.step) != state.step:
             self._splits.pop(plan.service, None)
+        if plan.phase is not RolloutPhase.WHOLE:
+            state.whole_since = None
+        elif state.whole_since is None:
+            state.whole_since = self._clock.monotonic()
         state.plan = plan
         if plan.phase is RolloutPhase.WHOLE and state.is_open:
             state.reached = RolloutPhase.WHOLE
@@ -212,13 +160,13 @@
         seen = {v: s for v, s in state.seen.items() if v not in excluded}
         if not seen:
             return ""
-        first = min(item.first_seen for item in seen.values())
-        together = [
-            (item.started_ms, version)
-            for version, item in seen.items()
-            if item.first_seen - first < SEEN_TOGETHER_S
-        ]
-        return min(together)[1]
+        return find_first(seen)[0]
+
+    def _is_ambiguous(self, state: ServiceVersions) -> bool:
+        """Return whether the stored status may name another established version."""
+        if state.completed or (state.plan is not None and state.plan.established):
+            return False
+        return len(find_first(state.seen)) > 1
 
     def is_barred(self, service: str, version: str) -> bool:
         """Return whether a server of a version has to refuse requests.
@@ -253,6 +201,9 @@
         if plan is None or (plan.suspect and not repeatable and split.base):
             return (split.base,)
         if plan.phase is RolloutPhase.WHOLE:
+            since = self._services[service].whole_since
+            if since is None or self._clock.monotonic() - since >= OVERFLOW_S:
+                return (split.target,)
             return (split.target, split.base)
         if plan.phase is RolloutPhase.TRIAL and is_first and plan.share > 0:
             trial = self._find_trial_servers(split, plan)
@@ -300,7 +251,7 @@
             return _Split(destinations, destinations)
         state = self.get(service)
         established = self.find_established(service)
-        if len(versions) > 1 and not state.completed:
+        if self._is_ambiguous(state):
             self._on_mixed(service)
         target = state.order.target_version if state.is_open else ""
         if target == established:
@@ -346,7 +297,7 @@
                 continue
             present.add(backend.version)
             seen = state.seen.setdefault(
-                backend.version, _SeenVersion(now, backend.started_ms)
+                backend.version, SeenVersion(now, backend.started_ms)
             )
             seen.missing_since = None
             seen.started_ms = min(seen.started_ms, backend.started_ms)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -278,6 +278,7 @@
             random=self._random,
             incarnation=self._incarnation,
             is_relay=lambda: self.feed.watching,
+            request_records=lambda: self.feed.request_changes(),
         )
         self.retry_budget = FleetRetryBudget(
             settings.repeat_limits,
--- a/packages/almondrouterd/src/almondrouterd/rolloutsetup.py
+++ b/packages/almondrouterd/src/almondrouterd/rolloutsetup.py
@@ -53,6 +53,7 @@
         random: random_module.Random,
         incarnation: int,
         is_relay: Callable[[], bool],
+        request_records: Callable[[], None],
     ) -> Rollouts:
         """Build the manager, which joins the parts with the rest of the daemon."""
         host = settings()
@@ -75,6 +76,7 @@
             find_ready=lambda service: [
                 (d.backend, d.version) for d in directory.find_destinations(service)
             ],
+            request_records=request_records,
         )
         return self.manager
 
