--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -64,6 +64,7 @@
     register_call_metrics,
     register_link_metrics,
     register_quota_metrics,
+    register_rollout_metrics,
     register_state_metrics,
     register_transfer_metrics,
 )
@@ -75,6 +76,7 @@
 from almondrouterd.platform.settings import HostSettings
 from almondrouterd.platform.store import PlatformStore
 from almondrouterd.quotalinks import QuotaLinks
+from almondrouterd.rolloutsetup import make_rollout_parts
 
 LINK_POLICY = LinkPolicy(
     ping_interval=0.3,
@@ -194,6 +196,13 @@
             decode_routes,
             on_activated=lambda: self._peers.relay_routes(),
         )
+        self._rollouts = make_rollout_parts(
+            directory=self.directory,
+            links=self.links,
+            routes=self.routes,
+            host=settings.host,
+            clock=clock,
+        )
         self.registration = Registration(
             self._store,
             make_entry=self._make_entry,
@@ -212,7 +221,7 @@
         )
         self.feed = StoreFeed(
             self._store,
-            (self.routes, records),
+            (self.routes, self._rollouts.orders, records),
             clock=clock,
             random=self._random,
             on_connection_changed=self.links.notify_all,
@@ -236,6 +245,9 @@
             ),
             clock=clock,
             on_host_notice=self._quota_links.handle_notice,
+            on_rollout_support=lambda host, knows: self._rollouts.members.note(
+                host, knows_rollouts=knows
+            ),
         )
 
     def _build_calls(self) -> None:
@@ -266,6 +278,19 @@
             ),
             on_changed=self._publish_backend_change,
             transfers=self.transfer_admission,
+            tally=self._rollouts.tally,
+            is_barred=self._rollouts.versions.is_barred,
+        )
+        self._rollouts.connect(
+            settings=lambda: self.settings,
+            store=self._store,
+            backend=self.backend,
+            directory=self.directory,
+            clock=clock,
+            random=self._random,
+            incarnation=self._incarnation,
+            is_relay=lambda: self.feed.watching,
+            request_records=lambda: self.feed.request_changes(),
         )
         self.retry_budget = FleetRetryBudget(
             settings.repeat_limits,
@@ -316,6 +341,8 @@
             on_newer_version=self._peers.catch_up_to,
             find_condemned_until=self._find_condemned_until,
             on_finished=self._metrics.record_call,
+            versions=self._rollouts.versions,
+            on_nested_failure=self._rollouts.tally.mark_nested_failure,
         )
 
     def _build_servers(self) -> None:
@@ -384,6 +411,11 @@
         register_transfer_metrics(
             self._metrics, scheduler=self.transfers, admission=self.transfer_admission
         )
+        register_rollout_metrics(
+            self._metrics,
+            rollouts=self._rollouts.manager,
+            orders=self._rollouts.orders,
+        )
         address = f"{self.settings.ip}:{self.settings.metrics_port}"
         self._metrics_server = self._make_internal_server(address, self._handle_metrics)
 
@@ -397,6 +429,7 @@
             self.registration.run,
             self._maintain_peers_forever,
             self._divide_quotas_forever,
+            self._rollouts.manager.run,
         ):
             self._start_forever(work)
         _log.info(
@@ -646,6 +679,10 @@
     async def _handle_caller_request(self, request: CallerRequest) -> CallerResponse:
         return await self._forwarder.handle(request)
 
+    def _handle_notice(self, notice: Notice) -> None:
+        if not self._rollouts.handle_notice(notice):
+            self._peers.handle_notice(notice)
+
     async def _handle_peer_call(self, request: LinkRequest) -> CallReply:
         if isinstance(request, RoutesQuery):
             return self._peers.answer_routes_query(request)
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -86,6 +86,8 @@
         Source of monotonic time.
     on_host_notice
         Called with each notice of another daemon and the host record in it.
+    on_rollout_support
+        Called with the host of each notice and whether it takes part in roll-outs.
     """
 
     def __init__(
@@ -104,6 +106,9 @@
         on_host_notice: Callable[[HostEntry, HostNotice], None] | None = None,
     ) -> None:
         self._on_host_notice = on_host_notice
+        on_rollout_support: Callable[[str, bool], None] = lambda host, knows: None,
+    ) -> None:
+        self._on_rollout_support = on_rollout_support
         self._on_departure = on_departure
         self._confirmed_departure: Departure | None = None
         self._links = links
@@ -147,6 +152,7 @@
             departure,
             self._evidence.verdicts,
             knows_quotas=True,
+            knows_rollouts=True,
         )
 
     def handle_notice(self, notice: Notice) -> None:
@@ -168,6 +174,7 @@
             self._hosts_without_store.discard(entry.host)
         else:
             self._hosts_without_store.add(entry.host)
+        self._on_rollout_support(entry.host, notice.knows_rollouts)
         known = self._directory.find_departure(entry.host)
         self._directory.put(entry)
         self._evidence.merge_verdicts(notice.verdicts)
