Pace long responses to callers, and describe transfers

Cause: a response of 540 KB to a caller occupied the link of its host for 430 ms at 10 Mbit/s, in front of replies of nested calls and of the parts to other daemons.

PacedOutput writes a caller's connection in order and hands long responses with an urgency to the scheduler of the host in parts; the half-close follows the last part. Responses to processes of the own host are neither paced nor charged.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -33,6 +33,7 @@
 from almondrouter.state.routes import RouteTable, RouteTarget
 from almondrouter.state.snapshot import Destination
 from almondrouter.transport.calls import CallerRequest, CallerResponse, CallLinks
+from almondrouter.transport.transfers import make_urgency
 
 MAX_REFUSALS = 3
 """Refusals after which a request is not tried elsewhere; its caller gets 503 with a
@@ -518,7 +519,13 @@
         self, pending: PendingRequest, reply: CallReply
     ) -> CallerResponse:
         if reply.outcome is Outcome.COMPLETE:
-            return CallerResponse(reply.status, reply.headers, reply.body, reply.framed)
+            return CallerResponse(
+                reply.status,
+                reply.headers,
+                reply.body,
+                reply.framed,
+                make_urgency(pending.call),
+            )
         status = choose_status(reply.outcome, reply.code)
         headers: tuple[tuple[str, str], ...] = ((names.CODE, reply.code),)
         if reply.outcome is Outcome.NOT_RUN:
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
@@ -59,9 +59,10 @@
 
     def add(self, transfer: Transfer) -> None:  # noqa: D102
         self.counts["started"] += 1
-        onward = self.estimate_onward_time(transfer.remaining)
-        transfer.useful_until -= onward
-        transfer.deadline -= onward
+        if not transfer.is_last_hop:
+            onward = self.estimate_onward_time(transfer.remaining)
+            transfer.useful_until -= onward
+            transfer.deadline -= onward
         self._queue.add(transfer)
         self.wake()
 
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -16,6 +16,7 @@
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouter.transport.listeners import Listener, set_reset_on_close
+from almondrouter.transport.output import PacedOutput
 from almondrouter.transport.pipelines import Exchange, FramingHistory, Pipeline
 from almondrouter.transport.readers import (
     MAX_WAITING_BYTES,
@@ -23,6 +24,7 @@
     RequestSink,
 )
 from almondrouter.transport.responses import encode_response
+from almondrouter.transport.transfers import TransferPacer
 
 HEADER_TIMEOUT_S = 10.0
 """Time limit for receiving the headers of a request."""
@@ -73,9 +75,13 @@
         of this module.
     find_request_id
         Returns the id of a request from its headers, for log lines.
+    pacer
+        Sends long responses in parts; if None, they are sent at once.
     on_sent
-        Called with the length of each response that leaves, and the IP address of its
-        caller.
+        Called with the length of all that is sent to callers.
+    own_ip
+        IP address of this host; what is sent to its own processes is neither paced nor
+        counted, as it does not use the link.
     """
 
     def __init__(
@@ -88,7 +94,9 @@
         clock: Clock | None = None,
         limits: Callable[[], CallerLimits] | None = None,
         find_request_id: Callable[[HeaderList], str] = lambda headers: "",
-        on_sent: Callable[[int, str], None] = lambda size, peer: None,
+        pacer: TransferPacer | None = None,
+        on_sent: Callable[[int], None] = lambda size: None,
+        own_ip: str = "",
     ) -> None:
         super().__init__(address)
         default = CallerLimits(
@@ -99,7 +107,9 @@
         self.version = version
         self.clock = clock or SystemClock()
         self.find_request_id = find_request_id
+        self.pacer = pacer
         self.on_sent = on_sent
+        self.own_ip = own_ip
         self.framing = FramingHistory(self.clock)
         self.connections: set[CallerConnection] = set()
         self.draining = False
@@ -109,6 +119,12 @@
     def make_protocol(self) -> asyncio.BaseProtocol:  # noqa: D102
         return CallerConnection(self)
 
+    def make_output(self, transport: asyncio.Transport, peer: str) -> PacedOutput:
+        """Return the output of a connection to the caller of an IP address."""
+        if peer == self.own_ip:
+            return PacedOutput(transport, pacer=None, on_sent=lambda size: None)
+        return PacedOutput(transport, pacer=self.pacer, on_sent=self.on_sent)
+
     def disable_keep_alive(self) -> None:
         """Serve on, but close each connection after its last pending response."""
         self.keep_alive_disabled = True
@@ -178,6 +194,7 @@
     def __init__(self, server: CallerServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
+        self._output: PacedOutput | None = None
         self._pipeline = Pipeline()
         self._reader = RequestReader(
             sink=self, limits=server.limits, clock=server.clock
@@ -204,6 +221,7 @@
         self._transport = transport
         peer = transport.get_extra_info("peername")
         self._reader.peer = peer[0] if peer else ""
+        self._output = self._server.make_output(transport, self._reader.peer)
         connections = self._server.connections
         full = len(connections) >= MAX_CONNECTIONS
         connections.add(self)
@@ -214,6 +232,7 @@
     def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
         self._server.connections.discard(self)
         self._closing = True
+        self._output.discard()
         self._drop_requests()
 
     def data_received(self, data: bytes) -> None:  # noqa: D102
@@ -229,7 +248,7 @@
 
     def confirm_expectation(self) -> None:  # noqa: D102
         if not self._pipeline:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def accept_request(self, request: CallerRequest, *, keep_alive: bool) -> None:
         """Queue the complete request and start it if its turn has come."""
@@ -246,8 +265,8 @@
 
     @property
     def is_writing(self) -> bool:
-        """Whether response data is still in the write buffer."""
-        return self._transport.get_write_buffer_size() > 0
+        """Whether response data has yet to leave this process."""
+        return self._output.is_writing
 
     @property
     def is_lingering(self) -> bool:
@@ -275,6 +294,7 @@
         self._closing = True
         self._half_closed = False
         self._reader.stop()
+        self._output.discard()
         self._transport.abort()
 
     def enforce_timeout(self, now: float) -> None:
@@ -417,17 +437,21 @@
         if not response.framed:
             # The end of the connection tells that the response is whole, so that it
             # must not end in order before all is written.
+            self._output.flush()
             self._transport.set_write_buffer_limits(high=0)
             set_reset_on_close(self._transport, enabled=True)
         data = encode_response(response, keep_alive=keep_alive)
-        self._server.on_sent(len(data), self._reader.peer)
-        self._transport.write(data)
+        self._output.write(data, response.urgency if response.framed else None)
         if not response.framed and not self.is_writing:
             set_reset_on_close(self._transport, enabled=False)
 
+    def pause_writing(self) -> None:  # noqa: D102
+        self._output.set_writable(False)
+
     def resume_writing(self) -> None:
-        """Allow the connection to end in order, as all responses are written."""
+        """Send further parts; allow the connection to end in order."""
         set_reset_on_close(self._transport, enabled=False)
+        self._output.set_writable(True)
 
     def _half_close(self) -> None:
         """End the output and discard input until the caller closes the connection.
@@ -443,11 +467,7 @@
         self._expires_at = self._linger_until
         if self._paused:
             self._transport.resume_reading()
-        try:
-            self._transport.write_eof()
-        except OSError as error:
-            _log.info("connection ended before its half-close", error=repr(error))
-            self._transport.abort()
+        self._output.write_eof()
 
     def _make_error_response(self, outcome: Outcome, code: ErrorCode) -> CallerResponse:
         headers = (
--- a/packages/almondrouter/src/almondrouter/transport/calls.py
+++ b/packages/almondrouter/src/almondrouter/transport/calls.py
@@ -11,6 +11,7 @@
     HeaderList,
     LinkRequest,
 )
+from almondrouter.transport.transfers import Urgency
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,12 +47,15 @@
     framed
         Whether the body is known to be complete. Otherwise it is sent without a
         length and delimited by the end of the connection, as it was received.
+    urgency
+        Order among the long responses of this host; None if it need not wait for them.
     """
 
     status: int
     headers: HeaderList
     body: bytes
     framed: bool = True
+    urgency: Urgency | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/almondrouter/src/almondrouter/transport/parts.py
+++ b/packages/almondrouter/src/almondrouter/transport/parts.py
@@ -13,8 +13,7 @@
 from almondrouter.transport.transfers import (
     Transfer,
     TransferPacer,
-    get_transfer_rank,
-    get_useful_until,
+    make_urgency,
 )
 
 MIN_PARTED_BYTES = 16_384
@@ -55,11 +54,12 @@
         if not transfer.remaining and not sent.done():
             sent.set_result(None)
 
+    urgency = make_urgency(request)
     transfer = Transfer(
-        rank=get_transfer_rank(request),
+        rank=urgency.rank,
         remaining=len(body),
-        useful_until=get_useful_until(request),
-        deadline=request.deadline,
+        useful_until=urgency.useful_until,
+        deadline=urgency.deadline,
         send_part=send_part,
         is_writable=lambda: stream.is_writable,
     )
--- a/packages/almondrouter/src/almondrouter/transport/transfers.py
+++ b/packages/almondrouter/src/almondrouter/transport/transfers.py
@@ -9,22 +9,39 @@
 from almondrouter.protocol.calls import CallRequest
 
 
+@dataclass(frozen=True, slots=True)
+class Urgency:
+    """Order of a response among others.
+
+    Parameters
+    ----------
+    rank
+        Priority rank of the request; -1 for nested requests, which precede all others.
+    useful_until, deadline
+        Monotonic seconds until which the response has its full value, and any value.
+    """
+
+    rank: int
+    useful_until: float
+    deadline: float
+
+
 @dataclass(slots=True, eq=False)
 class Transfer:
     """A long response that leaves in parts.
 
     Parameters
     ----------
-    rank
-        Priority rank of the request; -1 for nested requests, which precede all others.
+    rank, useful_until, deadline
+        As in `Urgency`.
     remaining
         Bytes that have yet to leave.
-    useful_until, deadline
-        Monotonic seconds until which the response has its full value, and any value.
     send_part
         Sends at most the given number of bytes and lowers `remaining`.
     is_writable
         Returns whether the connection takes a part now.
+    is_last_hop
+        Whether the connection leads to the caller itself.
     """
 
     rank: int
@@ -33,6 +50,7 @@
     deadline: float
     send_part: Callable[[Transfer, int], None]
     is_writable: Callable[[], bool] = lambda: True
+    is_last_hop: bool = False
 
 
 class TransferPacer(ABC):
@@ -51,6 +69,12 @@
         """Send what may leave now, as a connection is writable again."""
 
 
+def make_urgency(request: CallRequest) -> Urgency:
+    """Return the urgency of the response to a request."""
+    rank, useful_until = get_transfer_rank(request), get_useful_until(request)
+    return Urgency(rank, useful_until, request.deadline)
+
+
 def get_transfer_rank(request: CallRequest) -> int:
     """Return the rank of the response to a request."""
     return -1 if request.nested else request.rank
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -300,7 +300,9 @@
             clock=clock,
             limits=self._get_caller_limits,
             find_request_id=self._find_request_id,
-            on_sent=self._charge_response,
+            pacer=self.transfers,
+            on_sent=self._link_budget.charge,
+            own_ip=settings.ip,
         )
         self.link_server = CallLinkServer(
             address=settings.peer_address,
@@ -510,11 +512,6 @@
         bounds = self.settings.revocation
         return not bounds.strict or self._peers.hears_of_routes(within=bounds.within)
 
-    def _charge_response(self, size: int, peer: str) -> None:
-        if peer != self.settings.ip:
-            # Responses to the backend server of this host do not leave it.
-            self._link_budget.charge(size)
-
     def _get_caller_limits(self) -> CallerLimits:
         table = self.routes.table
         return table.limits if table is not None else CallerLimits()
