--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -444,8 +444,9 @@
     data: bytes
 
 
-Notice = HostNotice | RoutesNotice | QuotaReport | QuotaGrant
-Notice = HostNotice | RoutesNotice | RolloutReport | RolloutPlan
+Notice = (
+    HostNotice | RoutesNotice | QuotaReport | QuotaGrant | RolloutReport | RolloutPlan
+)
 """Frames without a reply that a daemon pushes to its peers."""
 
 LinkRequest = CallRequest | ClaimQuery | RoutesQuery | BodyOffer
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -587,7 +587,7 @@
     def _handle_notice(self, notice: Notice) -> None:
         if isinstance(notice, QuotaReport | QuotaGrant):
             self.quotas.handle_frame(notice)
-        else:
+        elif not self._rollouts.handle_notice(notice):
             self._peers.handle_notice(notice)
 
     def _may_trust_keys(self) -> bool:
@@ -676,10 +676,6 @@
     async def _handle_caller_request(self, request: CallerRequest) -> CallerResponse:
         return await self._forwarder.handle(request)
 
-    def _handle_notice(self, notice: Notice) -> None:
-        if not self._rollouts.handle_notice(notice):
-            self._peers.handle_notice(notice)
-
     async def _handle_peer_call(self, request: LinkRequest) -> CallReply:
         if isinstance(request, RoutesQuery):
             return self._peers.answer_routes_query(request)
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -104,10 +104,9 @@
         on_departure: Callable[[Departure], None],
         clock: Clock,
         on_host_notice: Callable[[HostEntry, HostNotice], None] | None = None,
-    ) -> None:
-        self._on_host_notice = on_host_notice
         on_rollout_support: Callable[[str, bool], None] = lambda host, knows: None,
     ) -> None:
+        self._on_host_notice = on_host_notice
         self._on_rollout_support = on_rollout_support
         self._on_departure = on_departure
         self._confirmed_departure: Departure | None = None
