Slow transfers down on links that carry less than stated

Cause: transfers paced at the stated rate fill a buffer of the network if the link carries less, and short frames wait in it without bound.

RateControl compares the round trips of pings on all inbound links each second and lowers the rate by the growth of the least delay.

--- a/packages/almondrouter/src/almondrouter/coordination/transfers/admission.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/admission.py
@@ -32,7 +32,6 @@
 
     def __init__(self, scheduler: TransferScheduler, clock: Clock) -> None:
         self._scheduler = scheduler
-        self._rate = scheduler.budget.rate
         self._clock = clock
         self._sizes = ResponseSizes()
         self._expected: Counter[int] = Counter()
@@ -69,7 +68,7 @@
             return
         rank = get_transfer_rank(request)
         wait = max(0.0, self._estimate_wait(rank) - run_time)
-        arrives_in = run_time + wait + size / self._rate
+        arrives_in = run_time + wait + size / self._scheduler.budget.rate
         onward = self._scheduler.estimate_onward_time(size)
         self._check(request, wait, arrives_in + onward)
         self.counts["admitted"] += 1
@@ -83,7 +82,7 @@
         """Return the seconds until the link has carried all up to a rank."""
         counts = self._scheduler.count_bytes_by_rank() + self._expected
         waiting = sum(size for known, size in counts.items() if known <= rank)
-        return self._scheduler.budget.wait + waiting / self._rate
+        return self._scheduler.budget.wait + waiting / self._scheduler.budget.rate
 
     def _check(self, request: CallRequest, wait: float, arrives_in: float) -> None:
         if self._clock.monotonic() + arrives_in > request.deadline:
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/budget.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.transfers.ratecontrol import RateControl
 
 LINK_SHARE = 0.95
 """Share of the link's rate that parts may fill together with all other traffic. The
@@ -35,8 +36,9 @@
     """
 
     def __init__(self, *, bytes_per_second: float, clock: Clock) -> None:
-        self.rate = bytes_per_second * LINK_SHARE
-        """Bytes per second that may leave."""
+        self._stated_rate = bytes_per_second * LINK_SHARE
+        self.control = RateControl()
+        """Finds out whether the link carries less than stated."""
         self.part_bytes = min(
             max(MIN_PART_BYTES, int(bytes_per_second * PART_S)), MAX_PART_BYTES
         )
@@ -45,6 +47,11 @@
         self._clock = clock
         self._free_at = clock.monotonic()
 
+    @property
+    def rate(self) -> float:
+        """Bytes per second that may leave."""
+        return self._stated_rate * self.control.share
+
     def charge(self, size: int) -> None:
         """Charge bytes that leave now; those that may not wait can cause a debt."""
         now = self._clock.monotonic()
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/queue.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/queue.py
@@ -10,16 +10,9 @@
 
 
 class TransferQueue:
-    """Chooses the transfer whose part leaves next.
+    """Chooses the transfer whose part leaves next."""
 
-    Parameters
-    ----------
-    rate
-        Bytes per second that the link carries for transfers.
-    """
-
-    def __init__(self, rate: float) -> None:
-        self._rate = rate
+    def __init__(self) -> None:
         # In order of arrival, which decides between equal transfers.
         self._transfers: dict[Transfer, None] = {}
 
@@ -41,9 +34,16 @@
         """Remove a transfer, whose waiting parts are dropped."""
         self._transfers.pop(transfer, None)
 
-    def choose(self, now: float) -> Transfer | None:
+    def choose(self, now: float, *, rate: float) -> Transfer | None:
         """Return the next transfer whose connection takes a part; None without one.
 
+        Parameters
+        ----------
+        now
+            Monotonic seconds.
+        rate
+            Bytes per second that the link carries for transfers.
+
         Notes
         -----
         Urgent ranks come first. Within a rank, those that can be on time precede late
@@ -53,12 +53,12 @@
         ready = [t for t in self._transfers if t.is_writable()]
         if len(ready) <= 1:
             return ready[0] if ready else None
-        live = [t for t in ready if now + t.remaining / self._rate <= t.deadline]
+        live = [t for t in ready if now + t.remaining / rate <= t.deadline]
         if not live:
             return min(ready, key=_get_remaining)
         rank = min(t.rank for t in live)
         urgent = [t for t in live if t.rank == rank]
-        on_time = select_on_time(urgent, now, self._rate)
+        on_time = select_on_time(urgent, now, rate)
         return on_time[0] if on_time else min(urgent, key=_get_remaining)
 
 
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
@@ -34,7 +34,7 @@
     def __init__(self, budget: LinkBudget, clock: Clock) -> None:
         self.budget = budget
         self._clock = clock
-        self._queue = TransferQueue(budget.rate)
+        self._queue = TransferQueue()
         self._timer: asyncio.TimerHandle | None = None
         self.counts: Counter[str] = Counter()
 
@@ -70,6 +70,9 @@
         self._queue.discard(transfer)
         self.counts["dropped" if transfer.remaining else "finished"] += 1
 
+    def record_delay(self, delay: float) -> None:  # noqa: D102
+        self.budget.control.record(delay, self._clock.monotonic())
+
     def wake(self) -> None:  # noqa: D102
         if self._timer is None:
             self._send_due()
@@ -81,7 +84,9 @@
                 loop = asyncio.get_running_loop()
                 self._timer = loop.call_later(max(wait, MIN_TIMER_S), self._send_due)
                 return
-            transfer = self._queue.choose(self._clock.monotonic())
+            transfer = self._queue.choose(
+                self._clock.monotonic(), rate=self.budget.rate
+            )
             if transfer is None:
                 # No connection takes a part; `wake` goes on.
                 return
--- a/packages/almondrouter/src/almondrouter/transport/frames.py
+++ b/packages/almondrouter/src/almondrouter/transport/frames.py
@@ -163,6 +163,8 @@
         self._writable.set()
         self.on_writable: Callable[[], None] | None = None
         """Called when the connection becomes writable again."""
+        self.on_delay: Callable[[float], None] | None = None
+        """Called with the seconds by which a round trip exceeds the fastest one."""
         self._closed = asyncio.Event()
         self._handshake_done = False
         self._ended = False
@@ -449,6 +451,8 @@
     def _record_pong(self, pong: Pong) -> None:
         now = self._clock.monotonic()
         if pong.echoed <= now:
+            if self.on_delay is not None and self._handshake_done:
+                self.on_delay(now - pong.echoed - 2 * self.offset.error)
             self.offset.add_sample(sent=pong.echoed, received=now, peer=pong.clock)
 
 
--- a/packages/almondrouter/src/almondrouter/transport/links.py
+++ b/packages/almondrouter/src/almondrouter/transport/links.py
@@ -223,6 +223,7 @@
         )
         if self._pacer is not None:
             stream.on_writable = self._pacer.wake
+            stream.on_delay = self._pacer.record_delay
         return stream
 
     async def _serve_link(self, stream: FrameStream) -> None:
--- a/packages/almondrouter/src/almondrouter/transport/transfers.py
+++ b/packages/almondrouter/src/almondrouter/transport/transfers.py
@@ -64,6 +64,10 @@
     def discard(self, transfer: Transfer) -> None:
         """End a transfer; parts that have not left are dropped."""
 
+    @abstractmethod
+    def record_delay(self, delay: float) -> None:
+        """Learn that a ping took longer by a delay in seconds than the fastest one."""
+
     @abstractmethod
     def wake(self) -> None:
         """Send what may leave now, as a connection is writable again."""
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -159,6 +159,11 @@
         "Seconds until the link has carried what waits and what is expected",
         lambda: make_unlabelled_samples(admission.link_wait),
     )
+    metrics.add_gauge(
+        "almond_link_share",
+        "Share of the stated rate of the link that it was found to carry",
+        lambda: make_unlabelled_samples(scheduler.budget.control.share),
+    )
     metrics.add_counter(
         "almond_transfer_events_total",
         "Long responses admitted, refused, sent in parts and dropped",
--- a/tests/test_coordination_transfers.py
+++ b/tests/test_coordination_transfers.py
@@ -58,17 +58,17 @@
     )
     def test_next_transfer(self, _, transfers, expected):
         """Guards against an order in which the most valuable responses are late."""
-        queue = TransferQueue(rate=100.0)
+        queue = TransferQueue()
         added = [make_transfer(size, **options) for size, options in transfers]
         for transfer in added:
             queue.add(transfer)
-        self.assertIs(added[expected], queue.choose(0.0))
+        self.assertIs(added[expected], queue.choose(0.0, rate=100.0))
 
     def test_no_writable_connection(self):
         """Guards against parts for a receiver that does not read."""
-        queue = TransferQueue(rate=100.0)
+        queue = TransferQueue()
         queue.add(make_transfer(100, writable=False))
-        self.assertIsNone(queue.choose(0.0))
+        self.assertIsNone(queue.choose(0.0, rate=100.0))
 
     def test_overdue_request_has_no_time_of_full_value(self):
         """Guards against taking the time limit of an overdue request for its target."""
--- a/tests/test_transport_output.py
+++ b/tests/test_transport_output.py
@@ -53,6 +53,9 @@
     def discard(self, transfer):
         self.transfers.remove(transfer)
 
+    def record_delay(self, delay):
+        pass
+
     def wake(self):
         if self.transfers:
             self.send_part()
