--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -540,7 +540,7 @@
         elapsed = self._clock.monotonic() - pending.arrived_at
         self._on_finished(pending.route.name, reply.outcome, reply.code, elapsed)
         if reply.outcome is Outcome.COMPLETE and not is_server_error(reply):
-            self._response_sizes.record(pending.route.name, len(reply.body))
+            self._response_sizes.record(pending.route.name, reply)
             return
         if pending.call.nested:
             self._on_nested_failure(pending.info.parent_id)
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -302,7 +302,7 @@
         run_time = self.queue.estimate_run_time(request.class_name)
         with self._transfers.admit(request, run_time=run_time):
             reply = await self._run_request(request)
-        self._transfers.record(request.class_name, len(reply.body))
+        self._transfers.record(request.class_name, reply)
         return reply
 
     async def _run_request(self, request: CallRequest) -> CallReply:
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/admission.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/admission.py
@@ -11,7 +11,7 @@
 from almondrouter.coordination.transfers.scheduler import TransferScheduler
 from almondrouter.coordination.transfers.sizes import ResponseSizes
 from almondrouter.errors import ErrorCode
-from almondrouter.protocol.calls import CallRequest
+from almondrouter.protocol.calls import CallReply, CallRequest
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.transfers import get_transfer_rank
 
@@ -42,9 +42,9 @@
         """Seconds until the link has carried what waits and what is expected."""
         return self._estimate_wait(math.inf)
 
-    def record(self, route: str, size: int) -> None:
-        """Learn from the body of a response, in bytes."""
-        self._sizes.record(route, size)
+    def record(self, route: str, reply: CallReply) -> None:
+        """Learn from the length of a response."""
+        self._sizes.record(route, reply)
 
     @contextmanager
     def admit(self, request: CallRequest, *, run_time: float) -> Iterator[None]:
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/queue.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/queue.py
@@ -19,6 +19,11 @@
     def __len__(self) -> int:
         return len(self._transfers)
 
+    @property
+    def transfers(self) -> list[Transfer]:
+        """Transfers in progress, in order of arrival."""
+        return list(self._transfers)
+
     def count_bytes_by_rank(self) -> Counter[int]:
         """Return the bytes that have yet to leave by rank."""
         counts: Counter[int] = Counter()
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
@@ -36,6 +36,7 @@
         self._clock = clock
         self._queue = TransferQueue()
         self._timer: asyncio.TimerHandle | None = None
+        self._sending = False
         self.counts: Counter[str] = Counter()
 
     @property
@@ -74,11 +75,19 @@
         self.budget.control.record(delay, self._clock.monotonic())
 
     def wake(self) -> None:  # noqa: D102
-        if self._timer is None:
+        # A part that is the last of its transfer may start the next one.
+        if self._timer is None and not self._sending:
             self._send_due()
 
     def _send_due(self) -> None:
         self._timer = None
+        self._sending = True
+        try:
+            self._send_parts()
+        finally:
+            self._sending = False
+
+    def _send_parts(self) -> None:
         while self._queue:
             if wait := self.budget.wait:
                 loop = asyncio.get_running_loop()
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/sizes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/sizes.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
+from almondrouter.protocol.calls import CallReply
+from almondrouter.protocol.headers import Outcome
+
 LONG_RESPONSE_BYTES = 16_384
 """Expected length from which on the responses of a route count as long. Shorter ones
 leave at once, as a link carries one in some hundredths of a second."""
@@ -17,8 +22,14 @@
     def __init__(self) -> None:
         self._means: dict[str, tuple[float, int]] = {}
 
-    def record(self, route: str, size: int) -> None:
-        """Learn from the body of a response, in bytes."""
+    def record(self, route: str, reply: CallReply) -> None:
+        """Learn from the length of a response; errors are short on every route."""
+        if (
+            reply.outcome is not Outcome.COMPLETE
+            or reply.status >= HTTPStatus.MULTIPLE_CHOICES
+        ):
+            return
+        size = len(reply.body)
         mean, count = self._means.get(route, (0.0, 0))
         if not count and len(self._means) >= MAX_ROUTES:
             del self._means[next(iter(self._means))]
