--- a/packages/almondrouter/src/almondrouter/coordination/transfers/admission.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/admission.py
@@ -11,7 +11,7 @@
 from almondrouter.coordination.transfers.scheduler import TransferScheduler
 from almondrouter.coordination.transfers.sizes import ResponseSizes
 from almondrouter.errors import ErrorCode
-from almondrouter.protocol.calls import CallRequest
+from almondrouter.protocol.calls import CallReply, CallRequest
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.transport.transfers import get_transfer_rank
 
@@ -32,7 +32,6 @@
 
     def __init__(self, scheduler: TransferScheduler, clock: Clock) -> None:
         self._scheduler = scheduler
-        self._rate = scheduler.budget.rate
         self._clock = clock
         self._sizes = ResponseSizes()
         self._expected: Counter[int] = Counter()
@@ -43,9 +42,9 @@
         """Seconds until the link has carried what waits and what is expected."""
         return self._estimate_wait(math.inf)
 
-    def record(self, route: str, size: int) -> None:
-        """Learn from the body of a response, in bytes."""
-        self._sizes.record(route, size)
+    def record(self, route: str, reply: CallReply) -> None:
+        """Learn from the length of a response."""
+        self._sizes.record(route, reply)
 
     @contextmanager
     def admit(self, request: CallRequest, *, run_time: float) -> Iterator[None]:
@@ -69,7 +68,7 @@
             return
         rank = get_transfer_rank(request)
         wait = max(0.0, self._estimate_wait(rank) - run_time)
-        arrives_in = run_time + wait + size / self._rate
+        arrives_in = run_time + wait + size / self._scheduler.budget.rate
         onward = self._scheduler.estimate_onward_time(size)
         self._check(request, wait, arrives_in + onward)
         self.counts["admitted"] += 1
@@ -83,7 +82,7 @@
         """Return the seconds until the link has carried all up to a rank."""
         counts = self._scheduler.count_bytes_by_rank() + self._expected
         waiting = sum(size for known, size in counts.items() if known <= rank)
-        return self._scheduler.budget.wait + waiting / self._rate
+        return self._scheduler.budget.wait + waiting / self._scheduler.budget.rate
 
     def _check(self, request: CallRequest, wait: float, arrives_in: float) -> None:
         if self._clock.monotonic() + arrives_in > request.deadline:
--- a/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
+++ b/packages/almondrouter/src/almondrouter/coordination/transfers/scheduler.py
@@ -34,8 +34,9 @@
     def __init__(self, budget: LinkBudget, clock: Clock) -> None:
         self.budget = budget
         self._clock = clock
-        self._queue = TransferQueue(budget.rate)
+        self._queue = TransferQueue()
         self._timer: asyncio.TimerHandle | None = None
+        self._sending = False
         self.counts: Counter[str] = Counter()
 
     @property
@@ -70,18 +71,31 @@
         self._queue.discard(transfer)
         self.counts["dropped" if transfer.remaining else "finished"] += 1
 
+    def record_delay(self, delay: float) -> None:  # noqa: D102
+        self.budget.control.record(delay, self._clock.monotonic())
+
     def wake(self) -> None:  # noqa: D102
-        if self._timer is None:
+        # A part that is the last of its transfer may start the next one.
+        if self._timer is None and not self._sending:
             self._send_due()
 
     def _send_due(self) -> None:
         self._timer = None
+        self._sending = True
+        try:
+            self._send_parts()
+        finally:
+            self._sending = False
+
+    def _send_parts(self) -> None:
         while self._queue:
             if wait := self.budget.wait:
                 loop = asyncio.get_running_loop()
                 self._timer = loop.call_later(max(wait, MIN_TIMER_S), self._send_due)
                 return
-            transfer = self._queue.choose(self._clock.monotonic())
+            transfer = self._queue.choose(
+                self._clock.monotonic(), rate=self.budget.rate
+            )
             if transfer is None:
                 # No connection takes a part; `wake` goes on.
                 return
