--- a/packages/almondrouter/src/almondrouter/coordination/quotas/allowances.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/allowances.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from almondrouter.coordination.quotas.bounds import WindowCount
-from almondrouter.coordination.quotas.ledger import GRANT_VALID_S, RESERVE_VALID_S
+from almondrouter.coordination.quotas.holdings import GRANT_VALID_S, RESERVE_VALID_S
 from almondrouter.protocol.quotas import TenantGrant, TenantUse
 
 DEMAND_TIME_CONSTANT_S = 1.0
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/bounds.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/bounds.py
@@ -17,6 +17,9 @@
 """Resolution of the window in seconds. Tokens leave it up to this time too late, so
 that the bound holds."""
 
+UNKNOWN_HOLD_S = 2.0
+"""Seconds after which a new owner grants more than `compute_floor` of a tenant that it
+knows nothing of. They limit what any owner grants at once (`compute_depth`)."""
 PARTS = 5
 """Parts of the window of which a new owner is told."""
 
@@ -49,6 +52,38 @@
     return compute_bound(policy, bounds) - 2 * compute_floor(policy, bounds)
 
 
+def compute_refill(policy: TenantPolicy, bounds: QuotaBounds) -> float:
+    """Return the tokens per second that are granted for long: the quota of a window."""
+    return policy.rate + policy.burst / bounds.window
+
+
+def compute_depth(policy: TenantPolicy, bounds: QuotaBounds) -> float:
+    """Return the tokens that may be used at once.
+
+    Notes
+    -----
+    `UNKNOWN_HOLD_S` after the last grant of an owner, what it can have granted within a
+    window leaves room for what `compute_unknown_capacity` allows.
+    """
+    refilled = compute_refill(policy, bounds) * (bounds.window - UNKNOWN_HOLD_S)
+    depth = compute_bound(policy, bounds) - compute_floor(policy, bounds) - refilled
+    return min(depth, compute_capacity(policy, bounds))
+
+
+def compute_unknown_capacity(
+    policy: TenantPolicy, bounds: QuotaBounds, elapsed: float
+) -> float:
+    """Return the tokens of a window where an earlier owner's grants are not known.
+
+    Parameters
+    ----------
+    elapsed
+        Seconds since the earlier owner can have granted the last token.
+    """
+    refilled = compute_refill(policy, bounds) * (elapsed - UNKNOWN_HOLD_S)
+    return max(compute_floor(policy, bounds), refilled)
+
+
 def compute_local_floor(
     policy: TenantPolicy, bounds: QuotaBounds, *, hosts: int
 ) -> int:
@@ -71,6 +106,33 @@
     return tuple(reversed(kept))
 
 
+class TokenBucket:
+    """Tokens that come at a steady rate and pile up to a limit; full at first."""
+
+    def __init__(self) -> None:
+        self._level = math.inf
+        self._filled_at = 0.0
+
+    def use(self, count: int) -> None:
+        """Take tokens, also more than there are."""
+        self._level -= count
+
+    def fill(self, depth: float, refill: float, now: float) -> float:
+        """Return the tokens at the present time.
+
+        Parameters
+        ----------
+        depth
+            Most tokens.
+        refill
+            Tokens per second.
+        """
+        elapsed = now - self._filled_at
+        self._level = min(depth, self._level + refill * elapsed)
+        self._filled_at = now
+        return self._level
+
+
 class WindowCount:
     """Counts tokens over a sliding window.
 
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/ledger.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/ledger.py
@@ -3,23 +3,27 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 
 from almondrouter.coordination.quotas.bounds import (
+    TokenBucket,
     WindowCount,
     compute_capacity,
-    compute_floor,
+    compute_depth,
+    compute_refill,
+    compute_unknown_capacity,
     keep_newest,
 )
+from almondrouter.coordination.quotas.holdings import (
+    GRANT_VALID_S,
+    RESERVE_VALID_S,
+    Ceiling,
+    Holding,
+    Inherited,
+)
 from almondrouter.protocol.quotas import FleetUse, TenantGrant, TenantUse
 from almondrouter.state.bounds import QuotaBounds
 from almondrouter.state.tenants import TenantPolicy
 
-GRANT_VALID_S = 1.0
-"""Seconds for which an allowance is valid, from the report that it answers."""
-RESERVE_VALID_S = 20.0
-"""Seconds for which the reserved part of an allowance is valid. It bridges the time
-without an owner, and is at hand for the next request of a tenant that sends few."""
 RESERVE_FACTOR = 2
 """Factor on what a daemon wants in the reserved part: a change of the owner takes two
 seconds, in the first of which the allowance is still valid."""
@@ -50,100 +54,6 @@
 """Seconds after which a daemon that has no tokens of a tenant is forgotten."""
 
 
-@dataclass(slots=True)
-class _Ceiling:
-    """A grant that its daemon may be using.
-
-    Parameters
-    ----------
-    number
-        Number of the grant.
-    ceiling, reserve
-        As in `TenantGrant`.
-    sent_at
-        Monotonic seconds.
-    """
-
-    number: int
-    ceiling: int
-    reserve: int
-    sent_at: float
-
-    def find_ceiling(self, now: float, window: float) -> int:
-        """Return the tokens that may be used, or used without having been reported."""
-        if now < self.sent_at + GRANT_VALID_S + window:
-            return self.ceiling
-        if now < self.sent_at + RESERVE_VALID_S + window:
-            return self.reserve
-        return 0
-
-
-@dataclass(slots=True)
-class _Holding:
-    """What one daemon has used of the quota and may still use.
-
-    Parameters
-    ----------
-    used, held, wanted
-        As in `TenantUse`.
-    outstanding
-        Tokens that may reach backend servers and are not in the window yet.
-    reserved
-        Of these, the tokens that may be used without the owner.
-    """
-
-    used: int
-    held: int = 0
-    wanted: int = 0
-    outstanding: int = 0
-    reserved: int = 0
-    reported_at: float = 0.0
-    ceilings: list[_Ceiling] = field(default_factory=list)
-
-    def drop_replaced(self, echo: int) -> None:
-        """Forget the grants that the daemon has replaced by a later one."""
-        newest = max((c.number for c in self.ceilings if c.number <= echo), default=0)
-        self.ceilings = [c for c in self.ceilings if c.number >= newest]
-
-    def update(self, now: float, window: float) -> None:
-        """Compute ``outstanding`` and ``reserved`` from the valid grants."""
-        self.ceilings = [c for c in self.ceilings if c.find_ceiling(now, window)]
-        level = self.used + self.held
-        highest = max((c.find_ceiling(now, window) for c in self.ceilings), default=0)
-        self.outstanding = max(level, highest) - self.used
-        reserve = max((c.reserve for c in self.ceilings), default=0)
-        self.reserved = max(0, reserve - level)
-
-
-@dataclass(slots=True)
-class _Inherited:
-    """What an earlier owner may have granted to daemons that do not report.
-
-    Parameters
-    ----------
-    fleet, reserved
-        Largest figures that it has told the daemons which have turned to this owner.
-    known, returned
-        Of these, what this owner has had in its own account, and what daemons that it
-        has not known before have told of themselves.
-    told, told_reserved
-        What all daemons have told of themselves.
-    members
-        These daemons.
-    at
-        Monotonic seconds at which the figures have last risen.
-    """
-
-    fleet: int = 0
-    reserved: int = 0
-    known: int = 0
-    returned: int = 0
-    told: int = 0
-    told_reserved: int = 0
-    members: set[tuple[str, int]] = field(default_factory=set)
-    at: float = -math.inf
-
-
 class TenantLedger:
     """Tokens of one tenant, over all daemons.
 
@@ -160,8 +70,9 @@
     def __init__(self, bounds: QuotaBounds) -> None:
         self._bounds = bounds
         self._window = WindowCount(bounds.window)
-        self._holdings: dict[tuple[str, int], _Holding] = {}
-        self._inherited = _Inherited()
+        self._bucket = TokenBucket()
+        self._holdings: dict[tuple[str, int], Holding] = {}
+        self._inherited = Inherited()
         self._outstanding = 0
         self._reserved = 0
         self._wanted = 0
@@ -190,10 +101,11 @@
             self._inherit(member, use, now)
         holding = self._holdings.get(member)
         if holding is None:
-            holding = self._holdings[member] = _Holding(use.used)
+            holding = self._holdings[member] = Holding(use.used)
             self._window.add_parts(use.recent, now)
         else:
             used = max(0, use.used - holding.used)
+            self._bucket.use(used)
             if is_first:
                 self._window.add_parts(keep_newest(use.recent, used), now)
             else:
@@ -202,7 +114,7 @@
         holding.drop_replaced(echo)
         if is_first and use.returned:
             level = use.used + use.held + use.returned
-            holding.ceilings = [_Ceiling(0, level, level, now), *holding.ceilings]
+            holding.ceilings = [Ceiling(0, level, level, now), *holding.ceilings]
         holding.reported_at = now
         self._wanted += use.wanted - holding.wanted
         holding.held, holding.wanted = use.held, use.wanted
@@ -212,7 +124,7 @@
         """Enter what a daemon has been told by the owner that it had before."""
         inherited = self._inherited
         if now - inherited.at > RESERVE_VALID_S + self._bounds.window:
-            inherited = self._inherited = _Inherited(
+            inherited = self._inherited = Inherited(
                 known=self._window.total + self._outstanding, returned=self._reserved
             )
         if use.fleet > inherited.fleet or use.reserved > inherited.reserved:
@@ -234,7 +146,7 @@
             holding.drop_replaced(echo)
             self._refresh(holding, now)
 
-    def _refresh(self, holding: _Holding, now: float) -> None:
+    def _refresh(self, holding: Holding, now: float) -> None:
         self._outstanding -= holding.outstanding
         self._reserved -= holding.reserved
         holding.update(now, self._bounds.window)
@@ -284,10 +196,25 @@
         capacity = compute_capacity(policy, self._bounds)
         if self.is_inherited or owned_for > RESERVE_VALID_S + self._bounds.window:
             return capacity
+        unknown = compute_unknown_capacity(policy, self._bounds, owned_for)
         if owned_for < self._bounds.window + GRANT_VALID_S:
-            return compute_floor(policy, self._bounds)
+            return min(unknown, capacity * (1 - RESERVE_SHARE))
         return capacity * (1 - RESERVE_SHARE)
 
+    def _count_free(
+        self, holding: Holding, policy: TenantPolicy, capacity: float, now: float
+    ) -> int:
+        """Return the tokens that can be granted to a daemon."""
+        pending = self._outstanding - holding.outstanding + holding.held
+        taken = self._window.total + self._count_inherited(now)
+        taken += self._count_blind(policy, now)
+        level = self._bucket.fill(
+            compute_depth(policy, self._bounds),
+            compute_refill(policy, self._bounds),
+            now,
+        )
+        return max(0, math.floor(min(capacity - taken, level) - pending))
+
     def grant(
         self,
         member: tuple[str, int],
@@ -310,11 +237,8 @@
         self.expire(now)
         holding = self._holdings[member]
         capacity = self._find_capacity(policy, owned_for)
-        others = self._outstanding - holding.outstanding
+        free = self._count_free(holding, policy, capacity, now)
         inherited = self._count_inherited(now)
-        taken = self._window.total + others + holding.held + inherited
-        taken += self._count_blind(policy, now)
-        free = max(0, math.floor(capacity - taken))
         is_generous = self._window.total + inherited < GENEROUS_SHARE * capacity
         self.is_tight = not is_generous
         is_ample = free > AMPLE_SHARE * capacity
@@ -324,7 +248,7 @@
             reserve = self._choose_reserve(holding, tokens, capacity, free)
         level = holding.used + holding.held
         ceiling = level + max(tokens, reserve)
-        holding.ceilings.append(_Ceiling(number, ceiling, level + reserve, now))
+        holding.ceilings.append(Ceiling(number, ceiling, level + reserve, now))
         self._refresh(holding, now)
         left = free - tokens
         is_short = tokens < holding.wanted and left <= SHORT_SHARE * capacity
@@ -335,11 +259,11 @@
             level + reserve,
             is_short,
             math.ceil(wait * 1000),
-            math.ceil(self._window.total + self._outstanding + inherited),
+            self._count_fleet(now),
             self._reserved,
         )
 
-    def _choose_tokens(self, holding: _Holding, free: int, *, is_generous: bool) -> int:
+    def _choose_tokens(self, holding: Holding, free: int, *, is_generous: bool) -> int:
         if not holding.wanted or not free:
             return 0
         if is_generous:
@@ -349,7 +273,7 @@
         return min(holding.wanted, max(1, math.floor(share)))
 
     def _choose_reserve(
-        self, holding: _Holding, tokens: int, capacity: float, free: int
+        self, holding: Holding, tokens: int, capacity: float, free: int
     ) -> int:
         """Return the tokens to reserve; one for a daemon without recent requests."""
         left = RESERVE_SHARE * capacity - (self._reserved - holding.reserved)
@@ -363,8 +287,20 @@
     def describe(self, tenant: str, now: float) -> FleetUse:
         """Return what all daemons together have used or may use."""
         self.expire(now)
-        fleet = self._window.total + self._outstanding + self._count_inherited(now)
-        return FleetUse(tenant, math.ceil(fleet), self._reserved)
+        return FleetUse(tenant, self._count_fleet(now), self._reserved)
+
+    def _count_fleet(self, now: float) -> int:
+        """Return the tokens that another owner would have to take into account.
+
+        Notes
+        -----
+        What this owner has inherited counts less as it leaves the window. Otherwise
+        owners that fail in turn would keep adding to it.
+        """
+        lasts = self._bounds.window + GRANT_VALID_S
+        left = max(0.0, 1.0 - (now - self._inherited.at) / lasts)
+        inherited = left * self._count_inherited(now)
+        return math.ceil(self._window.total + self._outstanding + inherited)
 
     def recall(
         self, member: tuple[str, int], tenant: str, *, number: int, now: float
@@ -374,6 +310,6 @@
         if holding is None or not holding.outstanding:
             return None
         level = holding.used + holding.held
-        holding.ceilings.append(_Ceiling(number, level, level, now))
-        fleet = self._window.total + self._outstanding
+        holding.ceilings.append(Ceiling(number, level, level, now))
+        fleet = self._count_fleet(now)
         return TenantGrant(tenant, level, level, False, 0, fleet, self._reserved)
