--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -44,8 +44,8 @@
 ready_address = "{ip}:7004"
 control = "{ip}:7005"
 [limits]
-memory_mb = 150
-max_fds = 4100
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 [provider]
 address = "{store}"
 writes_per_s = 400
@@ -99,6 +99,9 @@
         servers. Such a proxy accepts connections although the backend server has ended.
     stop_within
         Seconds from the stop signal to the kill, as written to the settings.
+    memory_mb, max_fds
+        Memory in megabytes and number of open descriptors that a host allows, as
+        written to the settings.
 
     Attributes
     ----------
@@ -122,8 +125,12 @@
         proxied_hosts: int = 0,
         proxied_backends: bool = True,
         stop_within: float = STOP_GRACE_PERIOD_S,
+        memory_mb: int = 150,
+        max_fds: int = 4100,
     ) -> None:
         self._directory = directory
+        self._memory_mb = memory_mb
+        self._max_fds = max_fds
         self._stop_within = stop_within
         self._proxied_backends = proxied_backends
         self.random = random
@@ -422,4 +429,6 @@
             ),
             backend=self._find_backend_address(number),
             grace=self._stop_within,
+            memory_mb=self._memory_mb,
+            max_fds=self._max_fds,
         )
