Bound the memory and descriptors that callers hold

Cause: nothing bounded what unfinished requests, pipelined requests and unread responses hold over all connections, and header lines cost many times their text.

Change: CallerBudget, derived from memory_mb, holds back large requests under pressure, and refuses or closes callers beyond the limit (memory_short, 503, not run). Headers are kept as text until the request is complete. A body is collected in one buffer that becomes the body of the request, and is sent to the backend server without a copy. A caller that does not read its responses starts no further request. Unfinished responses of the backend server have a limit derived from memory_mb. Connections of callers have a limit derived from max_fds, and the process lowers its own limit on descriptors to max_fds less 200, since the event loop accepts all waiting connections before a server can refuse one.

A reload of memory_mb now changes the settings, as the value is in use.

--- /dev/null
+++ b/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
@@ -0,0 +1,472 @@
+"""Decides which callers give way when memory or descriptors run short."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+from almondrouter.clock import Clock
+
+CONNECTION_BYTES = 4_096
+"""Memory of an open connection without a request: transport, parser and protocol."""
+REQUEST_BYTES = 20_000
+"""Memory of a complete request in progress beside its body and headers: its task, and
+up to 16 KB of header text."""
+HEADER_LINE_BYTES = 200
+"""Memory of a header line beside its text: a tuple, two strings and their place."""
+MAX_COPIED_BODY_BYTES = 8_000_000
+"""Longest body that may be sent to another host, for which it is copied to a frame."""
+IDLE_PROCESS_BYTES = 46_000_000
+"""Memory that the budget leaves to the process without callers: 34 MB when idle, the
+records of a large fleet, and the buffers of reads."""
+BUDGET_SHARE = 0.75
+"""Share of the memory beyond that which the callers may hold. The rest holds responses
+that are being received, and copies of bodies while they are passed on."""
+MIN_BUDGET_BYTES = 4_000_000
+MAX_RESPONSE_BYTES = 33_554_432
+"""Bytes of unfinished responses that suffice on a host of any size."""
+MIN_RESPONSE_BYTES = 2_000_000
+UNLIMITED_BYTES = 1 << 60
+"""Budget of a server whose callers are trusted."""
+MIN_LARGE_BYTES = 65_536
+"""Bytes of an unfinished request below which it is never held back."""
+PRESSURE_SHARE = 0.5
+"""Share of the budget from which on large requests are received one at a time."""
+LARGE_SHARE = 15 / 16
+"""Share of the budget that is left to large requests. The rest is kept for ordinary
+ones, so that there is always room for one."""
+TARGET_SHARE = 0.875
+"""Share of the budget down to which callers are released when it is exceeded, so that
+the choice is not made anew for each read."""
+STALL_S = 1.0
+"""Seconds without progress from which a caller counts as stalled under pressure."""
+TURN_S = 2.0
+"""Seconds for which one large request is received while others are held back."""
+
+PLATFORM_DESCRIPTORS = 200
+"""Descriptors of a host that belong to the platform."""
+FIXED_DESCRIPTORS = 120
+"""Descriptors for connections to the backend server and the store, and listeners."""
+MIN_CALLER_CONNECTIONS = 16
+MAX_CALLER_CONNECTIONS = 4_096
+MAX_INTERNAL_CONNECTIONS = 64
+
+
+def compute_budget_bytes(memory_bytes: float) -> int:
+    """Return the bytes that the callers of a host may hold together.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory of the host in bytes.
+    """
+    spare = (memory_bytes - IDLE_PROCESS_BYTES) * BUDGET_SHARE
+    return max(MIN_BUDGET_BYTES, int(spare))
+
+
+@dataclass(frozen=True, slots=True)
+class DescriptorShares:
+    """Limits on open connections.
+
+    Parameters
+    ----------
+    callers
+        Connections of callers.
+    internal
+        Connections to each of the servers for heartbeats, readiness and metrics.
+    """
+
+    callers: int
+    internal: int
+
+
+def divide_descriptors(max_descriptors: int) -> DescriptorShares:
+    """Return the limits on connections of a host.
+
+    Parameters
+    ----------
+    max_descriptors
+        Descriptors of the host. Callers get half of what the platform and the fixed
+        connections leave; the rest is for links between daemons.
+    """
+    spare = max_descriptors - PLATFORM_DESCRIPTORS - FIXED_DESCRIPTORS
+    callers = min(MAX_CALLER_CONNECTIONS, max(MIN_CALLER_CONNECTIONS, spare // 2))
+    return DescriptorShares(callers, min(MAX_INTERNAL_CONNECTIONS, callers // 8 + 4))
+
+
+def compute_response_bytes(memory_bytes: float) -> int:
+    """Return the bytes that unfinished responses of the backend server may hold.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory of the host in bytes.
+    """
+    spare = (memory_bytes - IDLE_PROCESS_BYTES) * (1 - BUDGET_SHARE)
+    return min(MAX_RESPONSE_BYTES, max(MIN_RESPONSE_BYTES, int(spare)))
+
+
+def estimate_body_bytes(size: int) -> int:
+    """Return the memory that a body needs until its request is finished."""
+    return size if size > MAX_COPIED_BODY_BYTES else 2 * size
+
+
+def estimate_request_bytes(header_lines: int, body_size: int) -> int:
+    """Return the memory that a complete request needs until it is finished."""
+    headers = HEADER_LINE_BYTES * header_lines
+    return REQUEST_BYTES + headers + estimate_body_bytes(body_size)
+
+
+class Holder(ABC):
+    """Connection of a caller, which holds memory."""
+
+    @abstractmethod
+    def measure_unsent(self) -> int:
+        """Return the bytes of responses that the caller has yet to read."""
+
+    @abstractmethod
+    def hold_back(self, *, enabled: bool) -> None:
+        """Stop reading from the connection, or go on."""
+
+    @abstractmethod
+    def refuse_for_memory(self) -> None:
+        """Refuse the request that is being received, as not run, and release it."""
+
+    @abstractmethod
+    def close_for_memory(self) -> None:
+        """Close the connection at once and release all that it holds."""
+
+
+@dataclass(slots=True, eq=False)
+class Account:
+    """What one connection holds.
+
+    Parameters
+    ----------
+    address
+        IP address of the caller.
+    receiving, running, unsent
+        Bytes of the request that is being received, of complete requests that have
+        no response yet, and of responses that the caller has yet to read.
+    progressed_at
+        Time of the last byte received or sent, in monotonic seconds.
+    held_back
+        Whether the connection is not read, to leave memory to others.
+    has_sent
+        Whether the caller has sent anything yet.
+    """
+
+    address: str
+    holder: Holder
+    progressed_at: float
+    receiving: int = 0
+    running: int = 0
+    unsent: int = 0
+    held_back: bool = False
+    turn_ends_at: float = 0.0
+    has_sent: bool = False
+
+    @property
+    def held(self) -> int:
+        """Return the bytes that the connection holds."""
+        return CONNECTION_BYTES + self.receiving + self.running + self.unsent
+
+
+class _Rank(IntEnum):
+    """Order in which callers are released."""
+
+    STALLED = 0
+    LARGE = 1
+    SMALL = 2
+
+
+class CallerBudget:
+    """Memory that the connections of callers hold together, and what is done about it.
+
+    Parameters
+    ----------
+    limit
+        Bytes that all connections may hold together.
+    clock
+        Source of monotonic time.
+
+    Notes
+    -----
+    From half of the budget on, large requests are received one at a time, in the order
+    in which they came, for `TURN_S` each; the others are not read. Those that stall are
+    refused. Beyond the budget, callers are released until an eighth is free: first
+    those that have stalled, by stalled time and size; then large requests, latest
+    first, so that the earlier ones finish; then small ones. While one address holds
+    more than half and there are others, only its own connections are released.
+    """
+
+    def __init__(self, limit: int, *, clock: Clock) -> None:
+        self.limit = limit
+        self.used = 0
+        self.counts: Counter[str] = Counter()
+        self._clock = clock
+        self._accounts: dict[Account, None] = {}
+        # Large requests under pressure, in the order in which they came.
+        self._queue: dict[Account, None] = {}
+
+    @property
+    def _has_pressure(self) -> bool:
+        return self.used > self.limit * PRESSURE_SHARE
+
+    @property
+    def _large_bytes(self) -> int:
+        return max(MIN_LARGE_BYTES, self.limit // 256)
+
+    def open(self, address: str, holder: Holder) -> Account:
+        """Return the account of a new connection."""
+        account = Account(address, holder, self._clock.monotonic())
+        self._accounts[account] = None
+        self.used += CONNECTION_BYTES
+        return account
+
+    def close(self, account: Account) -> None:
+        """Release all that a connection holds."""
+        if account in self._accounts:
+            del self._accounts[account]
+            self.used -= account.held
+            account.receiving = account.running = account.unsent = 0
+            self._leave_queue(account)
+
+    def set_receiving(self, account: Account, size: int) -> None:
+        """Record how many bytes the unfinished request of a connection holds.
+
+        May hold back, refuse or close this connection or others.
+        """
+        if account not in self._accounts:
+            return
+        self.used += size - account.receiving
+        account.receiving = size
+        account.progressed_at = self._clock.monotonic()
+        account.has_sent = True
+        if self.used <= self.limit * PRESSURE_SHARE and not self._queue:
+            return
+        if size > self._large_bytes:
+            self._enqueue(account)
+            self._keep_within(self.limit * LARGE_SHARE, account)
+        else:
+            self._leave_queue(account)
+            self._keep_within(self.limit, account)
+
+    def admit_request(self, account: Account, size: int) -> bool:
+        """Count a request as complete, not as being received; False if it has no room.
+
+        Parameters
+        ----------
+        size
+            Bytes that it holds until `finish_request`.
+        """
+        if account not in self._accounts:
+            return True
+        self.used += size - account.receiving
+        account.receiving = 0
+        account.running += size
+        account.has_sent = True
+        if self.used > self.limit:
+            # The request itself cannot be released, as it is about to run.
+            self._release_down_to(self.limit, self._list_victims(account))
+            if self.used > self.limit:
+                self.finish_request(account, size)
+                self.counts["memory_refused"] += 1
+                return False
+        return True
+
+    def add_response(self, account: Account, size: int) -> None:
+        """Add a response that waits for earlier ones; released by `finish_request`."""
+        if account in self._accounts:
+            self.used += size
+            account.running += size
+            self._keep_within(self.limit, account)
+
+    def finish_request(self, account: Account, size: int) -> None:
+        """Release a request, and the response to it, that were added to an account."""
+        if account in self._accounts:
+            self.used -= size
+            account.running -= size
+            if self._queue and not self._has_pressure:
+                self._assign_turns()
+
+    def measure_unsent(self, account: Account) -> None:
+        """Record what the caller has yet to read; may close connections."""
+        self._refresh_unsent(account)
+        self._keep_within(self.limit, account)
+
+    def tick(self) -> None:
+        """Refuse callers that stalled under pressure; give the next one its turn."""
+        for account in tuple(self._accounts):
+            self._refresh_unsent(account)
+        if self._has_pressure:
+            victims = self._list_victims(None)
+            stalled = [item for item in victims if item[0] is _Rank.STALLED]
+            self._release_down_to(self.limit * PRESSURE_SHARE, stalled)
+        self._assign_turns()
+
+    def _refresh_unsent(self, account: Account) -> None:
+        if account not in self._accounts:
+            return
+        size = account.holder.measure_unsent()
+        if size == account.unsent:
+            return
+        if size < account.unsent or not account.unsent:
+            account.progressed_at = self._clock.monotonic()
+        self.used += size - account.unsent
+        account.unsent = size
+
+    def _enqueue(self, account: Account) -> None:
+        if account not in self._queue:
+            self._queue[account] = None
+        elif account.held_back or account.turn_ends_at > self._clock.monotonic():
+            return
+        self._assign_turns()
+
+    def _leave_queue(self, account: Account) -> None:
+        if account in self._queue:
+            del self._queue[account]
+            if account.held_back:
+                self._hold_back(account, enabled=False)
+            self._assign_turns()
+
+    def _assign_turns(self) -> None:
+        """Let the first large request be received; under no pressure, all of them."""
+        if not self._has_pressure:
+            queued = tuple(self._queue)
+            self._queue.clear()
+            for account in queued:
+                self._hold_back(account, enabled=False)
+            return
+        now = self._clock.monotonic()
+        first = next(iter(self._queue), None)
+        if first is None:
+            return
+        if not first.held_back and 0 < first.turn_ends_at <= now:
+            # Others get a turn, as this one may send slowly for a long time.
+            del self._queue[first]
+            self._queue[first] = None
+            first.turn_ends_at = 0.0
+        for position, account in enumerate(tuple(self._queue)):
+            if not position and not account.turn_ends_at:
+                account.turn_ends_at = now + TURN_S
+            self._hold_back(account, enabled=bool(position))
+
+    def _hold_back(self, account: Account, *, enabled: bool) -> None:
+        if account.held_back is enabled:
+            return
+        account.held_back = enabled
+        account.progressed_at = self._clock.monotonic()
+        if enabled:
+            self.counts["memory_held_back"] += 1
+        else:
+            account.turn_ends_at = 0.0
+        account.holder.hold_back(enabled=enabled)
+
+    def _keep_within(self, limit: float, account: Account) -> None:
+        """Release callers if more than ``limit`` is used because of an account."""
+        if self.used <= limit:
+            return
+        for other in tuple(self._accounts):
+            self._refresh_unsent(other)
+        if self.used > limit:
+            target = min(limit, self.limit * TARGET_SHARE)
+            self._release_down_to(target, self._list_victims(account))
+
+    def _release_down_to(
+        self, target: float, victims: Iterable[tuple[_Rank, Account]]
+    ) -> None:
+        for _, account in victims:
+            if self.used <= target:
+                break
+            self._release(account)
+
+    def _release(self, account: Account) -> None:
+        """Refuse what is being received; close a caller that does not read."""
+        if account not in self._accounts:
+            return
+        if account.unsent > account.receiving:
+            self.counts["memory_closed"] += 1
+            account.holder.close_for_memory()
+            self.close(account)
+            return
+        self.counts["memory_refused"] += 1
+        self.used -= account.receiving
+        account.receiving = 0
+        self._leave_queue(account)
+        account.holder.refuse_for_memory()
+
+    def _list_victims(self, asking: Account | None) -> list[tuple[_Rank, Account]]:
+        """Return the accounts in the order in which they are to be released.
+
+        Parameters
+        ----------
+        asking
+            Account that needs memory, which is the last of its rank if it is small.
+        """
+        now = self._clock.monotonic()
+        first_in_turn = next(iter(self._queue), None)
+        ranked = []
+        for position, account in enumerate(self._choose_candidates()):
+            rank = self._rank(account, now)
+            size = account.receiving + account.unsent
+            if rank is _Rank.STALLED:
+                order = (False, -size * (now - account.progressed_at))
+            elif rank is _Rank.LARGE:
+                order = (account is first_in_turn, -position)
+            else:
+                order = (account is asking, -size)
+            ranked.append((rank, *order, position, account))
+        ranked.sort(key=lambda item: item[:4])
+        return [(item[0], item[-1]) for item in ranked]
+
+    def _rank(self, account: Account, now: float) -> _Rank:
+        stalled = now - account.progressed_at >= STALL_S and not account.held_back
+        if stalled:
+            return _Rank.STALLED
+        size = account.receiving + account.unsent
+        return _Rank.LARGE if size > self._large_bytes else _Rank.SMALL
+
+    def _choose_candidates(self) -> Iterable[Account]:
+        """Return accounts to choose from: those of an address that holds over half."""
+        candidates = [a for a in self._accounts if a.receiving or a.unsent]
+        totals: Counter[str] = Counter()
+        for account in self._accounts:
+            totals[account.address] += account.held
+        address, most = max(totals.items(), key=lambda item: item[1], default=("", 0))
+        if len(totals) > 1 and most > self.limit / 2:
+            heavy = [a for a in candidates if a.address == address]
+            return heavy or candidates
+        return candidates
+
+
+def choose_without_use(
+    accounts: Iterable[Account], count: int, now: float
+) -> list[Account]:
+    """Return connections to close when a new one finds no descriptor.
+
+    Parameters
+    ----------
+    count
+        Number of connections to return at most.
+    now
+        Time in monotonic seconds.
+
+    Returns
+    -------
+    list
+        First those that never sent anything, then those without a request or response,
+        then those that stalled in a request; of each kind the longest idle first.
+    """
+    ranked = []
+    for account in accounts:
+        idle = not (account.receiving or account.running or account.unsent)
+        stalled = now - account.progressed_at >= STALL_S
+        if idle or (stalled and not account.running and not account.held_back):
+            kind = 2 if not idle else int(account.has_sent)
+            ranked.append((kind, account.progressed_at, account))
+    ranked.sort(key=lambda item: item[:2])
+    return [account for _, _, account in ranked[:count]]
--- a/packages/almondrouter/src/almondrouter/errors.py
+++ b/packages/almondrouter/src/almondrouter/errors.py
@@ -64,6 +64,7 @@
     STOPPING = "stopping"
     NO_BACKEND = "no_backend"
     OVERLOADED = "overloaded"
+    MEMORY_SHORT = "memory_short"
     BUSIER_THAN_EXPECTED = "busier_than_expected"
     LIMITED = "limited"
     LIMIT_UNAVAILABLE = "limit_unavailable"
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -113,6 +113,8 @@
         Whether to accept responses without ``Content-Length`` or chunked encoding,
         whose body ends when the connection closes. Such a response cannot be told
         from a truncated one if the backend server closes in order.
+    max_received_bytes
+        Limit on the bytes of unfinished responses beyond a share of each connection.
     """
 
     def __init__(
@@ -123,6 +125,7 @@
         clock: Clock,
         max_idle: float = MAX_IDLE_S,
         accept_unframed: bool = False,
+        max_received_bytes: int = MAX_SHARED_BYTES,
     ) -> None:
         self._address = address
         self._max_connections = connections
@@ -131,7 +134,7 @@
         self._accept_unframed = accept_unframed
         self.counts: Counter[str] = Counter()
         self._deadlines = Deadlines(clock)
-        self._budget = ReceiveBudget()
+        self._budget = ReceiveBudget(max_received_bytes)
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
         self._connecting = 0
@@ -163,7 +166,7 @@
         matches: ResponseMatcher | None = None,
         max_idle: float | None = None,
     ) -> BackendResponse:
-        data = encode_request(self._address, method, target, headers, body)
+        head = encode_head(self._address, method, target, headers, len(body))
         sent = False
         connection = future = None
         try:
@@ -176,7 +179,8 @@
                 self._check_deadline(deadline)
             sent = True
             future = connection.send_request(
-                data,
+                head,
+                body,
                 is_head=method == "HEAD",
                 attempt_id=attempt_id,
                 matches=matches,
@@ -403,7 +407,8 @@
 
     def send_request(
         self,
-        data: bytes,
+        head: bytes,
+        body: bytes,
         *,
         is_head: bool,
         attempt_id: str = "",
@@ -430,9 +435,12 @@
         self._matches = matches
         self._received_data = False
         self._future = asyncio.get_running_loop().create_future()
-        if len(data) >= LONG_REQUEST_BYTES:
+        if len(head) + len(body) >= LONG_REQUEST_BYTES:
             set_tcp_user_timeout(self._transport, LONG_TCP_USER_TIMEOUT_S)
-        self._transport.write(data)
+            # A long body is not copied behind its head.
+            self._transport.writelines((head, body))
+        else:
+            self._transport.write(head + body)
         return self._future
 
     async def wait_for_response(
@@ -591,7 +599,7 @@
         if missing <= 0:
             return
         if not self._budget.reserve(missing):
-            message = f"unfinished responses exceed {MAX_SHARED_BYTES} bytes in total"
+            message = f"unfinished responses exceed {self._budget.limit} bytes in total"
             raise ValueError(message)
         self._reserved_bytes += missing
 
@@ -695,7 +703,14 @@
 def encode_request(
     address: str, method: str, target: str, headers: HeaderList, body: bytes
 ) -> bytes:
-    """Return an HTTP/1.1 request as bytes.
+    """Return an HTTP/1.1 request as bytes; raises like `encode_head`."""
+    return encode_head(address, method, target, headers, len(body)) + body
+
+
+def encode_head(
+    address: str, method: str, target: str, headers: HeaderList, body_size: int
+) -> bytes:
+    """Return the head of an HTTP/1.1 request as bytes.
 
     Raises
     ------
@@ -705,12 +720,12 @@
     """
     lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    lines.append(f"Content-Length: {len(body)}\r\n\r\n")
+    lines.append(f"Content-Length: {body_size}\r\n\r\n")
     text = "\r\n".join(lines)
     if text.count("\n") != len(lines) + 1 or text.count("\r") != len(lines) + 1:
         message = "request line or header contains a line break"
         raise CallError(ErrorCode.HEADER_INVALID, message)
     try:
-        return text.encode("latin-1") + body
+        return text.encode("latin-1")
     except UnicodeEncodeError as error:
         raise CallError(ErrorCode.HEADER_INVALID, str(error)) from error
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -8,6 +8,14 @@
 from enum import StrEnum
 
 from almondrouter.clock import Clock, SystemClock
+from almondrouter.coordination.callerbudget import (
+    UNLIMITED_BYTES,
+    Account,
+    CallerBudget,
+    Holder,
+    choose_without_use,
+    estimate_request_bytes,
+)
 from almondrouter.errors import ErrorCode
 from almondrouter.logs import EventLogger
 from almondrouter.protocol.calls import HeaderList
@@ -40,6 +48,9 @@
 """Interval at which a drain checks whether callers have read their responses."""
 MAX_HEADER_BYTES = 32_768
 MAX_CONNECTIONS = 4_096
+RELEASED_CONNECTIONS = 32
+"""One of so many connections is closed at once when there are too many, so that the
+choice is not made anew for each new connection."""
 
 _log = EventLogger("callers")
 CallerHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
@@ -73,6 +84,10 @@
         of this module.
     find_request_id
         Returns the id of a request from its headers, for log lines.
+    budget
+        Memory that the connections may hold; may be shared with other servers.
+    max_connections
+        Limit on open connections; `MAX_CONNECTIONS` if None.
     """
 
     def __init__(
@@ -85,6 +100,8 @@
         clock: Clock | None = None,
         limits: Callable[[], CallerLimits] | None = None,
         find_request_id: Callable[[HeaderList], str] = lambda headers: "",
+        budget: CallerBudget | None = None,
+        max_connections: int | None = None,
     ) -> None:
         super().__init__(address)
         default = CallerLimits(
@@ -95,6 +112,8 @@
         self.version = version
         self.clock = clock or SystemClock()
         self.find_request_id = find_request_id
+        self.budget = budget or CallerBudget(UNLIMITED_BYTES, clock=self.clock)
+        self._max_connections = max_connections
         self.framing = FramingHistory(self.clock)
         self.connections: set[CallerConnection] = set()
         self.draining = False
@@ -144,22 +163,37 @@
             connection.abort(EndReason.CLOSED)
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def close_lingering(self) -> bool:
-        """Close a connection that waits only for its caller; False if there is none."""
+    def make_room(self) -> bool:
+        """Close connections of least use; False if a new one has to be refused."""
+        limit = self._max_connections or MAX_CONNECTIONS
+        if len(self.connections) < limit:
+            return True
         for connection in self.connections:
             if connection.is_lingering:
-                connection.abort(EndReason.CLOSED)
+                self._close_for_others(connection)
                 return True
-        return False
+        accounts = {c.account: c for c in self.connections}
+        count = max(1, limit // RELEASED_CONNECTIONS)
+        chosen = choose_without_use(accounts, count, self.clock.monotonic())
+        for account in chosen:
+            self.counts["connections_released"] += 1
+            self._close_for_others(accounts[account])
+        return bool(chosen)
+
+    def _close_for_others(self, connection: CallerConnection) -> None:
+        connection.abort(EndReason.CLOSED)
+        # Its loss is reported later, and it must not be chosen again until then.
+        self.connections.discard(connection)
 
     def tick(self) -> None:
-        """Close the connections that exceed a time limit."""
+        """Close the connections that exceed a time limit; take back unused memory."""
+        self.budget.tick()
         now = self.clock.monotonic()
         for connection in tuple(self.connections):
             connection.enforce_timeout(now)
 
 
-class CallerConnection(asyncio.Protocol, RequestSink):
+class CallerConnection(asyncio.Protocol, RequestSink, Holder):
     """One connection of a caller; responses are sent in the order of requests.
 
     Notes
@@ -167,7 +201,9 @@
     Requests beyond the limit on pipelined requests wait unparsed. Reading goes on
     meanwhile, so that the end of the connection is noticed and cancels its requests.
     Once ``MAX_WAITING_BYTES`` wait, reading is paused until responses have been sent;
-    a caller that leaves then is noticed only with the next response.
+    a caller that leaves then is noticed only with the next response. The same holds
+    while the budget holds the connection back. While the caller does not read its
+    responses, no further request of it starts.
     """
 
     def __init__(self, server: CallerServer) -> None:
@@ -179,6 +215,9 @@
         )
         self._expires_at = self._reader.expires_at
         self._paused = False
+        self._held_back_at: float | None = None
+        self._writing_paused = False
+        self.account: Account | None = None
         self._refusal: CallerResponse | None = None
         self._closing = False
         self._half_closed = False
@@ -199,28 +238,33 @@
         self._transport = transport
         peer = transport.get_extra_info("peername")
         self._reader.peer = peer[0] if peer else ""
-        connections = self._server.connections
-        full = len(connections) >= MAX_CONNECTIONS
-        connections.add(self)
-        if full and not self._server.close_lingering():
-            self._server.counts["connections_refused"] += 1
+        server = self._server
+        has_room = server.make_room()
+        self.account = server.budget.open(self._reader.peer, self)
+        server.connections.add(self)
+        if not has_room:
+            server.counts["connections_refused"] += 1
             transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
         self._server.connections.discard(self)
+        self._server.budget.close(self.account)
         self._closing = True
         self._drop_requests()
 
     def data_received(self, data: bytes) -> None:  # noqa: D102
-        self._reader.feed(data)
-        if self._reader.waiting_bytes >= MAX_WAITING_BYTES and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
+        reader = self._reader
+        reader.feed(data)
+        held = reader.held_bytes
+        if held or self.account.receiving:
+            self._server.budget.set_receiving(self.account, held)
+        if reader.waiting_bytes >= MAX_WAITING_BYTES:
+            self._update_reading()
 
     @property
     def request_room(self) -> int:
         """Number of requests that may be added to those waiting for a response."""
-        return self._pipeline.room
+        return 0 if self._writing_paused else self._pipeline.room
 
     def confirm_expectation(self) -> None:  # noqa: D102
         if not self._pipeline:
@@ -231,7 +275,11 @@
         if not self._pipeline and self._server.draining:
             self.refuse_request(ErrorCode.STOPPING)
             return
-        self._pipeline.append(Exchange(request, keep_alive))
+        size = estimate_request_bytes(len(request.headers), len(request.body))
+        if not self._server.budget.admit_request(self.account, size):
+            self.refuse_request(ErrorCode.MEMORY_SHORT)
+            return
+        self._pipeline.append(Exchange(request, keep_alive, size))
         self._start_ready_requests()
 
     @property
@@ -278,9 +326,11 @@
             # The caller gets its time after the last byte has left the buffer.
             self._linger_until = now + LINGER_TIMEOUT_S
             self._expires_at = min(self._linger_until, self._write_expires_at)
-        if self._pipeline:
+        if self._pipeline and (self._pipeline.has_started or not self._writing_paused):
             return
-        if self.is_receiving:
+        if self.is_receiving and not self._writing_paused:
+            if self._held_back_at is not None:
+                return
             if now >= self._reader.expires_at:
                 self._server.counts["slow_callers"] += 1
                 self.refuse_request(ErrorCode.HEADER_INVALID)
@@ -289,6 +339,8 @@
 
     def _start_ready_requests(self) -> None:
         """Start the queued requests that need not wait for earlier ones."""
+        if self._writing_paused:
+            return
         concurrent = self._server.framing.is_reliable
         for exchange in self._pipeline.list_startable(concurrent=concurrent):
             exchange.started = True
@@ -307,6 +359,10 @@
         finally:
             exchange.task = None
         self._server.framing.record(exchange.response)
+        if not self._closing and not self._pipeline.is_first(exchange):
+            size = len(exchange.response.body)
+            exchange.held_bytes += size
+            self._server.budget.add_response(self.account, size)
         if not self._closing:
             self._send_ready_responses()
 
@@ -322,6 +378,7 @@
         """Send responses in the order of the requests, as far as they are complete."""
         server = self._server
         while (exchange := self._pipeline.pop_answered()) is not None:
+            server.budget.finish_request(self.account, exchange.held_bytes)
             if server.draining or server.keep_alive_disabled:
                 # Requests that arrive from now on are ignored. Their caller may
                 # safely retry them elsewhere once the connection is closed.
@@ -362,14 +419,49 @@
 
     def _resume_reading(self) -> None:
         """Parse the requests that waited; read on if enough of them fitted."""
+        if not self._reader.waiting_bytes:
+            return
         self._reader.resume()
-        if self._paused and self._reader.waiting_bytes < MAX_WAITING_BYTES:
-            self._paused = False
+        self._server.budget.set_receiving(self.account, self._reader.held_bytes)
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Pause reading if enough bytes wait or the budget demands it."""
+        pause = not self._closing and (
+            self._held_back_at is not None
+            or self._reader.waiting_bytes >= MAX_WAITING_BYTES
+        )
+        if pause is self._paused or self._transport.is_closing():
+            return
+        self._paused = pause
+        if pause:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
+    def measure_unsent(self) -> int:  # noqa: D102
+        return self._transport.get_write_buffer_size()
+
+    def hold_back(self, *, enabled: bool) -> None:
+        """Stop reading, and the time limit of the request; or go on with both."""
+        now = self._server.clock.monotonic()
+        if enabled:
+            self._held_back_at = now
+        elif self._held_back_at is not None:
+            self._reader.expires_at += now - self._held_back_at
+            self._held_back_at = None
+        self._update_reading()
+
+    def refuse_for_memory(self) -> None:  # noqa: D102
+        self.refuse_request(ErrorCode.MEMORY_SHORT)
+
+    def close_for_memory(self) -> None:  # noqa: D102
+        self.abort(EndReason.CLOSED)
+
     def _drop_requests(self) -> None:
         """Cancel the requests that get no response, as the connection has ended."""
         for position, exchange in enumerate(self._pipeline.clear()):
+            self._server.budget.finish_request(self.account, exchange.held_bytes)
             if exchange.task is not None:
                 exchange.task.cancel()
             self._log_unanswered(exchange, position)
@@ -404,6 +496,7 @@
 
     def _write_response(self, response: CallerResponse, *, keep_alive: bool) -> None:
         now = self._server.clock.monotonic()
+        self.account.progressed_at = now
         self._linger_until = now + LINGER_TIMEOUT_S
         self._write_expires_at = now + WRITE_TIMEOUT_S
         self._expires_at = now + max(
@@ -415,12 +508,24 @@
             self._transport.set_write_buffer_limits(high=0)
             set_reset_on_close(self._transport, enabled=True)
         self._transport.write(encode_response(response, keep_alive=keep_alive))
+        if self._writing_paused:
+            self._server.budget.measure_unsent(self.account)
         if not response.framed and not self.is_writing:
             set_reset_on_close(self._transport, enabled=False)
 
+    def pause_writing(self) -> None:
+        """Start no further request until the caller has read its responses."""
+        self._writing_paused = True
+        self._server.budget.measure_unsent(self.account)
+
     def resume_writing(self) -> None:
-        """Allow the connection to end in order, as all responses are written."""
+        """Go on; allow the connection to end in order, as all responses are written."""
+        self._writing_paused = False
         set_reset_on_close(self._transport, enabled=False)
+        self._server.budget.measure_unsent(self.account)
+        if not self._closing:
+            self._start_ready_requests()
+            self._resume_reading()
 
     def _half_close(self) -> None:
         """End the output and discard input until the caller closes the connection.
@@ -434,8 +539,7 @@
         self._reader.stop()
         self._drop_requests()
         self._expires_at = self._linger_until
-        if self._paused:
-            self._transport.resume_reading()
+        self._update_reading()
         try:
             self._transport.write_eof()
         except OSError as error:
--- a/packages/almondrouter/src/almondrouter/transport/pipelines.py
+++ b/packages/almondrouter/src/almondrouter/transport/pipelines.py
@@ -26,12 +26,15 @@
 
     Parameters
     ----------
+    held_bytes
+        Memory of the request, and of the response while it waits for earlier ones.
     started
         Whether the request has been passed on; it must not be passed on again.
     """
 
     request: CallerRequest
     keep_alive: bool
+    held_bytes: int = 0
     started: bool = False
     task: asyncio.Task[None] | None = None
     response: CallerResponse | None = None
@@ -89,6 +92,10 @@
                 break
         return startable
 
+    def is_first(self, exchange: Exchange) -> bool:
+        """Return whether a request is the oldest one."""
+        return bool(self._exchanges) and self._exchanges[0] is exchange
+
     @property
     def has_started(self) -> bool:
         """Whether any of the requests has been passed on."""
--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import io
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 import httptools
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.callerbudget import (
+    HEADER_LINE_BYTES,
+    estimate_body_bytes,
+)
 from almondrouter.errors import ErrorCode
+from almondrouter.protocol.calls import HeaderList
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.calls import CallerRequest
 
@@ -21,6 +27,9 @@
 CHUNK_FRAMING_BYTES = 32
 """Bytes of chunk sizes and trailers that are allowed for each part of a body, beside
 the bytes that the headers may have."""
+MAX_KEPT_HEADERS = 64
+"""Header lines that are kept parsed while the body arrives. More of them are kept as
+text and parsed again, since the objects of short lines cost many times their text."""
 MIN_REQUEST_BYTES = 16
 """Lower bound of the length of a request with its empty line."""
 
@@ -85,6 +94,17 @@
         self.stopped = True
         self.receiving = False
         self._waiting.clear()
+        self._reset_request()
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the request that is being received and of the waiting bytes."""
+        held = len(self._waiting)
+        if self.receiving:
+            held += len(self._names) + len(self._values) + len(self._target)
+            held += HEADER_LINE_BYTES * len(self._headers)
+            held += estimate_body_bytes(self._body_size)
+        return held
 
     @property
     def waiting_bytes(self) -> int:
@@ -93,10 +113,27 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes as far as the sink has room for their requests."""
-        if not self.stopped:
+        if self.stopped:
+            return
+        if not self._waiting and self._fits(data):
+            self._parse(data)
+        else:
             self._waiting += data
             self._parse_waiting()
 
+    def _fits(self, data: bytes) -> bool:
+        """Return whether the sink has room for all requests that can end in the data.
+
+        Such data need not be copied to the waiting bytes.
+        """
+        size = len(data)
+        if size <= self._body_left:
+            return self._sink.request_room > 0
+        if size > PARSE_BYTES or self._body_left:
+            return False
+        ends = data.count(b"\n\r\n") + data.count(b"\n\n")
+        return ends < self._sink.request_room
+
     def resume(self) -> None:
         """Parse the waiting bytes when the sink has room again."""
         if self._waiting and not self.stopped:
@@ -167,20 +204,30 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header with its name in lower case; trailers are discarded."""
-        if self._headers_done:
+        """Store a header as text; trailers are discarded."""
+        if self._headers_done or self.stopped:
             return
-        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+        self._header_count += 1
+        self._names += name
+        self._names += b"\n"
+        self._values += value
+        self._values += b"\n"
 
     def on_headers_complete(self) -> None:
         """Check size, upgrade and body length; confirm ``Expect: 100-continue``."""
+        if self.stopped:
+            return
         self._headers_done = True
         self.expires_at = self._clock.monotonic() + BODY_TIMEOUT_S
-        size = sum(len(name) + len(value) for name, value in self._headers)
+        separators = 2 * self._header_count
+        size = len(self._names) + len(self._values) - separators
         self._check_header_bytes(size + len(self._target))
         if self._parser.should_upgrade():
             self._refuse(ErrorCode.HEADER_INVALID)
-        for name, value in self._headers:
+        headers = self._parse_headers()
+        if self._header_count <= MAX_KEPT_HEADERS:
+            self._headers = headers
+        for name, value in headers:
             if name == "content-length":
                 self._body_left = int(value)
                 if self._body_left > self._max_body_bytes:
@@ -188,6 +235,17 @@
             elif name == "expect" and not self.stopped:
                 self._sink.confirm_expectation()
 
+    def _parse_headers(self) -> HeaderList:
+        """Return the headers with their names in lower case."""
+        names = self._names.decode("latin-1").lower().split("\n")
+        values = self._values.decode("latin-1").split("\n")
+        if len(names) != self._header_count + 1 or len(names) != len(values):
+            # The parser passes on no line breaks; a value with one would shift others.
+            self._refuse(ErrorCode.HEADER_INVALID)
+            return ()
+        names.pop()
+        return tuple(zip(names, values, strict=False))
+
     def on_body(self, body: bytes) -> None:
         """Store a part of the body unless the request has been refused."""
         if self.stopped:
@@ -201,19 +259,25 @@
             self._body = body
         else:
             # One buffer, since each small object would cost a multiple of its bytes.
+            # It becomes the body of the request without a copy.
             if isinstance(self._body, bytes):
-                self._body = bytearray(self._body)
-            self._body += body
+                first, self._body = self._body, io.BytesIO()
+                self._body.write(first)
+            self._body.write(body)
 
     def on_message_complete(self) -> None:
         """Pass on the complete request."""
         if self.stopped:
             return
+        headers = self._headers or self._parse_headers()
+        if self.stopped:
+            return
+        body = self._body
         request = CallerRequest(
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
-            tuple(self._headers),
-            bytes(self._body),
+            headers,
+            body if isinstance(body, bytes) else body.getvalue(),
             self.peer,
             self._began_at,
         )
@@ -228,11 +292,14 @@
 
     def _reset_request(self) -> None:
         self._target = b""
-        self._headers: list[tuple[str, str]] = []
+        self._headers: HeaderList = ()
+        self._names = bytearray()
+        self._values = bytearray()
+        self._header_count = 0
         self._headers_done = False
         self._partial_header_bytes = 0
         self._framing_bytes = 0
-        self._body: bytes | bytearray = b""
+        self._body: bytes | io.BytesIO = b""
         self._body_parts = 0
         self._body_size = 0
         self._body_left = 0
--- a/packages/almondrouter/src/almondrouter/transport/receivebudget.py
+++ b/packages/almondrouter/src/almondrouter/transport/receivebudget.py
@@ -19,12 +19,12 @@
     """
 
     def __init__(self, limit: int = MAX_SHARED_BYTES) -> None:
-        self._limit = limit
+        self.limit = limit
         self._used = 0
 
     def reserve(self, size: int) -> bool:
         """Reserve bytes; return False and reserve none if too few are left."""
-        if self._used + size > self._limit:
+        if self._used + size > self.limit:
             return False
         self._used += size
         return True
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -18,6 +18,12 @@
 
 from almondrouter.clock import SuspendAwareClock
 from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.callerbudget import (
+    CallerBudget,
+    compute_budget_bytes,
+    compute_response_bytes,
+    divide_descriptors,
+)
 from almondrouter.coordination.crashevidence import CrashEvidence
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
@@ -228,6 +234,7 @@
             connections=MAX_BACKEND_CONNECTIONS,
             clock=clock,
             accept_unframed=True,
+            max_received_bytes=compute_response_bytes(settings.memory_bytes),
         )
         self.backend = LocalBackend(
             sender=self.backend_client,
@@ -281,6 +288,9 @@
 
     def _build_servers(self) -> None:
         settings, clock = self.settings, self._clock
+        limit = compute_budget_bytes(settings.memory_bytes)
+        self._caller_budget = CallerBudget(limit, clock=clock)
+        self._descriptors = divide_descriptors(settings.max_descriptors)
         self.callers = CallerServer(
             address=settings.caller_address,
             handler=self._handle_caller_request,
@@ -289,6 +299,8 @@
             clock=clock,
             limits=self._get_caller_limits,
             find_request_id=self._find_request_id,
+            budget=self._caller_budget,
+            max_connections=self._descriptors.callers,
         )
         self.link_server = CallLinkServer(
             address=settings.peer_address,
@@ -320,6 +332,8 @@
             handler=handler,
             max_body_bytes=MAX_INTERNAL_BODY_BYTES,
             clock=self._clock,
+            budget=self._caller_budget,
+            max_connections=self._descriptors.internal,
         )
 
     def _build_metrics(self, log_writer: LineWriter) -> None:
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -75,6 +75,19 @@
         "Requests and connections refused, and requests without a response",
         lambda: _read_counts(callers.counts, "event"),
     )
+    metrics.add_gauge(
+        "almond_caller_memory_bytes",
+        "Memory that callers hold, and its limit",
+        lambda: [
+            ({"figure": "held"}, callers.budget.used),
+            ({"figure": "limit"}, callers.budget.limit),
+        ],
+    )
+    metrics.add_counter(
+        "almond_caller_memory_events_total",
+        "Callers held back, refused and closed for lack of memory",
+        lambda: _read_counts(callers.budget.counts, "event"),
+    )
     metrics.add_counter(
         "almond_store_calls_total",
         "Calls to the store by kind and status; 0 means no answer",
--- a/packages/almondrouterd/src/almondrouterd/platform/main.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/main.py
@@ -6,6 +6,7 @@
 import asyncio
 import gc
 import os
+import resource
 import signal
 import sys
 from collections.abc import Sequence
@@ -13,6 +14,7 @@
 import uvloop
 
 from almondrouter import __version__
+from almondrouter.coordination.callerbudget import PLATFORM_DESCRIPTORS
 from almondrouter.errors import AlmondError, FindingsError
 from almondrouter.logs import EventLogger, LineWriter, set_up_logs
 from almondrouter.settings import parse_address
@@ -26,6 +28,8 @@
 _log = EventLogger("settings")
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
+MIN_DESCRIPTORS = 64
+"""Descriptors below which the process could not reach the store and its peers."""
 EXIT_OK = 0
 EXIT_USAGE = 2
 
@@ -40,6 +44,7 @@
             print("settings are valid")
             return EXIT_OK
         writer = set_up_logs(arguments.log_level, host=settings.host)
+        limit_descriptors(settings.max_descriptors - PLATFORM_DESCRIPTORS)
         uvloop.install()
         # The objects made so far live as long as the process; collections skip them.
         gc.freeze()
@@ -111,6 +116,19 @@
         ignore_signals(loop)
 
 
+def limit_descriptors(count: int) -> None:
+    """Lower the limit on open descriptors of this process; never raise it.
+
+    Notes
+    -----
+    The event loop accepts all connections that are waiting before a server can refuse
+    any of them. Beyond the limit it closes them at once.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if count >= MIN_DESCRIPTORS and (soft == resource.RLIM_INFINITY or count < soft):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
     """Ignore the signals that the event loop handled.
 
--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -100,6 +100,10 @@
         Limits on retries over the whole fleet.
     link_bytes_per_second
         Capacity of the network link of the host.
+    memory_bytes
+        Memory that the platform allows the daemon.
+    max_descriptors
+        Open descriptors of the host, part of which belong to the platform.
     is_first_start
         Whether the whole fleet starts for the first time.
     quota_bounds, rollout_bounds, revocation
@@ -122,6 +126,8 @@
     stop_within: float
     repeat_limits: FleetRetryLimits
     link_bytes_per_second: float
+    memory_bytes: float
+    max_descriptors: int
     is_first_start: bool = False
     quota_bounds: QuotaBounds = QuotaBounds()
     rollout_bounds: RolloutBounds = RolloutBounds()
@@ -129,6 +135,7 @@
 
 
 BYTES_PER_MEGABIT = 125_000
+BYTES_PER_MEGABYTE = 1_000_000
 ASSUMED_LINK_MBPS = 1000.0
 """Megabits per second of a link whose rate the file leaves out."""
 METRICS_PORT = 9464
@@ -186,6 +193,8 @@
             bounds.retry_budget_ratio, bounds.budget_extra, bounds.budget_window_s
         ),
         link_bytes_per_second=compute_link_rate(file.limits.link_mbps),
+        memory_bytes=file.limits.memory_mb * BYTES_PER_MEGABYTE,
+        max_descriptors=file.limits.max_fds,
         is_first_start=file.bootstrap,
         quota_bounds=QuotaBounds(
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -77,7 +77,7 @@
     @parameterized.expand(
         [
             ("heartbeat_s = 1.5", "heartbeat_s = 3.0", False),
-            ("memory_mb = 150", "memory_mb = 300", False),
+            ("memory_mb = 150", "memory_mb = 300", True),
             ("[listen]", "[bounds]\ndrain_s = 9.0\n[listen]", False),
             ("[listen]", "[bounds]\ngrace_s = 9.0\n[listen]", True),
             ("[listen]", "[bounds]\nbudget_extra = 9.0\n[listen]", True),
--- a/tests/test_transport_callers.py
+++ b/tests/test_transport_callers.py
@@ -571,16 +571,23 @@
             await draining
             self.assertEqual(b"", await reader.read())
 
-    async def test_lingering_connections_give_way(self):
-        """Guards against refusing callers for connections that only wait to close."""
+    async def test_connections_without_a_request_give_way(self):
+        """Guards against refusing callers for connections that nobody uses."""
         with mock.patch.object(callers, "MAX_CONNECTIONS", 2):
             lingering, _ = await self.open(CLOSING_GET)
             await self.read_response(lingering)
-            await self.open(b"")
+            silent, _ = await self.open(b"")
             await self.assert_serves()
             await wait_until(lambda: len(self.server.connections) == 2)
+            await self.open(GET[:10])
+            await self.assert_ended(silent)
+            await self.open(GET[:10])
+            await wait_until(
+                lambda: all(c.is_receiving for c in self.server.connections)
+            )
             refused, _ = await self.open(GET)
             await self.assert_ended(refused)
+        self.assertEqual(2, self.server.counts["connections_released"])
         self.assertEqual(1, self.server.counts["connections_refused"])
 
     async def assert_ended(self, reader):
