Keep the first header lines of a request parsed

The first 32 lines are stored parsed again, and counted as such; only further ones are text. Reads of up to 16 KiB are parsed without a copy.

--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -27,9 +27,12 @@
 CHUNK_FRAMING_BYTES = 32
 """Bytes of chunk sizes and trailers that are allowed for each part of a body, beside
 the bytes that the headers may have."""
-MAX_KEPT_HEADERS = 64
-"""Header lines that are kept parsed while the body arrives. More of them are kept as
-text and parsed again, since the objects of short lines cost many times their text."""
+MAX_KEPT_HEADERS = 32
+"""Header lines that are stored parsed while a request is received. Further ones are
+stored as text, since the objects of short lines cost many times their text."""
+DIRECT_BYTES = 16_384
+"""Most bytes that are parsed without being copied to the waiting bytes, if the sink has
+room for all requests in them. Ordinary requests arrive in one such read."""
 MIN_REQUEST_BYTES = 16
 """Lower bound of the length of a request with its empty line."""
 
@@ -101,7 +104,7 @@
         """Memory of the request that is being received and of the waiting bytes."""
         held = len(self._waiting)
         if self.receiving:
-            held += len(self._names) + len(self._values) + len(self._target)
+            held += self._partial_header_bytes
             held += HEADER_LINE_BYTES * len(self._headers)
             held += estimate_body_bytes(self._body_size)
         return held
@@ -129,7 +132,7 @@
         size = len(data)
         if size <= self._body_left:
             return self._sink.request_room > 0
-        if size > PARSE_BYTES or self._body_left:
+        if size > DIRECT_BYTES or self._body_left:
             return False
         ends = data.count(b"\n\r\n") + data.count(b"\n\n")
         return ends < self._sink.request_room
@@ -204,14 +207,17 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header as text; trailers are discarded."""
+        """Store a header with its name in lower case; trailers are discarded."""
         if self._headers_done or self.stopped:
             return
-        self._header_count += 1
-        self._names += name
-        self._names += b"\n"
-        self._values += value
-        self._values += b"\n"
+        if len(self._headers) < MAX_KEPT_HEADERS:
+            header = (name.decode("latin-1").lower(), value.decode("latin-1"))
+            self._headers.append(header)
+            return
+        if not self._more_headers:
+            self._more_headers = bytearray()
+        self._more_headers += b"%b\n%b\n" % (name, value)
+        self._more_count += 1
 
     def on_headers_complete(self) -> None:
         """Check size, upgrade and body length; confirm ``Expect: 100-continue``."""
@@ -219,15 +225,14 @@
             return
         self._headers_done = True
         self.expires_at = self._clock.monotonic() + BODY_TIMEOUT_S
-        separators = 2 * self._header_count
-        size = len(self._names) + len(self._values) - separators
-        self._check_header_bytes(size + len(self._target))
+        size = sum(len(name) + len(value) for name, value in self._headers)
+        size += len(self._more_headers) - 2 * self._more_count
+        size += len(self._target)
+        self._check_header_bytes(size)
+        self._partial_header_bytes = max(size, self._partial_header_bytes)
         if self._parser.should_upgrade():
             self._refuse(ErrorCode.HEADER_INVALID)
-        headers = self._parse_headers()
-        if self._header_count <= MAX_KEPT_HEADERS:
-            self._headers = headers
-        for name, value in headers:
+        for name, value in self._list_headers():
             if name == "content-length":
                 self._body_left = int(value)
                 if self._body_left > self._max_body_bytes:
@@ -235,16 +240,17 @@
             elif name == "expect" and not self.stopped:
                 self._sink.confirm_expectation()
 
-    def _parse_headers(self) -> HeaderList:
-        """Return the headers with their names in lower case."""
-        names = self._names.decode("latin-1").lower().split("\n")
-        values = self._values.decode("latin-1").split("\n")
-        if len(names) != self._header_count + 1 or len(names) != len(values):
+    def _list_headers(self) -> HeaderList:
+        """Return all headers of the request that is being received."""
+        if not self._more_headers:
+            return tuple(self._headers)
+        texts = self._more_headers.decode("latin-1").split("\n")
+        if len(texts) != 2 * self._more_count + 1:
             # The parser passes on no line breaks; a value with one would shift others.
             self._refuse(ErrorCode.HEADER_INVALID)
             return ()
-        names.pop()
-        return tuple(zip(names, values, strict=False))
+        names = map(str.lower, texts[:-1:2])
+        return (*self._headers, *zip(names, texts[1::2], strict=True))
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body unless the request has been refused."""
@@ -269,7 +275,7 @@
         """Pass on the complete request."""
         if self.stopped:
             return
-        headers = self._headers or self._parse_headers()
+        headers = self._list_headers()
         if self.stopped:
             return
         body = self._body
@@ -292,10 +298,9 @@
 
     def _reset_request(self) -> None:
         self._target = b""
-        self._headers: HeaderList = ()
-        self._names = bytearray()
-        self._values = bytearray()
-        self._header_count = 0
+        self._headers: list[tuple[str, str]] = []
+        self._more_headers: bytes | bytearray = b""
+        self._more_count = 0
         self._headers_done = False
         self._partial_header_bytes = 0
         self._framing_bytes = 0
