--- a/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
+++ b/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
@@ -116,8 +116,8 @@
 
 def estimate_request_bytes(header_lines: int, body_size: int) -> int:
     """Return the memory that a complete request needs until it is finished."""
-    headers = HEADER_LINE_BYTES * header_lines
-    return REQUEST_BYTES + headers + estimate_body_bytes(body_size)
+    size = REQUEST_BYTES + HEADER_LINE_BYTES * header_lines
+    return size + estimate_body_bytes(body_size) if body_size else size
 
 
 class Holder(ABC):
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -359,10 +359,13 @@
         finally:
             exchange.task = None
         self._server.framing.record(exchange.response)
-        if not self._closing and not self._pipeline.is_first(exchange):
+        if self._closing:
+            return
+        if not self._pipeline.is_first(exchange):
             size = len(exchange.response.body)
             exchange.held_bytes += size
             self._server.budget.add_response(self.account, size)
+        # The budget may have closed this connection.
         if not self._closing:
             self._send_ready_responses()
 
