--- a/packages/almondrouter/src/almondrouter/transport/output.py
+++ b/packages/almondrouter/src/almondrouter/transport/output.py
@@ -46,6 +46,14 @@
         """Whether bytes have yet to leave this process."""
         return bool(self._waiting) or self._transport.get_write_buffer_size() > 0
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that have yet to leave this process."""
+        waiting = sum(len(data) for data, _ in self._waiting)
+        if self._transfer is not None:
+            waiting += self._transfer.remaining - len(self._waiting[0][0])
+        return waiting + self._transport.get_write_buffer_size()
+
     def write(self, data: bytes, urgency: Urgency | None = None) -> None:
         """Write bytes after those before; in parts if they are long.
 
--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import io
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 import httptools
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.callerbudget import (
+    HEADER_LINE_BYTES,
+    estimate_body_bytes,
+)
 from almondrouter.errors import ErrorCode
+from almondrouter.protocol.calls import HeaderList
 from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.calls import CallerRequest
 
@@ -21,6 +27,12 @@
 CHUNK_FRAMING_BYTES = 32
 """Bytes of chunk sizes and trailers that are allowed for each part of a body, beside
 the bytes that the headers may have."""
+MAX_KEPT_HEADERS = 32
+"""Header lines that are stored parsed while a request is received. Further ones are
+stored as text, since the objects of short lines cost many times their text."""
+DIRECT_BYTES = 16_384
+"""Most bytes that are parsed without being copied to the waiting bytes, if the sink has
+room for all requests in them. Ordinary requests arrive in one such read."""
 MIN_REQUEST_BYTES = 16
 """Lower bound of the length of a request with its empty line."""
 
@@ -85,6 +97,17 @@
         self.stopped = True
         self.receiving = False
         self._waiting.clear()
+        self._reset_request()
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the request that is being received and of the waiting bytes."""
+        held = len(self._waiting)
+        if self.receiving:
+            held += self._partial_header_bytes
+            held += HEADER_LINE_BYTES * len(self._headers)
+            held += estimate_body_bytes(self._body_size)
+        return held
 
     @property
     def waiting_bytes(self) -> int:
@@ -93,10 +116,27 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes as far as the sink has room for their requests."""
-        if not self.stopped:
+        if self.stopped:
+            return
+        if not self._waiting and self._fits(data):
+            self._parse(data)
+        else:
             self._waiting += data
             self._parse_waiting()
 
+    def _fits(self, data: bytes) -> bool:
+        """Return whether the sink has room for all requests that can end in the data.
+
+        Such data need not be copied to the waiting bytes.
+        """
+        size = len(data)
+        if size <= self._body_left:
+            return self._sink.request_room > 0
+        if size > DIRECT_BYTES or self._body_left:
+            return False
+        ends = data.count(b"\n\r\n") + data.count(b"\n\n")
+        return ends < self._sink.request_room
+
     def resume(self) -> None:
         """Parse the waiting bytes when the sink has room again."""
         if self._waiting and not self.stopped:
@@ -168,19 +208,31 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header with its name in lower case; trailers are discarded."""
-        if self._headers_done:
+        if self._headers_done or self.stopped:
+            return
+        if len(self._headers) < MAX_KEPT_HEADERS:
+            header = (name.decode("latin-1").lower(), value.decode("latin-1"))
+            self._headers.append(header)
             return
-        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+        if not self._more_headers:
+            self._more_headers = bytearray()
+        self._more_headers += b"%b\n%b\n" % (name, value)
+        self._more_count += 1
 
     def on_headers_complete(self) -> None:
         """Check size, upgrade and body length; confirm ``Expect: 100-continue``."""
+        if self.stopped:
+            return
         self._headers_done = True
         self.expires_at = self._clock.monotonic() + BODY_TIMEOUT_S
         size = sum(len(name) + len(value) for name, value in self._headers)
-        self._check_header_bytes(size + len(self._target))
+        size += len(self._more_headers) - 2 * self._more_count
+        size += len(self._target)
+        self._check_header_bytes(size)
+        self._partial_header_bytes = max(size, self._partial_header_bytes)
         if self._parser.should_upgrade():
             self._refuse(ErrorCode.HEADER_INVALID)
-        for name, value in self._headers:
+        for name, value in self._list_headers():
             if name == "content-length":
                 self._body_left = int(value)
                 if self._body_left > self._max_body_bytes:
@@ -188,6 +240,18 @@
             elif name == "expect" and not self.stopped:
                 self._sink.confirm_expectation()
 
+    def _list_headers(self) -> HeaderList:
+        """Return all headers of the request that is being received."""
+        if not self._more_headers:
+            return tuple(self._headers)
+        texts = self._more_headers.decode("latin-1").split("\n")
+        if len(texts) != 2 * self._more_count + 1:
+            # The parser passes on no line breaks; a value with one would shift others.
+            self._refuse(ErrorCode.HEADER_INVALID)
+            return ()
+        names = map(str.lower, texts[:-1:2])
+        return (*self._headers, *zip(names, texts[1::2], strict=True))
+
     def on_body(self, body: bytes) -> None:
         """Store a part of the body unless the request has been refused."""
         if self.stopped:
@@ -201,19 +265,25 @@
             self._body = body
         else:
             # One buffer, since each small object would cost a multiple of its bytes.
+            # It becomes the body of the request without a copy.
             if isinstance(self._body, bytes):
-                self._body = bytearray(self._body)
-            self._body += body
+                first, self._body = self._body, io.BytesIO()
+                self._body.write(first)
+            self._body.write(body)
 
     def on_message_complete(self) -> None:
         """Pass on the complete request."""
         if self.stopped:
             return
+        headers = self._list_headers()
+        if self.stopped:
+            return
+        body = self._body
         request = CallerRequest(
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
-            tuple(self._headers),
-            bytes(self._body),
+            headers,
+            body if isinstance(body, bytes) else body.getvalue(),
             self.peer,
             self._began_at,
         )
@@ -229,10 +299,12 @@
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: list[tuple[str, str]] = []
+        self._more_headers: bytes | bytearray = b""
+        self._more_count = 0
         self._headers_done = False
         self._partial_header_bytes = 0
         self._framing_bytes = 0
-        self._body: bytes | bytearray = b""
+        self._body: bytes | io.BytesIO = b""
         self._body_parts = 0
         self._body_size = 0
         self._body_left = 0
