Let tenants take turns at the slots of a backend server

Waiting requests of one rank were served by deadline alone, so that a tenant with six times its usual load let the requests of the others be refused. Tenants now take turns in proportion to their rates, or to their usual loads.

--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -100,6 +100,8 @@
     is_barred
         Returns whether a version of a service was rolled back, so that its servers
         refuse requests.
+    find_rate
+        Returns the declared rate of a tenant; 0 for none.
     """
 
     def __init__(
@@ -114,7 +116,9 @@
         transfers: TransferAdmission | None = None,
         tally: RunTally | None = None,
         is_barred: Callable[[str, str], bool] = lambda service, version: False,
+        find_rate: Callable[[str], float] = lambda tenant: 0.0,
     ) -> None:
+        self._find_rate = find_rate
         self._tally = tally or RunTally(clock)
         self._is_barred = is_barred
         self._transfers = transfers
@@ -154,7 +158,9 @@
             self.queue.refuse_waiting(
                 ErrorCode.NO_BACKEND, "the backend server has restarted"
             )
-            self.queue = SlotQueue(entry.slots, clock=self._clock)
+            self.queue = SlotQueue(
+                entry.slots, clock=self._clock, find_rate=self._find_rate
+            )
         elif known == entry or was_leaving:
             # Leaving is final until the backend server is started again.
             if departed:
--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -15,17 +15,18 @@
 import bisect
 import itertools
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.concurrency import RunTimeFactor, UsableSlots
+from almondrouter.coordination.tenants.turns import TenantTurns
+from almondrouter.coordination.waitestimates import MovingAverage, OvertakingFactor
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import CallRequest, LinkRequest, Load
 from almondrouter.protocol.dialect import BackendLoad
 from almondrouter.protocol.outcomes import CallError
 
-SERVICE_TIME_WEIGHT = 0.1
-"""Weight of the newest service time; about 20 requests dominate the average."""
 DEFAULT_SERVICE_TIME_S = 0.05
 """Service time in seconds that is assumed before the first measurement."""
 NESTED_RESERVE_SHARE = 0.1
@@ -36,13 +37,8 @@
 RUN_TIME_MARGIN = 1.5
 """Factor on the mean run time when a request is checked against its time limit; many
 run times exceed the mean."""
-OVERTAKING_WEIGHT = 0.4
-"""Weight of the newest measurement in a rank's `_OvertakingFactor`."""
-OVERTAKING_HALF_LIFE_S = 3.0
-"""Half-life of the overtaking factor. It must decay, because a rank that is refused
-for its factor is not measured any more."""
-MAX_OVERTAKING_FACTOR = 6.0
-"""Upper bound of the overtaking factor, by which the expected wait is multiplied."""
+MAX_FACTORS = 1_000
+"""Overtaking factors that are kept, by rank and tenant; a few seconds renew them."""
 MAX_RANK = 9
 """Largest rank number in load reports; less urgent ranks are counted under it."""
 
@@ -96,9 +92,19 @@
         Number of requests that the backend server runs concurrently.
     clock
         Clock that the deadlines of requests refer to.
+    find_rate
+        Returns the declared rate of a tenant, 0 for none. Among waiting requests of
+        one rank, tenants take turns in proportion to their rates or usual loads.
     """
 
-    def __init__(self, slots: int, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        slots: int,
+        *,
+        clock: Clock,
+        find_rate: Callable[[str], float] = lambda tenant: 0.0,
+    ) -> None:
+        self._turns = TenantTurns(find_rate)
         self.usable = UsableSlots(slots, clock=clock)
         self.run_time_factor = RunTimeFactor(clock)
         self._clock = clock
@@ -106,9 +112,9 @@
         self._abandoned: dict[Grant, asyncio.TimerHandle] = {}
         self._queue: list[_Waiter] = []
         self._sequence = itertools.count()
-        self._service_time = _MovingAverage()
-        self._class_service_times: dict[str, _MovingAverage] = {}
-        self._overtaking: dict[int, _OvertakingFactor] = {}
+        self._service_time = MovingAverage()
+        self._class_service_times: dict[str, MovingAverage] = {}
+        self._overtaking: dict[tuple[int, str], OvertakingFactor] = {}
         self._nested_until = 0.0
         self.counts: Counter[str] = Counter()
 
@@ -141,6 +147,8 @@
             )
         if request.nested:
             self._nested_until = now + NESTED_RESERVE_S
+        if request.tenant:
+            self._turns.record_arrival(request.tenant, now)
         if self._has_free_slot(request, now) and not self._has_waiter_ahead(request):
             return self._grant_slot(request, now)
         waiter = self._enqueue(request, now)
@@ -170,9 +178,9 @@
         if measured:
             seconds = (now - grant.started_at) / self.run_time_factor.value
             self._service_time.add(seconds)
-            self._class_service_times.setdefault(
-                grant.class_name, _MovingAverage()
-            ).add(seconds)
+            self._class_service_times.setdefault(grant.class_name, MovingAverage()).add(
+                seconds
+            )
         self._grant_waiting(now)
 
     def abandon(self, grant: Grant) -> None:
@@ -271,6 +279,9 @@
     def _grant_slot(self, request: CallRequest, now: float) -> Grant:
         grant = Grant(request.class_name, now, len(self._running) + 1)
         self._running.add(grant)
+        if request.tenant:
+            seconds = self.estimate_run_time(request.class_name)
+            self._turns.record(request.tenant, seconds)
         return grant
 
     def _enqueue(self, request: CallRequest, now: float) -> _Waiter:
@@ -278,12 +289,13 @@
         order = (get_queue_rank(request), useful_until, next(self._sequence))
         position = bisect.bisect(self._queue, order, key=lambda waiter: waiter.order)
         run_time = self.estimate_run_time(request.class_name) * RUN_TIME_MARGIN
-        wait = (position + 1) * self._get_release_interval()
+        ahead = self._count_ahead(order, request, position)
+        wait = (ahead + 1) * self._get_release_interval()
         if 0 <= request.max_wait < wait:
             self.counts["busier_than_expected"] += 1
             message = "the expected wait exceeds the limit of the sender"
             raise CallError(ErrorCode.BUSIER_THAN_EXPECTED, message)
-        factor = self._get_overtaking_factor(order[0]).decayed_factor(now)
+        factor = self._get_overtaking_factor(request).decayed_factor(now)
         if now + wait * factor + run_time > useful_until:
             self.counts["refused_on_arrival"] += 1
             raise self._make_refusal("no response can be expected in time")
@@ -294,6 +306,36 @@
         waiter.expiry = loop.call_later(slack, self._refuse_expired, waiter)
         return waiter
 
+    def _count_ahead(
+        self, order: tuple[int, float, int], request: CallRequest, position: int
+    ) -> int:
+        """Return how many waiting requests are served before a new one."""
+        others: Counter[str] = Counter()
+        own, urgent = 0, 0
+        for waiter in self._queue:
+            if waiter.order[0] < order[0]:
+                urgent += 1
+            elif waiter.order[0] > order[0]:
+                break
+            elif waiter.request.tenant != request.tenant:
+                others[waiter.request.tenant] += 1
+            else:
+                own += waiter.order < order
+        if not others:
+            return position
+        seconds = self.estimate_run_time(request.class_name)
+        return urgent + self._turns.count_ahead(request.tenant, own, others, seconds)
+
+    def _find_next(self) -> _Waiter:
+        """Return the request to serve next: of the first rank, tenants in turn."""
+        first = self._queue[0]
+        heads: dict[str, _Waiter] = {}
+        for waiter in self._queue:
+            if waiter.order[0] != first.order[0]:
+                break
+            heads.setdefault(waiter.request.tenant, waiter)
+        return heads[self._turns.choose(heads)] if len(heads) > 1 else first
+
     def _refuse_expired(self, waiter: _Waiter) -> None:
         """Refuse a request that can no longer be answered in time."""
         self.counts["refused_waiting"] += 1
@@ -302,7 +344,7 @@
 
     def _grant_waiting(self, now: float) -> None:
         while self._queue and self._has_free_slot(self._queue[0].request, now):
-            waiter = self._queue[0]
+            waiter = self._find_next()
             self._remove_waiter(waiter)
             self._record_wait(waiter, now)
             if not waiter.granted.done():
@@ -310,12 +352,14 @@
 
     def _record_wait(self, waiter: _Waiter, now: float) -> None:
         waited = now - waiter.enqueued_at
-        self._get_overtaking_factor(waiter.order[0]).record(
-            waited / waiter.expected_wait, now
-        )
+        factor = self._get_overtaking_factor(waiter.request)
+        factor.record(waited / waiter.expected_wait, now)
 
-    def _get_overtaking_factor(self, rank: int) -> _OvertakingFactor:
-        return self._overtaking.setdefault(rank, _OvertakingFactor())
+    def _get_overtaking_factor(self, request: CallRequest) -> OvertakingFactor:
+        key = (get_queue_rank(request), request.tenant)
+        if key not in self._overtaking and len(self._overtaking) >= MAX_FACTORS:
+            self._overtaking.clear()
+        return self._overtaking.setdefault(key, OvertakingFactor())
 
     def _refuse_waiter(self, waiter: _Waiter, code: ErrorCode, message: str) -> None:
         self._remove_waiter(waiter)
@@ -332,39 +376,6 @@
         return CallError(ErrorCode.OVERLOADED, message)
 
 
-class _OvertakingFactor:
-    """Ratio of actual to expected wait of a rank, averaged over recent requests.
-
-    The expected wait follows from the position on arrival. Requests of other ranks
-    that arrive later and are served first make the actual wait longer.
-    """
-
-    def __init__(self) -> None:
-        self._factor = 1.0
-        self._updated_at = 0.0
-
-    def decayed_factor(self, now: float) -> float:
-        weight = 0.5 ** ((now - self._updated_at) / OVERTAKING_HALF_LIFE_S)
-        return 1.0 + weight * (self._factor - 1.0)
-
-    def record(self, factor: float, now: float) -> None:
-        factor = min(max(factor, 1.0), MAX_OVERTAKING_FACTOR)
-        known = self.decayed_factor(now)
-        self._factor = known + OVERTAKING_WEIGHT * (factor - known)
-        self._updated_at = now
-
-
-class _MovingAverage:
-    """An exponentially weighted average that begins with its first value."""
-
-    def __init__(self) -> None:
-        self.value = 0.0
-
-    def add(self, value: float) -> None:
-        weight = SERVICE_TIME_WEIGHT if self.value else 1.0
-        self.value += weight * (value - self.value)
-
-
 def get_queue_rank(request: CallRequest) -> int:
     """Return the rank in the queue.
 
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -287,6 +287,7 @@
             transfers=self.transfer_admission,
             tally=self._rollouts.tally,
             is_barred=self._rollouts.versions.is_barred,
+            find_rate=self._find_rate,
         )
         self._rollouts.connect(
             settings=lambda: self.settings,
@@ -594,6 +595,10 @@
                 greet_at = now + GREETING_INTERVAL_S
                 self._quota_links.greet_unknown()
 
+    def _find_rate(self, tenant: str) -> float:
+        policy = self.quotas.find_policy(tenant)
+        return policy.rate if policy is not None else 0.0
+
     def _find_tenants(self) -> TenantTable | None:
         table = self.routes.table
         return table.tenants if table is not None else None
--- a/tests/test_coordination_slots.py
+++ b/tests/test_coordination_slots.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
+from collections import Counter
 
 import msgspec
 from parameterized import parameterized
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.slots import SlotQueue
+from almondrouter.coordination.tenants.turns import TenantTurns
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.outcomes import CallError
 from almondrouter_standins.virtual_time import run_virtual
@@ -96,6 +99,83 @@
         served = self.run_and_list_served(running + waiting)
         self.assertLess(served.index("first"), served.index("second"))
 
+    def replay_tenants(self, loads, *, rates, usual=4.0, begin=120.0, end=140.0):
+        """Return the share of each tenant's requests that is served in time.
+
+        Parameters
+        ----------
+        loads
+            Requests per second by tenant, from ``begin`` to ``end``; before that, they
+            send ``usual`` ones. The two slots serve 20 per second.
+        rates
+            Declared rates by tenant.
+        """
+        self.queue = SlotQueue(2, clock=self.clock, find_rate=rates.__getitem__)
+        chance = random.Random(1)
+
+        async def send(tenant, at):
+            await asyncio.sleep(at)
+            request = self.request(tenant if at >= begin else "", useful_for=0.6)
+            await self.run_request(msgspec.structs.replace(request, tenant=tenant))
+
+        async def replay():
+            arrivals = []
+            for tenant, load in loads.items():
+                at = 0.0
+                while at < end:
+                    at += chance.expovariate(usual if at < begin else load)
+                    arrivals.append(send(tenant, at))
+            await asyncio.gather(*arrivals)
+
+        run_virtual(replay(), self.clock)
+        sent = Counter(name for name, _ in self.ended)
+        served = Counter(name for name, code in self.ended if code is None)
+        return {tenant: served[tenant] / sent[tenant] for tenant in loads}
+
+    @parameterized.expand(
+        [
+            ("no rates", dict.fromkeys("abc", 0.0)),
+            ("equal rates", dict.fromkeys("abc", 10.0)),
+            ("rates of some", {"a": 0.0, "b": 10.0, "c": 10.0}),
+        ]
+    )
+    def test_tenant_with_six_times_its_load_leaves_the_others_their_share(
+        self, _, rates
+    ):
+        """Guards against a tenant that fills the queue, so that others are refused."""
+        served = self.replay_tenants({"a": 24, "b": 4, "c": 4}, rates=rates)
+        self.assertGreater(min(served["b"], served["c"]), 0.95)
+        self.assertGreater(served["a"], 0.4)
+
+    def test_large_tenant_keeps_its_share_when_all_have_twice_their_load(self):
+        """Guards against a large tenant that gets only what small ones leave."""
+        turns = TenantTurns(lambda tenant: 0.0)
+        for at in range(60):
+            for tenant in ["large"] * 8 + ["small"]:
+                turns.record_arrival(tenant, float(at))
+        order = []
+        for _ in range(18):
+            order.append(turns.choose(["large", "small"]))
+            turns.record(order[-1], 0.1)
+        self.assertEqual(16, order.count("large"), order)
+
+    def test_overloaded_tenants_share_by_their_rates(self):
+        """Guards against equal shares where tenants have declared different rates."""
+        served = self.replay_tenants({"a": 20, "b": 20}, rates={"a": 30.0, "b": 10.0})
+        self.assertGreater(served["a"], 1.8 * served["b"])
+        self.assertGreater(served["b"], 0.15)
+
+    def test_tenant_that_returns_does_not_stop_the_others(self):
+        """Guards against credit for the time in which a tenant sent nothing."""
+        turns = TenantTurns(lambda tenant: 0.0)
+        for _ in range(100):
+            turns.record("busy", 0.1)
+        order = []
+        for _ in range(6):
+            order.append(turns.choose(["busy", "new"]))
+            turns.record(order[-1], 0.1)
+        self.assertEqual(3, order.count("new"), order)
+
     def test_overdue_requests_do_not_count_as_ahead_of_new_ones(self):
         """Guards against loads that keep new requests from a server that serves them.
 
