Log why a quota refuses a request

A refusal said that the quota was used up also when no owner had a quorum or its answer came too late, so that a log could not tell these apart.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -223,7 +223,11 @@
             token = await self._take_token(admitted, nested=nested)
         except QuotaExceededError as error:
             return self._refuse_request(
-                info, error.code, table.version, error.retry_after
+                info,
+                error.code,
+                table.version,
+                retry_after=error.retry_after,
+                reason=error.message,
             )
         except CallError as error:
             return self._refuse_request(info, error.code, table.version)
@@ -598,7 +602,9 @@
         info: RequestInfo,
         code: ErrorCode,
         version: int,
+        *,
         retry_after: float = UNSERVED_RETRY_AFTER_S,
+        reason: str = "",
     ) -> CallerResponse:
         self._on_finished("", Outcome.NOT_RUN, code.value, 0.0)
         _log.request(
@@ -606,6 +612,7 @@
             request=info.attempt_id,
             virtual_host=info.virtual_host,
             code=code.value,
+            reason=reason,
             version=version,
         )
         headers: tuple[tuple[str, str], ...] = ((names.CODE, code.value),)
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
@@ -229,10 +229,21 @@
         self.counts["refused"] += 1
         self.refused[policy.name] += 1
         return QuotaExceededError(
-            f"the quota of tenant {policy.name!r} is used up",
+            self._explain_shortage(policy),
             retry_after=wait + self._random.uniform(0.0, RETRY_AFTER_SPREAD_S),
         )
 
+    def _explain_shortage(self, policy: TenantPolicy) -> str:
+        now = self._clock.monotonic()
+        session, allowance = self._find_allowance(policy.name)
+        if session.owner is None:
+            return "no owner of the quota is known"
+        if not session.is_attached(now):
+            return "the owner of the quota has no quorum"
+        if allowance.is_short(now):
+            return f"the quota of tenant {policy.name!r} is used up"
+        return "the owner of the quota did not answer in time"
+
     def tick(self) -> None:
         """Choose owners and send the reports that are due."""
         if not self.has_limits:
