Move work to other data centres by demand and capacity

Cause: calls left a data centre only when a sampled server there had a longer wait than constants for the distance. A data centre that was short kept long queues before another one helped, and with old reports its daemons moved all at once and back.

Change: the daemon beside a server measures the slots that the callers of its data centre want, and reports them (`Load.demand`). A call that stays stands for those that were moved (`CallRequest.demand_weight`), so that the measured demand does not depend on what is moved. A daemon fills the free capacity of its region first, then that of the others, and draws for each new call where it goes. Easy calls go first: repeatable, not nested, short. Long ones stay in their region. A data centre that is not short chooses as before. Peers of the previous version report no demand, and nothing is moved.

--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -467,6 +467,9 @@
             max_wait=self._find_max_wait(destination, pending),
         )
         started_at = self._clock.monotonic()
+        demand = make_demand(pending, started_at)
+        weight = self._balancer.find_demand_weight(destination, demand)
+        call = msgspec.structs.replace(call, demand_weight=weight)
         outcome: Outcome | None = None
         reply, reason = make_reply(ErrorCode.CALL_CANCELLED), ""
         self._balancer.record_start(destination)
--- a/packages/almondrouter/src/almondrouter/coordination/pending.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pending.py
@@ -96,6 +96,9 @@
         call.rank + call.overdue,
         call.useful_until - now,
         pending.response_bytes,
+        call.repeatable,
+        is_first=not pending.excluded and not pending.corrections,
+        service=pending.service,
     )
 
 
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -9,12 +9,14 @@
 from __future__ import annotations
 
 import random as random_module
+from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from statistics import median_low
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.routing import Demand, OccupancyPolicy
+from almondrouter.coordination.spillover import Spillover
 from almondrouter.protocol.calls import Load
 from almondrouter.protocol.headers import Outcome
 from almondrouter.state.occupancy import (
@@ -174,6 +176,15 @@
         self._excluded_until: dict[str, float] = {}
         self._baselines: dict[tuple[str, int], _Baseline] = {}
         self._last_baseline = _Baseline((), 0.0, 0.0, 0.0)
+        self._spillover = Spillover(
+            data_centre=data_centre,
+            region=region,
+            occupancy=occupancy,
+            random=random,
+            is_reachable=is_reachable,
+        )
+        self.choices: Counter[tuple[str, str]] = Counter()
+        """Chosen destinations by service and by what the calls leave to reach them."""
 
     def choose(  # noqa: D102
         self,
@@ -196,6 +207,36 @@
         baseline = self._last_baseline = self._get_baseline(
             destinations, demand.rank, now
         )
+        sent_to = self._spillover.draw(destinations, demand, now)
+        best = None
+        if sent_to:
+            there = [d for d in candidates if d.data_centre == sent_to]
+            best = self._choose_lowest(there, demand, baseline, now, in_time=True)
+        if best is None:
+            best = self._choose_lowest(
+                candidates, demand, baseline, now, in_time=bool(excluded)
+            )
+        if best is not None:
+            self._spillover.record_choice(best, demand)
+            self.choices[demand.service, self._describe_distance(best)] += 1
+        return best
+
+    def _choose_lowest(
+        self,
+        candidates: Sequence[Destination],
+        demand: Demand,
+        baseline: _Baseline,
+        now: float,
+        *,
+        in_time: bool,
+    ) -> Destination | None:
+        """Return the candidate with the lowest cost of a sample.
+
+        Parameters
+        ----------
+        in_time
+            Whether a response has to be expected in time.
+        """
         tiers: dict[float, list[Destination]] = {}
         for destination in candidates:
             distance = self._compute_distance_cost(destination, demand)
@@ -206,7 +247,7 @@
                 cost, response_after = self._compute_load_cost(
                     candidate, demand, baseline, now
                 )
-                if excluded and response_after > demand.time_left:
+                if in_time and response_after > demand.time_left:
                     # The first attempt may show that a report was outdated. Later
                     # attempts are made only where a response in time is expected;
                     # others would transfer the request just to be refused.
@@ -223,6 +264,16 @@
             return estimate.wait + SAME_REGION_EXTRA_WAIT_S
         return estimate.wait + OTHER_REGION_EXTRA_WAIT_S
 
+    def find_demand_weight(  # noqa: D102
+        self, destination: Destination, demand: Demand
+    ) -> float:
+        return self._spillover.find_weight(destination, demand)
+
+    def _describe_distance(self, destination: Destination) -> str:
+        if destination.data_centre == self._data_centre:
+            return "none"
+        return "data_centre" if destination.region == self._region else "region"
+
     def record_end(  # noqa: D102
         self,
         destination: Destination,
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -50,6 +50,13 @@
         Seconds from now after which a response is no longer useful.
     response_bytes
         Expected length of the response if the route's responses are long, else 0.
+    repeatable
+        Whether the request is idempotent.
+    is_first
+        Whether the call has not been sent before.
+    service
+        Service that is called; empty if the call must not be moved to another data
+        centre for lack of capacity.
     """
 
     body_bytes: int
@@ -58,6 +65,9 @@
     rank: int
     time_left: float = float("inf")
     response_bytes: int = 0
+    repeatable: bool = True
+    is_first: bool = True
+    service: str = ""
 
 
 class LoadBalancingPolicy(ABC):
@@ -101,6 +111,10 @@
         """
         return None
 
+    def find_demand_weight(self, destination: Destination, demand: Demand) -> float:
+        """Return the number of requests that a call stands for at its destination."""
+        return 1.0
+
     @abstractmethod
     def record_start(self, destination: Destination) -> None:
         """Count a call as in flight; `record_end` must follow."""
@@ -202,6 +216,7 @@
                 queued_by_rank=load.queued_by_rank,
                 run_time_factor=load.run_time_factor,
                 link_wait=load.link_wait,
+                demand=load.demand,
             )
         return now
 
--- a/packages/almondrouter/src/almondrouter/coordination/slots.py
+++ b/packages/almondrouter/src/almondrouter/coordination/slots.py
@@ -19,6 +19,7 @@
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.concurrency import RunTimeFactor, UsableSlots
+from almondrouter.coordination.spillover import DemandMeter
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import CallRequest, LinkRequest, Load
 from almondrouter.protocol.dialect import BackendLoad
@@ -101,6 +102,7 @@
     def __init__(self, slots: int, *, clock: Clock) -> None:
         self.usable = UsableSlots(slots, clock=clock)
         self.run_time_factor = RunTimeFactor(clock)
+        self.demand = DemandMeter(clock)
         self._clock = clock
         self._running: set[Grant] = set()
         self._abandoned: dict[Grant, asyncio.TimerHandle] = {}
@@ -139,6 +141,8 @@
                 ErrorCode.DEADLINE_EXCEEDED,
                 "the deadline passed before the request was queued",
             )
+        run_time = self.estimate_run_time(request.class_name)
+        self.demand.record(request.demand_weight, run_time)
         if request.nested:
             self._nested_until = now + NESTED_RESERVE_S
         if self._has_free_slot(request, now) and not self._has_waiter_ahead(request):
@@ -226,6 +230,7 @@
             service_time=self._service_time.value * self.run_time_factor.value,
             queued_by_rank=tuple(ranks[rank] for rank in range(depth)),
             run_time_factor=self.run_time_factor.value,
+            demand=self.demand.slots_wanted,
         )
 
     def refuse_waiting(self, code: ErrorCode, message: str) -> None:
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -99,6 +99,10 @@
         Name of the tenant that holds the caller's key; empty without one.
     accepts_parts
         Whether the sender can receive the body of the response in parts.
+    demand_weight
+        Number of requests of the receiver's data centre that this one stands for, as
+        others are sent elsewhere; 0 if it is not their first attempt or comes from
+        another data centre.
     """
 
     call_id: int
@@ -122,6 +126,7 @@
     overdue: bool = False
     tenant: str = ""
     accepts_parts: bool = False
+    demand_weight: float = 1.0
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -140,6 +145,9 @@
         response.
     run_time_factor
         How long work takes on the host at the moment, relative to its usual time.
+    demand
+        Slots that the callers of the data centre would keep in use, including what is
+        sent elsewhere for lack of capacity; negative if unknown.
     """
 
     slots: int
@@ -149,6 +157,7 @@
     queued_by_rank: tuple[int, ...] = ()
     link_wait: float = 0.0
     run_time_factor: float = 1.0
+    demand: float = -1.0
 
 
 class CallReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/almondrouter/src/almondrouter/state/occupancy.py
+++ b/packages/almondrouter/src/almondrouter/state/occupancy.py
@@ -21,7 +21,8 @@
 
     Parameters
     ----------
-    slots, in_use, queued, service_time, queued_by_rank, run_time_factor, link_wait
+    slots, in_use, queued, service_time, queued_by_rank, run_time_factor, link_wait,
+    demand
         As in `Load`, from the last report; ``slots`` is 0 before the first report.
     reported_at
         Monotonic time of the report in seconds.
@@ -41,6 +42,7 @@
     started_since_report: int = 0
     run_time_factor: float = 1.0
     link_wait: float = 0.0
+    demand: float = -1.0
 
     @property
     def usual_service_time(self) -> float:
@@ -137,6 +139,7 @@
         queued_by_rank: tuple[int, ...] = (),
         run_time_factor: float = 1.0,
         link_wait: float = 0.0,
+        demand: float = -1.0,
     ) -> None:
         """Store the load that the daemon on the backend server's host reports."""
         entry = self._entries.get(backend)
@@ -146,6 +149,7 @@
         entry.slots, entry.in_use, entry.queued = slots, in_use, queued
         entry.service_time = service_time
         entry.queued_by_rank = queued_by_rank
+        entry.demand = demand
         entry.run_time_factor = run_time_factor if run_time_factor > 0 else 1.0
         entry.link_wait = link_wait
         entry.reported_at = now
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -421,6 +421,7 @@
             retry_budget=self.retry_budget,
             store=self._store,
             callers=self.callers,
+            choices=self._placement.choices,
         )
         register_quota_metrics(self._metrics, quotas=self.quotas)
         register_link_metrics(self._metrics, links=self.links, server=self.link_server)
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -59,8 +59,23 @@
     retry_budget: FleetRetryBudget,
     store: PlatformStore,
     callers: CallerServer,
+    choices: Mapping[tuple[str, str], int],
 ) -> None:
-    """Register metrics of callers, backend server, retries and store calls."""
+    """Register metrics of callers, backend server, retries and store calls.
+
+    Parameters
+    ----------
+    choices
+        Number of chosen destinations by service and by what calls leave to reach them.
+    """
+    metrics.add_counter(
+        "almond_calls_placed_total",
+        "Destinations chosen, by service and by what the call leaves to reach them",
+        lambda: [
+            ({"service": service, "leaves": leaves}, count)
+            for (service, leaves), count in choices.items()
+        ],
+    )
     metrics.add_gauge(
         "almond_backend_load",
         "Slots, requests running and requests waiting",
