--- a/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
@@ -17,8 +17,8 @@
 UNATTACHED_INTERVAL_S = 0.15
 """Seconds between reports while the owner has no quorum."""
 URGENT_INTERVAL_S = 0.03
-"""Least seconds between reports for requests that wait. With 5 ms, 83 daemons sent their
-owner thousands of reports a second, which a small host cannot answer in time."""
+"""Least seconds between reports for requests that wait. With 5 ms, 83 daemons could send
+an owner 16,000 reports a second, too many for a small host to answer in time."""
 COMMITMENT_S = 1.0
 """Seconds after a grant in which a daemon turns to no other owner. More than
 `owner.QUORUM_AGE_S`, so that the earlier owner has stopped counting it."""
