Tell a first start of the fleet, and a moment without a quorum, from a new owner

An owner that got its quorum more than 5 s after its start took the first start of a fleet for a restart, and one that lost its quorum for a moment, as on busy hosts, started all quotas anew. Daemons now report that they have never had an owner, and an owner goes on if most daemons have stayed with it. Grants confirm a quorum for 1 s instead of 0.7 s: with 0.7 s, reports late by 0.2 s in sum would have cost it.

--- a/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
@@ -19,10 +19,11 @@
 from almondrouter.state.bounds import QuotaBounds
 from almondrouter.state.tenants import TenantPolicy
 
-QUORUM_AGE_S = 0.7
+QUORUM_AGE_S = 1.0
 """Seconds after a grant for which the daemon that confirmed it counts as reporting to
-this owner; less than the time for which daemons stay with an owner
-(`sessions.COMMITMENT_S`), so that no two owners have a quorum."""
+this owner. Reports and grants may be late by half a second in sum. It is less than the
+time for which daemons stay with an owner (`sessions.COMMITMENT_S`), so that no two
+owners have a quorum."""
 STANDBYS = 2
 """Daemons that are told the use of all tenants: those that own the group next."""
 MAX_GRANTS_KEPT = 64
@@ -45,8 +46,10 @@
         Number of the last grant that it confirmed.
     confirmed_at
         Monotonic seconds at which that grant was sent.
-    reported_at
-        Monotonic seconds of its last report.
+    reported_at, joined_at
+        Monotonic seconds of its last report, and of the last one before it had a grant.
+    is_new
+        Whether it has started with the fleet and never had an owner.
     sent
         Numbers and times of grants that it has not confirmed.
     unconfirmed
@@ -58,6 +61,8 @@
     echo: int = 0
     confirmed_at: float = -math.inf
     reported_at: float = -math.inf
+    joined_at: float = -math.inf
+    is_new: bool = False
     unconfirmed: set[str] = field(default_factory=set)
     sent: deque[tuple[int, float]] = field(
         default_factory=lambda: deque(maxlen=MAX_GRANTS_KEPT)
@@ -87,8 +92,6 @@
     first_number
         Number of the first grant, random, so that a daemon does not confirm a grant of
         an earlier process of this host.
-    starts_full_until
-        Monotonic seconds until which no other owner can have granted anything.
     """
 
     def __init__(
@@ -100,7 +103,6 @@
         find_policy: Callable[[str], TenantPolicy | None],
         list_hosts: Callable[[], frozenset[str]],
         first_number: int,
-        starts_full_until: float,
     ) -> None:
         self._host = host
         self._group = group
@@ -111,25 +113,16 @@
         self._members: dict[str, _Member] = {}
         self._ledgers: dict[str, TenantLedger] = {}
         self._tight: set[str] = set()
-        self._owned_since: float | None = None
+        self._has_quorum = False
+        self._owned_since = -math.inf
+        self._lost_at = -math.inf
         self._find_standbys = functools.lru_cache(maxsize=1)(self._list_standbys)
-        self._starts_full_until = starts_full_until
 
     def count_members(self, now: float) -> int:
         """Return the daemons that report to this owner."""
         oldest = now - QUORUM_AGE_S
         return sum(m.confirmed_at > oldest for m in self._members.values())
 
-    def has_quorum(self, now: float) -> bool:
-        """Return whether most of the daemons report to this owner."""
-        oldest = now - QUORUM_AGE_S
-        hosts = self._list_hosts()
-        members = sum(
-            host in hosts and member.confirmed_at > oldest
-            for host, member in self._members.items()
-        )
-        return 2 * members > len(hosts)
-
     def handle_report(
         self, report: QuotaReport, now: float, *, other_owner: str = ""
     ) -> QuotaGrant | None:
@@ -144,6 +137,9 @@
         if member is None:
             return None
         member.report, member.reported_at = report.number, now
+        member.is_new = report.is_new
+        if report.is_first:
+            member.joined_at = now
         member.confirm(report.echo)
         key = (report.host, report.incarnation)
         self._acknowledge(member, report, key, now)
@@ -199,14 +195,31 @@
         return None if is_late or member.incarnation > report.incarnation else member
 
     def _update_quorum(self, now: float) -> bool:
-        """Return whether there is a quorum; note since when."""
-        if not self.has_quorum(now):
-            self._owned_since = None
-            return False
-        if self._owned_since is None:
-            is_full = now < self._starts_full_until
-            self._owned_since = -math.inf if is_full else now
-        return True
+        """Return whether there is a quorum; note since when nobody else has had one.
+
+        Notes
+        -----
+        Another owner had none meanwhile if most daemons have stayed with this one, nor
+        before if most daemons have never had an owner.
+        """
+        hosts = self._list_hosts()
+        oldest = now - QUORUM_AGE_S
+        confirmed = [
+            member
+            for host, member in self._members.items()
+            if member.confirmed_at > oldest and host in hosts
+        ]
+        has_quorum = 2 * len(confirmed) > len(hosts)
+        if self._has_quorum and not has_quorum:
+            self._lost_at = now
+        elif has_quorum and not self._has_quorum:
+            stayed = sum(member.joined_at < self._lost_at for member in confirmed)
+            if all(member.is_new for member in confirmed):
+                self._owned_since = -math.inf
+            elif 2 * stayed <= len(hosts):
+                self._owned_since = now
+        self._has_quorum = has_quorum
+        return has_quorum
 
     def _record_uses(
         self, report: QuotaReport, key: tuple[str, int], now: float
@@ -221,7 +234,7 @@
         self, report: QuotaReport, key: tuple[str, int], now: float
     ) -> list[TenantGrant]:
         grants = []
-        owned_for = math.inf if self._owned_since is None else now - self._owned_since
+        owned_for = now - self._owned_since
         for use in report.uses:
             policy = self._find_policy(use.tenant)
             if policy is None:
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import functools
-import math
 import random as random_module
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -307,6 +306,7 @@
                 is_usable=self._is_usable,
                 send=self._send_report,
                 committed_until=committed_until,
+                is_new=self._is_first_start and not self._sessions,
             )
             for group in (f"{index}/{count}" for index in range(count))
         }
@@ -357,9 +357,6 @@
         )
 
     def _make_owner(self, group: str) -> QuotaOwner:
-        full_until = -math.inf
-        if self._is_first_start:
-            full_until = self._started_at + self._bounds.window
         return QuotaOwner(
             self._identity[0],
             group,
@@ -367,7 +364,6 @@
             find_policy=self.find_policy,
             list_hosts=self._list_hosts,
             first_number=self._random.getrandbits(40),
-            starts_full_until=full_until,
         )
 
     def _handle_grant(self, grant: QuotaGrant) -> None:
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
@@ -19,7 +19,7 @@
 URGENT_INTERVAL_S = 0.005
 """Least seconds between reports for requests that wait. An exchange with another region
 takes 41 ms of the 50 that they may wait; 20 ms here made 2.7% of them fail."""
-COMMITMENT_S = 1.0
+COMMITMENT_S = 1.4
 """Seconds after a grant in which a daemon turns to no other owner. More than
 `owner.QUORUM_AGE_S`, so that the earlier owner has stopped counting it."""
 MAX_UNANSWERED_S = 1.0
@@ -60,6 +60,8 @@
         Sends a report to the daemon of a host.
     committed_until
         Monotonic seconds until which it turns to no owner.
+    is_new
+        Whether the whole fleet has started for the first time.
     """
 
     def __init__(
@@ -71,12 +73,14 @@
         is_usable: Callable[[str], bool],
         send: Callable[[str, QuotaReport], None],
         committed_until: float = -math.inf,
+        is_new: bool = False,
     ) -> None:
         self.group = group
         self.owner: str | None = None
         self.allowances: dict[str, Allowance] = {}
         self._identity = identity
         self._window = window
+        self._is_new = is_new
         self._is_usable = is_usable
         self._send = send
         self._rank_hosts = functools.lru_cache(maxsize=1)(
@@ -150,7 +154,9 @@
         self._number += 1
         number = self._number
         first = self._is_first
-        return QuotaReport(*self._identity, self.group, number, echo, first, uses)
+        return QuotaReport(
+            *self._identity, self.group, number, echo, first, uses, self._is_new
+        )
 
     def _find_best(self, hosts: frozenset[str], now: float) -> str:
         """Return the first host that can be the owner; empty if there is none."""
@@ -230,7 +236,7 @@
         self._committed_until = now + COMMITMENT_S
         if not grant.has_quorum:
             return {}
-        self._is_first = False
+        self._is_first = self._is_new = False
         self._quorum_at = now
         for told in grant.told:
             self.find_allowance(told.tenant).note_fleet(told.fleet, told.reserved, now)
--- a/packages/almondrouter/src/almondrouter/protocol/quotas.py
+++ b/packages/almondrouter/src/almondrouter/protocol/quotas.py
@@ -62,6 +62,9 @@
         Whether the daemon has had no grant yet since it turned to this owner.
     uses
         Tenants with requests, or with tokens that have been granted.
+    is_new
+        Whether the daemon has started with the whole fleet, for the first time, and has
+        not had an owner with a quorum yet.
     """
 
     host: str
@@ -71,6 +74,7 @@
     echo: int
     is_first: bool
     uses: tuple[TenantUse, ...] = ()
+    is_new: bool = False
 
 
 class TenantGrant(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_coordination_quotas.py
+++ b/tests/test_coordination_quotas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 from dataclasses import replace
 
@@ -124,6 +125,28 @@
         quota = lower.rate * BOUNDS.window + lower.burst
         self.assertLessEqual(len(late), quota * (1 + BOUNDS.overage) + BOUNDS.slack)
 
+    def test_first_start_over_some_seconds_is_no_restart(self):
+        """Guards against refusals because an owner believes that others were before."""
+        fleet = Fleet(HOSTS, [make_policy()])
+        for number, daemon in enumerate(fleet.daemons.values()):
+            daemon.stop()
+            start = functools.partial(daemon.start, is_first_start=True)
+            fleet.call_later(number * 0.3, start)
+        offer(fleet, "all", 16, begin=9)
+        fleet.run(END)
+        self.assertLessEqual(fleet.measure("t")[2], 0.03)
+
+    def test_owner_that_has_lost_no_daemon_goes_on(self):
+        """Guards against a new start of all quotas after a moment without a quorum."""
+        fleet = Fleet(HOSTS, [make_policy(), make_policy(name="u")])
+        offer(fleet, "one", 6)
+        fleet.run(FAULT_AT)
+        for daemon in list(fleet.daemons.values())[:16]:
+            daemon.paused_until = FAULT_AT + 0.9
+        fleet.offer("u", 16, lambda at: "h5", begin=FAULT_AT + 1.5, end=END)
+        fleet.run(END)
+        self.assertLessEqual(fleet.measure("u")[2], 0.03)
+
     def test_no_frames_without_a_rate(self):
         """Guards against traffic in deployments that limit no tenant."""
         fleet = Fleet(HOSTS, [make_policy(rate=0.0)])
