Give the successor of a coordinator time to complete a roll-out

Cause: a coordinator killed before it wrote 'completed' left its successor up to 12.1 s of 12 s; each change of the trial's rate was a step that is sent to all daemons; simulated kills released the lease, which real ones can not. Change: whole lasts 1.5 s, a successor credits half of that and looks for the lease 0.5 s before the plan expires, the share of the trial changes at most once a second, requests overflow to old servers for 1.2 s. One read of op/ only serves a whole folder.

--- a/packages/almondrouter-standins/src/almondrouter_standins/rollout_hosts.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/rollout_hosts.py
@@ -106,7 +106,8 @@
         self.orders.load(self.fleet.store.find(ORDERS_PREFIX), stale=True)
 
     def stop(self) -> None:
-        """End the daemon without any notice; its server goes on."""
+        """Kill the daemon, which can release nothing; its server goes on."""
+        self.is_cut = True
         self._task.cancel()
 
     def send_notice(self, address: str, notice: RolloutPlan | RolloutReport) -> None:
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
@@ -42,7 +42,7 @@
 MIN_READY_S = 5.0
 """Seconds from the first ready server to the step ``whole``; some faults appear only
 seconds after the start."""
-MIN_WHOLE_S = 2.0
+MIN_WHOLE_S = 1.5
 """Seconds in the step ``whole`` before completion; some faults need load to appear."""
 EARLIEST_END_SHARE = 0.85
 """Share of the duration after which a shorter time in ``whole`` suffices."""
@@ -136,6 +136,7 @@
         self._members: dict[str, _Member] = {}
         self._reached = RolloutPhase.WAITING
         self._trial_at: float | None = None
+        self._trial_growth = 0.0
         self._whole_at: float | None = None
         self._all_whole_at: float | None = None
         self._whole_number = 0
@@ -222,6 +223,8 @@
             return
         if self._reached is RolloutPhase.WHOLE and not suspect:
             self._begin_whole(now)
+            # An earlier coordinator has seen some of this step.
+            self._whole_at -= MIN_WHOLE_S / 2
             return
         self._trial_at = now
         self._set_step(Step(RolloutPhase.TRIAL))
@@ -239,6 +242,10 @@
     def _compute_trial_share(self, now: float, age: float) -> float:
         doublings = int((now - self._trial_at) / SHARE_DOUBLING_S)
         growth = min(1.0, FIRST_TRIAL_SHARE / MAX_TRIAL_SHARE * 2 ** min(doublings, 9))
+        if self.step.share and growth == self._trial_growth:
+            # A new step is sent to all daemons, so that small changes do not pay.
+            return self.step.share
+        self._trial_growth = growth
         share = MAX_TRIAL_SHARE * self._bounds.exposure_share
         if doublings:
             share += self._find_slack_share(age)
@@ -286,7 +293,7 @@
     ) -> None:
         if suspect and self.decision is None:
             # Back to the share of the trial, at which the evidence costs less.
-            self._trial_at = now - SETTLED_TRIAL_S
+            self._trial_at, self._trial_growth = now - SETTLED_TRIAL_S, 0.0
             self._continue_trial(now, view, elapsed, suspect=suspect)
             return
         live = self._list_live(now)
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/lease.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/lease.py
@@ -65,6 +65,13 @@
             and self._clock.monotonic() < lease.deadline
         )
 
+    async def is_free(self) -> bool:
+        """Return whether no daemon holds the lease."""
+        for item in (await self._store.read(self.key)).items:
+            self.holder_address = item.value.decode(errors="replace").rpartition(" ")[2]
+            return False
+        return True
+
     async def try_acquire(self) -> bool:
         """Take the lease if it is free; return whether it is held now.
 
@@ -73,9 +80,6 @@
         AlmondError
             If the store does not respond.
         """
-        for item in (await self._store.read(self.key)).items:
-            self.holder_address = item.value.decode(errors="replace").rpartition(" ")[2]
-            return False
         self._lease = await self._store.grant_lease(LEASE_TTL_S)
         put = Put(self.key, self._value, self._lease.lease_id)
         try:
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/manager.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/manager.py
@@ -33,6 +33,9 @@
 
 TICK_S = 0.1
 STATUS_RETRY_S = 0.5
+ELECTION_LEAD_S = 0.5
+"""Seconds before the plan expires at which a successor is sought; the coordinator has
+then missed two plans, and its lease may expire before its last plan."""
 LINKS_INTERVAL_S = 0.5
 """Interval at which a coordinator opens missing links."""
 
@@ -262,7 +265,8 @@
         service = known.order.service
         if service in self._tasks:
             return
-        if self._versions.find_valid_plan(service) is not None:
+        plan = self._versions.find_valid_plan(service, for_seconds=ELECTION_LEAD_S)
+        if plan is not None:
             self._attempts.reset(service)
         elif self._attempts.is_due(service, is_near=self._results.serves(service)):
             task = asyncio.create_task(self._attempt(known))
@@ -287,13 +291,15 @@
             clock=self._clock,
         )
         try:
+            if not await lease.is_free():
+                self._members.contact(lease.holder_address)
+                return
             status, _ = await self._decisions.read(service)
             if status is not None:
                 self._apply_status(status)
             if not self._versions.get(service).needs_coordinator:
                 return
             if not await lease.try_acquire():
-                self._members.contact(lease.holder_address)
                 return
         except AlmondError as error:
             self._attempts.record_failure(service)
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
@@ -20,7 +20,7 @@
 
 FORGOTTEN_AFTER_S = 30.0
 """Seconds without any server after which a version counts as new when it returns."""
-OVERFLOW_S = 2.0
+OVERFLOW_S = 1.2
 """Seconds in the step ``whole`` in which requests that no new server takes may go to
 the old ones. The roll-out cannot be completed while requests run there."""
 MAX_CREDITS = 4096
@@ -128,9 +128,9 @@
             return False
         if (plan.token, plan.step) != state.step:
             self._splits.pop(plan.service, None)
-        if plan.phase is not RolloutPhase.WHOLE:
+        if plan.phase is RolloutPhase.TRIAL:
             state.whole_since = None
-        elif state.whole_since is None:
+        elif plan.phase is RolloutPhase.WHOLE and state.whole_since is None:
             state.whole_since = self._clock.monotonic()
         state.plan = plan
         if plan.phase is RolloutPhase.WHOLE and state.is_open:
@@ -141,12 +141,15 @@
             state.reached = RolloutPhase.TRIAL
         return True
 
-    def find_valid_plan(self, service: str) -> RolloutPlan | None:
-        """Return the plan of a service if it has not expired."""
+    def find_valid_plan(
+        self, service: str, *, for_seconds: float = 0.0
+    ) -> RolloutPlan | None:
+        """Return the plan of a service if it does not expire within some seconds."""
         state = self._services.get(service)
         if state is None or state.plan is None:
             return None
-        return state.plan if self._clock.monotonic() < state.plan.valid_until else None
+        until = self._clock.monotonic() + for_seconds
+        return state.plan if until < state.plan.valid_until else None
 
     def find_established(self, service: str) -> str:
         """Return the established version of a service; empty if none is known."""
--- a/packages/almondrouter/src/almondrouter/coordination/storefeed.py
+++ b/packages/almondrouter/src/almondrouter/coordination/storefeed.py
@@ -292,8 +292,8 @@
         revisions = []
         shared: ReadResult | None = None
         for subscriber in subscribers:
-            if subscriber.is_watched and self._prefix:
-                # One read serves all watched keys, as one watch does.
+            if subscriber.is_watched and self._prefix.endswith("/"):
+                # One read serves all watched keys of a folder, as one watch does.
                 shared = shared or await self._store.read_prefix(
                     self._prefix, stale=stale
                 )
--- a/tests/test_coordination_rollouts.py
+++ b/tests/test_coordination_rollouts.py
@@ -522,7 +522,10 @@
         )
 
     def acquire(self, lease):
-        return run_virtual(lease.try_acquire(), self.clock)
+        async def acquire():
+            return await lease.is_free() and await lease.try_acquire()
+
+        return run_virtual(acquire(), self.clock)
 
     def test_one_holder(self):
         first, second = self.make_lease("a"), self.make_lease("b")
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -18,10 +18,13 @@
     HostRecords,
     Registration,
 )
+from almondrouter.coordination.rollouts.orders import OrderBook
 from almondrouter.coordination.storefeed import StoreFeed, find_common_prefix
 from almondrouter.state.hosts import Departure, ServingState, encode_host
+from almondrouter.state.rollouts import RolloutOrder
 from almondrouter_standins.platform_store import PlatformStoreServer, StoreFault
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
+from almondrouterd.platform.rollouts import ORDERS_PREFIX
 from almondrouterd.platform.store import PlatformStore
 from calls_support import wait_until
 from platform_support import make_configuration
@@ -433,6 +436,36 @@
         self.assertNotIn(key, self.server.keys)
 
 
+class SharedReadTest(unittest.IsolatedAsyncioTestCase):
+    """The configuration and the orders of roll-outs lie in one folder of the store."""
+
+    async def test_orders_cost_no_call(self):
+        """Guards against store calls that a deployment without roll-outs pays for."""
+        server = PlatformStoreServer()
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        clock = SystemClock()
+        store = PlatformStore(server.address, clock=clock)
+        self.addAsyncCleanup(store.close)
+        routes = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        orders = OrderBook(
+            ORDERS_PREFIX,
+            lambda key, value, revision: RolloutOrder("s", "v", 12.0, revision),
+            clock=clock,
+            on_changed=lambda service: None,
+        )
+        feed = StoreFeed(store, (routes, orders), clock=clock, random=random.Random(1))
+        await server.put(CONFIGURATION_KEY, make_configuration(1))
+        running = asyncio.create_task(feed.run())
+        self.addCleanup(running.cancel)
+        await wait_until(lambda: routes.version == 1 and server.calls["kv-watch"])
+        self.assertEqual({"kv-range": 1, "kv-watch": 1}, server.calls)
+        await server.put(ORDERS_PREFIX + "s", b"")
+        await wait_until(lambda: len(orders.orders) == 1)
+        await server.remove(ORDERS_PREFIX + "s")
+        await wait_until(lambda: not orders.orders)
+
+
 class CommonPrefixTest(unittest.TestCase):
     """The feed uses one watch, whose prefix must cover the keys of all subscribers."""
 
