Tell by the records which version was there first

Cause: a daemon learned of the versions of a service with its first request for it. With the versions seen within 5 s of each other, the start times of servers decided, whose clocks may differ by seconds. Change: each record of another host is noted as it arrives, the window is 1 s, and the own server is noted after those of other hosts. Trial servers are taken from regions in turn. Tests with processes choose a loopback network that is free. One test had failed as another fleet on the machine used its loopback network.

--- a/packages/almondrouter-standins/src/almondrouter_standins/rollout_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/rollout_fleet.py
@@ -14,6 +14,7 @@
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.rollouts.members import list_ready
 from almondrouter.coordination.rollouts.tally import Run
 from almondrouter.protocol.calls import CallReply
 from almondrouter.protocol.headers import Outcome
@@ -90,8 +91,7 @@
 
     def find_ready(self, service: str) -> list[tuple[str, str]]:
         """Return name and version of the ready servers."""
-        found = self.directory.find_destinations(service)
-        return [(d.backend, d.version) for d in found]
+        return list_ready(self.directory, service)
 
     def add_host(self, version: str = "") -> VirtualHost:
         """Start a host, with a server of a version unless that is empty."""
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
@@ -71,7 +71,7 @@
     Parameters
     ----------
     new_servers
-        Names of the ready servers of the ordered version.
+        Names of the ready servers of the ordered version; the first get the trial.
     old_server_count
         Number of ready servers of the established version.
     linked_hosts
@@ -267,7 +267,7 @@
         """Choose as many new servers as make each as busy as an old one."""
         count = max(1, int(share * view.old_server_count + 0.35))
         kept = [s for s in self.step.servers if s in view.new_servers]
-        added = [s for s in sorted(view.new_servers) if s not in kept]
+        added = [s for s in view.new_servers if s not in kept]
         return tuple((kept + added)[:count])
 
     def _may_begin_whole(self, now: float, view: FleetView, elapsed: float) -> bool:
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/manager.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/manager.py
@@ -344,7 +344,7 @@
 
     def _list_new_servers(self, order: RolloutOrder) -> list[str]:
         ready = self._find_ready(order.service)
-        return sorted(n for n, version in ready if version == order.target_version)
+        return [name for name, version in ready if version == order.target_version]
 
     def _find_session(
         self, service: str
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/members.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
 
@@ -131,3 +132,18 @@
         if not known or not known.issuperset(plan.servers):
             self._allowed_at = now + RECORDS_INTERVAL_S
             self._request_records()
+
+
+def list_ready(directory: HostDirectory, service: str) -> list[tuple[str, str]]:
+    """Return name and version of the ready servers of a service, regions in turn.
+
+    The servers of a trial are taken from the front, so that most daemons have one in
+    their region.
+    """
+    numbered = []
+    counts: Counter[tuple[str, str]] = Counter()
+    for found in directory.find_destinations(service):
+        group = found.region, found.version
+        numbered.append((counts[group], found.region, found.backend, found.version))
+        counts[group] += 1
+    return [(name, version) for _, _, name, version in sorted(numbered)]
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/servicestate.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/servicestate.py
@@ -8,7 +8,7 @@
 from almondrouter.protocol.calls import RolloutPlan
 from almondrouter.state.rollouts import FINAL_PHASES, RolloutOrder, RolloutPhase
 
-SEEN_TOGETHER_S = 5.0
+SEEN_TOGETHER_S = 1.0
 """Seconds within which versions count as seen at the same time, as after the start of
 a daemon; the start times of their servers then tell which was there first."""
 
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
@@ -14,7 +14,7 @@
     find_first,
 )
 from almondrouter.protocol.calls import RolloutPlan
-from almondrouter.state.hosts import BackendEntry
+from almondrouter.state.hosts import BackendEntry, HostEntry
 from almondrouter.state.rollouts import RolloutOrder, RolloutPhase
 from almondrouter.state.snapshot import Destination
 
@@ -259,7 +259,7 @@
         target = state.order.target_version if state.is_open else ""
         if target == established:
             target = ""
-        if versions <= {established}:
+        if versions <= {established} or (not established and len(versions) < 2):
             return _Split(destinations, destinations)
         base = tuple(d for d in destinations if d.version in ("", established))
         new = tuple(d for d in destinations if target and d.version == target)
@@ -290,20 +290,35 @@
         return others
 
     def _has_others(self, service: str, version: str) -> bool:
-        return any(b.version != version for b in self._iterate_servers(service))
+        return any(b.version != version for _, b in self._iterate_servers(service))
+
+    def note_record(self, entry: HostEntry) -> None:
+        """Remember when the version of a server on another host was first seen."""
+        backend = entry.backend
+        if backend is not None and backend.version and entry.host != self._host:
+            self._note_version(self.get(backend.service), backend)
+
+    def _note_version(self, state: ServiceVersions, backend: BackendEntry) -> None:
+        first = SeenVersion(self._clock.monotonic(), backend.started_ms)
+        seen = state.seen.setdefault(backend.version, first)
+        seen.missing_since = None
+        seen.started_ms = min(seen.started_ms, backend.started_ms)
 
     def _note_versions(self, service: str, state: ServiceVersions) -> None:
+        """Note the versions of all known servers of a service.
+
+        Notes
+        -----
+        A daemon that has just started hears of the server of its own host before it
+        has read of the others, so that this one is noted after them.
+        """
         now = self._clock.monotonic()
         present = set()
-        for backend in self._iterate_servers(service):
-            if not backend.version:
-                continue
-            present.add(backend.version)
-            seen = state.seen.setdefault(
-                backend.version, SeenVersion(now, backend.started_ms)
-            )
-            seen.missing_since = None
-            seen.started_ms = min(seen.started_ms, backend.started_ms)
+        servers = list(self._iterate_servers(service))
+        for host, backend in sorted(servers, key=lambda item: item[0] == self._host):
+            if backend.version and (host != self._host or state.seen):
+                present.add(backend.version)
+                self._note_version(state, backend)
         for version, item in tuple(state.seen.items()):
             if version in present:
                 continue
@@ -312,15 +327,18 @@
             elif present and now - item.missing_since > FORGOTTEN_AFTER_S:
                 del state.seen[version]
 
-    def _iterate_servers(self, service: str) -> Iterable[BackendEntry]:
-        """Yield the known servers of a service that have not announced to leave."""
+    def _iterate_servers(self, service: str) -> Iterable[tuple[str, BackendEntry]]:
+        """Yield the known servers of a service that have not announced to leave.
+
+        Each is preceded by its host.
+        """
         for entry in self._directory.entries:
             backend = entry.backend
             if backend is None or backend.service != service:
                 continue
             departure = self._directory.find_departure(entry.host)
             if departure is None or not departure.includes(backend):
-                yield backend
+                yield entry.host, backend
 
 
 def compute_fraction(name: str) -> float:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -195,7 +195,7 @@
         self.directory = HostDirectory(
             clock=clock,
             is_alive=self.links.is_alive,
-            on_record=self._evidence.merge_record,
+            on_record=self._note_record,
         )
         self.routes = ActiveRoutes(
             CONFIGURATION_KEY,
@@ -630,6 +630,10 @@
             self._evidence.suspects,
         )
 
+    def _note_record(self, entry: HostEntry) -> None:
+        self._evidence.merge_record(entry)
+        self._rollouts.versions.note_record(entry)
+
     def _restore_from_record(self, entry: HostEntry) -> None:
         """Restore what the record of this host's earlier daemon tells.
 
--- a/packages/almondrouterd/src/almondrouterd/rolloutsetup.py
+++ b/packages/almondrouterd/src/almondrouterd/rolloutsetup.py
@@ -12,7 +12,11 @@
 from almondrouter.coordination.localbackend import LocalBackend
 from almondrouter.coordination.rollouts.decisions import Decisions
 from almondrouter.coordination.rollouts.manager import Rollouts
-from almondrouter.coordination.rollouts.members import NoticeLinks, RolloutMembers
+from almondrouter.coordination.rollouts.members import (
+    NoticeLinks,
+    RolloutMembers,
+    list_ready,
+)
 from almondrouter.coordination.rollouts.orders import OrderBook
 from almondrouter.coordination.rollouts.reporting import LocalResults
 from almondrouter.coordination.rollouts.tally import RunTally
@@ -73,9 +77,7 @@
             peer_address=host.advertised_address,
             region=host.region,
             is_relay=is_relay,
-            find_ready=lambda service: [
-                (d.backend, d.version) for d in directory.find_destinations(service)
-            ],
+            find_ready=lambda service: list_ready(directory, service),
             request_records=request_records,
         )
         return self.manager
--- a/tests/test_almondrouterd_rollouts.py
+++ b/tests/test_almondrouterd_rollouts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
+import socket
 import tempfile
 import time
 import unittest
@@ -27,6 +29,16 @@
 ORDER_KEY = ORDERS_PREFIX + SERVICE
 STATUS_KEY = STATUSES_PREFIX + SERVICE
 RATE_PER_S = 40.0
+BACKEND_PORT = 7001
+
+
+def find_network():
+    """Return the second octet of loopback addresses that no other fleet uses."""
+    for octet in NETWORKS:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((f"127.{octet}.0.1", BACKEND_PORT))
+            return octet
+    raise AssertionError("all loopback networks are in use")
 
 
 class RolloutProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -39,7 +51,7 @@
             Path(folder.name),
             hosts=HOSTS,
             random=random.Random(1),
-            network_octet=next(NETWORKS),
+            network_octet=find_network(),
         )
         self.addAsyncCleanup(self.fleet.close)
         self.fleet.version = "v1"
