Test that a graceful stop finishes long responses

Cause: no test covered a daemon process that stops while transfers to a caller and to another daemon are in progress. The stand-in server gives bodies of any length.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
@@ -292,5 +292,12 @@
 
 
 def make_response_body(attempt: str, target: str, body: bytes) -> bytes:
-    """Return the response body that a backend server sends for a request."""
-    return f"{attempt} {target} {len(body)}".encode()
+    """Return the response body that a backend server sends for a request.
+
+    A target with the query ``bytes=N`` has a body of that length.
+    """
+    text = f"{attempt} {target} {len(body)}".encode()
+    _, is_long, size = target.partition("?bytes=")
+    if not is_long:
+        return text
+    return (text * (int(size) // len(text) + 1))[: int(size)]
--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -46,6 +46,7 @@
 [limits]
 memory_mb = {memory_mb}
 max_fds = {max_fds}
+link_mbps = {link_mbps}
 [provider]
 address = "{store}"
 writes_per_s = 400
@@ -131,7 +132,9 @@
         stop_within: float = STOP_GRACE_PERIOD_S,
         memory_mb: int = 150,
         max_fds: int = 4100,
+        link_mbps: float = 0.0,
     ) -> None:
+        self._link_mbps = link_mbps
         self._directory = directory
         self._memory_mb = memory_mb
         self._max_fds = max_fds
@@ -443,4 +446,5 @@
             grace=self._stop_within,
             memory_mb=self._memory_mb,
             max_fds=self._max_fds,
+            link_mbps=self._link_mbps,
         )
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -73,6 +73,7 @@
         stop_within=STOP_GRACE_PERIOD_S,
         configuration=None,
         key="",
+        link_mbps=0.0,
     ):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -83,6 +84,7 @@
             random=self.random,
             network_octet=next(NETWORKS),
             stop_within=stop_within,
+            link_mbps=link_mbps,
         )
         self.fleet.key = key
         self.addAsyncCleanup(self.fleet.close)
@@ -285,6 +287,25 @@
         self.assertEqual({200: 12}, await self.send_requests(12, hosts=(1, 2)))
         self.assert_guarantees()
 
+    async def test_graceful_stop_finishes_long_responses(self):
+        """Guards against transfers that a stop cuts, and bodies that are not whole."""
+        await self.start_fleet(hosts=2, link_mbps=4)
+        draining = self.fleet.backends[1]
+        draining.state = "draining"
+        while not draining.acknowledged["draining"]:
+            await asyncio.sleep(0.02)
+        requests = [
+            asyncio.create_task(self.fleet.send(host, "/read/1?bytes=900000"))
+            for host in (0, 1)
+        ]
+        started = 'almond_transfer_events_total{event="started"}'
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while await self.fleet.read_metric(0, started) != len(requests):
+                await asyncio.sleep(0.02)
+        self.assertEqual(0, await self.fleet.stop_daemon(0, signal.SIGTERM))
+        self.assertEqual([200, 200], await asyncio.gather(*requests))
+        self.assert_guarantees()
+
     def test_started_daemon_watches_before_it_is_in_touch(self):
         """Guards against old versions in a region whose daemons have all restarted.
 
