Plan the spillover of each version of a service for itself

Cause: in a roll-out a call may go to the servers of one version only. One plan for the service was computed from the servers of whichever call came first within 0.1 s.

Change: plans are kept by service and version.

--- a/packages/almondrouter/src/almondrouter/coordination/spillover.py
+++ b/packages/almondrouter/src/almondrouter/coordination/spillover.py
@@ -56,7 +56,7 @@
 LONG_BYTES = 32_768
 """Length of request and expected response together from which a call is long."""
 MAX_PLANS = 256
-"""Bound on the services with a plan."""
+"""Bound on the plans, one for each version of a service."""
 
 
 class DemandMeter:
@@ -163,7 +163,7 @@
 
 @dataclass(slots=True)
 class _ServiceState:
-    """What a daemon knows of the calls to one service.
+    """What a daemon knows of the calls to one version of a service.
 
     Parameters
     ----------
@@ -229,7 +229,7 @@
         self._occupancy = occupancy
         self._random = random
         self._is_reachable = is_reachable
-        self._states: dict[str, _ServiceState] = {}
+        self._states: dict[tuple[str, str], _ServiceState] = {}
 
     def draw(
         self, destinations: Sequence[Destination], demand: Demand, now: float
@@ -239,13 +239,15 @@
         Parameters
         ----------
         destinations
-            Backend servers of the service.
+            Backend servers of one version of the service. In a roll-out, each version
+            has a plan of its own.
         now
             Monotonic seconds.
         """
-        if not demand.service or not demand.is_first:
+        if not demand.service or not demand.is_first or not destinations:
             return ""
-        state = self._update_plan(destinations, demand.service, now)
+        key = (demand.service, destinations[0].version)
+        state = self._update_plan(destinations, key, now)
         state.easy_share.add(is_easy(demand))
         if not state.shares:
             return ""
@@ -256,29 +258,29 @@
 
     def find_weight(self, destination: Destination, demand: Demand) -> float:
         """Return the number of requests that a call stands for at its destination."""
-        state = self._states.get(demand.service)
-        if state is None or not demand.is_first:
-            return 0.0
-        if destination.data_centre != self._data_centre:
+        state = self._states.get((demand.service, destination.version))
+        if not demand.is_first or destination.data_centre != self._data_centre:
             return 0.0
+        if state is None:
+            return 1.0
         if not state.shares:
             return 1.0 / max(state.own_share.value, MIN_KEPT_SHARE)
         return 1.0 / (1.0 - state.find_moved_share(demand))
 
     def record_choice(self, destination: Destination, demand: Demand) -> None:
         """Record where a new call is sent."""
-        state = self._states.get(demand.service)
+        state = self._states.get((demand.service, destination.version))
         if state is not None and demand.is_first and not state.shares:
             state.own_share.add(destination.data_centre == self._data_centre)
 
     def _update_plan(
-        self, destinations: Sequence[Destination], service: str, now: float
+        self, destinations: Sequence[Destination], key: tuple[str, str], now: float
     ) -> _ServiceState:
-        state = self._states.get(service)
+        state = self._states.get(key)
         if state is None:
             if len(self._states) >= MAX_PLANS:
                 self._states.clear()
-            state = self._states[service] = _ServiceState()
+            state = self._states[key] = _ServiceState()
         if now >= state.until:
             sites = self._measure_sites(destinations, now)
             state.shares = fill_capacity(sites, self._data_centre)
