--- a/packages/almondrouter/src/almondrouter/coordination/concurrency.py
+++ b/packages/almondrouter/src/almondrouter/coordination/concurrency.py
@@ -133,7 +133,9 @@
                 2 * self._growth_interval, MAX_GROWTH_INTERVAL_S
             )
         self._tried = 0
-        self._learned = max(1, level - 1)
+        # Half at most: one request may be refused for another reason, and slots return
+        # only one by one.
+        self._learned = max(1, level - 1, self._learned // 2)
         self._grows_at = now + self._growth_interval
 
     def _count(
