Parse a crowd of small chunks in turns

One read of 256 KB may hold 43,000 chunks of one byte, whose parsing takes 17 to 45 ms; 160 such connections would stop the process for seconds in each round, while peers take a daemon for dead after 1 s. At most 512 parts of bodies are now parsed before other connections get their turn (0.3 to 0.5 ms). The test of endless requests feeds the reader without a connection, so that it now goes on by itself as the connection does; its bounds are the same.

--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -238,7 +238,7 @@
         self._expires_at = self._reader.expires_at
         self._paused = False
         self._held_back_at: float | None = None
-        self._writing_paused = False
+        self._writing_paused = self._goes_on = False
         self.account: Account | None = None
         self._refusal: CallerResponse | None = None
         self._closing = False
@@ -282,7 +282,8 @@
         held = reader.held_bytes
         if held or self.account.receiving:
             self._server.budget.set_receiving(self.account, held)
-        if reader.waiting_bytes >= MAX_WAITING_BYTES:
+        if reader.waiting_bytes:
+            self._go_on_later()
             self._update_reading()
 
     @property
@@ -451,8 +452,23 @@
             return
         self._reader.resume()
         self._server.budget.set_receiving(self.account, self._reader.held_bytes)
+        self._go_on_later()
         self._update_reading()
 
+    def _go_on_later(self) -> None:
+        """Parse on after other connections had their turn, if bytes wait for that."""
+        if self._reader.is_interrupted and not self._goes_on:
+            self._goes_on = True
+            asyncio.get_running_loop().call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        self._goes_on = False
+        if not self._closing and not self._reader.stopped:
+            self._reader.go_on()
+            self._server.budget.set_receiving(self.account, self._reader.held_bytes)
+            self._go_on_later()
+            self._update_reading()
+
     def _update_reading(self) -> None:
         """Pause reading if enough bytes wait or the budget demands it."""
         pause = not self._closing and (
--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -33,6 +33,10 @@
 DIRECT_BYTES = 16_384
 """Most bytes that are parsed without being copied to the waiting bytes, if the sink has
 room for all requests in them. Ordinary requests arrive in one such read."""
+MAX_PARTS_AT_ONCE = 512
+"""Parts of bodies that are parsed before other connections get their turn. One read of
+one-byte chunks has 43,000 parts and takes some 30 ms; a crowd of them would stop the
+process for seconds."""
 MIN_REQUEST_BYTES = 16
 """Lower bound of the length of a request with its empty line."""
 
@@ -89,6 +93,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._waiting = bytearray()
         self._requests_read = 0
+        self._parts_at_once = 0
         self._began_at = clock.monotonic()
         self._reset_request()
 
@@ -118,6 +123,7 @@
         """Parse received bytes as far as the sink has room for their requests."""
         if self.stopped:
             return
+        self._parts_at_once = 0
         if not self._waiting and self._fits(data):
             self._parse(data)
         else:
@@ -144,10 +150,22 @@
             self.expires_at = self._clock.monotonic() + (
                 BODY_TIMEOUT_S if self._headers_done else self._limits().header_timeout
             )
-            self._parse_waiting()
+            self.go_on()
+
+    @property
+    def is_interrupted(self) -> bool:
+        """Whether bytes wait only so that other connections get their turn."""
+        return bool(self._waiting) and self._sink.request_room > 0
+
+    def go_on(self) -> None:
+        """Parse the next of the waiting bytes after an interruption."""
+        self._parts_at_once = 0
+        self._parse_waiting()
 
     def _parse_waiting(self) -> None:
         while self._waiting and (room := self._sink.request_room) > 0:
+            if self._parts_at_once >= MAX_PARTS_AT_ONCE:
+                break
             size = self._choose_size(room)
             data = bytes(self._waiting[:size])
             del self._waiting[:size]
@@ -259,6 +277,7 @@
         self._body_size += len(body)
         self._body_left = max(0, self._body_left - len(body))
         self._body_parts += 1
+        self._parts_at_once += 1
         if self._body_size > self._max_body_bytes:
             self._refuse(ErrorCode.BODY_TOO_LARGE)
         elif not self._body:
--- a/tests/test_transport_inputs_endless.py
+++ b/tests/test_transport_inputs_endless.py
@@ -100,6 +100,8 @@
         fed = 0
         while not self.sink.refusals and fed <= limit:
             self.reader.feed(block)
+            while self.reader.is_interrupted:
+                self.reader.go_on()
             fed += len(block)
         self.assertEqual([code], self.sink.refusals)
         self.assertEqual([], self.sink.requests)
--- a/tests/test_transport_readers.py
+++ b/tests/test_transport_readers.py
@@ -76,6 +76,21 @@
         self.assertEqual([], self.sink.refusals)
         self.assertEqual(MAX_HEADERS + 2, len(self.sink.requests))
 
+    def test_many_small_chunks_leave_turns_to_other_connections(self):
+        """Guards against one read that stops all other connections for long."""
+        self.limits = CallerLimits(MAX_HEADERS, 10_000, HEADER_TIMEOUT_S, 75.0)
+        reader = RequestReader(
+            sink=self.sink, limits=lambda: self.limits, clock=self.clock
+        )
+        head = b"PUT /d HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        reader.feed(head + b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n")
+        turns = 0
+        while reader.is_interrupted:
+            reader.go_on()
+            turns += 1
+        self.assertGreater(turns, 5)
+        self.assertEqual([b"x" * 10_000], [r.body for r in self.sink.requests])
+
     @parameterized.expand([("close", b"1.1\r\nConnection: close"), ("old", b"1.0")])
     def test_bytes_behind_the_last_request_are_ignored(self, _, protocol):
         """Guards against refusing what is not to be read."""
