Let an address that holds over half of the budget wait for others

Large requests took turns in the order in which they came, so that an address with many of them delayed the upload of another. Requests of other addresses now go first. The limits and costs move to a module of their own.

--- a/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
+++ b/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
@@ -9,28 +9,8 @@
 from enum import IntEnum
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.callerlimits import CONNECTION_BYTES
 
-CONNECTION_BYTES = 4_096
-"""Memory of an open connection without a request: transport, parser and protocol."""
-REQUEST_BYTES = 20_000
-"""Memory of a complete request in progress beside its body and headers: its task, and
-up to 16 KB of header text."""
-HEADER_LINE_BYTES = 200
-"""Memory of a header line beside its text: a tuple, two strings and their place."""
-MAX_COPIED_BODY_BYTES = 8_000_000
-"""Longest body that may be sent to another host, for which it is copied to a frame."""
-IDLE_PROCESS_BYTES = 46_000_000
-"""Memory that the budget leaves to the process without callers: 34 MB when idle, the
-records of a large fleet, and the buffers of reads."""
-BUDGET_SHARE = 0.75
-"""Share of the memory beyond that which the callers may hold. The rest holds responses
-that are being received, and copies of bodies while they are passed on."""
-MIN_BUDGET_BYTES = 4_000_000
-MAX_RESPONSE_BYTES = 33_554_432
-"""Bytes of unfinished responses that suffice on a host of any size."""
-MIN_RESPONSE_BYTES = 2_000_000
-UNLIMITED_BYTES = 1 << 60
-"""Budget of a server whose callers are trusted."""
 MIN_LARGE_BYTES = 65_536
 """Bytes of an unfinished request below which it is never held back."""
 PRESSURE_SHARE = 0.5
@@ -46,79 +26,6 @@
 TURN_S = 2.0
 """Seconds for which one large request is received while others are held back."""
 
-PLATFORM_DESCRIPTORS = 200
-"""Descriptors of a host that belong to the platform."""
-FIXED_DESCRIPTORS = 120
-"""Descriptors for connections to the backend server and the store, and listeners."""
-MIN_CALLER_CONNECTIONS = 16
-MAX_CALLER_CONNECTIONS = 4_096
-MAX_INTERNAL_CONNECTIONS = 64
-
-
-def compute_budget_bytes(memory_bytes: float) -> int:
-    """Return the bytes that the callers of a host may hold together.
-
-    Parameters
-    ----------
-    memory_bytes
-        Memory of the host in bytes.
-    """
-    spare = (memory_bytes - IDLE_PROCESS_BYTES) * BUDGET_SHARE
-    return max(MIN_BUDGET_BYTES, int(spare))
-
-
-@dataclass(frozen=True, slots=True)
-class DescriptorShares:
-    """Limits on open connections.
-
-    Parameters
-    ----------
-    callers
-        Connections of callers.
-    internal
-        Connections to each of the servers for heartbeats, readiness and metrics.
-    """
-
-    callers: int
-    internal: int
-
-
-def divide_descriptors(max_descriptors: int) -> DescriptorShares:
-    """Return the limits on connections of a host.
-
-    Parameters
-    ----------
-    max_descriptors
-        Descriptors of the host. Callers get half of what the platform and the fixed
-        connections leave; the rest is for links between daemons.
-    """
-    spare = max_descriptors - PLATFORM_DESCRIPTORS - FIXED_DESCRIPTORS
-    callers = min(MAX_CALLER_CONNECTIONS, max(MIN_CALLER_CONNECTIONS, spare // 2))
-    return DescriptorShares(callers, min(MAX_INTERNAL_CONNECTIONS, callers // 8 + 4))
-
-
-def compute_response_bytes(memory_bytes: float) -> int:
-    """Return the bytes that unfinished responses of the backend server may hold.
-
-    Parameters
-    ----------
-    memory_bytes
-        Memory of the host in bytes.
-    """
-    spare = (memory_bytes - IDLE_PROCESS_BYTES) * (1 - BUDGET_SHARE)
-    return min(MAX_RESPONSE_BYTES, max(MIN_RESPONSE_BYTES, int(spare)))
-
-
-def estimate_body_bytes(size: int) -> int:
-    """Return the memory that a body needs until its request is finished."""
-    return size if size > MAX_COPIED_BODY_BYTES else 2 * size
-
-
-def estimate_request_bytes(header_lines: int, body_size: int) -> int:
-    """Return the memory that a complete request needs until it is finished."""
-    size = REQUEST_BYTES + HEADER_LINE_BYTES * header_lines
-    return size + estimate_body_bytes(body_size) if body_size else size
-
 
 class Holder(ABC):
     """Connection of a caller, which holds memory."""
@@ -211,6 +118,7 @@
         self._accounts: dict[Account, None] = {}
         # Large requests under pressure, in the order in which they came.
         self._queue: dict[Account, None] = {}
+        self._heavy_address: str | None = None
 
     @property
     def _has_pressure(self) -> bool:
@@ -306,6 +214,7 @@
             victims = self._list_victims(None)
             stalled = [item for item in victims if item[0] is _Rank.STALLED]
             self._release_down_to(self.limit * PRESSURE_SHARE, stalled)
+            self._find_heavy_address()
         self._assign_turns()
 
     def _refresh_unsent(self, account: Account) -> None:
@@ -342,7 +251,7 @@
                 self._hold_back(account, enabled=False)
             return
         now = self._clock.monotonic()
-        first = next(iter(self._queue), None)
+        first = self._find_first()
         if first is None:
             return
         if not first.held_back and 0 < first.turn_ends_at <= now:
@@ -350,10 +259,16 @@
             del self._queue[first]
             self._queue[first] = None
             first.turn_ends_at = 0.0
-        for position, account in enumerate(tuple(self._queue)):
-            if not position and not account.turn_ends_at:
-                account.turn_ends_at = now + TURN_S
-            self._hold_back(account, enabled=bool(position))
+            first = self._find_first()
+        for account in tuple(self._queue):
+            self._hold_back(account, enabled=account is not first)
+        if not first.turn_ends_at:
+            first.turn_ends_at = now + TURN_S
+
+    def _find_first(self) -> Account | None:
+        """Return the large request whose turn it is, not of a heavy address if any."""
+        others = (a for a in self._queue if a.address != self._heavy_address)
+        return next(others, next(iter(self._queue), None))
 
     def _hold_back(self, account: Account, *, enabled: bool) -> None:
         if account.held_back is enabled:
@@ -408,7 +323,7 @@
             Account that needs memory, which is the last of its rank if it is small.
         """
         now = self._clock.monotonic()
-        first_in_turn = next(iter(self._queue), None)
+        first_in_turn = self._find_first()
         ranked = []
         for position, account in enumerate(self._choose_candidates()):
             rank = self._rank(account, now)
@@ -432,15 +347,20 @@
 
     def _choose_candidates(self) -> Iterable[Account]:
         """Return accounts to choose from: those of an address that holds over half."""
+        self._find_heavy_address()
         candidates = [a for a in self._accounts if a.receiving or a.unsent]
+        heavy = [a for a in candidates if a.address == self._heavy_address]
+        return heavy or candidates
+
+    def _find_heavy_address(self) -> None:
+        """Find the address that holds over half of the budget, if there are others."""
         totals: Counter[str] = Counter()
         for account in self._accounts:
             totals[account.address] += account.held
-        address, most = max(totals.items(), key=lambda item: item[1], default=("", 0))
-        if len(totals) > 1 and most > self.limit / 2:
-            heavy = [a for a in candidates if a.address == address]
-            return heavy or candidates
-        return candidates
+        self._heavy_address = None
+        for address, held in totals.items():
+            if held > self.limit / 2 and len(totals) > 1:
+                self._heavy_address = address
 
 
 def choose_without_use(
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -9,11 +9,13 @@
 
 from almondrouter.clock import Clock, SystemClock
 from almondrouter.coordination.callerbudget import (
-    UNLIMITED_BYTES,
     Account,
     CallerBudget,
     Holder,
     choose_without_use,
+)
+from almondrouter.coordination.callerlimits import (
+    UNLIMITED_BYTES,
     estimate_request_bytes,
 )
 from almondrouter.errors import ErrorCode
--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -9,7 +9,7 @@
 import httptools
 
 from almondrouter.clock import Clock
-from almondrouter.coordination.callerbudget import (
+from almondrouter.coordination.callerlimits import (
     HEADER_LINE_BYTES,
     estimate_body_bytes,
 )
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -18,8 +18,8 @@
 
 from almondrouter.clock import SuspendAwareClock
 from almondrouter.coordination.activeroutes import ActiveRoutes
-from almondrouter.coordination.callerbudget import (
-    CallerBudget,
+from almondrouter.coordination.callerbudget import CallerBudget
+from almondrouter.coordination.callerlimits import (
     compute_budget_bytes,
     compute_response_bytes,
     divide_descriptors,
--- a/packages/almondrouterd/src/almondrouterd/platform/main.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/main.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from almondrouter import __version__
-from almondrouter.coordination.callerbudget import PLATFORM_DESCRIPTORS
+from almondrouter.coordination.callerlimits import PLATFORM_DESCRIPTORS
 from almondrouter.errors import AlmondError, FindingsError
 from almondrouter.logs import EventLogger, LineWriter, set_up_logs
 from almondrouter.settings import parse_address
--- a/tests/test_coordination_callerbudget.py
+++ b/tests/test_coordination_callerbudget.py
@@ -8,12 +8,14 @@
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.callerbudget import (
-    CONNECTION_BYTES,
     STALL_S,
     TURN_S,
     CallerBudget,
     Holder,
     choose_without_use,
+)
+from almondrouter.coordination.callerlimits import (
+    CONNECTION_BYTES,
     compute_budget_bytes,
     divide_descriptors,
     estimate_body_bytes,
