--- a/packages/almondrouter/src/almondrouter/coordination/quotas/allowances.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/allowances.py
@@ -134,9 +134,14 @@
         """Return the seconds until a token can be expected, by the owner's word."""
         return max(0.0, self._wait_until - now)
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether requests wait for tokens or hold some."""
+        return bool(self.waiters or self._held)
+
     def is_active(self, now: float) -> bool:
         """Return whether the tenant has requests, so that reports follow soon."""
-        if self.waiters or self._held:
+        if self.is_in_use:
             return True
         return self._find_demand(now) >= LEAST_DEMAND
 
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
@@ -261,6 +261,8 @@
             self._expire_at = now + EXPIRY_INTERVAL_S
             for owner in self._owners.values():
                 owner.expire(now)
+            for session in self._sessions.values():
+                session.drop_allowances(lambda name: self.find_policy(name) is None)
 
     def handle_frame(self, frame: Frame) -> None:
         """Handle a frame that another daemon has sent."""
@@ -333,10 +335,10 @@
         if session.is_due(now):
             session.send_report(now)
         else:
-            self._call_later(session.find_delay(now), lambda: self._retry(session))
-
-    def _retry(self, session: OwnerSession) -> None:
-        self._report_if_due(session, self._clock.monotonic())
+            self._call_later(
+                session.find_delay(now),
+                lambda: self._report_if_due(session, self._clock.monotonic()),
+            )
 
     def _report_if_due(self, session: OwnerSession, now: float) -> None:
         if session.is_due(now):
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
@@ -107,6 +107,14 @@
             allowance = self.allowances[tenant] = Allowance(self._window)
         return allowance
 
+    def drop_allowances(self, is_obsolete: Callable[[str], bool]) -> None:
+        """Forget tenants that no longer have a limit; no grant would settle them."""
+        self.allowances = {
+            tenant: allowance
+            for tenant, allowance in self.allowances.items()
+            if allowance.is_in_use or not is_obsolete(tenant)
+        }
+
     def is_attached(self, now: float) -> bool:
         """Return whether an owner with a quorum has answered lately."""
         return now - self._quorum_at < COMMITMENT_S and not self._is_first
--- a/tests/test_coordination_quotas.py
+++ b/tests/test_coordination_quotas.py
@@ -147,6 +147,16 @@
         fleet.run(END)
         self.assertLessEqual(fleet.measure("u")[2], 0.03)
 
+    def test_tenant_without_a_limit_is_reported_no_more(self):
+        """Guards against reports for ever about a tenant that has been removed."""
+        fleet = Fleet(3, [make_policy(), make_policy(name="u")])
+        fleet.offer("t", 20, lambda at: "h1", begin=BEGIN, end=FAULT_AT)
+        remaining = TenantTable({"u": make_policy(name="u")})
+        fleet.at(FAULT_AT, lambda: setattr(fleet, "tenants", remaining))
+        fleet.run(25)
+        (session,) = fleet.daemons["h1"].service._sessions.values()
+        self.assertNotIn("t", session.allowances)
+
     def test_no_frames_without_a_rate(self):
         """Guards against traffic in deployments that limit no tenant."""
         fleet = Fleet(HOSTS, [make_policy(rate=0.0)])
