Let a coordinator that reaches too few daemons give up

Cause: a coordinator that was cut off from its peers, but not from the store, kept the lease, and could have completed a roll-out for daemons that it did not hear.

--- a/packages/almondrouter-standins/src/almondrouter_standins/rollout_faults.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/rollout_faults.py
@@ -92,6 +92,18 @@
     return run
 
 
+def cut_region(begin: float, end: float) -> Script:
+    """Cut the region of the coordinator off from the others, but not from the store."""
+
+    async def run(fleet: RolloutFleet) -> None:
+        await wait_until(fleet, begin)
+        fleet.cut_region = next(h.region for h in find_coordinators(fleet))
+        await wait_until(fleet, end)
+        fleet.cut_region = ""
+
+    return run
+
+
 def stop_store(begin: float, end: float) -> Script:
     """Refuse all calls of the store for some time."""
 
@@ -131,6 +143,7 @@
     "killed before it writes": kill_before_write,
     "coordinator paused 4 to 8 s": pause_coordinator(4.0, 8.0),
     "coordinator paused 8 to 11 s": pause_coordinator(8.0, 11.0),
+    "region cut off 3 to 20 s": cut_region(3.0, 20.0),
     "store down 3 to 6 s": stop_store(3.0, 6.0),
     "store down 6 to 12 s": stop_store(6.0, 12.0),
     "responses to writes lost": lose_commits,
--- a/packages/almondrouter-standins/src/almondrouter_standins/rollout_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/rollout_fleet.py
@@ -82,6 +82,7 @@
         self.hosts: dict[str, VirtualHost] = {}
         self.counts = Counts()
         self.notices = 0
+        self.cut_region = ""
         self._old, self._new, self._callers = old, new, callers
         self._fault, self._old_fault = fault, old_fault
         mean = sum(share * seconds for share, seconds in ROUTES.values())
--- a/packages/almondrouter-standins/src/almondrouter_standins/rollout_hosts.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/rollout_hosts.py
@@ -113,7 +113,7 @@
     def send_notice(self, address: str, notice: RolloutPlan | RolloutReport) -> None:
         """Deliver a notice after the delay of the link."""
         peer = self.fleet.hosts.get(address.removesuffix(":1"))
-        if peer is None:
+        if peer is None or self._is_parted_from(peer):
             return
         self.fleet.notices += 1
         delay = 0.002 if peer.region == self.region else 0.022
@@ -142,7 +142,13 @@
     def is_alive(self, address: str) -> bool:
         """Return whether a peer's process runs and is not cut off."""
         peer = self.fleet.hosts.get(address.removesuffix(":1"))
-        return peer is not None and not peer.is_cut
+        if peer is None or self._is_parted_from(peer):
+            return False
+        return not peer.is_cut
+
+    def _is_parted_from(self, peer: VirtualHost) -> bool:
+        cut = self.fleet.cut_region
+        return bool(cut) and (self.region == cut) != (peer.region == cut)
 
     def cut(self) -> None:
         """Hold all frames in both directions, and lose the store."""
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
@@ -81,12 +81,15 @@
         Hosts whose daemons respond and take part in roll-outs; with the own one.
     ready_since
         Monotonic seconds at which the first new server was ready; None before.
+    member_count
+        Number of known daemons that take part, also those that do not respond.
     """
 
     new_servers: Sequence[str]
     old_server_count: int
     linked_hosts: frozenset[str]
     ready_since: float | None
+    member_count: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,7 +307,9 @@
             self._continue_trial(now, view, elapsed, suspect=suspect)
             return
         live = self._list_live(now)
-        if not all(self._is_in_whole(member) for member in live):
+        # A coordinator that is cut off from the others must not speak for them.
+        heard = self.hears_majority(now, view)
+        if not (heard and all(self._is_in_whole(member) for member in live)):
             self._all_whole_at = None
             return
         if self._all_whole_at is None:
@@ -319,6 +324,12 @@
         if elapsed >= NO_WAIT_SHARE or self._have_old_servers_finished(live):
             self._decide(RolloutPhase.COMPLETED, self._describe_results())
 
+    def hears_majority(self, now: float, view: FleetView) -> bool:
+        """Return whether at least half of the known daemons report."""
+        live = self._list_live(now)
+        heard = sum(member.reported_at is not None for member in live)
+        return 2 * heard >= view.member_count
+
     def _is_in_whole(self, member: _Member) -> bool:
         return member.report is not None and member.report.step >= self._whole_number
 
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/lease.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/lease.py
@@ -165,6 +165,10 @@
         """Wait longer, as the store did not respond."""
         self._failures[service] += 1
 
+    def defer(self, service: str) -> None:
+        """Let other daemons go first, as this one reaches too few."""
+        self._due_at[service] = self._clock.monotonic() + MAX_RETRY_DELAY_S
+
     def record_response(self, service: str) -> None:
         """Wait no longer than usual, as the store has responded."""
         self._failures.pop(service, None)
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/manager.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/manager.py
@@ -14,6 +14,7 @@
 from almondrouter.coordination.rollouts.members import RecordSearch, RolloutMembers
 from almondrouter.coordination.rollouts.orders import KnownOrder, OrderBook
 from almondrouter.coordination.rollouts.reporting import LocalResults, ReportSchedule
+from almondrouter.coordination.rollouts.servicestate import ServiceVersions
 from almondrouter.coordination.rollouts.session import (
     CoordinatorSession,
     make_announcement,
@@ -61,16 +62,16 @@
         Returns the limits on the requests for a new version.
     clock, random
         Sources of monotonic time, which includes time spent suspended, and of delays.
-    owner
-        Name of this daemon in the store, different for each start.
-    peer_address, region
-        Address at which other daemons reach this one, and its region.
+    owner, peer_address, region
+        Name of this start of the daemon, its address for others, and its region.
     is_relay
         Returns whether this daemon watches the store for its region.
     find_ready
         Returns name and version of the ready servers of a service.
     request_records
         Reads soon which host records have changed in the store.
+    may_coordinate
+        Returns whether this daemon reaches its peers and is not stopping.
     """
 
     def __init__(
@@ -91,7 +92,9 @@
         is_relay: Callable[[], bool],
         find_ready: Callable[[str], list[tuple[str, str]]],
         request_records: Callable[[], None] = lambda: None,
+        may_coordinate: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._may_coordinate = may_coordinate
         self._search = RecordSearch(find_ready, request_records, clock)
         self._store = store
         self._decisions = decisions
@@ -126,10 +129,7 @@
         self._sessions.pop(service, None)
         if task := self._tasks.pop(service, None):
             task.cancel()
-        if known is not None:
-            self._results.start_counting(service)
-        else:
-            self._results.stop_counting(service)
+        self._results.restart_counting(service, is_ordered=known is not None)
         if self._is_relay():
             self._announce(service, known)
         self._wake.set()
@@ -142,7 +142,7 @@
             if self._versions.get(known.order.service).needs_coordinator:
                 self._announce(known.order.service, known)
 
-    def handle_mixed_versions(self, service: str) -> None:
+    def handle_mixed_versions(self, _service: str) -> None:
         """Read the statuses, which tell the established version, once."""
         if not self._statuses_read:
             self._statuses_wanted = True
@@ -170,7 +170,8 @@
 
     def handle_report(self, report: RolloutReport) -> None:
         """Take over the report of another daemon, if this one coordinates."""
-        known, session = self._find_session(report.service)
+        known = self._orders.find(report.service)
+        session = self._sessions.get(report.service)
         if session is None or known.order.revision != report.order_revision:
             return
         self.counts["reports"] += 1
@@ -181,7 +182,7 @@
         """Take part until cancelled; idle without an open order."""
         try:
             while True:
-                if not self._has_work():
+                while not self._has_work():
                     self._wake.clear()
                     await self._wake.wait()
                 if self._statuses_wanted:
@@ -194,16 +195,17 @@
 
     def list_states(self) -> list[tuple[str, RolloutPhase, float]]:
         """Return service, phase and share of all known orders."""
-        found = []
-        for known in self._orders.orders:
-            order = known.order
-            plan = self._versions.find_valid_plan(order.service)
-            state = self._versions.get(order.service)
-            share = plan.share if plan is not None and state.is_open else 0.0
-            if state.reached is RolloutPhase.COMPLETED:
-                share = 1.0
-            found.append((order.service, state.reached, share))
-        return found
+        return [
+            (service, state.reached, self._find_share(state))
+            for service in (known.order.service for known in self._orders.orders)
+            for state in (self._versions.get(service),)
+        ]
+
+    def _find_share(self, state: ServiceVersions) -> float:
+        if state.reached is RolloutPhase.COMPLETED:
+            return 1.0
+        plan = self._versions.find_valid_plan(state.order.service)
+        return plan.share if plan is not None and state.is_open else 0.0
 
     @property
     def coordinated(self) -> dict[str, RolloutPhase | None]:
@@ -212,14 +214,12 @@
 
     def list_evidence(self) -> list[tuple[str, str, int, float]]:
         """Return service, version, responses and failure share, while coordinating."""
-        found = []
-        for service, session in self._sessions.items():
-            evidence = session.coordinator.evidence
-            for name, new in (("target", True), ("established", False)):
-                count = evidence.count_responses(new=new)
-                share = evidence.find_failure_share(new=new)
-                found.append((service, name, count, share))
-        return found
+        return [
+            (service, name, e.count_responses(new=new), e.find_failure_share(new=new))
+            for service, session in self._sessions.items()
+            for e in (session.coordinator.evidence,)
+            for name, new in (("target", True), ("established", False))
+        ]
 
     def _has_work(self) -> bool:
         return self._statuses_wanted or any(
@@ -266,7 +266,7 @@
         if service in self._tasks:
             return
         plan = self._versions.find_valid_plan(service, for_seconds=ELECTION_LEAD_S)
-        if plan is not None:
+        if plan is not None or not self._may_coordinate():
             self._attempts.reset(service)
         elif self._attempts.is_due(service, is_near=self._results.serves(service)):
             task = asyncio.create_task(self._attempt(known))
@@ -324,9 +324,12 @@
             make_report=lambda: self._make_report(service),
             find_established=lambda: self._versions.find_established(service),
             publish=self._publish,
+            may_coordinate=self._may_coordinate,
         )
         self._sessions[service] = session
         await session.run()
+        if session.gave_up:
+            self._attempts.defer(service)
         _log.info("no longer coordinating a roll-out", service=service)
 
     def _publish(self, plan: RolloutPlan) -> None:
@@ -334,23 +337,20 @@
         self.handle_plan(plan)
 
     def _make_view(self, order: RolloutOrder) -> FleetView:
-        state = self._versions.get(order.service)
-        established = self._versions.find_established(order.service)
-        ready = self._find_ready(order.service)
-        old = [name for name, version in ready if version in ("", established)]
-        new = self._list_new_servers(order)
-        linked = self._members.list_linked()
-        return FleetView(new, len(old), linked, state.ready_since)
+        ready_since = self._versions.get(order.service).ready_since
+        old = {"", self._versions.find_established(order.service)}
+        return FleetView(
+            self._list_new_servers(order),
+            sum(version in old for _, version in self._find_ready(order.service)),
+            self._members.list_linked(),
+            ready_since,
+            len(self._members),
+        )
 
     def _list_new_servers(self, order: RolloutOrder) -> list[str]:
         ready = self._find_ready(order.service)
         return [name for name, version in ready if version == order.target_version]
 
-    def _find_session(
-        self, service: str
-    ) -> tuple[KnownOrder | None, CoordinatorSession | None]:
-        return self._orders.find(service), self._sessions.get(service)
-
     async def _read_statuses(self) -> None:
         try:
             statuses = await self._decisions.read_all()
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/members.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/members.py
@@ -74,6 +74,9 @@
         linked = {e.host for e in self._list_members() if self._is_alive(e)}
         return frozenset(linked | {self._own_host})
 
+    def __len__(self) -> int:
+        return len(self._list_members()) + 1
+
     def broadcast(self, plan: RolloutPlan, *, region: str | None = None) -> None:
         """Send a plan to all members, or to those of a region."""
         for entry in self._list_members():
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/reporting.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/reporting.py
@@ -40,9 +40,11 @@
         entry = self._backend.entry
         return entry is not None and entry.service == service
 
-    def start_counting(self, service: str) -> None:
-        """Count from zero if the server of this host is one of a service."""
-        if self.serves(service):
+    def restart_counting(self, service: str, *, is_ordered: bool) -> None:
+        """Count from zero for an order, or no more without one."""
+        if not is_ordered:
+            self.stop_counting(service)
+        elif self.serves(service):
             self._tally.start_counting()
 
     def count_if_started(self, service: str) -> None:
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/session.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/session.py
@@ -21,6 +21,9 @@
 PLAN_VALIDITY_S = 2.0
 """Seconds for which a plan may be used. A lost coordinator is replaced after about as
 long, when its lease has expired."""
+MAX_MINORITY_S = 3.0
+"""Seconds without reports from at least half of the known daemons after which the
+coordinator gives up; a region that is cut off has fewer."""
 FINAL_PLANS_S = 4.0
 """Seconds for which a stored decision is sent out. A daemon that hears of none in that
 time reads it from the store."""
@@ -51,6 +54,9 @@
         Returns the established version.
     publish
         Called with each plan, which it applies here and sends to the other daemons.
+    may_coordinate
+        Returns whether this daemon reaches its peers and is not stopping; another one
+        takes over otherwise.
     """
 
     def __init__(
@@ -66,7 +72,9 @@
         make_report: Callable[[], RolloutReport],
         find_established: Callable[[], str],
         publish: Callable[[RolloutPlan], None],
+        may_coordinate: Callable[[], bool],
     ) -> None:
+        self._may_coordinate = may_coordinate
         self._known = known
         self._lease = lease
         self._clock = clock
@@ -78,6 +86,7 @@
         self._plan_at = 0.0
         self._sent_number = 0
         self._final_since: float | None = None
+        self._majority_at = clock.monotonic()
         self.coordinator = Coordinator(
             known.order, lease.token, bounds, now=clock.monotonic()
         )
@@ -90,7 +99,7 @@
             asyncio.create_task(self._writer.run()),
         ]
         try:
-            while self._lease.is_held and not self._is_finished():
+            while self._is_in_charge() and not self._is_finished():
                 self._tick()
                 await asyncio.sleep(TICK_S)
         finally:
@@ -108,7 +117,10 @@
         coordinator.add_report(self._make_report(), now)
         before = coordinator.decision
         age = now - self._known.ordered_at
-        coordinator.tick(now, self._make_view(), age=age)
+        view = self._make_view()
+        coordinator.tick(now, view, age=age)
+        if coordinator.hears_majority(now, view):
+            self._majority_at = now
         if coordinator.decision is not before:
             self._log_decision(age)
         if coordinator.number != self._sent_number or now >= self._plan_at:
@@ -153,6 +165,16 @@
         )
         self._publish(plan)
 
+    def _is_in_charge(self) -> bool:
+        if not self._lease.is_held or not self._may_coordinate():
+            return False
+        return not self.gave_up
+
+    @property
+    def gave_up(self) -> bool:
+        """Whether too few daemons report, so that another one should coordinate."""
+        return self._clock.monotonic() - self._majority_at > MAX_MINORITY_S
+
     def _is_finished(self) -> bool:
         if not self.coordinator.is_written:
             return False
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -299,6 +299,9 @@
             incarnation=self._incarnation,
             is_relay=lambda: self.feed.watching,
             request_records=lambda: self.feed.request_changes(),
+            may_coordinate=lambda: (
+                self._lifecycle.stopping_at is None and not self._peers.is_isolated
+            ),
         )
         self.retry_budget = FleetRetryBudget(
             settings.repeat_limits,
--- a/packages/almondrouterd/src/almondrouterd/rolloutsetup.py
+++ b/packages/almondrouterd/src/almondrouterd/rolloutsetup.py
@@ -58,6 +58,7 @@
         incarnation: int,
         is_relay: Callable[[], bool],
         request_records: Callable[[], None],
+        may_coordinate: Callable[[], bool],
     ) -> Rollouts:
         """Build the manager, which joins the parts with the rest of the daemon."""
         host = settings()
@@ -79,6 +80,7 @@
             is_relay=is_relay,
             find_ready=lambda service: list_ready(directory, service),
             request_records=request_records,
+            may_coordinate=may_coordinate,
         )
         return self.manager
 
--- a/tests/test_coordination_rollouts.py
+++ b/tests/test_coordination_rollouts.py
@@ -363,6 +363,8 @@
 class CoordinatorTest(unittest.TestCase):
     """The state machine with reports that a test makes."""
 
+    member_count = 1
+
     def setUp(self):
         self.coordinator = Coordinator(ORDER, 5, RolloutBounds(), now=0.0)
 
@@ -370,7 +372,8 @@
         host = report.pop("host", "h")
         fields = {"step": self.coordinator.number} | report
         self.coordinator.add_report(make_report(host, **fields), now)
-        view = FleetView(servers, 10, frozenset({"h"}), 0.0 if servers else None)
+        ready_since = 0.0 if servers else None
+        view = FleetView(servers, 10, frozenset({"h"}), ready_since, self.member_count)
         self.coordinator.tick(now, view, age=now)
         return self.coordinator.step
 
@@ -404,6 +407,12 @@
         self.run_until(14.5, 11.8, **sound)
         self.assertIs(RolloutPhase.COMPLETED, self.coordinator.decision)
 
+    def test_minority_completes_nothing(self):
+        """Guards against completion by a coordinator that is cut off from others."""
+        self.member_count = 3
+        self.run_until(12.0, new=[(200, 0, 20.0)], old=[(2000, 0, 200.0)])
+        self.assertIsNone(self.coordinator.decision)
+
     def test_bad_version(self):
         """Guards against a share that stays after a verdict."""
         step = self.run_until(1.0, new=[(10, 6, 1.0)], old=[(99, 0, 9.9)])
