Assume the usual wait for a link without a recent report

Cause: a host whose last report was some seconds old counted as having a free link, so that calls that two hosts had declined joined the queue of one that nothing was known of. Daemons hear of a server of few hosts only every some seconds.

The average wait of the service's hosts replaces old reports, as for occupancy. The limit on the wait allows 0.1 s for long responses, the time of one on a slow link.

--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -49,6 +49,9 @@
 OTHER_REGION_EXTRA_WAIT_S = 0.08
 """Seconds that a call may wait beyond the estimate before another destination is
 tried; the round trip of a second attempt has to pay off."""
+LONG_RESPONSE_EXTRA_WAIT_S = 0.1
+"""The same for calls with long responses. A single response changes the wait for a slow
+link by that much, which another destination would change again soon."""
 NESTED_DISTANCE_FACTOR = 2.0
 """Factor on the round trip of nested calls, during which the parent request holds a
 slot on its own backend server."""
@@ -93,12 +96,15 @@
         Average number of running and waiting requests per slot.
     until
         Monotonic seconds at which the cached values expire.
+    link_wait
+        Average wait for the link of a host, in seconds.
     """
 
     destinations: Sequence[Destination]
     service_time: float
     occupancy: float
     until: float
+    link_wait: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,9 +266,10 @@
         self, destination: Destination, *, now: float, demand: Demand
     ) -> float | None:
         estimate = self._estimate_load(destination, demand, self._last_baseline, now)
+        extra_wait = LONG_RESPONSE_EXTRA_WAIT_S if demand.response_bytes else 0.0
         if destination.region == self._region:
-            return estimate.wait + SAME_REGION_EXTRA_WAIT_S
-        return estimate.wait + OTHER_REGION_EXTRA_WAIT_S
+            return estimate.wait + max(extra_wait, SAME_REGION_EXTRA_WAIT_S)
+        return estimate.wait + max(extra_wait, OTHER_REGION_EXTRA_WAIT_S)
 
     def find_demand_weight(  # noqa: D102
         self, destination: Destination, demand: Demand
@@ -366,11 +373,16 @@
             weight * entry.reported_calls(rank) / entry.slots
             for weight, entry in zip(weights, entries, strict=True)
         )
+        link_waits = sum(
+            weight * entry.link_wait
+            for weight, entry in zip(weights, entries, strict=True)
+        )
         return _Baseline(
             destinations,
             median_low(times) if times else 0.0,
             calls / max(sum(weights), MIN_REPORT_WEIGHT),
             now + BASELINE_TTL_S,
+            link_waits / max(sum(weights), MIN_REPORT_WEIGHT),
         )
 
     def _compute_load_cost(
@@ -402,7 +414,11 @@
         wait = max(0.0, calls + 1 - slots) * run_time / slots
         if demand.response_bytes:
             # The link carries other responses while the request runs.
-            wait += max(0.0, entry.weight(now) * entry.link_wait - run_time)
+            weight = entry.weight(now)
+            link_wait = baseline.link_wait + weight * (
+                entry.link_wait - baseline.link_wait
+            )
+            wait += max(0.0, link_wait - run_time)
         return _Estimate(wait, run_time, calls / slots)
 
 
--- a/tests/test_coordination_placement.py
+++ b/tests/test_coordination_placement.py
@@ -59,16 +59,17 @@
         among=ALL,
         excluded=(),
         time_left=TARGET_LATENCY_S,
+        response=0,
     ):
         return self.policy.choose(
             among,
             now=self.clock.monotonic(),
             excluded=excluded,
-            demand=Demand(body, nested, TARGET_LATENCY_S, 1, time_left),
+            demand=Demand(body, nested, TARGET_LATENCY_S, 1, time_left, response),
         )
 
-    def report(self, destination, *, busy=0, seconds=0.1, **result):
-        load = Load(10, min(busy, 10), max(0, busy - 10), seconds)
+    def report(self, destination, *, busy=0, seconds=0.1, link_wait=0.0, **result):
+        load = Load(10, min(busy, 10), max(0, busy - 10), seconds, link_wait=link_wait)
         result = {"outcome": Outcome.COMPLETE, "load": load, **result}
         self.policy.record_start(destination)
         self.policy.record_end(destination, elapsed=0.1, **result)
@@ -109,6 +110,40 @@
             self.report(destination, busy=busy)
         self.assertEqual(expected, self.choose(excluded=excluded))
 
+    @parameterized.expand(
+        [
+            ("short response", 0, 5.0, 5.0, NEAR),
+            ("long response", 90_000, 0.5, 0.5, BESIDE),
+            ("while it runs", 90_000, 0.1, 0.5, NEAR),
+            ("the other region's only", 90_000, 5.0, 5.0, FAR),
+            ("not worth the distance", 90_000, 0.4, 0.4, NEAR),
+        ]
+    )
+    def test_wait_for_the_link(self, name, response, near, beside, expected):
+        """Guards against long responses that queue although another link is free."""
+        self.report(NEAR, link_wait=near)
+        self.report(BESIDE, link_wait=0.0 if expected is BESIDE else beside)
+        self.report(FAR)
+        self.assertEqual(expected, self.choose(response=response), name)
+
+    def test_longest_wait_knows_the_link(self):
+        """Guards against refusals of calls that were sent in spite of a known wait."""
+        self.report(NEAR, link_wait=0.5)
+        self.choose()
+        for response, expected in ((0, 0.02), (90_000, 0.5 - 0.1 + 0.1)):
+            demand = Demand(0, False, TARGET_LATENCY_S, 1, response_bytes=response)
+            wait = self.policy.find_max_wait(
+                NEAR, now=self.clock.monotonic(), demand=demand
+            )
+            self.assertAlmostEqual(expected, wait)
+
+    def test_unknown_link_counts_as_usual(self):
+        """Guards against preferring hosts of which nothing is known lately."""
+        self.report(BESIDE)
+        self.clock.advance(60)
+        self.report(NEAR, link_wait=0.6)
+        self.assertEqual(NEAR, self.choose(response=90_000, among=(NEAR, BESIDE)))
+
     def test_failing_server_gets_less(self):
         """Guards against preferring a server that is idle because it fails or sheds."""
         for _ in range(5):
