--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -140,11 +140,17 @@
     def make_protocol(self) -> asyncio.BaseProtocol:  # noqa: D102
         return CallerConnection(self)
 
-    def make_output(self, transport: asyncio.Transport, peer: str) -> PacedOutput:
+    def make_output(
+        self, transport: asyncio.Transport, peer: str, on_paced: Callable[[], None]
+    ) -> PacedOutput:
         """Return the output of a connection to the caller of an IP address."""
-        if peer == self.own_ip:
-            return PacedOutput(transport, pacer=None, on_sent=lambda size: None)
-        return PacedOutput(transport, pacer=self.pacer, on_sent=self.on_sent)
+        local = peer == self.own_ip
+        return PacedOutput(
+            transport,
+            pacer=None if local else self.pacer,
+            on_sent=(lambda size: None) if local else self.on_sent,
+            on_paced=on_paced,
+        )
 
     def disable_keep_alive(self) -> None:
         """Serve on, but close each connection after its last pending response."""
@@ -240,7 +246,7 @@
         self._expires_at = self._reader.expires_at
         self._paused = False
         self._held_back_at: float | None = None
-        self._writing_paused = self._goes_on = False
+        self._buffer_full = self._goes_on = False
         self.account: Account | None = None
         self._refusal: CallerResponse | None = None
         self._closing = False
@@ -262,7 +268,9 @@
         self._transport = transport
         peer = transport.get_extra_info("peername")
         self._reader.peer = peer[0] if peer else ""
-        self._output = self._server.make_output(transport, self._reader.peer)
+        self._output = self._server.make_output(
+            transport, self._reader.peer, self._go_on_after_writing
+        )
         server = self._server
         has_room = server.make_room()
         self.account = server.budget.open(self._reader.peer, self)
@@ -288,6 +296,11 @@
             self._go_on_later()
             self._update_reading()
 
+    @property
+    def _writing_paused(self) -> bool:
+        """Whether responses wait for the caller or for the link of this host."""
+        return self._buffer_full or self._output.is_pacing
+
     @property
     def request_room(self) -> int:
         """Number of requests that may be added to those waiting for a response."""
@@ -563,15 +576,20 @@
 
     def pause_writing(self) -> None:
         """Start no further request until the caller has read its responses."""
-        self._writing_paused = True
+        self._buffer_full = True
         self._output.set_writable(False)
         self._server.budget.measure_unsent(self.account)
 
     def resume_writing(self) -> None:
         """Go on; allow the connection to end in order, as all responses are written."""
-        self._writing_paused = False
+        self._buffer_full = False
         set_reset_on_close(self._transport, enabled=False)
         self._output.set_writable(True)
+        self._go_on_after_writing()
+
+    def _go_on_after_writing(self) -> None:
+        if self._transport.is_closing():
+            return
         self._server.budget.measure_unsent(self.account)
         if not self._closing:
             self._start_ready_requests()
--- a/packages/almondrouter/src/almondrouter/transport/output.py
+++ b/packages/almondrouter/src/almondrouter/transport/output.py
@@ -24,6 +24,8 @@
         Paces long responses; if None, they are written at once.
     on_sent
         Called with the length of all that is written.
+    on_paced
+        Called soon after the last long response that waited has been written.
     """
 
     def __init__(
@@ -32,7 +34,9 @@
         *,
         pacer: TransferPacer | None,
         on_sent: Callable[[int], None],
+        on_paced: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_paced = on_paced
         self._transport = transport
         self._pacer = pacer
         self._on_sent = on_sent
@@ -46,6 +50,11 @@
         """Whether bytes have yet to leave this process."""
         return bool(self._waiting) or self._transport.get_write_buffer_size() > 0
 
+    @property
+    def is_pacing(self) -> bool:
+        """Whether a long response waits for the link."""
+        return self._transfer is not None
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that have yet to leave this process."""
@@ -127,6 +136,9 @@
             self._end_transfer()
             self._waiting.popleft()
             self._write_waiting()
+            if not self._waiting:
+                # The connection may be in the middle of writing a response.
+                asyncio.get_running_loop().call_soon(self._on_paced)
 
     def _end_transfer(self) -> Transfer | None:
         transfer, self._transfer = self._transfer, None
--- a/tests/test_transport_output.py
+++ b/tests/test_transport_output.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from parameterized import parameterized
@@ -9,9 +10,12 @@
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.transfers.budget import LinkBudget
 from almondrouter.transport.callers import CallerServer
+from almondrouter.transport.calls import CallerResponse
 from almondrouter.transport.output import PacedOutput
 from almondrouter.transport.parts import MIN_PARTED_BYTES
+from almondrouter.transport.pipelines import MAX_PIPELINED
 from almondrouter.transport.transfers import TransferPacer, Urgency
+from calls_support import TIMEOUT_S
 
 URGENCY = Urgency(1, 1.0, 3.0)
 LONG = bytes(range(250)) * 100
@@ -64,16 +68,20 @@
         self.transfers[0].send_part(self.transfers[0], size)
 
 
-class PacedOutputTest(unittest.TestCase):
+class PacedOutputTest(unittest.IsolatedAsyncioTestCase):
     """A connection with a long response that waits for the link."""
 
     def setUp(self):
         self.transport, self.pacer, self.sent = Transport(), Pacer(), []
         self.output = PacedOutput(
-            self.transport, pacer=self.pacer, on_sent=self.sent.append
+            self.transport,
+            pacer=self.pacer,
+            on_sent=self.sent.append,
+            on_paced=lambda: self.paced.append(self.output.is_pacing),
         )
+        self.paced = []
 
-    def test_later_responses_follow_the_long_one(self):
+    async def test_later_responses_follow_the_long_one(self):
         """Guards against responses that mix with the parts of the one before."""
         self.output.write(b"first", URGENCY)
         self.output.write(LONG, URGENCY)
@@ -87,8 +95,10 @@
         self.assertEqual(expected, self.transport.written)
         self.assertEqual(len(expected), sum(self.sent))
         self.assertFalse(self.output.is_writing)
+        await asyncio.sleep(0)
+        self.assertEqual([False], self.paced)
 
-    def test_end_follows_the_last_part(self):
+    async def test_end_follows_the_last_part(self):
         """Guards against a half-close that cuts a response."""
         self.output.write(LONG, URGENCY)
         self.output.write_eof()
@@ -115,7 +125,7 @@
         self.output.discard()
         self.assertFalse(self.pacer.transfers or self.output.is_writing)
 
-    def test_failed_end(self):
+    async def test_failed_end(self):
         """Guards against connections that stay open when their half-close fails."""
         self.transport.error = OSError("gone")
         self.output.write(LONG, URGENCY)
@@ -162,12 +172,44 @@
             on_sent=sent.append,
             own_ip="10.0.0.1",
         )
-        output = server.make_output(Transport(), peer)
+        output = server.make_output(Transport(), peer, lambda: None)
         output.write(b"short", URGENCY)
         output.write(LONG, URGENCY)
         self.assertEqual((transfers, transfers), (len(pacer.transfers), len(sent)))
 
 
+class PipelineTest(unittest.IsolatedAsyncioTestCase):
+    """A caller sends many requests with long responses on one connection."""
+
+    async def test_no_request_starts_while_responses_wait(self):
+        """Guards against responses that pile up in memory while the link is busy."""
+        pacer, started = Pacer(), []
+
+        async def handle(request):
+            started.append(request)
+            return CallerResponse(200, (), LONG, urgency=URGENCY)
+
+        server = CallerServer(
+            address="127.0.0.1:0", handler=handle, max_body_bytes=0, pacer=pacer
+        )
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        reader, writer = await asyncio.open_connection(*server.address.split(":"))
+        self.addCleanup(writer.close)
+        count = 3 * MAX_PIPELINED
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * count)
+        for _ in range(50):
+            await asyncio.sleep(0.001)
+        self.assertLessEqual(len(started), MAX_PIPELINED)
+        received = b""
+        async with asyncio.timeout(TIMEOUT_S):
+            while received.count(LONG) < count:
+                while pacer.transfers:
+                    pacer.send_part()
+                received += await reader.read(100_000)
+        self.assertEqual(count, len(started))
+
+
 class BudgetTest(unittest.TestCase):
     """What leaves at once holds back parts for as long as the link carries it."""
 
