Do not take responses that this host paces for unread

Long responses to callers now wait for the link of the host. Under pressure, their connections would have been closed first as stalled. Only bytes that the caller has not taken count as its own delay. Long responses are counted when they are written, not at the next check a second later.

--- a/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
+++ b/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
@@ -34,6 +34,10 @@
     def measure_unsent(self) -> int:
         """Return the bytes of responses that the caller has yet to read."""
 
+    @abstractmethod
+    def awaits_caller(self) -> bool:
+        """Return whether a response is left because the caller has not read it."""
+
     @abstractmethod
     def hold_back(self, *, enabled: bool) -> None:
         """Stop reading from the connection, or go on."""
@@ -339,8 +343,9 @@
         return [(item[0], item[-1]) for item in ranked]
 
     def _rank(self, account: Account, now: float) -> _Rank:
-        stalled = now - account.progressed_at >= STALL_S and not account.held_back
-        if stalled:
+        waits = account.receiving > 0 or account.holder.awaits_caller()
+        idle = now - account.progressed_at >= STALL_S
+        if idle and waits and not account.held_back:
             return _Rank.STALLED
         size = account.receiving + account.unsent
         return _Rank.LARGE if size > self._large_bytes else _Rank.SMALL
--- a/packages/almondrouter/src/almondrouter/transport/callers.py
+++ b/packages/almondrouter/src/almondrouter/transport/callers.py
@@ -27,6 +27,7 @@
 from almondrouter.transport.calls import CallerRequest, CallerResponse
 from almondrouter.transport.listeners import Listener, set_reset_on_close
 from almondrouter.transport.output import PacedOutput
+from almondrouter.transport.parts import MIN_PARTED_BYTES
 from almondrouter.transport.pipelines import Exchange, FramingHistory, Pipeline
 from almondrouter.transport.readers import (
     MAX_WAITING_BYTES,
@@ -488,6 +489,9 @@
     def measure_unsent(self) -> int:  # noqa: D102
         return self._output.unsent_bytes
 
+    def awaits_caller(self) -> bool:  # noqa: D102
+        return self._transport.get_write_buffer_size() > 0
+
     def hold_back(self, *, enabled: bool) -> None:
         """Stop reading, and the time limit of the request; or go on with both."""
         now = self._server.clock.monotonic()
@@ -556,7 +560,8 @@
             set_reset_on_close(self._transport, enabled=True)
         data = encode_response(response, keep_alive=keep_alive)
         self._output.write(data, response.urgency if response.framed else None)
-        if self._writing_paused:
+        if self._writing_paused or len(data) > MIN_PARTED_BYTES:
+            # A long response may wait for its turn on the link of the host.
             self._server.budget.measure_unsent(self.account)
         if not response.framed and not self.is_writing:
             set_reset_on_close(self._transport, enabled=False)
--- a/tests/test_coordination_callerbudget.py
+++ b/tests/test_coordination_callerbudget.py
@@ -34,11 +34,15 @@
 
     def __init__(self):
         self.unsent = 0
+        self.paced = False
         self.events = []
 
     def measure_unsent(self):
         return self.unsent
 
+    def awaits_caller(self):
+        return self.unsent > 0 and not self.paced
+
     def hold_back(self, *, enabled):
         self.events.append("held back" if enabled else "read")
 
@@ -158,6 +162,15 @@
         self.assertIn("closed", self.accounts[-1].holder.events)
         self.assertLessEqual(self.budget.used, LIMIT)
 
+    def test_responses_that_wait_for_the_link_are_not_taken_for_stalled(self):
+        """Guards against closing callers whose responses this host paces."""
+        paced, unread = self.open(unsent=3 * LARGE), self.open(unsent=3 * LARGE)
+        paced.holder.paced = True
+        self.clock.advance(STALL_S * 2)
+        self.budget.tick()
+        self.assertEqual([], paced.holder.events)
+        self.assertEqual(["closed"], unread.holder.events)
+
     def test_everything_is_returned_at_the_end(self):
         """Guards against a budget that shrinks with each connection."""
         for account in [self.open(LARGE, unsent=SMALL) for _ in range(20)]:
