--- a/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
@@ -103,11 +103,10 @@
         self._clock = clock
         self._random = random
         self._is_first_start = is_first_start
-        self._started_at = clock.monotonic()
         self._sessions: dict[str, OwnerSession] = {}
         self._owners: dict[str, QuotaOwner] = {}
         self._limited: tuple[object, bool] = (None, False)
-        self._choose_at = self._expire_at = self._started_at
+        self._choose_at = self._expire_at = clock.monotonic()
         self.counts: Counter[str] = Counter()
         self.refused: Counter[str] = Counter()
 
@@ -269,8 +268,7 @@
         if isinstance(frame, QuotaGrant):
             self._handle_grant(frame)
             return
-        grant = self._answer(frame)
-        if grant is not None:
+        if (grant := self._answer(frame)) is not None:
             self._send(frame.host, grant)
 
     @property
@@ -349,8 +347,7 @@
         if host != self._identity[0]:
             self._send(host, report)
             return
-        grant = self._answer(report)
-        if grant is not None:
+        if (grant := self._answer(report)) is not None:
             self._handle_grant(grant)
 
     def _answer(self, report: QuotaReport) -> QuotaGrant | None:
