Move work to another data centre only when the own slots are used up

Change: the reserve for random peaks holds where work is sent to; a data centre sends what exceeds its slots.

--- a/packages/almondrouter/src/almondrouter/coordination/spillover.py
+++ b/packages/almondrouter/src/almondrouter/coordination/spillover.py
@@ -32,8 +32,8 @@
 second, so that its figure has a standard deviation of about an eighth; the mean over a
 data centre has less."""
 RESERVED_ROOT = 1.0
-"""Slots that stay free for random peaks, as a multiple of the square root of their
-number. A data centre of 14 slots plans with 10.3 of them, one of 700 with 674."""
+"""Slots that stay free for random peaks where work of other data centres is sent, as a
+multiple of the square root of their number. A data centre of 14 slots plans with 10.3 of them, one of 700 with 674."""
 DEMAND_HALF_LIFE_S = 10.0
 """Half-life of the reported demand of another data centre. An old report approaches
 `UNKNOWN_SHARE`, so that a data centre that was full is tried again."""
@@ -104,7 +104,7 @@
 
     @property
     def capacity(self) -> float:
-        """Slots to plan with."""
+        """Slots to plan with for work of other data centres."""
         return max(0.0, self.slots - RESERVED_ROOT * math.sqrt(self.slots))
 
 
@@ -120,12 +120,12 @@
     -----
     Data centres that are short share the free capacity of their region in proportion to
     what they lack, and then that of the other regions. Only what exceeds all slots of
-    the own data centre leaves the region: traffic between regions costs more than the
-    short waits that a peak within the slots causes. What exceeds the capacity of all
-    stays where it is.
+    the own data centre leaves it: the traffic costs more than the short waits that a
+    peak within the slots causes. The slots that stay free for peaks are those of the
+    data centres that receive work. What exceeds the capacity of all stays where it is.
     """
     own = next((site for site in sites if site.data_centre == data_centre), None)
-    if own is None or own.demand <= own.capacity:
+    if own is None or own.demand <= own.slots:
         return {}
     moved: Counter[str] = Counter()
     sent: Counter[str] = Counter()
@@ -134,12 +134,7 @@
     groups = [[site for site in sites if site.region == name] for name in regions]
     for group in (*groups, sites):
         lacking = {
-            s.data_centre: max(
-                0.0,
-                s.demand
-                - (s.slots if group is sites else s.capacity)
-                - sent[s.data_centre],
-            )
+            s.data_centre: max(0.0, s.demand - s.slots - sent[s.data_centre])
             for s in group
         }
         wanted, room = sum(lacking.values()), sum(free[name] for name in lacking)
@@ -311,7 +306,7 @@
             grouped.setdefault(found.data_centre, []).append(found)
         own_members = grouped.pop(self._data_centre, [])
         own = self._measure_site(own_members, now)
-        if own is None or own.demand <= own.capacity:
+        if own is None or own.demand <= own.slots:
             return []
         others = [self._measure_site(m, now) for m in grouped.values()]
         return [own, *(site for site in others if site is not None)]
