--- a/packages/almondrouter/src/almondrouter/coordination/spillover.py
+++ b/packages/almondrouter/src/almondrouter/coordination/spillover.py
@@ -33,7 +33,8 @@
 data centre has less."""
 RESERVED_ROOT = 1.0
 """Slots that stay free for random peaks where work of other data centres is sent, as a
-multiple of the square root of their number. A data centre of 14 slots plans with 10.3 of them, one of 700 with 674."""
+multiple of the square root of their number. A data centre of 14 slots takes work until
+10.3 of them are used, one of 700 until 674 are."""
 DEMAND_HALF_LIFE_S = 10.0
 """Half-life of the reported demand of another data centre. An old report approaches
 `UNKNOWN_SHARE`, so that a data centre that was full is tried again."""
