--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/coordinator.py
@@ -47,6 +47,10 @@
 seconds after the start."""
 MIN_WHOLE_S = 1.5
 """Seconds in the step ``whole`` before completion; some faults need load to appear."""
+SUFFICIENT_RESPONSES = 300
+MIN_QUIET_WHOLE_S = 2.5
+"""The same with fewer responses of the new version than these: at 36 requests a second
+a fault on a rare route showed too late."""
 EARLIEST_END_SHARE = 0.85
 """Share of the duration after which a shorter time in ``whole`` suffices."""
 NO_WAIT_SHARE = 0.9
@@ -316,7 +320,9 @@
             self._all_whole_at = now
         if not view.new_servers:
             return
-        seen_enough = now - self._whole_at >= MIN_WHOLE_S and self._is_old_enough(
+        few = self.evidence.count_responses(new=True) < SUFFICIENT_RESPONSES
+        needed = MIN_QUIET_WHOLE_S if few else MIN_WHOLE_S
+        seen_enough = now - self._whole_at >= needed and self._is_old_enough(
             now, view, MIN_READY_S + MIN_WHOLE_S
         )
         if not seen_enough and elapsed < EARLIEST_END_SHARE:
