Release the body of a request with its response

An idle connection to the backend server kept the function that matches responses, which refers to the request with its body: up to 100 connections with 4 MiB each.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -460,6 +460,8 @@
             raise
         finally:
             self._future = None
+            # It may refer to the request, whose body an idle connection must not keep.
+            self._matches = None
 
     @property
     def is_open(self) -> bool:
