Explain where a request would go without sending it

Cause: an operator could not see why a request goes to a backend server, or is refused, without sending it.

Forwarder.preview runs the steps of handle and puts credits, plans, counters and random state back. LowestCostPolicy lists the parts of the costs that choose compares.

--- a/packages/almondctl/src/almondctl/connections.py
+++ b/packages/almondctl/src/almondctl/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -59,7 +60,12 @@
         return ChangeWriter(self.store, self.keys, clock=CLOCK)
 
     async def request_daemon(
-        self, path: str, *, method: str = "GET", body: dict[str, Any] | None = None
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        body: dict[str, Any] | None = None,
+        not_found: str = "",
     ) -> Any:
         """Return the decoded JSON of the first daemon that responds to a request.
 
@@ -71,12 +77,15 @@
             HTTP method.
         body
             Body, sent as JSON.
+        not_found
+            Message for the status 404, in place of the one that the daemon returns.
 
         Raises
         ------
         AlmondError
-            ``peer_unavailable`` if no daemon responds; else the code of the error
-            that the daemon returns.
+            ``peer_unavailable`` if no daemon responds, or not in JSON;
+            ``protocol_mismatch`` for the status 404 if ``not_found`` is given; else
+            the code of the error that the daemon returns.
         FindingsError
             If no address of a daemon is set.
         """
@@ -89,6 +98,10 @@
             url = f"http://{address}{path}"
             try:
                 async with self._session.request(method, url, json=body) as response:
+                    if response.status == HTTPStatus.NOT_FOUND and not_found:
+                        raise AlmondError(
+                            ErrorCode.PROTOCOL_MISMATCH, f"{address}: {not_found}"
+                        )
                     return await _read_json(response)
             except (TimeoutError, aiohttp.ClientError) as error:
                 failures.append(f"{address}: {error or 'timeout'}")
@@ -103,7 +116,13 @@
 
 
 async def _read_json(response: aiohttp.ClientResponse) -> Any:
-    data = await response.json(content_type=None)
+    try:
+        data = await response.json(content_type=None)
+    except ValueError:
+        data = None
+    if not isinstance(data, dict):
+        message = f"HTTP status {response.status} without a JSON object"
+        raise AlmondError(ErrorCode.PEER_UNAVAILABLE, message)
     if response.status < 400:
         return data
     code = ErrorCode(data.get("code", ErrorCode.PEER_UNAVAILABLE.value))
--- a/packages/almondctl/src/almondctl/main.py
+++ b/packages/almondctl/src/almondctl/main.py
@@ -227,10 +227,13 @@
     parser = _add_command(
         commands, "explain", reports.explain, "Explain a decision of a daemon."
     )
-    parser.add_argument("about", choices=("class", "request", "version"))
+    parser.add_argument("about", choices=("class", "request", "version", "call"))
     parser.add_argument(
-        "name", help="name of the class, fingerprint of the request, or version"
+        "name",
+        help="name of the class, fingerprint of the request, version, or HOST/PATH of "
+        "a call, which is not sent",
     )
+    _add_call_flags(parser)
     parser = _add_command(
         commands,
         "logs",
@@ -246,5 +249,28 @@
     parser.add_argument("--lift", metavar="FINGERPRINT")
 
 
+def _add_call_flags(parser: argparse.ArgumentParser) -> None:
+    group = parser.add_argument_group("flags for a call")
+    group.add_argument("--method", default="GET", help="HTTP method (default: GET)")
+    tenants = group.add_mutually_exclusive_group()
+    tenants.add_argument(
+        "--key-file",
+        metavar="FILE",
+        default="",
+        help="file that holds the key of the tenant; - for standard input",
+    )
+    tenants.add_argument(
+        "--tenant", metavar="NAME", default="", help="tenant, in place of its key"
+    )
+    group.add_argument(
+        "--body-bytes", type=int, default=0, metavar="N", help="length of the body"
+    )
+    group.add_argument(
+        "--nested",
+        action="store_true",
+        help="the backend server beside the daemon makes it for a request that it runs",
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/almondctl/src/almondctl/reports.py
+++ b/packages/almondctl/src/almondctl/reports.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from almondctl.calls import explain_call
 from almondctl.changes import describe_acceptance
 from almondctl.connections import CLOCK, Connections
 from almondctl.exits import ExitCode
@@ -115,7 +116,9 @@
 
 
 async def explain(arguments: argparse.Namespace, connections: Connections) -> Result:
-    """Show a daemon's explanation of a class, a request or its version."""
+    """Show a daemon's explanation of a class, a request, its version or a call."""
+    if arguments.about == "call":
+        return await explain_call(arguments, connections)
     answer = await connections.request_daemon(
         f"/explain/{arguments.about}/{arguments.name}"
     )
--- a/packages/almondrouter/src/almondrouter/addresses.py
+++ b/packages/almondrouter/src/almondrouter/addresses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
 
 MAX_PORT = 65_535
@@ -17,6 +18,11 @@
     return host.removeprefix("[").removesuffix("]"), int(port)
 
 
+def is_loopback(address: str) -> bool:
+    """Return whether the IP address of an ``ip:port`` address is one of loopback."""
+    return ipaddress.ip_address(split_address(address)[0]).is_loopback
+
+
 def is_valid_address(address: str) -> bool:
     """Return whether a text is an ``ip:port`` address with a port in range."""
     match = _ADDRESS.fullmatch(address)
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import random as random_module
 from collections.abc import Awaitable, Callable
@@ -14,6 +15,12 @@
 import msgspec
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.callexplanation import (
+    CallPreview,
+    CallQuestion,
+    Refusal,
+    keep_random_state,
+)
 from almondrouter.coordination.demand import DemandMonitor
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
@@ -21,12 +28,16 @@
 from almondrouter.coordination.pending import PendingRequest, make_demand, make_offer
 from almondrouter.coordination.quotas.allowances import QuotaToken
 from almondrouter.coordination.quotas.service import QuotaExceededError, QuotaService
-from almondrouter.coordination.rollouts.versions import VersionFilter
+from almondrouter.coordination.rollouts.versions import Choices, VersionFilter
 from almondrouter.coordination.routing import LoadBalancingPolicy
-from almondrouter.coordination.tenants.admission import Admitted, TenantAdmission
+from almondrouter.coordination.tenants.admission import (
+    Admitted,
+    TenantAdmission,
+    compute_rank,
+)
 from almondrouter.coordination.transfers.sizes import ResponseSizes
 from almondrouter.coordination.weights import TrafficSplitter
-from almondrouter.errors import ErrorCode
+from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.logs import EventLogger
 from almondrouter.protocol import headers as names
 from almondrouter.protocol.calls import CallReply, CallRequest
@@ -35,6 +46,7 @@
 from almondrouter.protocol.outcomes import CallError, choose_status, make_reply
 from almondrouter.state.routes import RouteTable, RouteTarget
 from almondrouter.state.snapshot import Destination
+from almondrouter.state.tenants import TenantPolicy
 from almondrouter.transport.calls import CallerRequest, CallerResponse, CallLinks
 from almondrouter.transport.transfers import make_urgency
 
@@ -208,15 +220,10 @@
             arrived_at = self._clock.monotonic()
         info = self._dialect.read_request(request.headers)
         table = self._table()
-        if table is None:
-            return self._refuse_request(info, ErrorCode.NOT_READY, 0)
-        if self._refuses_new and not self._is_running(info.parent_id):
-            return self._refuse_request(info, ErrorCode.STOPPING, table.version)
-        route = table.find(info.virtual_host, request.target.partition("?")[0])
-        if route is None:
-            return self._refuse_request(info, ErrorCode.CLASS_UNKNOWN, table.version)
+        version = table.version if table is not None else 0
         nested = self._is_running(info.parent_id)
         try:
+            table, route = self._find_route(table, request, info, nested=nested)
             admitted = self._admission.admit(
                 info.headers, route, table.tenants, nested=nested
             )
@@ -225,15 +232,18 @@
             return self._refuse_request(
                 info,
                 error.code,
-                table.version,
+                version,
                 retry_after=error.retry_after,
                 reason=error.message,
             )
         except CallError as error:
-            return self._refuse_request(info, error.code, table.version)
+            return self._refuse_request(info, error.code, version)
+        self._demand.record(route.name)
         pending = self._prepare_request(
-            request, info, route, admitted, nested, table.version, arrived_at
+            request, info, route, admitted, nested, version, arrived_at
         )
+        if not nested:
+            self._retry_budget.record_request(pending.service)
         pending.token = token
         try:
             if self._find_condemned_until(pending.call) is not None:
@@ -246,6 +256,113 @@
         self._record_result(pending, reply)
         return self._make_response(pending, reply)
 
+    def _find_route(
+        self,
+        table: RouteTable | None,
+        request: CallerRequest,
+        info: RequestInfo,
+        *,
+        nested: bool,
+    ) -> tuple[RouteTable, RouteTarget]:
+        if table is None:
+            raise CallError(ErrorCode.NOT_READY, "this daemon has no routes yet")
+        if self._refuses_new and not nested:
+            raise CallError(ErrorCode.STOPPING, "this daemon is stopping")
+        route = table.find(info.virtual_host, request.target.partition("?")[0])
+        if route is None:
+            raise CallError(ErrorCode.CLASS_UNKNOWN, "no route matches")
+        return table, route
+
+    def preview(self, question: CallQuestion) -> CallPreview:
+        """Return what `handle` would do with a request now; changes and sends nothing.
+
+        Raises
+        ------
+        AlmondError
+            ``target_unknown`` if there is no such tenant.
+        """
+        request, nested = question.request, question.nested
+        info = self._dialect.read_request(request.headers)
+        table = self._table()
+        version = table.version if table is not None else 0
+        route_name, tenant = "", None
+        try:
+            table, route = self._find_route(table, request, info, nested=nested)
+            route_name = route.name
+            admitted = self._preview_admission(question, info, route, table)
+            tenant = admitted.tenant
+            if self._quotas and tenant and not nested and tenant.rate > 0:
+                error = self._quotas.preview_refusal(tenant)
+                if error is not None:
+                    raise error
+        except CallError as error:
+            wait = getattr(error, "retry_after", UNSERVED_RETRY_AFTER_S)
+            response = _make_refusal(error.code, wait)
+            refusal = _describe_refusal(response, error.message)
+            return CallPreview(version, route_name, tenant, refusal=refusal)
+        with contextlib.ExitStack() as kept:
+            kept.enter_context(keep_random_state(self._random))
+            for part in (self._splitter, self._versions, self._balancer):
+                kept.enter_context(part.preview())
+            now = self._clock.monotonic()
+            pending = self._prepare_request(
+                request, info, route, admitted, nested, version, now
+            )
+            return self._preview_attempts(pending, tenant)
+
+    def _preview_admission(
+        self,
+        question: CallQuestion,
+        info: RequestInfo,
+        route: RouteTarget,
+        table: RouteTable,
+    ) -> Admitted:
+        if not question.tenant:
+            return self._admission.admit(
+                info.headers, route, table.tenants, nested=question.nested
+            )
+        policies = table.tenants.policies if table.tenants is not None else {}
+        tenant = policies.get(question.tenant)
+        if tenant is None:
+            message = f"the configuration has no tenant {question.tenant!r}"
+            raise AlmondError(ErrorCode.TARGET_UNKNOWN, message)
+        headers = self._dialect.drop_credentials(info.headers)
+        return Admitted(tenant, headers, compute_rank(route, tenant))
+
+    def _preview_attempts(
+        self, pending: PendingRequest, tenant: TenantPolicy | None
+    ) -> CallPreview:
+        route, first, second, reply = pending.route, None, None, None
+        demand = make_demand(pending, pending.arrived_at)
+        with self._versions.preview():
+            choices = self._list_choices(pending)
+        if self._find_condemned_until(pending.call) is not None:
+            reply = make_reply(ErrorCode.CONDEMNED)
+        else:
+            first = self._choose_destination(pending)
+            if first is None:
+                reply = make_reply(self._explain_no_attempt(pending))
+        refusal = None
+        if reply is not None:
+            refusal = _describe_refusal(self._make_response(pending, reply))
+        if first is not None:
+            pending.excluded.add(first.backend)
+            second = self._choose_destination(pending)
+        return CallPreview(
+            pending.call.version,
+            route.name,
+            tenant,
+            pending.service,
+            tuple(self._directory.find_destinations(pending.service)),
+            choices,
+            demand,
+            pending.arrived_at,
+            first,
+            second,
+            not route.repeatable or route.max_attempts < 2,
+            refusal,
+        )
+
     async def _take_token(
         self, admitted: Admitted, *, nested: bool
     ) -> QuotaToken | None:
@@ -268,7 +385,6 @@
         time_left = route.answer_within
         if info.time_left is not None:
             time_left = min(time_left, info.time_left)
-        self._demand.record(route.name)
         if nested:
             # The parent request fails without this response, so that it is useful
             # until the deadline, even after the target latency.
@@ -297,8 +413,6 @@
             tenant=admitted.tenant.name if admitted.tenant else "",
         )
         service = self._splitter.choose(route)
-        if not nested:
-            self._retry_budget.record_request(service)
         pending = PendingRequest(info, route, service, call, now)
         pending.response_bytes = self._response_sizes.expect(route.name)
         if not nested:
@@ -352,14 +466,8 @@
             pending.call = msgspec.structs.replace(
                 call, useful_until=self._answers_until
             )
-        choices = self._versions.list_choices(
-            pending.service,
-            pending.route.name,
-            is_first=pending.is_first_attempt,
-            repeatable=pending.route.repeatable,
-        )
         demand = make_demand(pending, now)
-        for destinations in choices:
+        for destinations in self._list_choices(pending):
             destination = self._balancer.choose(
                 destinations, now=now, excluded=pending.excluded, demand=demand
             )
@@ -367,6 +475,14 @@
                 return destination
         return None
 
+    def _list_choices(self, pending: PendingRequest) -> Choices:
+        return self._versions.list_choices(
+            pending.service,
+            pending.route.name,
+            is_first=pending.is_first_attempt,
+            repeatable=pending.route.repeatable,
+        )
+
     def _find_last_send(self, pending: PendingRequest) -> float:
         """Return the time after which this daemon no longer sends a request.
 
@@ -618,10 +734,21 @@
             reason=reason,
             version=version,
         )
-        headers: tuple[tuple[str, str], ...] = ((names.CODE, code.value),)
-        if code in _RETRIED_LATER_CODES:
-            headers = (*headers, (RETRY_AFTER, f"{retry_after:.3f}"))
-        return CallerResponse(choose_status(Outcome.NOT_RUN, code), headers, b"")
+        return _make_refusal(code, retry_after)
+
+
+def _make_refusal(code: ErrorCode, retry_after: float) -> CallerResponse:
+    headers: tuple[tuple[str, str], ...] = ((names.CODE, code.value),)
+    if code in _RETRIED_LATER_CODES:
+        headers = (*headers, (RETRY_AFTER, f"{retry_after:.3f}"))
+    return CallerResponse(choose_status(Outcome.NOT_RUN, code), headers, b"")
+
+
+def _describe_refusal(response: CallerResponse, reason: str = "") -> Refusal:
+    found = dict(response.headers)
+    wait = found.get(RETRY_AFTER)
+    retry_after = float(wait) if wait is not None else None
+    return Refusal(found[names.CODE], response.status, retry_after, reason)
 
 
 def _may_have_arrived(outcome: Outcome | None, reply: CallReply) -> bool:
--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -8,13 +8,19 @@
 
 from __future__ import annotations
 
+import contextlib
 import random as random_module
 from collections import Counter
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from dataclasses import dataclass
 from statistics import median_low
+from typing import NamedTuple
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.callexplanation import (
+    CandidateCost,
+    keep_random_state,
+)
 from almondrouter.coordination.routing import Demand, OccupancyPolicy
 from almondrouter.coordination.spillover import Spillover
 from almondrouter.protocol.calls import Load
@@ -124,6 +130,20 @@
     occupancy: float
 
 
+class _LoadCost(NamedTuple):
+    """Parts of the cost of a destination's load, and seconds until a response."""
+
+    failures: float
+    wait: float
+    run_time: float
+    occupancy: float
+    response_after: float
+
+    @property
+    def total(self) -> float:
+        return self.failures + (self.wait + self.run_time + self.occupancy)
+
+
 @dataclass(slots=True)
 class _FailureRate:
     """Moving failure rate of one backend server, which decays over time."""
@@ -201,14 +221,7 @@
         priority: Priority | None = None,
         demand: Demand | None = None,
     ) -> Destination | None:
-        remaining = [
-            d
-            for d in destinations
-            if d.backend not in excluded and now >= self._get_excluded_until(d)
-        ]
-        candidates = [d for d in remaining if self._is_reachable(d)] or remaining
-        if demand is not None and demand.body_bytes > MAX_REMOTE_BODY_BYTES:
-            candidates = self._keep_in_region(candidates, destinations)
+        candidates = self._list_candidates(destinations, now, excluded, demand)
         demand = demand or Demand(0, nested=False, target_latency=0.0, rank=0)
         baseline = self._last_baseline = self._get_baseline(
             destinations, demand.rank, now
@@ -227,6 +240,102 @@
             self.choices[demand.service, self._describe_distance(best)] += 1
         return best
 
+    def _list_candidates(
+        self,
+        destinations: Sequence[Destination],
+        now: float,
+        excluded: Collection[str],
+        demand: Demand | None,
+    ) -> list[Destination]:
+        remaining = [
+            d
+            for d in destinations
+            if d.backend not in excluded and now >= self._get_excluded_until(d)
+        ]
+        candidates = [d for d in remaining if self._is_reachable(d)] or remaining
+        if demand is not None and demand.body_bytes > MAX_REMOTE_BODY_BYTES:
+            candidates = self._keep_in_region(candidates, destinations)
+        return candidates
+
+    @contextlib.contextmanager
+    def preview(self) -> Iterator[None]:  # noqa: D102
+        baselines, last = dict(self._baselines), self._last_baseline
+        choices = self.choices.copy()
+        with keep_random_state(self._random), self._spillover.preview():
+            yield
+        self._baselines, self._last_baseline = baselines, last
+        # The metrics hold the counter itself.
+        self.choices.clear()
+        self.choices.update(choices)
+
+    def list_costs(
+        self,
+        known: Sequence[Destination],
+        choices: Sequence[Sequence[Destination]],
+        demand: Demand,
+        *,
+        now: float,
+    ) -> list[CandidateCost]:
+        """Return the costs that `choose` compares, without its choice.
+
+        Parameters
+        ----------
+        known
+            Destinations to list.
+        choices
+            Groups of those that may get the request.
+        """
+        costs: dict[str, CandidateCost] = {}
+        with self.preview():
+            for members in choices:
+                baseline = self._get_baseline(members, demand.rank, now)
+                kept = self._list_candidates(members, now, (), demand)
+                for found in members:
+                    reasons = () if found in kept else self._list_reasons(found, now)
+                    costs[found.backend] = self._describe_cost(
+                        found, demand, baseline, now, reasons
+                    )
+            baseline = self._get_baseline(known, demand.rank, now)
+        for found in known:
+            if found.backend not in costs:
+                reasons = ("left out by a roll-out",)
+                costs[found.backend] = self._describe_cost(
+                    found, demand, baseline, now, reasons
+                )
+        return list(costs.values())
+
+    def _list_reasons(self, destination: Destination, now: float) -> tuple[str, ...]:
+        """Return why `_list_candidates` has dropped a destination."""
+        reasons = []
+        if now < self._get_excluded_until(destination):
+            reasons.append("recently refused")
+        if not self._is_reachable(destination):
+            reasons.append("not reachable")
+        return tuple(reasons) or ("body too long for another region",)
+
+    def _describe_cost(
+        self,
+        destination: Destination,
+        demand: Demand,
+        baseline: _Baseline,
+        now: float,
+        reasons: tuple[str, ...],
+    ) -> CandidateCost:
+        distance = self._compute_distance_cost(destination, demand)
+        load = self._compute_load_cost(destination, demand, baseline, now)
+        return CandidateCost(
+            destination.backend,
+            destination.host,
+            destination.data_centre,
+            distance,
+            load.wait,
+            load.run_time,
+            load.occupancy,
+            load.failures,
+            distance + load.total,
+            reasons,
+        )
+
     def _choose_lowest(
         self,
         candidates: Sequence[Destination],
@@ -250,16 +359,15 @@
         best, best_cost = None, 0.0
         for distance, members in tiers.items():
             for candidate in self._sample_candidates(members):
-                cost, response_after = self._compute_load_cost(
-                    candidate, demand, baseline, now
-                )
-                if in_time and response_after > demand.time_left:
+                load = self._compute_load_cost(candidate, demand, baseline, now)
+                if in_time and load.response_after > demand.time_left:
                     # The first attempt may show that a report was outdated. Later
                     # attempts are made only where a response in time is expected;
                     # others would transfer the request just to be refused.
                     continue
-                if best is None or distance + cost < best_cost:
-                    best, best_cost = candidate, distance + cost
+                cost = distance + load.total
+                if best is None or cost < best_cost:
+                    best, best_cost = candidate, cost
         return best
 
     def find_max_wait(  # noqa: D102
@@ -387,16 +495,20 @@
 
     def _compute_load_cost(
         self, destination: Destination, demand: Demand, baseline: _Baseline, now: float
-    ) -> tuple[float, float]:
-        """Return the cost of a destination's load, and the seconds until a response."""
-        cost = 0.0
+    ) -> _LoadCost:
+        failures = 0.0
         failure_rate = self._failure_rates.get(destination.backend)
         if failure_rate is not None:
-            cost += failure_rate.decayed_share(now) * demand.target_latency
+            failures = failure_rate.decayed_share(now) * demand.target_latency
         estimate = self._estimate_load(destination, demand, baseline, now)
         run_time = compute_run_time_cost(estimate.run_time, demand.target_latency)
-        cost += estimate.wait + run_time + OCCUPANCY_COST_S * estimate.occupancy
-        return cost, estimate.wait + estimate.run_time
+        return _LoadCost(
+            failures,
+            estimate.wait,
+            run_time,
+            OCCUPANCY_COST_S * estimate.occupancy,
+            estimate.wait + estimate.run_time,
+        )
 
     def _estimate_load(
         self, destination: Destination, demand: Demand, baseline: _Baseline, now: float
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/allowances.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/allowances.py
@@ -73,6 +73,15 @@
             ceiling = self._reserve
         return max(0, ceiling - self._used - self._held)
 
+    def count_left(self, now: float) -> int:
+        """Return the tokens for requests that do not wait for those before them."""
+        return 0 if self.waiters else self._count_tokens(now)
+
+    def count_floor(self, limit: int, now: float) -> int:
+        """Return how many tokens `take_floor` would give at most."""
+        self._floor.expire(now)
+        return max(0, limit - self._floor.total)
+
     def take(self, now: float) -> QuotaToken | None:
         """Take a token; None if there is none."""
         if not self._count_tokens(now):
@@ -88,8 +97,7 @@
         limit
             Such tokens in a window.
         """
-        self._floor.expire(now)
-        if self._floor.total >= limit:
+        if not self.count_floor(limit, now):
             return None
         self._floor.add(1, now)
         return QuotaToken(None)
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 
 from almondrouter.clock import Clock
+from almondrouter.coordination.callexplanation import keep_random_state
 from almondrouter.coordination.quotas.allowances import Allowance, QuotaToken
 from almondrouter.coordination.quotas.bounds import compute_local_floor
 from almondrouter.coordination.quotas.owner import QuotaOwner
@@ -211,22 +212,43 @@
         session, allowance = self._find_allowance(policy.name)
         if session.is_attached(now):
             return None
-        hosts = len(self._list_hosts())
-        limit = compute_local_floor(policy, self._bounds, hosts=hosts)
-        token = allowance.take_floor(limit, now)
+        token = allowance.take_floor(self._compute_floor(policy), now)
         if token is not None:
             self.counts["admitted_without_owner"] += 1
         return token
 
+    def _compute_floor(self, policy: TenantPolicy) -> int:
+        hosts = len(self._list_hosts())
+        return compute_local_floor(policy, self._bounds, hosts=hosts)
+
+    def count_tokens(self, policy: TenantPolicy) -> int:
+        """Return how many requests of a tenant `take` would admit now."""
+        now = self._clock.monotonic()
+        session, allowance = self._find_allowance(policy.name)
+        left = allowance.count_left(now)
+        if left or session.is_attached(now):
+            return left
+        return allowance.count_floor(self._compute_floor(policy), now)
+
+    def preview_refusal(self, policy: TenantPolicy) -> QuotaExceededError | None:
+        """Return the error of a request that would be refused at once, else None."""
+        if self.count_tokens(policy) or self.may_wait(policy):
+            return None
+        with keep_random_state(self._random):
+            return self._make_error(policy)
+
     def make_refusal(self, policy: TenantPolicy) -> QuotaExceededError:
         """Return the error for a request without a token."""
+        self.counts["refused"] += 1
+        self.refused[policy.name] += 1
+        return self._make_error(policy)
+
+    def _make_error(self, policy: TenantPolicy) -> QuotaExceededError:
         now = self._clock.monotonic()
         _, allowance = self._find_allowance(policy.name)
         wait = UNANSWERED_RETRY_AFTER_S
         if allowance.is_short(now):
             wait = max(wait, allowance.find_wait(now))
-        self.counts["refused"] += 1
-        self.refused[policy.name] += 1
         return QuotaExceededError(
             self._explain_shortage(policy),
             retry_after=wait + self._random.uniform(0.0, RETRY_AFTER_SPREAD_S),
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from almondrouter.clock import Clock
@@ -214,6 +215,14 @@
                 return (trial, split.base)
         return (split.base,)
 
+    @contextlib.contextmanager
+    def preview(self) -> Iterator[None]:
+        """Put the credits of trials back at the end of the context."""
+        states = [(state, dict(state.credits)) for state in self._services.values()]
+        yield
+        for state, credits in states:
+            state.credits = credits
+
     def _find_trial_servers(
         self, split: _Split, plan: RolloutPlan
     ) -> Sequence[Destination]:
--- a/packages/almondrouter/src/almondrouter/coordination/routing.py
+++ b/packages/almondrouter/src/almondrouter/coordination/routing.py
@@ -5,6 +5,7 @@
 import random as random_module
 from abc import ABC, abstractmethod
 from collections.abc import Collection, Sequence
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from statistics import median_low
 
@@ -73,6 +74,16 @@
 class LoadBalancingPolicy(ABC):
     """Chooses a destination for each call; results of calls guide later choices."""
 
+    def preview(self) -> AbstractContextManager[None]:
+        """Return a context at whose end the policy is as it was before its choices.
+
+        Raises
+        ------
+        NotImplementedError
+            If the policy cannot be asked for a choice without a call.
+        """
+        raise NotImplementedError
+
     @abstractmethod
     def choose(
         self,
--- a/packages/almondrouter/src/almondrouter/coordination/spillover.py
+++ b/packages/almondrouter/src/almondrouter/coordination/spillover.py
@@ -16,10 +16,12 @@
 
 from __future__ import annotations
 
+import contextlib
+import copy
 import math
 import random as random_module
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from almondrouter.clock import Clock
@@ -276,6 +278,16 @@
         if state is not None and demand.is_first and not state.shares:
             state.own_share.add(destination.data_centre == self._data_centre)
 
+    @contextlib.contextmanager
+    def preview(self) -> Iterator[None]:
+        """Put plans and moving averages back at the end of the context.
+
+        The caller puts back the random state.
+        """
+        states = copy.deepcopy(self._states)
+        yield
+        self._states = states
+
     def _update_plan(
         self, destinations: Sequence[Destination], key: tuple[str, str], now: float
     ) -> _ServiceState:
--- a/packages/almondrouter/src/almondrouter/coordination/weights.py
+++ b/packages/almondrouter/src/almondrouter/coordination/weights.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import random as random_module
+from collections.abc import Iterator
 
+from almondrouter.coordination.callexplanation import keep_random_state
 from almondrouter.state.routes import RouteTarget, ServiceShare
 
 MAX_ROUTES = 4_096
@@ -41,6 +44,14 @@
         credits[best] -= total
         return shares[best].service
 
+    @contextlib.contextmanager
+    def preview(self) -> Iterator[None]:
+        """Put the credits and the random state back at the end of the context."""
+        credits = {key: list(values) for key, values in self._credits.items()}
+        with keep_random_state(self._random):
+            yield
+        self._credits = credits
+
     def _get_credits(self, route: RouteTarget, total: float) -> list[float]:
         key = (route.name, route.shares)
         if key not in self._credits:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -24,6 +24,7 @@
     compute_response_bytes,
     divide_descriptors,
 )
+from almondrouter.coordination.callexplanation import CallExplainer
 from almondrouter.coordination.crashevidence import CrashEvidence
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.fleetretries import FleetRetryBudget
@@ -79,6 +80,7 @@
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
 from almondrouterd.platform.headers import PlatformDialect
 from almondrouterd.platform.heartbeats import READY_PATH
+from almondrouterd.platform.operators import OperatorEndpoint
 from almondrouterd.platform.settings import HostSettings
 from almondrouterd.platform.store import PlatformStore
 from almondrouterd.quotalinks import QuotaLinks
@@ -400,6 +402,15 @@
         self._control_server = self._make_internal_server(
             settings.backend_control_address, control.handle
         )
+        operators = OperatorEndpoint(
+            CallExplainer(self._forwarder, self._placement, self.quotas),
+            limits=self._get_caller_limits,
+        )
+        self._operator_server = (
+            self._make_internal_server(settings.operator_address, operators.handle)
+            if settings.operator_address
+            else None
+        )
 
     def _make_internal_server(self, address: str, handler) -> CallerServer:  # noqa: ANN001
         return CallerServer(
@@ -523,13 +534,16 @@
         )
 
     def _list_servers(self) -> tuple[CallerServer | CallLinkServer, ...]:
-        return (
+        servers = (
             self.callers,
             self.link_server,
             self._ready_server,
             self._control_server,
             self._metrics_server,
         )
+        if self._operator_server is None:
+            return servers
+        return (*servers, self._operator_server)
 
     async def _close_gracefully(self, kill_at: float) -> None:
         remaining = max(0.0, kill_at - self._clock.monotonic())
--- a/packages/almondrouterd/src/almondrouterd/platform/main.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/main.py
@@ -10,10 +10,12 @@
 import signal
 import sys
 from collections.abc import Sequence
+from dataclasses import replace
 
 import uvloop
 
 from almondrouter import __version__
+from almondrouter.addresses import is_loopback
 from almondrouter.coordination.callerlimits import PLATFORM_DESCRIPTORS
 from almondrouter.errors import AlmondError, FindingsError
 from almondrouter.logs import EventLogger, LineWriter, set_up_logs
@@ -40,6 +42,8 @@
     path = arguments.settings or os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = read_host_settings(path, advertised_address=arguments.advertise)
+        operator_address = arguments.operator_address or ""
+        settings = replace(settings, operator_address=operator_address)
         if arguments.check:
             print("settings are valid")
             return EXIT_OK
@@ -82,6 +86,12 @@
         help="ip:port that other daemons connect to, for hosts behind a port "
         "forwarder (default: the address that the daemon listens on)",
     )
+    parser.add_argument(
+        "--operator-address",
+        metavar="IP:PORT",
+        type=parse_loopback_address,
+        help="loopback ip:port that answers almondctl explain call (default: none)",
+    )
     parser.add_argument(
         "--log-level",
         choices=("debug", "info", "warning", "error"),
@@ -91,6 +101,23 @@
     return parser
 
 
+def parse_loopback_address(text: str) -> str:
+    """Validate and return an ``ip:port`` that no other host can reach.
+
+    Raises
+    ------
+    argparse.ArgumentTypeError
+        If it is no address, or not on loopback.
+    """
+    try:
+        address = parse_address(text)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(str(error)) from error
+    if not is_loopback(address):
+        raise argparse.ArgumentTypeError("must be an address on loopback")
+    return address
+
+
 async def run_daemon(settings: HostSettings, writer: LineWriter, *, path: str) -> None:
     """Run a daemon until SIGTERM or SIGINT, then stop it gracefully.
 
@@ -147,7 +174,9 @@
     """Reload the settings file; an invalid one changes nothing."""
     try:
         advertised = daemon.settings.advertised_address
-        daemon.reload(read_host_settings(path, advertised_address=advertised))
+        settings = read_host_settings(path, advertised_address=advertised)
+        address = daemon.settings.operator_address
+        daemon.reload(replace(settings, operator_address=address))
     except FindingsError as error:
         findings = [str(finding) for finding in error.findings]
         _log.error(
--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -106,6 +106,8 @@
         Open descriptors of the host, part of which belong to the platform.
     is_first_start
         Whether the whole fleet starts for the first time.
+    operator_address
+        ``ip:port`` on loopback for questions of operators; empty for none.
     quota_bounds, rollout_bounds, revocation
         Bounds on the quotas of tenants, on roll-outs, and on removed keys.
     """
@@ -132,6 +134,7 @@
     quota_bounds: QuotaBounds = QuotaBounds()
     rollout_bounds: RolloutBounds = RolloutBounds()
     revocation: RevocationBounds = RevocationBounds()
+    operator_address: str = ""
 
 
 BYTES_PER_MEGABIT = 125_000
