Let requests and explanations share the admission of tenants

Cause: the explanation for a tenant by name skipped the check of the age of the configuration, and repeated the condition for quotas.

Change: TenantAdmission.admit_tenant and counts_for_quota serve both.

Result: test_coordination_callexplanation, test_coordination_forwarding and the tests of tenants pass.

--- a/packages/almondrouter/src/almondrouter/coordination/callexplanation.py
+++ b/packages/almondrouter/src/almondrouter/coordination/callexplanation.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from almondrouter.coordination.tenants.admission import counts_for_quota
 from almondrouter.errors import AlmondError, ErrorCode
 from almondrouter.state.snapshot import Destination
 from almondrouter.state.tenants import TenantPolicy
@@ -201,7 +202,7 @@
     def _find_quota(
         self, tenant: TenantPolicy | None, *, nested: bool
     ) -> QuotaState | None:
-        if self._quotas is None or tenant is None or nested or tenant.rate <= 0:
+        if self._quotas is None or not counts_for_quota(tenant, nested=nested):
             return None
         tokens = self._quotas.count_tokens(tenant)
         return QuotaState(tenant.rate, tokens, self._quotas.may_wait(tenant))
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -33,7 +33,7 @@
 from almondrouter.coordination.tenants.admission import (
     Admitted,
     TenantAdmission,
-    compute_rank,
+    counts_for_quota,
 )
 from almondrouter.coordination.transfers.sizes import ResponseSizes
 from almondrouter.coordination.weights import TrafficSplitter
@@ -291,7 +291,7 @@
             route_name = route.name
             admitted = self._preview_admission(question, info, route, table)
             tenant = admitted.tenant
-            if self._quotas and tenant and not nested and tenant.rate > 0:
+            if self._quotas and counts_for_quota(tenant, nested=nested):
                 error = self._quotas.preview_refusal(tenant)
                 if error is not None:
                     raise error
@@ -326,8 +326,7 @@
         if tenant is None:
             message = f"the configuration has no tenant {question.tenant!r}"
             raise AlmondError(ErrorCode.TARGET_UNKNOWN, message)
-        headers = self._dialect.drop_credentials(info.headers)
-        return Admitted(tenant, headers, compute_rank(route, tenant))
+        return self._admission.admit_tenant(info.headers, route, tenant)
 
     def _preview_attempts(
         self, pending: PendingRequest, tenant: TenantPolicy | None
@@ -368,7 +367,7 @@
     ) -> QuotaToken | None:
         """Take a token of the tenant's quota; None if the request does not count."""
         tenant = admitted.tenant
-        if self._quotas is None or tenant is None or nested or tenant.rate <= 0:
+        if self._quotas is None or not counts_for_quota(tenant, nested=nested):
             return None
         return await self._quotas.admit(tenant)
 
--- a/packages/almondrouter/src/almondrouter/coordination/tenants/admission.py
+++ b/packages/almondrouter/src/almondrouter/coordination/tenants/admission.py
@@ -93,6 +93,18 @@
         if tenant is None and not (route.public or nested):
             reason = "unknown key" if len(keys) == 1 else f"{len(keys)} keys"
             raise CallError(ErrorCode.KEY_UNKNOWN, reason)
+        return self.admit_tenant(headers, route, tenant)
+
+    def admit_tenant(
+        self, headers: HeaderList, route: RouteTarget, tenant: TenantPolicy | None
+    ) -> Admitted:
+        """Return headers and rank of a request whose tenant is known, None for none.
+
+        Raises
+        ------
+        CallError
+            ``not_ready`` as in `admit`.
+        """
         if tenant is not None and not self._may_trust_keys():
             message = "no news of the configuration, so keys may have been removed"
             raise CallError(ErrorCode.NOT_READY, message)
@@ -100,6 +112,11 @@
         return Admitted(tenant, kept, compute_rank(route, tenant))
 
 
+def counts_for_quota(tenant: TenantPolicy | None, *, nested: bool) -> bool:
+    """Return whether a request takes a token of its tenant's quota."""
+    return tenant is not None and not nested and tenant.rate > 0
+
+
 def compute_rank(route: RouteTarget, tenant: TenantPolicy | None) -> int:
     """Return the rank of a request by the priorities of its tenant and route."""
     if tenant is None or tenant.priority is None:
