Test almondctl explain call against running daemons

Cause: only the forwarder's part of the explanation was tested, not the command, the address for operators and its flag.

Change: PlatformFleet can give its daemons such an address. A key file that cannot be read is now invalid usage (exit code 2), not a refused change (3).

--- a/packages/almondctl/src/almondctl/calls.py
+++ b/packages/almondctl/src/almondctl/calls.py
@@ -51,15 +51,14 @@
     Raises
     ------
     FindingsError
-        ``file_unreadable`` if the file cannot be read, ``setting_invalid`` if it does
-        not hold one key. No message contains the key.
+        ``setting_invalid`` if the file cannot be read or does not hold one key. No
+        message contains the key.
     """
     try:
         data = sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
     except OSError as error:
         message = f"cannot read the key: {error.strerror}"
-        finding = Finding("--key-file", ErrorCode.FILE_UNREADABLE, message)
-        raise FindingsError([finding]) from error
+        raise _make_usage_error("--key-file", message) from error
     # Header values have one character for each byte.
     key = data.decode("latin-1").strip("\r\n\t ")
     if not key or "\n" in key or "\r" in key:
--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_fleet.py
@@ -27,6 +27,7 @@
 """Seconds in which all daemons must discover each other; allows for a busy machine."""
 CONFIGURATION_KEY = "op/config"
 CALLER_PORT = 7003
+OPERATOR_PORT = 7019
 VERSION_METRIC = "almond_configuration_version"
 
 _SETTINGS = """\
@@ -114,6 +115,8 @@
         Key of a tenant that callers send; empty for none.
     version
         Version of backend servers for which no other is set.
+    serves_operators
+        Whether the daemons have an address for operators; set before the start.
 
     Notes
     -----
@@ -151,6 +154,7 @@
         self.unframed_share = 0.0
         self.key = ""
         self.version = ""
+        self.serves_operators = False
         self.crashing_targets: frozenset[str] = frozenset()
         self._log_starts = [0] * hosts
         self.backends = [self._make_backend(number) for number in range(hosts)]
@@ -185,6 +189,11 @@
                     if self._is_proxied(number)
                     else ()
                 ),
+                *(
+                    ("--operator-address", f"{self.ips[number]}:{OPERATOR_PORT}")
+                    if self.serves_operators
+                    else ()
+                ),
                 stdout=log,
                 stderr=log,
             )
