Test explanations during roll-outs and against quotas

Cause: the comparison with the next request had no trial of a version, and no quota.

Change: every other seed has a trial; a replay of quotas compares each preview with the verdict and Retry-After of the next request.

--- a/tests/test_coordination_callexplanation.py
+++ b/tests/test_coordination_callexplanation.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from collections import Counter
 
 import msgspec
 from parameterized import parameterized
@@ -15,14 +16,16 @@
 from almondrouter.coordination.fleetretries import FleetRetryBudget, FleetRetryLimits
 from almondrouter.coordination.forwarding import Forwarder
 from almondrouter.coordination.placement import LowestCostPolicy
+from almondrouter.coordination.rollouts.versions import VersionFilter
 from almondrouter.coordination.tenants.admission import TenantAdmission
 from almondrouter.coordination.weights import TrafficSplitter
 from almondrouter.errors import ErrorCode
-from almondrouter.protocol.calls import Load
+from almondrouter.protocol.calls import Load, RolloutPlan
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import make_reply
 from almondrouter.state.hosts import BackendEntry, HostEntry, ServingState
 from almondrouter.state.occupancy import OccupancyTable
+from almondrouter.state.rollouts import RolloutOrder, RolloutPhase
 from almondrouter.state.routes import RouteTarget, ServiceShare
 from almondrouter.state.tenants import TenantPolicy, TenantTable, digest_key
 from almondrouter.transport.calls import CallerRequest, CallLinks
@@ -30,6 +33,7 @@
 from almondrouterd.platform.headers import PlatformDialect
 from almondrouterd.platform.operators import OperatorEndpoint
 from platform_support import SERVICE, make_configuration
+from quota_replay import Fleet
 
 KEY = "secret-key-of-mill"
 SEEDS = 300
@@ -51,7 +55,7 @@
 class ExplanationTest(unittest.IsolatedAsyncioTestCase):
     """A forwarder with the policy of the daemon, and links that only record."""
 
-    def build(self, seed=1, *, has_backends=True, tenants=False):
+    def build(self, seed=1, *, has_backends=True, tenants=False, rollout=False):
         self.clock = ManualClock()
         self.links = RecordingLinks()
         self.unreachable, self.condemned_until = set(), None
@@ -65,11 +69,24 @@
         directory = HostDirectory(clock=self.clock, is_alive=lambda _: True)
         for number in range(HOSTS if has_backends else 0):
             service = OTHER if number % 3 == 2 else SERVICE
-            backend = BackendEntry(f"b{number}", 1, service, 4, ServingState.READY)
+            # In a roll-out, every other server of a service has the new version.
+            version = ("v1", "v2")[number // 3 % 2] if rollout else ""
+            started = 2000 if version == "v2" else 1000
+            backend = BackendEntry(
+                f"b{number}", started, service, 4, ServingState.READY, version
+            )
             place = (f"z{number % 2}", "r") if number < 6 else ("far", "s")
             entry = HostEntry(f"h{number}", 1, *place, f"h{number}:1", backend)
             directory.put(entry)
         self.directory = directory
+        self.versions = VersionFilter(directory, host="own", clock=self.clock)
+        if rollout:
+            self.versions.set_order(SERVICE, RolloutOrder(SERVICE, "v2", 12.0, 7))
+            plan = RolloutPlan(
+                SERVICE, 7, "v2", 12.0, 0.0, 5, 1, RolloutPhase.TRIAL, share=0.4,
+                valid_until=self.clock.monotonic() + 9, servers=("b3", "b4"),
+            )  # fmt: skip
+            self.assertTrue(self.versions.accept_plan(plan))
         self.policy = LowestCostPolicy(
             host="own",
             data_centre="z0",
@@ -102,6 +119,7 @@
             on_newer_version=lambda version, address: None,
             find_condemned_until=lambda call: self.condemned_until,
             on_finished=lambda *result: self.finished.append(result),
+            versions=self.versions,
         )
         explainer = CallExplainer(self.forwarder, self.policy)
         self.endpoint = OperatorEndpoint(explainer, limits=lambda: self.table.limits)
@@ -152,7 +170,7 @@
         Questions between the requests must not move credits, random state or counts.
         """
         for seed in range(SEEDS):
-            self.build(seed)
+            self.build(seed, rollout=seed % 2 == 1)
             self.split_routes()
             source = random.Random(seed)
             for _ in range(3):
@@ -229,6 +247,8 @@
     async def test_reasons_for_exclusion(self):
         """Guards against servers that are left out without a reason."""
         self.build()
+        _, answer = await self.ask()
+        self.assertEqual([[]] * 6, [c["excluded"] for c in answer["candidates"]])
         self.unreachable = {"b0"}
         near, refuser = self.directory.find_destinations(SERVICE)[:2]
         self.assertEqual("b0", near.backend)
@@ -240,6 +260,49 @@
         self.assertEqual(["recently refused"], reasons[refuser.backend])
         self.assertEqual(["body too long for another region"], reasons["b6"])
 
+    async def test_servers_of_another_version(self):
+        """Guards against servers that a roll-out leaves out without a reason."""
+        self.build(rollout=True)
+        self.versions.set_order(SERVICE, None)
+        _, answer = await self.ask()
+        reasons = {c["backend"]: c["excluded"] for c in answer["candidates"]}
+        left_out = {name for name, found in reasons.items() if found}
+        self.assertEqual({"b3", "b4"}, left_out)
+        self.assertEqual(["left out by a roll-out"], reasons["b3"])
+
+
+class QuotaExplanationTest(unittest.TestCase):
+    """A few daemons in simulated time that divide the quota of one tenant."""
+
+    def test_preview_holds_for_the_next_request(self):
+        """Guards against another verdict or Retry-After than a request gets."""
+        verdicts = Counter()
+        for seed in range(SEEDS // 10):
+            policy = TenantPolicy("mill", rate=10.0, burst=2.0)
+            fleet = Fleet(3, [policy], seed=seed)
+            source = random.Random(seed)
+            service = fleet.daemons["h0"].service
+            for _ in range(60):
+                fleet.run(fleet.clock.monotonic() + source.random() / 10)
+                state = fleet.random.getstate()
+                tokens, error = (
+                    service.count_tokens(policy), service.preview_refusal(policy)
+                )  # fmt: skip
+                self.assertEqual(state, fleet.random.getstate())
+                token = service.take(policy)
+                refused = token is None and not service.may_wait(policy)
+                self.assertEqual(
+                    (tokens > 0, error is not None), (token is not None, refused)
+                )
+                if error is not None:
+                    found = service.make_refusal(policy)
+                    self.assertEqual(found.retry_after, error.retry_after)
+                if token is not None:
+                    token.record_use()
+                    token.settle(fleet.clock.monotonic())
+                verdicts["refused" if refused else "taken" if token else "waits"] += 1
+        self.assertEqual({"refused", "taken", "waits"}, set(verdicts))
+
 
 if __name__ == "__main__":
     unittest.main()
