Test that questions change no later request

Cause: a preview that did not put the counter of choices or the cached baselines back passed the tests (trial with each restoration removed).

Change: two forwarders with the same seed, one of them asked between requests, have to make the same attempts.

--- a/tests/test_coordination_callexplanation.py
+++ b/tests/test_coordination_callexplanation.py
@@ -179,8 +179,8 @@
                     f"b{n}" for n in range(HOSTS) if source.random() < 0.3
                 }
                 size = source.choice((0, 900, 40_000))
-                await self.ask("/pay/1", nested=True)
                 before = (self.random.getstate(), dict(self.policy.choices))
+                await self.ask("/pay/1", nested=True)
                 status, answer = await self.ask(body_bytes=size)
                 after = (self.random.getstate(), dict(self.policy.choices))
                 self.assertEqual((200, before), (status, after))
@@ -193,6 +193,27 @@
                 self.assertEqual([], costs[answer["chosen"]]["excluded"])
                 self.clock.advance(source.random() / 5)
 
+    async def test_questions_change_no_later_request(self):
+        """Guards against questions that change what is cached between requests."""
+        for seed in range(SEEDS):
+            with_questions = await self.run_requests(seed, questions=True)
+            without = await self.run_requests(seed, questions=False)
+            self.assertEqual(without, with_questions, seed)
+
+    async def run_requests(self, seed, *, questions):
+        """Return the attempts and choices of some requests."""
+        self.build(seed, rollout=seed % 2 == 1)
+        self.split_routes()
+        source = random.Random(seed)
+        for _ in range(4):
+            if questions:
+                await self.ask()
+                await self.ask("/pay/1", nested=True, body_bytes=900)
+            self.report_loads(source)
+            self.clock.advance(0.02)
+            await self.send()
+        return self.links.backends, dict(self.policy.choices)
+
     async def test_question_sends_and_counts_nothing(self):
         """Guards against questions that reach backend servers or metrics."""
         self.build()
