--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -261,12 +261,14 @@
     def preview(self) -> Iterator[None]:  # noqa: D102
         baselines, last = dict(self._baselines), self._last_baseline
         choices = self.choices.copy()
-        with keep_random_state(self._random), self._spillover.preview():
-            yield
-        self._baselines, self._last_baseline = baselines, last
-        # The metrics hold the counter itself.
-        self.choices.clear()
-        self.choices.update(choices)
+        try:
+            with keep_random_state(self._random), self._spillover.preview():
+                yield
+        finally:
+            self._baselines, self._last_baseline = baselines, last
+            # The metrics hold the counter itself.
+            self.choices.clear()
+            self.choices.update(choices)
 
     def list_costs(
         self,
--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/versions.py
@@ -219,9 +219,11 @@
     def preview(self) -> Iterator[None]:
         """Put the credits of trials back at the end of the context."""
         states = [(state, dict(state.credits)) for state in self._services.values()]
-        yield
-        for state, credits in states:
-            state.credits = credits
+        try:
+            yield
+        finally:
+            for state, credits in states:
+                state.credits = credits
 
     def _find_trial_servers(
         self, split: _Split, plan: RolloutPlan
--- a/packages/almondrouter/src/almondrouter/coordination/spillover.py
+++ b/packages/almondrouter/src/almondrouter/coordination/spillover.py
@@ -285,8 +285,10 @@
         The caller puts back the random state.
         """
         states = copy.deepcopy(self._states)
-        yield
-        self._states = states
+        try:
+            yield
+        finally:
+            self._states = states
 
     def _update_plan(
         self, destinations: Sequence[Destination], key: tuple[str, str], now: float
--- a/packages/almondrouter/src/almondrouter/coordination/weights.py
+++ b/packages/almondrouter/src/almondrouter/coordination/weights.py
@@ -48,9 +48,11 @@
     def preview(self) -> Iterator[None]:
         """Put the credits and the random state back at the end of the context."""
         credits = {key: list(values) for key, values in self._credits.items()}
-        with keep_random_state(self._random):
-            yield
-        self._credits = credits
+        try:
+            with keep_random_state(self._random):
+                yield
+        finally:
+            self._credits = credits
 
     def _get_credits(self, route: RouteTarget, total: float) -> list[float]:
         key = (route.name, route.shares)
