--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable, Collection, Iterator, Sequence
 from dataclasses import dataclass
 from statistics import median_low
-from typing import NamedTuple
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.callexplanation import (
@@ -130,20 +129,6 @@
     occupancy: float
 
 
-class _LoadCost(NamedTuple):
-    """Parts of the cost of a destination's load, and seconds until a response."""
-
-    failures: float
-    wait: float
-    run_time: float
-    occupancy: float
-    response_after: float
-
-    @property
-    def total(self) -> float:
-        return self.failures + (self.wait + self.run_time + self.occupancy)
-
-
 @dataclass(slots=True)
 class _FailureRate:
     """Moving failure rate of one backend server, which decays over time."""
@@ -324,17 +309,16 @@
         reasons: tuple[str, ...],
     ) -> CandidateCost:
         distance = self._compute_distance_cost(destination, demand)
-        load = self._compute_load_cost(destination, demand, baseline, now)
+        load_cost, _, parts = self._compute_load_cost(
+            destination, demand, baseline, now
+        )
         return CandidateCost(
             destination.backend,
             destination.host,
             destination.data_centre,
             distance,
-            load.wait,
-            load.run_time,
-            load.occupancy,
-            load.failures,
-            distance + load.total,
+            *parts,
+            distance + load_cost,
             reasons,
         )
 
@@ -361,15 +345,16 @@
         best, best_cost = None, 0.0
         for distance, members in tiers.items():
             for candidate in self._sample_candidates(members):
-                load = self._compute_load_cost(candidate, demand, baseline, now)
-                if in_time and load.response_after > demand.time_left:
+                load_cost, response_after, _ = self._compute_load_cost(
+                    candidate, demand, baseline, now
+                )
+                if in_time and response_after > demand.time_left:
                     # The first attempt may show that a report was outdated. Later
                     # attempts are made only where a response in time is expected;
                     # others would transfer the request just to be refused.
                     continue
-                cost = distance + load.total
-                if best is None or cost < best_cost:
-                    best, best_cost = candidate, cost
+                if best is None or distance + load_cost < best_cost:
+                    best, best_cost = candidate, distance + load_cost
         return best
 
     def find_max_wait(  # noqa: D102
@@ -497,19 +482,22 @@
 
     def _compute_load_cost(
         self, destination: Destination, demand: Demand, baseline: _Baseline, now: float
-    ) -> _LoadCost:
+    ) -> tuple[float, float, tuple[float, float, float, float]]:
+        """Return the cost of a destination's load, and the seconds until a response.
+
+        The parts of the cost follow: wait, run time, occupancy and failures.
+        """
         failures = 0.0
         failure_rate = self._failure_rates.get(destination.backend)
         if failure_rate is not None:
             failures = failure_rate.decayed_share(now) * demand.target_latency
         estimate = self._estimate_load(destination, demand, baseline, now)
         run_time = compute_run_time_cost(estimate.run_time, demand.target_latency)
-        return _LoadCost(
-            failures,
-            estimate.wait,
-            run_time,
-            OCCUPANCY_COST_S * estimate.occupancy,
+        occupancy = OCCUPANCY_COST_S * estimate.occupancy
+        return (
+            failures + (estimate.wait + run_time + occupancy),
             estimate.wait + estimate.run_time,
+            (estimate.wait, run_time, occupancy, failures),
         )
 
     def _estimate_load(
--- a/tests/test_coordination_callexplanation.py
+++ b/tests/test_coordination_callexplanation.py
@@ -191,6 +191,10 @@
                 self.assertEqual(expected, self.links.backends[:2], seed)
                 costs = {c["backend"]: c for c in answer["candidates"]}
                 self.assertEqual([], costs[answer["chosen"]]["excluded"])
+                for cost in costs.values():
+                    parts = ("distance", "wait", "run_time", "occupancy", "failures")
+                    total = sum(cost[part] for part in parts)
+                    self.assertAlmostEqual(total, cost["total"])
                 self.clock.advance(source.random() / 5)
 
     async def test_questions_change_no_later_request(self):
