--- a/packages/almondrouter/src/almondrouter/coordination/placement.py
+++ b/packages/almondrouter/src/almondrouter/coordination/placement.py
@@ -122,11 +122,19 @@
         Seconds until a slot is free, and seconds that the call then runs.
     occupancy
         Running and waiting requests per slot.
+    link_wait
+        Seconds for which a long response then waits for the link of the host.
     """
 
     wait: float
     run_time: float
     occupancy: float
+    link_wait: float = 0.0
+
+    @property
+    def response_after(self) -> float:
+        """Seconds until the response."""
+        return self.wait + self.run_time + self.link_wait
 
 
 @dataclass(slots=True)
@@ -363,8 +371,10 @@
         estimate = self._estimate_load(destination, demand, self._last_baseline, now)
         extra_wait = LONG_RESPONSE_EXTRA_WAIT_S if demand.response_bytes else 0.0
         if destination.region == self._region:
-            return estimate.wait + max(extra_wait, SAME_REGION_EXTRA_WAIT_S)
-        return estimate.wait + max(extra_wait, OTHER_REGION_EXTRA_WAIT_S)
+            extra_wait = max(extra_wait, SAME_REGION_EXTRA_WAIT_S)
+        else:
+            extra_wait = max(extra_wait, OTHER_REGION_EXTRA_WAIT_S)
+        return estimate.wait + estimate.link_wait + extra_wait
 
     def find_demand_weight(  # noqa: D102
         self, destination: Destination, demand: Demand
@@ -492,11 +502,15 @@
         if failure_rate is not None:
             failures = failure_rate.decayed_share(now) * demand.target_latency
         estimate = self._estimate_load(destination, demand, baseline, now)
-        run_time = compute_run_time_cost(estimate.run_time, demand.target_latency)
+        # A wait for the link costs like a run time: a longer network path fills more
+        # links, which does not pay while the response is on time anyway.
+        run_time = compute_run_time_cost(
+            estimate.run_time + estimate.link_wait, demand.target_latency
+        )
         occupancy = OCCUPANCY_COST_S * estimate.occupancy
         return (
             failures + (estimate.wait + run_time + occupancy),
-            estimate.wait + estimate.run_time,
+            estimate.response_after,
             (estimate.wait, run_time, occupancy, failures),
         )
 
@@ -514,14 +528,15 @@
         baseline_calls = baseline.occupancy * slots
         calls = entry.calls(now, rank=demand.rank, typical_calls=baseline_calls)
         wait = max(0.0, calls + 1 - slots) * run_time / slots
+        link_wait = 0.0
         if demand.response_bytes:
             # The link carries other responses while the request runs.
             weight = entry.weight(now)
             link_wait = baseline.link_wait + weight * (
                 entry.link_wait - baseline.link_wait
             )
-            wait += max(0.0, link_wait - run_time)
-        return _Estimate(wait, run_time, calls / slots)
+            link_wait = max(0.0, link_wait - run_time)
+        return _Estimate(wait, run_time, calls / slots, link_wait)
 
 
 def compute_run_time_cost(seconds: float, target_latency: float) -> float:
