--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -125,6 +125,9 @@
 request has not run; less than `KILL_MARGIN_S`."""
 LAST_ANSWERS_TIMEOUT_S = 0.1
 """Seconds after that for sending the answers to the remaining callers."""
+IDLE_QUOTA_INTERVAL_S = 0.25
+"""Seconds between looks for quotas while the configuration has none, as each wake-up
+costs processor time."""
 GREETING_INTERVAL_S = 2.0
 """Seconds between attempts of an owner of quotas to reach the daemons of which it has
 no notice; those that know no quotas do not count for its quorum."""
@@ -606,7 +609,8 @@
     async def _divide_quotas_forever(self) -> None:
         greet_at = 0.0
         while True:
-            await asyncio.sleep(TICK_S)
+            limited = self.quotas.has_limits
+            await asyncio.sleep(TICK_S if limited else IDLE_QUOTA_INTERVAL_S)
             self.quotas.tick()
             now = self._clock.monotonic()
             if now >= greet_at and self.quotas.is_owner:
