--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A daemon that owns a quota freezes and wakes; the quota is granted twice."""
+"""An acknowledged departure is undone by a late write of the store and a restart."""
 
 from __future__ import annotations
 
@@ -6,15 +6,12 @@
 import signal
 import sys
 import time
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from deployment import (  # noqa: E402
     HOST,
-    METRICS_PORT,
-    Daemon,
     Deployment,
     Record,
     fetch,
@@ -23,127 +20,85 @@
     run_case,
 )
 
-RATE_PER_S = 30
-BURST = 10
-WINDOW_S = 5.0
-OVERAGE = 0.1
-SLACK = 20
-BOUND = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
-SENT_PER_S = 150
-"""Requests that the tenant sends, five times its rate."""
-FREEZES = 11
-FREEZE_S = 1.9
-CALM_S = 6.0
-MEMBERS_METRIC = "almond_quota_members"
-
-
-class Traffic:
-    """Requests of the tenant at all machines, at a steady rate."""
-
-    def __init__(self, daemons: list[Daemon]) -> None:
-        self.sent: dict[str, float] = {}
-        self.answers: Counter[int] = Counter()
-        self._daemons = daemons
-        self._tasks: set[asyncio.Task] = set()
-
-    async def run(self) -> None:
-        """Send until cancelled."""
-        number = 0
-        begins_at = time.monotonic()
-        while True:
-            number += 1
-            task = asyncio.create_task(self._send(f"q{number}", number))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            next_at = begins_at + number / SENT_PER_S
-            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
-
-    async def _send(self, attempt: str, number: int) -> None:
-        daemon = self._daemons[number % len(self._daemons)]
-        headers = {
-            "Host": HOST,
-            "Attempt-Id": attempt,
-            "Deadline-Ms": "3000",
-            "Key": "key-of-a",
-        }
-        self.sent[attempt] = time.monotonic()
-        response = await fetch(daemon.outbound, "GET", "/read/x", headers, timeout=3.0)
-        self.answers[response.status] += 1
-
-
-async def find_owner(daemons: list[Daemon]) -> Daemon:
-    """Return the daemon to which most daemons report by its metrics."""
-    members: Counter[int] = Counter()
-    for place, daemon in enumerate(daemons):
-        address = f"{daemon.ip}:{METRICS_PORT}"
-        response = await fetch(address, "GET", "/metrics", {"Host": daemon.ip})
-        for line in response.body.decode().splitlines():
-            if line.startswith(MEMBERS_METRIC):
-                members[place] += float(line.split()[-1])
-    return daemons[max(range(len(daemons)), key=lambda place: members[place])]
-
-
-def find_most(sent: dict[str, float], runs: dict[str, float]) -> tuple[int, float]:
-    """Return the most requests sent and run within a window, and the end of that."""
-    pairs = sorted((sent[a], at) for a, at in runs.items() if a in sent)
-    most = (0, 0.0)
-    for first, (begin, _) in enumerate(pairs):
-        end = begin + WINDOW_S
-        count = 0
-        for sent_at, run_at in pairs[first:]:
-            if sent_at > end:
-                break
-            count += run_at <= end
-        most = max(most, (count, end))
-    return most
+DRAIN_S = 2.5
+STABLE_WINDOW_S = 3.0
+LATE_S = 5.0
+"""Seconds after which the unanswered write takes effect; the pages allow 1 to 6."""
+LEAVE_AFTER_S = 3.0
+KILL_AFTER_S = 6.0
+RECORD_KEY = "almondrouter/hosts/sidecar-0"
 
 
 async def play(record: Record, trouble: bool) -> bool:
-    """Return whether the tenant stayed within its quota in every window."""
-    tenant = {
-        "name": "tenant-a",
-        "api_keys": ["key-of-a"],
-        "rate_per_s": RATE_PER_S,
-        "burst": BURST,
-    }
-    configuration = make_configuration(
-        [make_route("read", "shop", "safe")], tenants=[tenant]
-    )
-    bounds = {
-        "quota_window_s": WINDOW_S,
-        "quota_overage": OVERAGE,
-        "quota_slack": SLACK,
-    }
-    deployment = Deployment(["shop"] * 3, configuration, bounds=bounds)
+    """Return whether the instance got no request after its drain period."""
+    configuration = make_configuration([make_route("read", "shop", "safe")])
+    deployment = Deployment(["shop"] * 3, configuration)
+    store = deployment.store
+    lost: list[str] = []
+
+    def lose_first_write(keys: list[str]) -> float | None:
+        if RECORD_KEY not in keys or lost:
+            return None
+        lost.extend(keys)
+        record.write(f"store: no answer to the write of {keys}; done {LATE_S} s later")
+        return LATE_S
+
     try:
-        await deployment.start(work_s=0.02, slots=20, queue=40)
-        traffic = Traffic(deployment.daemons)
-        sender = asyncio.create_task(traffic.run())
-        await asyncio.sleep(CALM_S)
-        for _ in range(FREEZES):
-            owner = await find_owner(deployment.daemons)
-            if trouble:
-                record.write(f"{owner.name} freezes for {FREEZE_S} s")
-                owner.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(FREEZE_S)
-            owner.send_signal(signal.SIGCONT)
-            await asyncio.sleep(CALM_S)
-        sender.cancel()
-        runs = {
-            request.get("attempt-id"): at
-            for instance in deployment.instances
-            for at, request in instance.runs
-        }
-        for attempt, sent_at in traffic.sent.items():
-            if attempt in runs:
-                record.note(f"{attempt} sent {sent_at:.3f} run {runs[attempt]:.3f}")
-        count, end = find_most(traffic.sent, runs)
-        record.write(f"answers by status, 0 for none: {dict(traffic.answers)}")
-        record.write(f"most in a window of {WINDOW_S} s: {count}, to {end:.3f}")
-        record.write(f"the quota allows {BOUND:.0f}")
-        return count <= BOUND
+        await deployment.start(work_s=0.05)
+        leaving = deployment.instances[0]
+        # A new incarnation of the instance starts while the store loses answers.
+        await leaving.close()
+        leaving.server.port = 8145
+        leaving.name, leaving.born = "i-0-next", int(time.time() * 1000)
+        if trouble:
+            store.plan_write = lose_first_write
+        began = time.monotonic()
+        await leaving.start()
+        record.write("instance i-0-next starts")
+        await asyncio.sleep(LEAVE_AFTER_S)
+        store.plan_write = lambda keys: None
+        leaving.beats = False
+        while not await leaving.deregister():
+            record.write("deregistration not acknowledged")
+            await asyncio.sleep(0.5)
+        acknowledged = time.monotonic()
+        record.write("deregistration of i-0-next acknowledged")
+        show(record, store.read(RECORD_KEY))
+        await asyncio.sleep(began + KILL_AFTER_S - time.monotonic())
+        show(record, store.read(RECORD_KEY))
+        record.write("all daemons are killed and start again")
+        await asyncio.gather(*(d.stop(signal.SIGKILL) for d in deployment.daemons))
+        await asyncio.sleep(0.5)
+        await asyncio.gather(*(d.start() for d in deployment.daemons))
+        for daemon in deployment.daemons:
+            await daemon.wait_until_ready()
+        await asyncio.sleep(STABLE_WINDOW_S)
+        in_touch = time.monotonic()
+        record.write("the daemons have run and the store was sound for 3 s")
+        for number in range(150):
+            outbound = deployment.daemons[number % 3].outbound
+            headers = {"Host": HOST, "Attempt-Id": f"q{number}", "Deadline-Ms": "3000"}
+            response = await fetch(outbound, "GET", "/read/x", headers)
+            record.write(f"q{number}: {response.status}")
+            await asyncio.sleep(0.02)
+        late = [
+            request.get("attempt-id")
+            for at, request in leaving.runs
+            if at > max(in_touch, acknowledged + DRAIN_S)
+        ]
+        record.write(f"run by i-0-next after its drain period: {late}")
+        return not late
     finally:
         await deployment.close()
 
 
+def show(record: Record, entry: dict | None) -> None:
+    """Record what the store holds of the machine of the instance."""
+    if entry is None:
+        record.write("store: no record of sidecar-0")
+        return
+    state = (entry.get("backend") or {}).get("state")
+    record.write(f"store: sidecar-0 {state}, departure {entry.get('departure')}")
+
+
 sys.exit(run_case(Path(__file__).resolve().parent, play))
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -26,6 +26,7 @@
 METRICS_PORT = 9464
 START_TIMEOUT_S = 20.0
 HEARTBEAT_INTERVAL_S = 1.0
+ZONES = {"stolica-1": "centrum", "wawel-1": "poludnie"}
 PHRASES = {200: "OK", 404: "Not Found", 412: "Precondition Failed", 503: "Unavailable"}
 
 
@@ -490,6 +491,7 @@
         store: str,
         service: str,
         folder: Path,
+        zone: str,
         memory_mb: int = 300,
         bounds: dict[str, object] | None = None,
     ) -> None:
@@ -500,6 +502,7 @@
         self._store = store
         self._service = service
         self._folder = folder
+        self._zone = zone
         self._memory_mb = memory_mb
         self._bounds = bounds or {}
 
@@ -584,8 +587,8 @@
             "machine_class": "sidecar",
             "serves": ["sidecar", "control"],
             "ip": self.ip,
-            "zone": "stolica-1",
-            "region": "centrum",
+            "zone": self._zone,
+            "region": ZONES[self._zone],
             "port_range": [7380, 7395],
             "seeds": [],
             "bootstrap": self.bootstrap,
@@ -621,7 +624,7 @@
             "min_ttl_s": 1,
         }
         tables = {
-            "zones": {"stolica-1": "centrum"},
+            "zones": ZONES,
             "listen": listen,
             "limits": limits,
             "bounds": bounds,
@@ -643,11 +646,19 @@
         Service of each machine.
     configuration
         First configuration of the operator.
+    zones
+        Zone of each machine; the first one by default.
     """
 
     def __init__(
-        self, services: list[str], configuration: dict, **daemon_options: object
+        self,
+        services: list[str],
+        configuration: dict,
+        *,
+        zones: list[str] | None = None,
+        **daemon_options: object,
     ) -> None:
+        self._zones = zones or ["stolica-1"] * len(services)
         octets = os.getpid() % 250 + 2, os.getpid() // 250 % 250 + 2
         self.folder = Path(tempfile.mkdtemp(prefix="almondrouter-"))
         self._network = f"127.{octets[0]}.{octets[1]}"
@@ -670,6 +681,7 @@
                 store=self.store.address,
                 service=service,
                 folder=self.folder,
+                zone=self._zones[number],
                 **self._options,
             )
             instance = Instance(ip, f"i-{number}", service, **instance_options)
