Add a review case: a relay does not pass on a version

A daemon that has restarted and learns of a version before it watches the store never relays it; the others of its region stay behind in quiet hours.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,12 +1,12 @@
-"""Many uploads of legal size at once end the daemons beside the instances."""
+"""A version that a relay learns before it watches the store is not relayed."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import sys
 import time
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -22,84 +22,84 @@
     run_case,
 )
 
-MEMORY_MB = 128
-BODY_BYTES = 4_000_000
-WAVES = 6
-WAVE_INTERVAL_S = 13.0
-UPLOADERS = 20
-"""Clients of each machine that upload at once in each wave."""
-CALM_UPLOADERS = 1
-RESTART_DELAY_S = 1.0
-MAX_ENDS = 2
-"""Ends of one process; with a third one, the process counts for the rule."""
-
-
-class Platform:
-    """Kills a daemon that exceeds its memory and starts it again."""
-
-    def __init__(self, record: Record, daemons: list[Daemon]) -> None:
-        self.ends: Counter[str] = Counter()
-        self.peaks: Counter[str] = Counter()
-        self._record = record
-        self._daemons = daemons
-
-    async def run(self) -> None:
-        """Watch all daemons until cancelled."""
-        await asyncio.gather(*map(self._watch, self._daemons))
-
-    async def _watch(self, daemon: Daemon) -> None:
-        while True:
-            used = daemon.read_memory_mb()
-            self.peaks[daemon.name] = max(self.peaks[daemon.name], round(used))
-            if used > MEMORY_MB:
-                self.ends[daemon.name] += 1
-                self._record.write(f"{daemon.name} holds {used:.0f} MB and is killed")
-                await daemon.stop(signal.SIGKILL)
-                await asyncio.sleep(RESTART_DELAY_S)
-                await daemon.start()
-            await asyncio.sleep(0.02)
+CONFIG_APPLY_S = 2.5
+STABLE_WINDOW_S = 3.0
+JUDGED_UNTIL_S = 5.0
+"""Seconds after the acknowledgement until which requests are sent on the new route."""
+PROBE_INTERVAL_S = 0.25
+REQUEST_INTERVAL_S = 0.05
+ACKNOWLEDGED_AFTER_S = (0.6, 0.8, 1.0, 1.2, 0.7, 0.9)
+"""Seconds from the start of the daemon to the acknowledgement, one for each round."""
+
+
+async def send_forever(daemon: Daemon) -> None:
+    """Send requests of a client to the service of the other region."""
+    tasks = set()
+    number = 0
+    while True:
+        number += 1
+        headers = {"Host": HOST, "Attempt-Id": f"t{number}", "Deadline-Ms": "1000"}
+        request = fetch(daemon.outbound, "GET", "/far/x", headers, timeout=1.5)
+        task = asyncio.create_task(request)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(REQUEST_INTERVAL_S)
+
+
+async def probe(
+    record: Record, daemon: Daemon, name: str, acknowledged_at: float
+) -> int:
+    """Send requests on a new route to one daemon; return how many got 404 too late."""
+    late = number = 0
+    while (after := time.monotonic() - acknowledged_at) < JUDGED_UNTIL_S:
+        number += 1
+        attempt = f"{name}-{daemon.name}-{number}"
+        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "1000"}
+        target = f"/{name}/x"
+        response = await fetch(daemon.outbound, "GET", target, headers, timeout=1.5)
+        record.note(f"{attempt} sent {after:.3f} s after it: {response.status}")
+        late += after > CONFIG_APPLY_S and response.status == 404
+        await asyncio.sleep(PROBE_INTERVAL_S)
+    return late
 
 
 async def play(record: Record, trouble: bool) -> bool:
-    """Return whether fewer than two daemons were ended three times."""
-    route = make_route("up", "docs", "upload", timeout_s=10, target_latency_s=8)
-    services = ["docs"] * 2 + ["shop"] * 10
-    deployment = Deployment(services, make_configuration([route]), memory_mb=MEMORY_MB)
-    answers: Counter[int] = Counter()
-    body = b"x" * BODY_BYTES
-
-    async def upload(daemon: Daemon, attempt: str) -> None:
-        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "10000"}
-        response = await fetch(
-            daemon.outbound, "POST", "/up/x", headers, body, timeout=11.0
-        )
-        answers[response.status] += 1
-
+    """Return whether each version was in force in time at the machines in touch."""
+    routes = [make_route("far", "docs", "safe"), make_route("near", "shop", "safe")]
+    deployment = Deployment(
+        ["shop"] * 4 + ["docs"] * 2,
+        make_configuration(routes),
+        zones=["stolica-1"] * 4 + ["wawel-1"] * 2,
+    )
+    broken = 0
     try:
-        await deployment.start(work_s=1.5)
-        platform = Platform(record, deployment.daemons)
-        watcher = asyncio.create_task(platform.run())
-        count = UPLOADERS if trouble else CALM_UPLOADERS
-        record.write(
-            f"{count} clients on each of 10 machines upload {BODY_BYTES} bytes"
-        )
-        for wave in range(WAVES):
-            next_at = time.monotonic() + WAVE_INTERVAL_S
-            await asyncio.gather(
-                *(
-                    upload(daemon, f"w{wave}m{place}c{number}")
-                    for place, daemon in enumerate(deployment.daemons[2:])
-                    for number in range(count)
-                )
-            )
-            record.write(f"wave {wave}: answers, 0 for none: {dict(answers)}")
-            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
-        watcher.cancel()
-        await asyncio.gather(watcher, return_exceptions=True)
-        record.write(f"answers by status, 0 for none: {dict(answers)}")
-        record.write(f"largest memory in MB: {dict(platform.peaks)}")
-        record.write(f"daemons ended for their memory: {dict(platform.ends)}")
-        return sum(ends > MAX_ENDS for ends in platform.ends.values()) < 2
+        await deployment.start(work_s=0.02)
+        first, *others = deployment.daemons[:4]
+        traffic = asyncio.create_task(send_forever(first))
+        await asyncio.sleep(1.0)
+        for place, delay in enumerate(ACKNOWLEDGED_AFTER_S):
+            if trouble:
+                await first.stop(signal.SIGTERM)
+                await asyncio.sleep(1.0)
+                await first.start()
+            await asyncio.sleep(delay)
+            name = f"new{place}"
+            routes.append(make_route(name, "docs", "safe"))
+            configuration = make_configuration(routes, version=f"r{9 + place}")
+            value = json.dumps(configuration).encode()
+            await deployment.store.put("op/config", value)
+            acknowledged_at = time.monotonic()
+            record.write(f"version r{9 + place} acknowledged, which adds /{name}/")
+            probes = [probe(record, d, name, acknowledged_at) for d in others]
+            late = await asyncio.gather(*probes)
+            counts = {d.name: n for d, n in zip(others, late, strict=True)}
+            record.write(f"404 later than {CONFIG_APPLY_S} s after it: {counts}")
+            broken += any(late)
+            await asyncio.sleep(STABLE_WINDOW_S)
+        traffic.cancel()
+        rounds = len(ACKNOWLEDGED_AFTER_S)
+        record.write(f"rounds with the rule broken: {broken} of {rounds}")
+        return not broken
     finally:
         await deployment.close()
 
