Log what delivered a configuration, and when a relay sends it on

The line "configuration in force" now names its source (read or watch of the store, notice or query of a peer), and a relay writes one line for each configuration that it sends to its region.

test_served_by_the_old_service counted lines with `"version":5`, whatever their event, and took the line of the relay for the activation of the second host. It now counts the lines "configuration in force", which is what it waits for.

--- a/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
+++ b/packages/almondrouter/src/almondrouter/coordination/activeroutes.py
@@ -64,14 +64,20 @@
     ) -> None:
         for item in items:
             if item.key == self._key:
-                self.activate(item.value)
+                self.activate(item.value, source="read of the store")
 
     def apply(self, event: WatchEvent) -> None:  # noqa: D102
         if event.key == self._key and event.value is not None:
-            self.activate(event.value)
+            self.activate(event.value, source="watch of the store")
 
-    def activate(self, value: bytes) -> None:
-        """Activate a configuration in its stored form if it is valid and newer."""
+    def activate(self, value: bytes, *, source: str = "") -> None:
+        """Activate a configuration in its stored form if it is valid and newer.
+
+        Parameters
+        ----------
+        source
+            What delivered the configuration, for the log.
+        """
         try:
             table = self._decode(value)
         except FindingsError as error:
@@ -92,5 +98,10 @@
         previous = self.version
         self.previous = (previous, self.stored_form)
         self.table, self.stored_form = table, value
-        _log.info("configuration in force", version=table.version, before=previous)
+        _log.info(
+            "configuration in force",
+            version=table.version,
+            before=previous,
+            source=source,
+        )
         self._on_activated()
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -226,9 +226,15 @@
         if not self._feed.watching:
             return
         notice = self._make_routes_delta_notice()
-        for entry in self._directory.entries:
-            if self._is_region_peer(entry):
-                self._links.send_notice(entry.peer_address, notice)
+        peers = [e for e in self._directory.entries if self._is_region_peer(e)]
+        for entry in peers:
+            self._links.send_notice(entry.peer_address, notice)
+        _log.info(
+            "configuration sent to the hosts of the region",
+            version=notice.version,
+            base=notice.base,
+            hosts=len(peers),
+        )
 
     def hears_of_routes(self, *, within: float) -> bool:
         """Return whether a new configuration would have reached this daemon.
@@ -381,7 +387,7 @@
             )
             self.catch_up_to(notice.version, notice.peer_address)
             return
-        self._routes.activate(value)
+        self._routes.activate(value, source="notice of a peer")
 
     def _make_full_routes_notice(self) -> RoutesNotice:
         """Return a notice with the full configuration in force."""
@@ -439,7 +445,7 @@
                 )
                 return
         if body:
-            self._routes.activate(body)
+            self._routes.activate(body, source="query of a peer")
 
     def _finish_catch_up(self, task: asyncio.Task) -> None:
         self._catch_up_task = None
--- a/tests/test_docs_operations.py
+++ b/tests/test_docs_operations.py
@@ -17,6 +17,7 @@
 import unittest
 from pathlib import Path
 
+from almondctl.logs import IN_FORCE_EVENT
 from almondctl.main import main
 from almondrouter_standins.platform_fleet import CONFIGURATION_KEY, PlatformFleet
 from platform_support import make_configuration
@@ -118,10 +119,10 @@
         await self.fleet.store.put(
             CONFIGURATION_KEY, make_configuration(5, timeout=5.0)
         )
-        await self.wait_for_log('"version":5')
+        await self.wait_for_log(f'{IN_FORCE_EVENT}","version":5')
         await asyncio.sleep(0.5)
         self.fleet.daemons[1].send_signal(signal.SIGCONT)
         async with asyncio.timeout(60.0):
-            while self.fleet.read_logs().count('"version":5') < 2:
+            while self.fleet.read_logs().count(f'{IN_FORCE_EVENT}","version":5') < 2:
                 await asyncio.sleep(0.01)
         await self.run_walkthrough(3, "5")
