Let a new relay send its region the version that it already has

Cause: a relay sent a version on only as it came into force while it watched the store. A started daemon watches after 2 s; a reply from another region tells it of a version before, for which it reads the store. Once it watches, the store has nothing new for it, so nothing comes into force and nothing is sent.

Why this works: whatever the way in which a daemon learned a version, it sends it once it is the relay. It sends the whole configuration if it does not know that a relay has sent that version, else the difference from the one before, for hosts that miss it because the relay before failed while it sent. Hosts that have the version drop the notice undecoded.

--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -134,6 +134,7 @@
         self._hosts_without_store: set[str] = set()
         self._catch_up_task: asyncio.Task | None = None
         self._compressed_routes = (-1, b"")
+        self._relayed_version = 0
         self._routes_heard_at = clock.monotonic()
 
     def make_notice(
@@ -223,9 +224,26 @@
 
     def relay_routes(self) -> None:
         """Send the configuration in force to the region if this daemon is its relay."""
-        if not self._feed.watching:
-            return
-        notice = self._make_routes_delta_notice()
+        if self._feed.watching:
+            self._send_routes_to_region(self._make_routes_delta_notice())
+
+    def _relay_known_routes(self) -> None:
+        """Send the configuration in force to the region as its new relay.
+
+        Notes
+        -----
+        The store tells a new relay nothing that it knows already. It may have learned a
+        version in another way while no daemon watched, or the relay before it may have
+        failed while it sent that version.
+        """
+        version = self._routes.version
+        if version > self._relayed_version:
+            self._send_routes_to_region(self._make_full_routes_notice())
+        elif version:
+            self._send_routes_to_region(self._make_routes_delta_notice())
+
+    def _send_routes_to_region(self, notice: RoutesNotice) -> None:
+        self._relayed_version = notice.version
         peers = [e for e in self._directory.entries if self._is_region_peer(e)]
         for entry in peers:
             self._links.send_notice(entry.peer_address, notice)
@@ -289,7 +307,10 @@
         self._update_probes(candidates)
         self._announce_silent_peers()
         self._update_isolation()
+        was_watching = self._feed.watching
         self._feed.set_watching(self._election.is_relay(candidates))
+        if self._feed.watching and not was_watching:
+            self._relay_known_routes()
 
     def select_peers(self) -> None:
         """Choose the hosts to keep links to and to probe; open the missing links."""
@@ -372,6 +393,9 @@
         return entry.region == self._own_region and entry.host != self._own_host
 
     def _handle_routes_notice(self, notice: RoutesNotice) -> None:
+        self._relayed_version = max(self._relayed_version, notice.version)
+        if 0 < notice.version <= self._routes.version:
+            return
         if notice.base and notice.base != self._routes.version:
             self.catch_up_to(notice.version, notice.peer_address)
             return
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -162,6 +162,13 @@
             while {await self.read_version(n) for n in hosts} != {version}:
                 await asyncio.sleep(0.02)
 
+    async def wait_for_log_line(self, event, *, host):
+        """Wait until a host's daemon has logged an event that begins so."""
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            path = self.fleet.list_log_paths()[host]
+            while f'"event":"{event}' not in path.read_text():
+                await asyncio.sleep(0.02)
+
     async def test_requests_without_faults(self):
         """Guards against requests that fail although no fault is injected."""
         await self.start_fleet()
@@ -333,6 +340,29 @@
         await self.wait_for_versions(5)
         self.assert_guarantees()
 
+    async def test_version_spreads_while_the_relay_restarts(self):
+        """Guards against a version that a restarted relay learns before it watches.
+
+        A reply from the other region tells the relay. The other host of its region gets
+        no calls, so that only the relay can tell it.
+        """
+        await self.start_fleet(hosts=4)
+        for number in (0, 2):
+            backend = self.fleet.backends[number]
+            backend.state = "draining"
+            while not backend.acknowledged["draining"]:
+                await asyncio.sleep(0.02)
+        await self.fleet.stop_daemon(0, signal.SIGTERM)
+        await self.wait_for_log_line("watching the store", host=2)
+        await self.fleet.start_daemon(0)
+        await self.wait_for_log_line("stopped watching the store", host=2)
+        await self.fleet.store.put(CONFIGURATION_KEY, make_configuration(5))
+        await self.wait_for_versions(5, hosts=(1, 3))
+        while await self.read_version(0) < 5:
+            await self.fleet.send(0, "/read/1")
+        await self.wait_for_versions(5, hosts=(2,))
+        self.assert_guarantees()
+
     @parameterized.expand([("sent before it", False), ("sent after it", True)])
     async def test_stop_answers_requests_that_wait_elsewhere(self, _, sent_after):
         """Guards against a stop that cuts requests waiting for a slot elsewhere.
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -12,6 +12,7 @@
 
 from almondrouter.clock import SystemClock
 from almondrouter.coordination.activeroutes import ActiveRoutes
+from almondrouter.coordination.deltas import make_delta
 from almondrouter.coordination.directory import HostDirectory
 from almondrouter.coordination.isolation import ISOLATION_DELAY_S
 from almondrouter.coordination.probing import PROBED_SUCCESSORS
@@ -332,6 +333,48 @@
         self.routes.activate(make_configuration(4))
         self.assertEqual(sent, len(self.links.notices))
 
+    async def test_new_relay_sends_a_version_that_it_learned_before(self):
+        """Guards against a version that a region misses because its relay had it early.
+
+        A started daemon polls for some seconds before it watches, and may learn of
+        several versions meanwhile.
+        """
+        self.receive_notice("h6", version=3)
+        self.feed.watching = False
+        for version in (4, 5):
+            self.routes.activate(make_configuration(version))
+        self.peers.run_maintenance()
+        ((address, notice),) = self.links.notices
+        self.assertEqual("h6:1", address)
+        self.assertEqual((5, 0), (notice.version, notice.base))
+        self.peers.run_maintenance()
+        self.assertEqual(1, len(self.links.notices))
+
+    async def test_new_relay_repeats_the_last_version_of_the_relay_before(self):
+        """Guards against a version that only a part of the region got.
+
+        The earlier relay may have lost power while it sent the version.
+        """
+        self.receive_notice("h6", version=3)
+        self.feed.watching = False
+        self.routes.activate(make_configuration(3))
+        earlier = ActiveRoutes(CONFIGURATION_KEY, decode_routes)
+        earlier.activate(make_configuration(3))
+        earlier.activate(make_configuration(4))
+        self.peers.handle_notice(make_relayed_notice(earlier))
+        self.peers.run_maintenance()
+        ((address, notice),) = self.links.notices
+        self.assertEqual("h6:1", address)
+        self.assertEqual((4, 3), (notice.version, notice.base))
+
+    async def test_new_relay_without_routes_sends_nothing(self):
+        """Guards against an empty configuration that a started relay sends."""
+        self.receive_notice("h6", version=0)
+        self.feed.watching = False
+        self.peers.run_maintenance()
+        self.assertTrue(self.feed.watching)
+        self.assertEqual([], self.links.notices)
+
     async def test_outdated_peer_is_sent_the_configuration(self):
         """Guards against a restarted daemon that needs the store to get its routes."""
         self.routes.activate(make_configuration(4))
@@ -451,6 +494,13 @@
     return [n for notice in notices for n in (notice.version, notice.base)]
 
 
+def make_relayed_notice(routes):
+    """Return the notice in which a relay sends on its latest version."""
+    base, base_form = routes.previous
+    delta = make_delta(base_form, routes.stored_form)
+    return RoutesNotice(delta, routes.version, base, "h1:1")
+
+
 def make_routes_reply(routes):
     """Return the reply to a routes query of a peer with these routes in force."""
     query = RoutesQuery(0, 0.0, accepts_compressed=True)
