Log each write of the own host record with its revision

One line a write names the revision of the store, the state of the server and the departure in the record.

--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -175,6 +175,12 @@
         self._written_entry, self.written_revision = entry, result.revision
         self._written.set()
         self.counts["written"] += 1
+        _log.info(
+            "own record written",
+            revision=result.revision,
+            state=entry.backend.state.value if entry.backend else None,
+            left=entry.departure.backend if entry.departure else None,
+        )
 
     async def _wait_for_change(self, seconds: float) -> None:
         try:
