Replace a host record only at the revision that is known

Cause: a host record was written without a condition. The store may execute a write that it did not answer seconds later; that write then replaced the record that named the departure.

Evidence: with the log line of each write (the commit before) the daemon has written ready, ready and leaving with the departure, at revisions 12, 15 and 16; after that the store holds a record without the departure that the daemon never logged. Three of the new tests failed before the change: test_late_write_does_not_replace_a_later_one (both cases), test_record_of_an_earlier_daemon_is_read_before_it_is_replaced and, with processes, test_late_write_does_not_undo_a_departure.

Why this works: a write is conditional on the revision of the record that it replaces, so that of all writes for one revision only the first one takes effect. After a failed condition the daemon reads the record, takes over what an earlier daemon of the host wrote there, and writes with the revision that it read. That also mends a related path: the first heartbeat after a restart could overwrite the record of the earlier daemon, with a departure in it, before it was read.

The stand-in of the platform's store learns calls that it does not answer and executes later (StoreFault.LATE). HostRecords passes the revision of the own record on, so a test that takes only the record ignores it; what it checks is as before.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
@@ -6,6 +6,7 @@
 import base64
 import itertools
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from http import HTTPStatus
@@ -28,8 +29,10 @@
 
     ``UNAVAILABLE`` and ``RATE_LIMITED`` calls are refused. The response of a
     ``NO_RESPONSE`` or ``RESPONSE_LOST`` call is delayed beyond any timeout; the
-    former also takes effect only then, the latter at once. The response of a
-    ``MALFORMED`` call has values of the wrong types, and the call has no effect.
+    former also takes effect only then, the latter at once. A ``LATE`` call is not
+    answered either, and takes effect when `PlatformStoreServer.execute_late_calls` is
+    called. The response of a ``MALFORMED`` call has values of the wrong types, and the
+    call has no effect.
     """
 
     NONE = auto()
@@ -37,6 +40,7 @@
     RATE_LIMITED = auto()
     NO_RESPONSE = auto()
     RESPONSE_LOST = auto()
+    LATE = auto()
     MALFORMED = auto()
 
 
@@ -78,6 +82,8 @@
         Number of range reads that allowed stale results.
     stale_items
         Items that stale reads return; None for the current ones.
+    late_calls
+        Functions that execute the ``LATE`` calls, oldest first.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -92,6 +98,7 @@
         self.calls: Counter[str] = Counter()
         self.stale_reads = 0
         self.stale_items: dict[str, _Item] | None = None
+        self.late_calls: list[Callable[[], Awaitable[CallerResponse]]] = []
         self.server = CallerServer(
             address="127.0.0.1:0", handler=self._handle, max_body_bytes=MAX_BODY_BYTES
         )
@@ -129,6 +136,12 @@
             self._delete(key)
             self._changed.notify_all()
 
+    async def execute_late_calls(self) -> None:
+        """Let the ``LATE`` calls take effect, if their conditions still hold."""
+        late_calls, self.late_calls = self.late_calls, []
+        for execute in late_calls:
+            await execute()
+
     def freeze_stale_reads(self) -> None:
         """Let stale reads return the present state from now on."""
         self.stale_items = dict(self._state.items)
@@ -175,6 +188,12 @@
             return make_response(HTTPStatus.TOO_MANY_REQUESTS)
         if fault is StoreFault.MALFORMED:
             return CallerResponse(HTTPStatus.OK, (), b'{"items": 7, "at": "x"}')
+        if fault is StoreFault.LATE:
+            self.late_calls.append(
+                lambda: self._dispatch(name, argument, request, parts.query)
+            )
+            await asyncio.sleep(RESPONSE_DELAY_S)
+            return make_response(HTTPStatus.SERVICE_UNAVAILABLE)
         if fault is StoreFault.NO_RESPONSE:
             await asyncio.sleep(RESPONSE_DELAY_S)
         response = await self._dispatch(name, argument, request, parts.query)
--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -15,6 +15,7 @@
 from almondrouter.logs import EventLogger
 from almondrouter.state.hosts import HostEntry, decode_host, encode_host
 from almondrouter.transport.store import (
+    Compare,
     KeyValue,
     Lease,
     Put,
@@ -51,6 +52,21 @@
         Called after each call of the store with whether it responded.
     on_registered
         Called when the record has been written for the first time.
+    on_replaced
+        Called with a record that another process has written, before it is replaced;
+        usually an earlier daemon of the host.
+
+    Attributes
+    ----------
+    stored_revision
+        Revision of the store at which the record was last written, as far as this
+        daemon knows; 0 if there is none.
+
+    Notes
+    -----
+    The store may execute a write that it did not answer seconds later. Each write is
+    therefore conditional on the revision of the record that it replaces, so that it has
+    no effect after a later write.
     """
 
     def __init__(
@@ -62,16 +78,19 @@
         random: random_module.Random,
         on_contact: Callable[[bool], None] = lambda reached: None,
         on_registered: Callable[[], None] = lambda: None,
+        on_replaced: Callable[[HostEntry], None] = lambda entry: None,
     ) -> None:
         self._on_contact = on_contact
         self._on_registered = on_registered
+        self._on_replaced = on_replaced
         self._store = store
         self._make_entry = make_entry
         self._clock = clock
         self._random = random
         self._lease: Lease | None = None
         self._written_entry: HostEntry | None = None
-        self.written_revision = 0
+        self._unanswered: Put | None = None
+        self.stored_revision = 0
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
         self._backoff_s = INITIAL_BACKOFF_S
@@ -96,9 +115,16 @@
         """Schedule a write of the record because the store no longer has it."""
         if self._written_entry is not None:
             self.counts["lost"] += 1
-            self._written_entry = None
+            self._forget_stored_record()
             self._changed.set()
 
+    def note_stored_revision(self, revision: int) -> None:
+        """Take over from a read at which revision the record was last written."""
+        self.stored_revision = max(self.stored_revision, revision)
+
+    def _forget_stored_record(self) -> None:
+        self._written_entry, self.stored_revision = None, 0
+
     async def run(self) -> None:
         """Keep the record up to date and its lease renewed until cancelled."""
         while True:
@@ -110,7 +136,8 @@
             except AlmondError as error:
                 self.counts[error.code.value] += 1
                 if error.code is ErrorCode.LEASE_EXPIRED:
-                    self._lease, self._written_entry = None, None
+                    self._lease = None
+                    self._forget_stored_record()
                     _log.warning(
                         "lease of own record expired; registering again",
                         code=error.code.value,
@@ -168,16 +195,52 @@
         if self._lease is None or not self._needs_write(entry):
             return
         put = Put(HOSTS_PREFIX + entry.host, encode_host(entry), self._lease.lease_id)
-        result = await self._store.commit(Transaction(success=(put,)))
+        condition = Compare(put.key, self.stored_revision)
+        earlier, self._unanswered = self._unanswered, put
+        result = await self._store.commit(Transaction((condition,), (put,)))
+        self._unanswered = None
         self._on_contact(True)
+        if result.succeeded:
+            self._record_write(entry, result.revision)
+        elif await self._read_stored_value(put.key) == put.value and earlier == put:
+            self._record_write(entry, self.stored_revision)
+        else:
+            self._changed.set()
+
+    async def _read_stored_value(self, key: str) -> bytes | None:
+        """Return the record in the store after a write whose condition did not hold."""
+        self.counts["conflicts"] += 1
+        items = (await self._store.read(key)).items
+        _log.info(
+            "own record is not the one to be replaced; reading it",
+            expected=self.stored_revision,
+            found=items[0].mod_revision if items else 0,
+        )
+        if not items:
+            self.stored_revision = 0
+            return None
+        self.stored_revision = items[0].mod_revision
+        self._report_replaced(items[0].value)
+        return items[0].value
+
+    def _report_replaced(self, value: bytes) -> None:
+        try:
+            found = decode_host(value)
+        except AlmondError as error:
+            _log.warning("invalid own record replaced", reason=error.message)
+            return
+        if found.incarnation != self._make_entry().incarnation:
+            self._on_replaced(found)
+
+    def _record_write(self, entry: HostEntry, revision: int) -> None:
         if not self.counts["written"]:
             self._on_registered()
-        self._written_entry, self.written_revision = entry, result.revision
+        self._written_entry, self.stored_revision = entry, revision
         self._written.set()
         self.counts["written"] += 1
         _log.info(
             "own record written",
-            revision=result.revision,
+            revision=revision,
             state=entry.backend.state.value if entry.backend else None,
             left=entry.departure.backend if entry.departure else None,
         )
@@ -204,8 +267,8 @@
     on_loaded
         Called after each complete read.
     on_own_seen
-        Called with the record of this host after a complete read; an earlier
-        daemon of the host may have written it.
+        Called with the record of this host, and the revision at which it was written,
+        after a complete read; an earlier daemon of the host may have written it.
     own_revision
         Returns the revision of the store at which the record of this host was last
         written.
@@ -218,7 +281,7 @@
         own_host: str,
         on_own_lost: Callable[[], None],
         on_loaded: Callable[[], None] = lambda: None,
-        on_own_seen: Callable[[HostEntry], None] = lambda entry: None,
+        on_own_seen: Callable[[HostEntry, int], None] = lambda entry, revision: None,
         own_revision: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._own_revision = own_revision
@@ -240,14 +303,15 @@
     def load(  # noqa: D102
         self, items: Sequence[KeyValue], *, stale: bool = False, revision: int = 0
     ) -> None:
-        entries = {}
+        entries, revisions = {}, {}
         for item in items:
             entry = self._decode_record(item.key, item.value)
             if entry is not None:
                 entries[entry.host] = entry
+                revisions[entry.host] = item.mod_revision
         own = entries.get(self._own_host)
         if own is not None:
-            self._on_own_seen(own)
+            self._on_own_seen(own, revisions[self._own_host])
         elif not stale or revision > self._own_revision():
             # Any other stale read may predate the record.
             self._on_own_lost()
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -221,14 +221,15 @@
             random=self._random,
             on_contact=lambda reached: self.feed.record_contact(reached=reached),
             on_registered=lambda: self.feed.request_changes(),
+            on_replaced=self._restore_from_record,
         )
         records = HostRecords(
             self.directory,
             own_host=settings.host,
             on_own_lost=self.registration.restore_record,
             on_loaded=lambda: self._peers.select_peers(),
-            on_own_seen=self._restore_from_record,
-            own_revision=lambda: self.registration.written_revision,
+            on_own_seen=self._note_own_record,
+            own_revision=lambda: self.registration.stored_revision,
         )
         self.feed = StoreFeed(
             self._store,
@@ -661,6 +662,10 @@
         self._evidence.merge_record(entry)
         self._rollouts.versions.note_record(entry)
 
+    def _note_own_record(self, entry: HostEntry, revision: int) -> None:
+        self.registration.note_stored_revision(revision)
+        self._restore_from_record(entry)
+
     def _restore_from_record(self, entry: HostEntry) -> None:
         """Restore what the record of this host's earlier daemon tells.
 
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -16,6 +16,8 @@
 import msgspec
 from parameterized import parameterized
 
+from almondrouter.coordination.registration import HOSTS_PREFIX
+from almondrouter.state.hosts import decode_host
 from almondrouter_standins.platform_backend import DRAIN_PERIOD_S, SLOTS
 from almondrouter_standins.platform_fleet import (
     CONFIGURATION_KEY,
@@ -257,6 +259,41 @@
         self.assertEqual({200: 60}, statuses)
         self.assert_guarantees()
 
+    async def test_late_write_does_not_undo_a_departure(self):
+        """Guards against requests to a server that left, after all daemons restart.
+
+        The store gives no answer to the first record of the server, which says that it
+        is ready, and executes that write after the one that names the departure.
+        """
+        await self.start_fleet(stop_within=SHORT_GRACE_PERIOD_S)
+        store = self.fleet.store
+        store.fault, store.faulty_calls = StoreFault.LATE, {"kv-txn"}
+        await self.fleet.replace_backend(0)
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while not store.late_calls:
+                await asyncio.sleep(0.02)
+        store.fault = StoreFault.NONE
+        backend = self.fleet.backends[0]
+        backend.state = "draining"
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while decode_host(store.keys[HOSTS_PREFIX + "host-0"]).departure is None:
+                await asyncio.sleep(0.02)
+            while not backend.acknowledged["draining"]:
+                await asyncio.sleep(0.02)
+        backend.sends_heartbeats = False
+        await store.execute_late_calls()
+        for number in range(3):
+            await self.fleet.stop_daemon(number, signal.SIGKILL)
+        for number in range(3):
+            await self.fleet.start_daemon(number)
+        for number in range(3):
+            await self.fleet.wait_until_ready(number)
+        drained_at = backend.draining_since + DRAIN_PERIOD_S
+        await asyncio.sleep(max(0.0, drained_at - time.monotonic()) + RESTORE_DELAY_S)
+        statuses = await self.send_requests(60, hosts=(0, 1, 2))
+        self.assertEqual({200: 60}, statuses)
+        self.assert_guarantees()
+
     async def test_departure_that_nobody_else_knows_of_is_not_acknowledged(self):
         """Guards against a promise that a restart of the daemon would break."""
         await self.start_fleet(hosts=1)
--- a/tests/test_coordination_storefeed.py
+++ b/tests/test_coordination_storefeed.py
@@ -7,6 +7,7 @@
 import unittest
 from unittest.mock import patch
 
+from msgspec.structs import replace
 from parameterized import parameterized
 
 from almondrouter.clock import SystemClock
@@ -20,7 +21,7 @@
 )
 from almondrouter.coordination.rollouts.orders import OrderBook
 from almondrouter.coordination.storefeed import StoreFeed, find_common_prefix
-from almondrouter.state.hosts import Departure, ServingState, encode_host
+from almondrouter.state.hosts import Departure, ServingState, decode_host, encode_host
 from almondrouter.state.rollouts import RolloutOrder
 from almondrouter_standins.platform_store import PlatformStoreServer, StoreFault
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
@@ -57,12 +58,14 @@
             random=random.Random(1),
             on_contact=lambda reached: self.feed.record_contact(reached=reached),
             on_registered=lambda: self.feed.request_changes(),
+            on_replaced=lambda entry: self.replaced.append(entry),
         )
+        self.replaced = []
         records = HostRecords(
             self.directory,
             own_host="own",
             on_own_lost=self.registration.restore_record,
-            own_revision=lambda: self.registration.written_revision,
+            own_revision=lambda: self.registration.stored_revision,
         )
         self.connection_states = []
         self.feed = self.make_feed(records)
@@ -227,6 +230,54 @@
             await self.registration.wait_until_written()
         self.assertEqual(encode_host(self.entry), self.server.keys[key])
 
+    async def lose_write(self, fault):
+        """Let the store give no answer to one write of the record."""
+        self.server.fault, self.server.faulty_calls = fault, {"kv-txn"}
+        calls = self.server.calls["kv-txn"]
+        self.entry = replace(self.entry, change=self.entry.change + 1)
+        self.registration.update()
+        await wait_until(lambda: self.server.calls["kv-txn"] > calls)
+        self.server.fault = StoreFault.NONE
+
+    async def wait_until_written(self):
+        self.registration.update()
+        await self.registration.wait_until_written()
+
+    @parameterized.expand([("first write", False), ("later write", True)])
+    async def test_late_write_does_not_replace_a_later_one(self, _, later):
+        """Guards against a departure that an earlier write of the record undoes."""
+        if later:
+            await self.wait_until_written()
+        await self.lose_write(StoreFault.LATE)
+        left = Departure("b1", 1)
+        change = self.entry.change + 1
+        self.entry = replace(self.entry, change=change, departure=left)
+        await self.wait_until_written()
+        self.assertEqual(1, len(self.server.late_calls))
+        await self.server.execute_late_calls()
+        self.assertEqual(self.entry, self.read_stored_record())
+
+    async def test_write_whose_answer_was_lost_is_recognized(self):
+        """Guards against a record that is not written again after a lost answer."""
+        await self.lose_write(StoreFault.RESPONSE_LOST)
+        await self.wait_until_written()
+        self.assertEqual(self.entry, self.read_stored_record())
+        self.assertEqual(2, self.server.calls["kv-txn"])
+
+    async def test_record_of_an_earlier_daemon_is_read_before_it_is_replaced(self):
+        """Guards against a departure that a restarted daemon overwrites unread."""
+        left = Departure("b1", 1)
+        earlier = replace(self.entry, incarnation=0, departure=left)
+        await self.server.put(HOSTS_PREFIX + "own", encode_host(earlier))
+        self.server.faulty_calls = {"kv-range"}
+        self.server.fault = StoreFault.NO_RESPONSE
+        await self.wait_until_written()
+        self.assertEqual([earlier], self.replaced)
+        self.assertEqual(self.entry, self.read_stored_record())
+
+    def read_stored_record(self):
+        return decode_host(self.server.keys[HOSTS_PREFIX + "own"])
+
     async def test_invalid_records_do_not_hide_the_others(self):
         """Guards against one invalid record that prevents reading the others."""
         await self.server.put(HOSTS_PREFIX + "bad", b"\xff")
@@ -382,7 +433,7 @@
             HostDirectory(clock=SystemClock(), is_alive=lambda _: False),
             own_host="own",
             on_own_lost=self.fail,
-            on_own_seen=seen.append,
+            on_own_seen=lambda entry, _: seen.append(entry),
         )
         feed = self.make_feed(
             records, poll_for=60.0, first_read_may_be_stale=first_start
