Take no end of a response for the whole while its request is being sent

Cause: the end of the connection delimits such a body, and the client asked the socket for an error at that moment only. The reset follows once more bytes of the upload arrive.

Why this works: a server that reads the request acknowledges it with its response at the latest. Bytes that the transport still holds, or that the socket has sent without an acknowledgement (SIOCOUTQ), show one that gave up; its response then counts as broken off, with an unknown outcome. Responses with a length are not concerned.

--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -24,6 +24,7 @@
 )
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.listeners import (
+    count_unreceived_bytes,
     set_tcp_user_timeout,
     take_socket_error,
 )
@@ -501,18 +502,23 @@
         -----
         uvloop also reports an end if the connection was reset while received bytes
         were still to be read; the error is then pending at the socket. ``EPIPE`` stands
-        for a reset that followed an orderly end.
+        for a reset that followed an orderly end. A server that ends its response before
+        it has received the request may have given up on both.
         """
         self.reusable = False
         ends_here = self._headers_done and not self._framed and not self._complete
         if not ends_here or not self._accept_unframed or self._future is None:
             return
         error = take_socket_error(self._transport)
-        if error in (0, errno.EPIPE):
-            self._complete_response()
-        else:
+        if error not in (0, errno.EPIPE):
             reason = os.strerror(error)
             self._abort_with_error(f"response without a length broke off: {reason}")
+        elif unreceived := count_unreceived_bytes(self._transport):
+            self._abort_with_error(
+                f"response without a length ended {unreceived} bytes before its request"
+            )
+        else:
+            self._complete_response()
 
     def connection_lost(self, error: Exception | None) -> None:  # noqa: D102
         waiting = self._future is not None and not self._future.done()
--- a/packages/almondrouter/src/almondrouter/transport/listeners.py
+++ b/packages/almondrouter/src/almondrouter/transport/listeners.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from almondrouter.addresses import split_address
 from almondrouter.errors import AlmondError, ErrorCode
+from almondrouter.logs import EventLogger
 
 TICK_INTERVAL_S = 1.0
 
+_log = EventLogger("listeners")
+
 
 class Listener(ABC):
     """TCP server that checks its connections periodically.
@@ -112,6 +118,28 @@
     return connected.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
 
+def count_unreceived_bytes(transport: asyncio.Transport) -> int:
+    """Return the written bytes that the other end's host has not acknowledged.
+
+    Returns
+    -------
+    int
+        Bytes in the buffers of the transport and of its socket (``SIOCOUTQ``); the
+        latter count as 0 for transports without a socket.
+    """
+    waiting = transport.get_write_buffer_size()
+    connected = transport.get_extra_info("socket")
+    if connected is None or connected.fileno() < 0:
+        return waiting
+    queued = bytearray(4)
+    try:
+        fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, queued)
+    except OSError as error:
+        _log.request("the send queue of a socket cannot be read", reason=str(error))
+        return waiting
+    return waiting + int.from_bytes(queued, sys.byteorder)
+
+
 def set_reset_on_close(transport: asyncio.Transport, *, enabled: bool) -> None:
     """Choose whether the connection is reset if it ends without a half-close.
 
