Refuse responses whose status is none of HTTP

Callers saw (a report of other operators, checked here): after a response with status 000 from a backend server that kept the connection open, nothing until their deadline. A status of 600 or 999 reached them as an answer.

Cause: the parser accepts any three digits. Below 200 the client took a response for an interim one and waited for another. The decoder of replies of other daemons accepts any integer.

Why this works: a status outside 100 to 599 (RFC 9110, section 15) fails the attempt once the head is read, and a reply that claims a complete response with one fails its call. Both have an unknown outcome, so that nothing that runs at most once is sent again.

--- a/packages/almondrouter/src/almondrouter/protocol/outcomes.py
+++ b/packages/almondrouter/src/almondrouter/protocol/outcomes.py
@@ -39,6 +39,8 @@
     ErrorCode.FRAME_TOO_LARGE: 413,
     ErrorCode.LIMITED: 429,
 }
+STATUS_CODES = range(100, 600)
+"""Valid HTTP status codes (RFC 9110 section 15)."""
 _TIMEOUT_CODES = frozenset({ErrorCode.DEADLINE_EXCEEDED, ErrorCode.PEER_TIMEOUT})
 
 
--- a/packages/almondrouter/src/almondrouter/transport/backends.py
+++ b/packages/almondrouter/src/almondrouter/transport/backends.py
@@ -16,7 +16,7 @@
 from almondrouter.errors import ErrorCode
 from almondrouter.protocol.calls import HeaderList
 from almondrouter.protocol.headers import OUTCOME, SEND_ID, Outcome
-from almondrouter.protocol.outcomes import CallError
+from almondrouter.protocol.outcomes import STATUS_CODES, CallError
 from almondrouter.transport.calls import (
     BackendResponse,
     BackendSender,
@@ -566,8 +566,11 @@
         self._header_texts.append(value.decode("latin-1"))
 
     def on_headers_complete(self) -> None:
-        """Check for a body length; complete a response to HEAD, which has no body."""
-        if self._parser.get_status_code() < HTTPStatus.OK:
+        """Check status and framing; complete a response to HEAD, which has no body."""
+        status = self._parser.get_status_code()
+        if status not in STATUS_CODES:
+            raise ValueError(f"response has the invalid status code {status:03d}")
+        if status < HTTPStatus.OK:
             return
         self._headers_done = True
         names, values = self._header_texts[::2], self._header_texts[1::2]
--- a/packages/almondrouter/src/almondrouter/transport/outbound_link.py
+++ b/packages/almondrouter/src/almondrouter/transport/outbound_link.py
@@ -21,7 +21,7 @@
     ReplyPart,
 )
 from almondrouter.protocol.headers import Outcome
-from almondrouter.protocol.outcomes import CallError
+from almondrouter.protocol.outcomes import STATUS_CODES, CallError
 from almondrouter.transport.deadlines import Deadlines
 from almondrouter.transport.frames import FrameStream
 from almondrouter.transport.parts import PartedBody
@@ -215,6 +215,11 @@
         if call is None or call.reply.done():
             self._counts["late"] += 1
             return
+        if frame.outcome is Outcome.COMPLETE and frame.status not in STATUS_CODES:
+            self._counts["replies_invalid"] += 1
+            message = f"reply has the invalid status code {frame.status:03d}"
+            call.reply.set_exception(ConnectionResetError(message))
+            return
         if call.body is None and not frame.parts_bytes:
             call.reply.set_result(frame)
             return
--- a/tests/test_transport_backends.py
+++ b/tests/test_transport_backends.py
@@ -125,6 +125,23 @@
         await self.assert_fails(self.send(), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN)
         self.assertEqual(1, len(self.requests))
 
+    @parameterized.expand(
+        [
+            (status, framing)
+            for status in ("000", "001", "099", "20", "600", "999", "1000", "0200")
+            for framing in ("Content-Length: 4\r\n\r\nbody", "\r\nbody")
+        ]
+    )
+    async def test_response_with_an_invalid_status_is_unknown(self, status, framing):
+        """Guards against an answer whose status is none of HTTP.
+
+        The connection stays open: waiting for another response would only end with the
+        deadline of the caller.
+        """
+        self.use_client(accept_unframed=True)
+        self.script = (f"HTTP/1.1 {status} x\r\n{framing}".encode(), False)
+        await self.assert_fails(self.send(), ErrorCode.BACKEND_FAILED, Outcome.UNKNOWN)
+
     async def test_stale_connection_lowers_the_idle_limit(self):
         """Guards against losing one request after another on stale connections.
 
--- a/tests/test_transport_parts.py
+++ b/tests/test_transport_parts.py
@@ -188,6 +188,23 @@
         self.assertEqual(1, self.pool.counts["bodies_broken"])
         self.assertEqual(0, self.pool._parts_budget._used)
 
+    @parameterized.expand(
+        [(status, parts) for status in (-1, 0, 99, 600) for parts in (False, True)]
+    )
+    async def test_reply_with_an_invalid_status(self, status, parts):
+        """Guards against an answer of another daemon whose status is none of HTTP."""
+        if parts:
+            self.peer.send(ReplyPart(self.call_id, 6, 0, b"abcdef"))
+        reply = msgspec.structs.replace(
+            make_reply(),
+            call_id=self.call_id,
+            status=status,
+            parts_bytes=6 if parts else 0,
+        )
+        self.peer.send(reply)
+        await self.assert_fails(self.call, *BROKEN)
+        self.assertEqual(1, self.pool.counts["replies_invalid"])
+
     async def test_parts_of_an_unknown_call(self):
         """Guards against stray parts that end the link or reach another call."""
         self.send([(0, b"xxxxxx")], call_id=self.call_id + 1)
