Keep the era of the platform's store in revisions and leases

Cause: the header Store-Era was read nowhere, and everything that a daemon kept of the store was a bare number that it expected to rise.

Change: the client reads the era of each response and puts it into the upper bits of the revisions and lease ids that it hands out. A condition of an earlier era fails, a lease of one has expired and a watch from one ends as compacted, all without a call. A write whose response names a new era has an unknown outcome. A missing, falling or malformed era makes one response an outage and changes nothing else. Stores without eras work as before.

The stand-in makes and restores copies of itself. The tests of RestoredStoreTest are new; PlatformStoreTest runs against a store that names no era.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_store.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import base64
+import copy
+import dataclasses
 import itertools
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -22,6 +24,7 @@
 MAX_BODY_BYTES = 4_000_000
 RESPONSE_DELAY_S = 60.0
 LEASE_CHECK_INTERVAL_S = 0.02
+ERA_HEADER = "Store-Era"
 
 
 class StoreFault(Enum):
@@ -62,6 +65,14 @@
     compacted_revision: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Keys, history and leases of the store at one moment."""
+
+    state: _StoreState
+    leases: dict[int, tuple[float, float]]
+
+
 class PlatformStoreServer:
     """Serves the calls of the service from memory.
 
@@ -84,6 +95,8 @@
         Items that stale reads return; None for the current ones.
     late_calls
         Functions that execute the ``LATE`` calls, oldest first.
+    era
+        Number of the era that all responses name; 0 for a store without eras.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -99,6 +112,7 @@
         self.stale_reads = 0
         self.stale_items: dict[str, _Item] | None = None
         self.late_calls: list[Callable[[], Awaitable[CallerResponse]]] = []
+        self.era = 1
         self.server = CallerServer(
             address="127.0.0.1:0", handler=self._handle, max_body_bytes=MAX_BODY_BYTES
         )
@@ -113,6 +127,10 @@
         """Return the values of all keys."""
         return {key: item.value for key, item in self._state.items.items()}
 
+    def find_lease(self, key: str) -> int:
+        """Return the id of the lease of a key; 0 if it has none."""
+        return self._state.items[key].lease_id
+
     async def start(self) -> None:
         """Start listening and expiring leases."""
         await self.server.start()
@@ -142,6 +160,22 @@
         for execute in late_calls:
             await execute()
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the present keys, history and leases."""
+        return StoreCopy(copy.deepcopy(self._state), dict(self._leases))
+
+    def restore_copy(self, source: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone, and a new era begins.
+
+        Notes
+        -----
+        Revisions that were given out since the copy was made are given out again.
+        """
+        self._state = copy.deepcopy(source.state)
+        self._leases = dict(source.leases)
+        self.era += 1
+        self.cut_connections()
+
     def freeze_stale_reads(self) -> None:
         """Let stale reads return the present state from now on."""
         self.stale_items = dict(self._state.items)
@@ -176,6 +210,13 @@
             await self.remove(key)
 
     async def _handle(self, request: CallerRequest) -> CallerResponse:
+        response = await self._answer(request)
+        if self.era:
+            headers = ((ERA_HEADER, str(self.era)),)
+            response = dataclasses.replace(response, headers=headers)
+        return response
+
+    async def _answer(self, request: CallerRequest) -> CallerResponse:
         parts = urlsplit(request.target)
         name, _, argument = parts.path.removeprefix(PATH).partition("/")
         self.calls[name] += 1
@@ -262,7 +303,8 @@
     async def _watch(self, parameters: dict[str, str]) -> CallerResponse:
         after, prefix = int(parameters["after"]), parameters["path_prefix"]
         wait = int(parameters["wait_ms"]) / 1000
-        if after < self._state.compacted_revision:
+        state = self._state
+        if not state.compacted_revision <= after <= state.revision:
             return make_response(HTTPStatus.GONE)
         async with self._changed:
             try:
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -68,6 +68,11 @@
     choices
         Number of chosen destinations by service and by what calls leave to reach them.
     """
+    metrics.add_gauge(
+        "almond_store_era",
+        "Era of the store; rises when it comes back from an older copy, 0 without eras",
+        lambda: make_unlabelled_samples(store.era),
+    )
     metrics.add_counter(
         "almond_calls_placed_total",
         "Destinations chosen, by service and by what the call leaves to reach them",
--- a/packages/almondrouterd/src/almondrouterd/platform/store.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -18,8 +19,10 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from almondrouter.logs import EventLogger
 from almondrouter.protocol.headers import Outcome
 from almondrouter.protocol.outcomes import CallError
+from almondrouter.state.revisions import MAX_ERA, MAX_NUMBER, join_era, split_era
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.calls import BackendResponse
 from almondrouter.transport.store import (
@@ -49,36 +52,44 @@
 MAX_STORE_CONNECTIONS = 4
 MAX_CONNECTION_IDLE_S = 8.0
 """Seconds after which an idle connection to the store is no longer reused."""
+ERA_HEADER = "store-era"
+LEASE_NUMBER_BITS = 64
+"""Bits of the id of a lease that hold the number that the store has given it."""
 _PATH_PREFIX = "/almondrouter/"
+_ERA = re.compile(r"[0-9]{1,9}", re.ASCII)
+_log = EventLogger("store")
 T = TypeVar("T")
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
 class _Item(msgspec.Struct):
     """A key of the store, or a change of one."""
 
     key: str
     value: bytes = b""
-    revision: int = 0
-    create_revision: int = 0
+    revision: _Number = 0
+    create_revision: _Number = 0
     lease_id: int = 0
-    at: int = 0
+    at: _Number = 0
     """Revision of the whole store when the key was read."""
     deleted: bool = False
 
 
 class _RangePage(msgspec.Struct):
     items: tuple[_Item, ...]
-    at: int
+    at: _Number
     has_more: bool = False
 
 
 class _WatchReply(msgspec.Struct):
     events: tuple[_Item, ...]
-    at: int
+    at: _Number
 
 
 class _CommitReply(msgspec.Struct):
-    revision: int
+    revision: _Number
 
 
 class _LeaseGrant(msgspec.Struct):
@@ -112,10 +123,31 @@
         ``ip:port`` of the store.
     clock
         Source of monotonic time.
+    on_restored
+        Called when a response shows that the store has come back from an older copy.
+
+    Attributes
+    ----------
+    era
+        Era of the store as of its latest response; 0 if it names none.
+
+    Notes
+    -----
+    Revisions and ids of leases hold the era in which they were read. A condition, a
+    lease or a position of a watch of an earlier era is never sent: its number may stand
+    for something else by now.
     """
 
-    def __init__(self, address: str, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        clock: Clock,
+        on_restored: Callable[[], None] = lambda: None,
+    ) -> None:
         self._clock = clock
+        self._on_restored = on_restored
+        self.era = 0
         self._client = BackendClient(
             address,
             connections=MAX_STORE_CONNECTIONS,
@@ -129,7 +161,9 @@
         if response.status == HTTPStatus.NOT_FOUND:
             return ReadResult((), 0)
         item = decode_response(response, _Item)
-        return ReadResult((make_key_value(item),), item.at)
+        return ReadResult(
+            (make_key_value(item, self.era),), join_era(self.era, item.at)
+        )
 
     async def read_prefix(  # noqa: D102
         self,
@@ -145,14 +179,18 @@
             query["allow_stale"] = "1"
         if start is not None:
             query["after"] = start
-        revision = 0
+        revision, era = 0, self.era
         while True:
             response = await self._call_store("GET", "kv-range", query=query)
+            if items and era != self.era:
+                message = "the store came back from an older copy between two pages"
+                raise StoreOutcomeUnknownError(message)
+            era = self.era
             page = decode_response(response, _RangePage)
-            items += [make_key_value(item) for item in page.items]
+            items += [make_key_value(item, era) for item in page.items]
             # Pages are read at different revisions; a watch from the first page's
             # revision misses no change.
-            revision = revision or page.at
+            revision = revision or join_era(era, page.at)
             if not page.has_more or not page.items or 0 < limit <= len(items):
                 return ReadResult(tuple(items[: limit or None]), revision)
             last_key = page.items[-1].key
@@ -162,9 +200,14 @@
             query["after"] = last_key
 
     async def commit(self, transaction: Transaction) -> CommitResult:  # noqa: D102
-        response = await self._call_store(
-            "POST", "kv-txn", body=encode_transaction(transaction)
-        )
+        body = encode_transaction(transaction)
+        for compare in transaction.compares:
+            if compare.mod_revision and not self._is_current(compare.mod_revision):
+                return CommitResult(succeeded=False, revision=0)
+        for put in transaction.success:
+            if isinstance(put, Put) and put.lease_id:
+                self._check_lease(put.lease_id)
+        response = await self._call_store("POST", "kv-txn", body=body, repeatable=False)
         if response.status == HTTPStatus.PRECONDITION_FAILED:
             return CommitResult(succeeded=False, revision=0)
         if response.status == HTTPStatus.NOT_FOUND:
@@ -172,17 +215,23 @@
                 ErrorCode.LEASE_EXPIRED,
                 "the lease of a key in the transaction has expired",
             )
-        return CommitResult(True, decode_response(response, _CommitReply).revision)
+        revision = decode_response(response, _CommitReply).revision
+        return CommitResult(True, join_era(self.era, revision))
 
     async def grant_lease(self, ttl: int) -> Lease:  # noqa: D102
         requested_at = self._clock.monotonic()
-        response = await self._call_store("POST", "kv-lease", body=_LeaseGrant(ttl))
+        response = await self._call_store(
+            "POST", "kv-lease", body=_LeaseGrant(ttl), repeatable=False
+        )
         granted = decode_response(response, _LeaseGrant)
-        return Lease(granted.lease_id, requested_at + granted.ttl_s_time)
+        lease_id = (self.era << LEASE_NUMBER_BITS) | granted.lease_id
+        return Lease(lease_id, requested_at + granted.ttl_s_time)
 
     async def keep_alive(self, lease: Lease) -> Lease:  # noqa: D102
         requested_at = self._clock.monotonic()
-        response = await self._call_store("POST", f"kv-keep/{lease.lease_id}")
+        number = self._check_lease(lease.lease_id)
+        response = await self._call_store("POST", f"kv-keep/{number}")
+        self._check_lease(lease.lease_id)
         if response.status == HTTPStatus.NOT_FOUND:
             raise AlmondError(
                 ErrorCode.LEASE_EXPIRED, f"lease {lease.lease_id} has expired"
@@ -191,13 +240,15 @@
         return Lease(lease.lease_id, requested_at + ttl)
 
     async def revoke_lease(self, lease: Lease) -> None:  # noqa: D102
-        await self._call_store("DELETE", f"kv-lease-end/{lease.lease_id}")
+        number = self._check_lease(lease.lease_id)
+        await self._call_store("DELETE", f"kv-lease-end/{number}", repeatable=False)
 
     async def watch(  # noqa: D102
         self, prefix: str, *, from_revision: int
     ) -> AsyncIterator[WatchBatch]:
-        after = from_revision - 1
+        era, after = split_era(from_revision - 1)
         while True:
+            self._check_position(era, after)
             query = {
                 "path_prefix": prefix,
                 "after": str(after),
@@ -207,17 +258,56 @@
             response = await self._call_store(
                 "GET", "kv-watch", query=query, timeout=timeout
             )
+            self._check_position(era, after)
             if response.status == HTTPStatus.GONE:
                 raise AlmondError(
                     ErrorCode.HISTORY_COMPACTED, f"no history after revision {after}"
                 )
             reply = decode_response(response, _WatchReply)
             after = max(after, reply.at)
-            yield WatchBatch(tuple(make_event(e) for e in reply.events), after)
+            events = tuple(make_event(event, era) for event in reply.events)
+            yield WatchBatch(events, join_era(era, after))
 
     async def close(self) -> None:  # noqa: D102
         await self._client.close()
 
+    def _is_current(self, revision: int) -> bool:
+        return split_era(revision)[0] == self.era
+
+    def _check_lease(self, lease_id: int) -> int:
+        """Return the number of a lease; raise ``lease_expired`` in a later era."""
+        era, number = divmod(lease_id, 1 << LEASE_NUMBER_BITS)
+        if era != self.era:
+            message = f"lease {number} is of era {era}, and the store in era {self.era}"
+            raise AlmondError(ErrorCode.LEASE_EXPIRED, message)
+        return number
+
+    def _check_position(self, era: int, after: int) -> None:
+        if era != self.era:
+            message = f"no history of era {era} after revision {after}"
+            raise AlmondError(ErrorCode.HISTORY_COMPACTED, message)
+
+    def _note_era(self, response: BackendResponse) -> None:
+        """Take over the era that a response names.
+
+        Raises
+        ------
+        StoreOutcomeUnknownError
+            If it names no valid era, or an earlier one than a response before.
+        """
+        text = dict(response.headers).get(ERA_HEADER)
+        if text is None and not self.era:
+            return
+        era = int(text) if text is not None and _ERA.fullmatch(text) else 0
+        if not max(1, self.era) <= era <= MAX_ERA:
+            _log.warning("response of the store ignored", era=text, known=self.era)
+            self.counts[("era", 0)] += 1
+            raise StoreOutcomeUnknownError(f"era {text!r} after {self.era}")
+        before, self.era = self.era, era
+        if before and before != era:
+            _log.warning("store came back from an older copy", era=era, before=before)
+            self._on_restored()
+
     async def _call_store(
         self,
         method: str,
@@ -226,11 +316,21 @@
         query: dict[str, str] | None = None,
         body: msgspec.Struct | None = None,
         timeout: float = CALL_TIMEOUT_S,
+        repeatable: bool = True,
     ) -> BackendResponse:
+        """Send a call and return its response.
+
+        Parameters
+        ----------
+        repeatable
+            Whether the response is good for use although a new era has begun since the
+            call was sent.
+        """
         target = _PATH_PREFIX + path + (f"?{urlencode(query)}" if query else "")
         data = b"" if body is None else msgspec.json.encode(body)
         headers = (("content-type", "application/json"),) if data else ()
         name = path.partition("/")[0]
+        era = self.era
         try:
             response = await self._client.send(
                 method,
@@ -250,6 +350,10 @@
         refused = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
         if response.status in refused:
             raise StoreUnavailableError(f"{name}: HTTP status {response.status}")
+        self._note_era(response)
+        if era not in (0, self.era) and not repeatable:
+            message = f"{name}: the store came back from an older copy meanwhile"
+            raise StoreOutcomeUnknownError(message)
         return response
 
 
@@ -266,7 +370,7 @@
     return _Transaction(
         [make_condition(compare) for compare in transaction.compares],
         [
-            _Write(put.key, put.value, put.lease_id)
+            _Write(put.key, put.value, put.lease_id % (1 << LEASE_NUMBER_BITS))
             for put in transaction.success
             if isinstance(put, Put)
         ],
@@ -278,7 +382,8 @@
     """Return a condition on a revision in the platform's format."""
     if compare.mod_revision is None:
         raise ValueError("the store supports conditions on revisions only")
-    return _Condition(compare.key, compare.mod_revision)
+    _, number = split_era(compare.mod_revision)
+    return _Condition(compare.key, number)
 
 
 def get_deleted_key(operation: Any) -> str:
@@ -288,14 +393,16 @@
     return operation.key
 
 
-def make_key_value(item: _Item) -> KeyValue:
+def make_key_value(item: _Item, era: int) -> KeyValue:
     """Return an item of the platform's store as a `KeyValue`."""
-    return KeyValue(item.key, item.value, item.create_revision, item.revision, 0)
+    created = join_era(era, item.create_revision)
+    return KeyValue(item.key, item.value, created, join_era(era, item.revision), 0)
 
 
-def make_event(item: _Item) -> WatchEvent:
+def make_event(item: _Item, era: int) -> WatchEvent:
     """Return an event of the platform's store as a `WatchEvent`."""
-    return WatchEvent(item.key, None if item.deleted else item.value, item.revision)
+    value = None if item.deleted else item.value
+    return WatchEvent(item.key, value, join_era(era, item.revision))
 
 
 def decode_response(response: BackendResponse, kind: type[T]) -> T:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 from collections.abc import Collection
 
@@ -15,7 +16,14 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from almondrouter.transport.store import Compare, Delete, Lease, Put, Transaction
+from almondrouter.state.revisions import split_era
+from almondrouter.transport.store import (
+    Compare,
+    Delete,
+    Lease,
+    Put,
+    Transaction,
+)
 from almondrouter_standins.platform_store import PlatformStoreServer, StoreFault
 from almondrouterd.platform import store
 from almondrouterd.platform.store import PlatformStore
@@ -23,10 +31,14 @@
 
 
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
-    """The simulated store listens on a real socket and can inject faults."""
+    """The simulated store listens on a real socket and can inject faults.
+
+    It names no era.
+    """
 
     async def asyncSetUp(self):
         self.server = PlatformStoreServer()
+        self.server.era = 0
         await self.server.start()
         self.addAsyncCleanup(self.server.close)
         self.store = PlatformStore(self.server.address, clock=SystemClock())
@@ -170,3 +182,120 @@
         """
         silent_watch = store.WATCH_WAIT_MS / 1000 + store.WATCH_SLACK_S
         self.assertLessEqual(silent_watch + store.CALL_TIMEOUT_S, 2.5)
+
+
+class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from a copy of itself, with the next era."""
+
+    async def asyncSetUp(self):
+        self.server = PlatformStoreServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        self.restores = []
+        self.store = PlatformStore(
+            self.server.address,
+            clock=SystemClock(),
+            on_restored=lambda: self.restores.append(self.store.era),
+        )
+        self.addAsyncCleanup(self.store.close)
+        await self.write_key("k")
+        self.copy = self.server.make_copy()
+
+    async def write_key(self, key, value=b"v", *, compares=(), lease_id=0):
+        put = Put(key, value, lease_id)
+        return await self.store.commit(Transaction(compares, (put,)))
+
+    async def restore(self, *, notice=True):
+        """Bring back the copy; let the client notice it by a read."""
+        self.server.restore_copy(self.copy)
+        if notice:
+            with contextlib.suppress(AlmondError):
+                await self.store.read("k")
+            await self.store.read("k")
+            self.server.calls.clear()
+
+    def drop_connections(self):
+        """Forget the connections that the restore has cut."""
+        self.store._client.drop_idle_connections()
+
+    async def test_condition_of_an_earlier_era_is_not_sent(self):
+        """Guards against a write that replaces another one with the same number."""
+        written = await self.write_key("k", b"lost")
+        await self.restore()
+        await self.server.put("k", b"other")
+        condition = Compare("k", written.revision)
+        self.assertFalse((await self.write_key("k", compares=(condition,))).succeeded)
+        self.assertEqual(b"other", self.server.keys["k"])
+        self.assertEqual(0, self.server.calls["kv-txn"])
+        seen = (await self.store.read("k")).items[0].mod_revision
+        result = await self.write_key("k", compares=(Compare("k", seen),))
+        self.assertTrue(result.succeeded)
+
+    async def test_revisions_rise_across_eras(self):
+        """Guards against fencing tokens that fall although the store gives them out."""
+        for _ in range(3):
+            lost = await self.write_key("k")
+        await self.restore()
+        written = await self.write_key("k")
+        self.assertLess(lost.revision, written.revision)
+        self.assertLess(split_era(written.revision)[1], split_era(lost.revision)[1])
+
+    async def test_lease_of_an_earlier_era_has_expired(self):
+        """Guards against a renewal of the lease that another daemon got since."""
+        lease = await self.store.grant_lease(5)
+        await self.restore()
+        other = await self.store.grant_lease(5)
+        self.assertNotEqual(lease.lease_id, other.lease_id)
+        self.server.calls.clear()
+        for call in (
+            self.store.keep_alive(lease),
+            self.store.revoke_lease(lease),
+            self.write_key("k", lease_id=lease.lease_id),
+        ):
+            with self.assertRaises(AlmondError) as caught:
+                await call
+            self.assertEqual(ErrorCode.LEASE_EXPIRED, caught.exception.code)
+        self.assertEqual(0, self.server.calls.total())
+        await self.store.keep_alive(other)
+
+    @parameterized.expand([("known", True), ("told by the watch", False)])
+    async def test_watch_does_not_pass_over_a_new_era(self, _, notice):
+        """Guards against changes of a new era at numbers that were seen before."""
+        for _ in range(3):
+            position = (await self.write_key("k")).revision
+        await self.restore(notice=notice)
+        for _ in range(5):
+            await self.server.put("k", b"new")
+        if not notice:
+            self.drop_connections()
+        with self.assertRaises(AlmondError) as caught:
+            await anext(self.store.watch("k", from_revision=position + 1))
+        self.assertEqual(ErrorCode.HISTORY_COMPACTED, caught.exception.code)
+
+    async def test_write_that_meets_a_new_era_has_no_known_outcome(self):
+        """Guards against a write that counts although its condition is outdated."""
+        seen = (await self.store.read("k")).items[0].mod_revision
+        await self.restore(notice=False)
+        self.drop_connections()
+        with self.assertRaises(StoreOutcomeUnknownError):
+            await self.write_key("k", compares=(Compare("k", seen),))
+        self.assertEqual([2], self.restores)
+
+    @parameterized.expand([("0",), ("1",), ("-3",), ("x",), ("3.0",), ("9999",), ("",)])
+    async def test_invalid_era_is_no_reason_to_forget(self, era):
+        """Guards against a wrong era that makes the daemon give up what it holds."""
+        await self.restore()
+        lease = await self.store.grant_lease(5)
+        self.server.era = era
+        with self.assertRaises(StoreOutcomeUnknownError):
+            await self.store.read("k")
+        self.assertEqual((2, [2]), (self.store.era, self.restores))
+        self.server.era = 2
+        await self.store.keep_alive(lease)
+
+    async def test_missing_era_is_no_reason_to_forget(self):
+        """Guards against a response without an era that ends what the others began."""
+        self.server.era = 0
+        with self.assertRaises(StoreOutcomeUnknownError):
+            await self.store.read("k")
+        self.assertEqual((1, []), (self.store.era, self.restores))
