Recognize roll-out orders that a copy of the store brings back

Callers would see: after a restore, an order that was written again at a lower revision was ignored, since a higher one was known.

Cause: orders and statuses were compared by the store's bare numbers, which go back. With the era in revisions a rewritten order is newer, but one that the copy still has would look newer, too, and its roll-out would begin again.

Change: an order with the number, version and duration of the known one is that one, and a status decides an order of another era by their numbers, which a copy keeps.

Evidence: by reading; the new tests pass with the change and were not run before it.

--- a/packages/almondrouter/src/almondrouter/coordination/rollouts/orders.py
+++ b/packages/almondrouter/src/almondrouter/coordination/rollouts/orders.py
@@ -10,6 +10,7 @@
 from almondrouter.coordination.storefeed import StoreSubscriber
 from almondrouter.errors import FindingsError
 from almondrouter.logs import EventLogger
+from almondrouter.state.revisions import are_one_write
 from almondrouter.state.rollouts import RolloutOrder
 from almondrouter.transport.store import KeyValue, WatchEvent
 
@@ -139,7 +140,7 @@
         """
         service, now = order.service, self._clock.monotonic()
         known = self._orders.get(service)
-        if known is not None and known.order.revision == order.revision:
+        if known is not None and is_same_order(known.order, order):
             known.ordered_at = min(known.ordered_at, now - age)
             return
         outdated = known is not None and known.order.revision > order.revision
@@ -173,3 +174,20 @@
             return
         self._stored[service] = revision
         self.add(order, age=0.0)
+
+
+def is_same_order(known: RolloutOrder, order: RolloutOrder) -> bool:
+    """Return whether an order is known, also if a copy of the store brings it back.
+
+    Notes
+    -----
+    A roll-out that was ordered before the copy was made goes on, and what was decided
+    about it holds.
+    """
+    same_request = (known.target_version, known.duration) == (
+        order.target_version,
+        order.duration,
+    )
+    return known.revision == order.revision or (
+        same_request and are_one_write(known.revision, order.revision)
+    )
--- a/packages/almondrouter/src/almondrouter/state/rollouts.py
+++ b/packages/almondrouter/src/almondrouter/state/rollouts.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from almondrouter.state.revisions import was_written_later
+
 MAX_DURATION_S = 86_400.0
 
 
@@ -78,5 +80,5 @@
         return (
             self.phase in FINAL_PHASES
             and self.target_version == order.target_version
-            and self.revision > order.revision
+            and was_written_later(self.revision, order.revision)
         )
--- a/tests/test_coordination_rollouts.py
+++ b/tests/test_coordination_rollouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 from unittest.mock import Mock
 
@@ -36,6 +37,7 @@
 from almondrouter.protocol.outcomes import CallError
 from almondrouter.state.bounds import RolloutBounds
 from almondrouter.state.hosts import BackendEntry, Departure, HostEntry, ServingState
+from almondrouter.state.revisions import join_era
 from almondrouter.state.rollouts import RolloutOrder, RolloutPhase, RolloutStatus
 from almondrouter.transport.store import WatchEvent
 from almondrouter_standins.rollout_store import VirtualStore
@@ -503,6 +505,34 @@
         self.assertIsNone(self.book.find(SERVICE))
         self.assertEqual([SERVICE] * 3, self.changed)
 
+    def test_order_that_a_copy_of_the_store_brings_back(self):
+        """Guards against a roll-out that starts again after a restore of the store."""
+        before, after = join_era(1, 7), join_era(2, 7)
+        self.apply(before, self.encode())
+        self.apply(after, self.encode())
+        self.assertEqual([SERVICE], self.changed)
+        self.assertEqual(before, self.book.find(SERVICE).order.revision)
+        self.assertEqual(after, self.book.get_stored_revision(SERVICE))
+
+    def test_order_of_a_new_era_at_a_lower_number(self):
+        """Guards against an order that is ignored because the revisions went back."""
+        self.apply(join_era(1, 9), self.encode())
+        self.apply(join_era(2, 8), self.encode(target_version="v3"))
+        self.assertEqual("v3", self.book.find(SERVICE).order.target_version)
+
+    @parameterized.expand(
+        [
+            ("both in the copy", 8, True),
+            ("about an order before", 6, False),
+        ]
+    )
+    def test_status_that_a_copy_of_the_store_brings_back(self, _, number, expected):
+        """Guards against a decision about an earlier order that decides a later one."""
+        revision = join_era(2, number)
+        status = RolloutStatus(SERVICE, "v2", RolloutPhase.ROLLED_BACK, revision)
+        order = dataclasses.replace(ORDER, revision=join_era(1, 7))
+        self.assertEqual(expected, status.decides(order))
+
     @parameterized.expand([*RolloutPhase])
     def test_status(self, phase):
         """Guards against a status that is taken for that of another order."""
