Write host records again when the store comes back from an older copy

Callers would see: after a restore, a record that the copy did not have was missing until the next poll of all keys, and one that the copy had in an older form, for instance without a departure, stayed so.

Cause: a daemon took its record for written, and the lease for its own, whatever the store held.

Change: when a response names a new era, a daemon drops its lease and writes its record again within 0.5 s, under a new lease. A relay tells its peers the era in its notices; they renew their leases at once and so learn it from the store.

--- a/packages/almondrouter/src/almondrouter/coordination/registration.py
+++ b/packages/almondrouter/src/almondrouter/coordination/registration.py
@@ -33,6 +33,9 @@
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
 """Longest delay between retries; a lost record must be restored within 2 s."""
+RESTORE_SPREAD_S = 0.5
+"""Longest delay before a record is written again after the store has come back from an
+older copy, as all daemons write theirs then."""
 
 _log = EventLogger("registration")
 
@@ -90,6 +93,8 @@
         self._lease: Lease | None = None
         self._written_entry: HostEntry | None = None
         self._unanswered: Put | None = None
+        self._restored = False
+        self._renewal_due = False
         self.stored_revision = 0
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
@@ -115,20 +120,29 @@
         """Schedule a write of the record because the store no longer has it."""
         if self._written_entry is not None:
             self.counts["lost"] += 1
-            self._forget_stored_record()
+            self._written_entry, self.stored_revision = None, 0
             self._changed.set()
 
     def note_stored_revision(self, revision: int) -> None:
         """Take over from a read at which revision the record was last written."""
         self.stored_revision = max(self.stored_revision, revision)
 
-    def _forget_stored_record(self) -> None:
-        self._written_entry, self.stored_revision = None, 0
+    def handle_store_restore(self) -> None:
+        """Take a new lease and write the record again.
+
+        Called when the store has come back from an older copy, which may have neither
+        or may have given the id of the lease to another daemon.
+        """
+        self.counts["restores"] += 1
+        self._lease = self._written_entry = None
+        self._restored = True
+        self._changed.set()
 
     async def run(self) -> None:
         """Keep the record up to date and its lease renewed until cancelled."""
         while True:
             try:
+                await self._spread_restores()
                 await self._renew_lease()
                 await self._write_record()
                 self._backoff_s = INITIAL_BACKOFF_S
@@ -136,8 +150,8 @@
             except AlmondError as error:
                 self.counts[error.code.value] += 1
                 if error.code is ErrorCode.LEASE_EXPIRED:
-                    self._lease = None
-                    self._forget_stored_record()
+                    # The record may still be there in an older copy of the store.
+                    self._lease = self._written_entry = None
                     _log.warning(
                         "lease of own record expired; registering again",
                         code=error.code.value,
@@ -175,6 +189,17 @@
         written = self._written_entry
         return written is None or written.departure == self._make_entry().departure
 
+    def check_lease(self) -> None:
+        """Renew the lease soon, as a peer knows of a restore of the store."""
+        self._renewal_due = True
+        self._changed.set()
+
+    async def _spread_restores(self) -> None:
+        """Wait for a random time if all daemons have to write their records again."""
+        if self._restored:
+            self._restored = False
+            await asyncio.sleep(RESTORE_SPREAD_S * self._random.random())
+
     async def _back_off(self) -> None:
         await asyncio.sleep(self._backoff_s * self._random.uniform(0.5, 1.0))
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
@@ -185,7 +210,8 @@
             self._on_contact(True)
             return
         remaining_s = self._lease.deadline - self._clock.monotonic()
-        if remaining_s < LEASE_TTL_S - RENEWAL_INTERVAL_S / 2:
+        if self._renewal_due or remaining_s < LEASE_TTL_S - RENEWAL_INTERVAL_S / 2:
+            self._renewal_due = False
             self._lease = await self._store.keep_alive(self._lease)
             self._on_contact(True)
 
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -267,6 +267,8 @@
         Whether the sender knows `QuotaReport` and `QuotaGrant`.
     knows_rollouts
         Whether the sender can decode `RolloutReport` and `RolloutPlan`.
+    store_era
+        Era of the store as the sender knows it; 0 if unknown.
     """
 
     record: bytes
@@ -277,6 +279,7 @@
     verdicts: tuple[CrashVerdict, ...] = ()
     knows_quotas: bool = False
     knows_rollouts: bool = False
+    store_era: int = 0
 
 
 class RoutesNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -179,7 +179,11 @@
 
     def _build_state(self) -> None:
         settings, clock = self.settings, self._clock
-        self._store = PlatformStore(settings.store_address, clock=clock)
+        self._store = PlatformStore(
+            settings.store_address,
+            clock=clock,
+            on_restored=self._handle_store_restore,
+        )
         hello = Hello(
             "almondrouter", PROTOCOL_VERSION, settings.host, self._incarnation, 0.0
         )
@@ -260,6 +264,8 @@
             on_rollout_support=lambda host, knows: self._rollouts.members.note(
                 host, knows_rollouts=knows
             ),
+            get_store_era=lambda: self._store.era,
+            on_store_restored=self.registration.check_lease,
         )
 
     def _build_calls(self) -> None:
@@ -662,6 +668,12 @@
         self._evidence.merge_record(entry)
         self._rollouts.versions.note_record(entry)
 
+    def _handle_store_restore(self) -> None:
+        """Write the record again, and tell the peers if this daemon is their relay."""
+        self.registration.handle_store_restore()
+        if self.feed.watching:
+            self.links.notify_all()
+
     def _note_own_record(self, entry: HostEntry, revision: int) -> None:
         self.registration.note_stored_revision(revision)
         self._restore_from_record(entry)
--- a/packages/almondrouterd/src/almondrouterd/peers.py
+++ b/packages/almondrouterd/src/almondrouterd/peers.py
@@ -88,6 +88,10 @@
         Called with each notice of another daemon and the host record in it.
     on_rollout_support
         Called with the host of each notice and whether it takes part in roll-outs.
+    get_store_era
+        Returns the era of the store as this daemon knows it; 0 if unknown.
+    on_store_restored
+        Called if a peer knows a later era.
     """
 
     def __init__(
@@ -105,7 +109,11 @@
         clock: Clock,
         on_host_notice: Callable[[HostEntry, HostNotice], None] | None = None,
         on_rollout_support: Callable[[str, bool], None] = lambda host, knows: None,
+        get_store_era: Callable[[], int] = lambda: 0,
+        on_store_restored: Callable[[], None] = lambda: None,
     ) -> None:
+        self._get_store_era = get_store_era
+        self._on_store_restored = on_store_restored
         self._on_host_notice = on_host_notice
         self._on_rollout_support = on_rollout_support
         self._on_departure = on_departure
@@ -153,6 +161,7 @@
             self._evidence.verdicts,
             knows_quotas=True,
             knows_rollouts=True,
+            store_era=self._get_store_era(),
         )
 
     def handle_notice(self, notice: Notice) -> None:
@@ -170,10 +179,7 @@
             return
         if self._on_host_notice is not None:
             self._on_host_notice(entry, notice)
-        if notice.reaches_store:
-            self._hosts_without_store.discard(entry.host)
-        else:
-            self._hosts_without_store.add(entry.host)
+        self._note_store_state(entry.host, notice)
         self._on_rollout_support(entry.host, notice.knows_rollouts)
         known = self._directory.find_departure(entry.host)
         self._directory.put(entry)
@@ -197,6 +203,15 @@
         if behind and self._feed.watching and self._is_region_peer(entry):
             self._links.send_notice(entry.peer_address, self._make_full_routes_notice())
 
+    def _note_store_state(self, host: str, notice: HostNotice) -> None:
+        """Record whether a peer reaches the store, and whether it knows a later era."""
+        if notice.reaches_store:
+            self._hosts_without_store.discard(host)
+        else:
+            self._hosts_without_store.add(host)
+        if 0 < self._get_store_era() < notice.store_era:
+            self._on_store_restored()
+
     def _confirm_departure(self, entry: HostEntry) -> None:
         """Tell a daemon which departure on its host this one knows of.
 
--- a/tests/test_almondrouterd_host.py
+++ b/tests/test_almondrouterd_host.py
@@ -294,6 +294,51 @@
         self.assertEqual({200: 60}, statuses)
         self.assert_guarantees()
 
+    async def wait_for_new_records(self, copy):
+        """Wait until all hosts have written their records under new leases."""
+        store = self.fleet.store
+        keys = [f"{HOSTS_PREFIX}host-{n}" for n in range(len(self.fleet.daemons))]
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while not all(
+                key in store.keys and store.find_lease(key) not in copy.leases
+                for key in keys
+            ):
+                await asyncio.sleep(0.02)
+
+    async def test_store_that_comes_back_from_an_older_copy(self):
+        """Guards against versions, records and departures that a restore undoes.
+
+        The restore is repeated while one daemon is away, which then reads an older
+        configuration in the store than the others have in force.
+        """
+        await self.start_fleet(hosts=4)
+        store = self.fleet.store
+        copy = store.make_copy()
+        await self.put_and_wait(5)
+        self.fleet.backends[3].state = "draining"
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while not self.fleet.backends[3].acknowledged["draining"]:
+                await asyncio.sleep(0.02)
+        store.restore_copy(copy)
+        statuses = await self.send_requests(60, hosts=(0, 1, 2, 3))
+        self.assertEqual({200: 60}, statuses)
+        await self.wait_for_new_records(copy)
+        await self.put_and_wait(6)
+        await self.fleet.stop_daemon(1, signal.SIGKILL)
+        store.restore_copy(copy)
+        await self.fleet.start_daemon(1)
+        await self.fleet.wait_until_ready(1)
+        await self.wait_for_versions(6, hosts=range(4))
+        await self.wait_for_new_records(copy)
+        await self.put_and_wait(7)
+        statuses = await self.send_requests(60, hosts=(0, 1, 2, 3))
+        self.assertEqual({200: 60}, statuses)
+        self.assert_guarantees()
+
+    async def put_and_wait(self, version):
+        await self.fleet.store.put(CONFIGURATION_KEY, make_configuration(version))
+        await self.wait_for_versions(version, hosts=range(len(self.fleet.daemons)))
+
     async def test_departure_that_nobody_else_knows_of_is_not_acknowledged(self):
         """Guards against a promise that a restart of the daemon would break."""
         await self.start_fleet(hosts=1)
--- a/tests/test_almondrouterd_peers.py
+++ b/tests/test_almondrouterd_peers.py
@@ -129,8 +129,11 @@
             make_entry=lambda: make_entry("h5"),
             on_departure=lambda departure: self.departures.append(departure),
             clock=SystemClock(),
+            get_store_era=lambda: self.store_era,
+            on_store_restored=self.count_restore,
         )
         self.departures = []
+        self.store_era = self.restores = 0
         delay = peers_module.CATCH_UP_DELAY_S
         peers_module.CATCH_UP_DELAY_S = 0.01
         self.addCleanup(setattr, peers_module, "CATCH_UP_DELAY_S", delay)
@@ -157,6 +160,26 @@
         self.assertEqual(1, len(self.directory.find_destinations("s")))
         self.assertEqual(["h6:1"], self.links.warmed)
 
+    @parameterized.expand(
+        [
+            ("later", 1, 2, 1),
+            ("same", 2, 2, 0),
+            ("earlier", 2, 1, 0),
+            ("unknown to the peer", 2, 0, 0),
+            ("unknown here", 0, 2, 0),
+        ]
+    )
+    async def test_later_era_of_the_store_is_looked_for(self, _, own, heard, expected):
+        """Guards against hosts that hear of a restore only by their next renewal."""
+        self.store_era = own
+        notice = HostNotice(encode_host(make_entry("h6")), 0, True, store_era=heard)
+        self.peers.handle_notice(notice)
+        self.assertEqual(expected, self.restores)
+        self.assertEqual(own, self.peers.make_notice().store_era)
+
+    def count_restore(self):
+        self.restores += 1
+
     async def test_restarted_daemon_is_reminded_of_a_departure(self):
         """Guards against a departure that is forgotten if the store never had it."""
         left = Departure("b1", 1)
