Name what a response in a new era is good for

valid_in_new_era says which calls of the store may use a response that names a later era than the one in which they were sent; repeatable read as if they were sent again.

--- a/packages/almondrouterd/src/almondrouterd/platform/store.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/store.py
@@ -207,7 +207,9 @@
         for put in transaction.success:
             if isinstance(put, Put) and put.lease_id:
                 self._check_lease(put.lease_id)
-        response = await self._call_store("POST", "kv-txn", body=body, repeatable=False)
+        response = await self._call_store(
+            "POST", "kv-txn", body=body, valid_in_new_era=False
+        )
         if response.status == HTTPStatus.PRECONDITION_FAILED:
             return CommitResult(succeeded=False, revision=0)
         if response.status == HTTPStatus.NOT_FOUND:
@@ -221,7 +223,7 @@
     async def grant_lease(self, ttl: int) -> Lease:  # noqa: D102
         requested_at = self._clock.monotonic()
         response = await self._call_store(
-            "POST", "kv-lease", body=_LeaseGrant(ttl), repeatable=False
+            "POST", "kv-lease", body=_LeaseGrant(ttl), valid_in_new_era=False
         )
         granted = decode_response(response, _LeaseGrant)
         lease_id = (self.era << LEASE_NUMBER_BITS) | granted.lease_id
@@ -241,7 +243,9 @@
 
     async def revoke_lease(self, lease: Lease) -> None:  # noqa: D102
         number = self._check_lease(lease.lease_id)
-        await self._call_store("DELETE", f"kv-lease-end/{number}", repeatable=False)
+        await self._call_store(
+            "DELETE", f"kv-lease-end/{number}", valid_in_new_era=False
+        )
 
     async def watch(  # noqa: D102
         self, prefix: str, *, from_revision: int
@@ -316,14 +320,14 @@
         query: dict[str, str] | None = None,
         body: msgspec.Struct | None = None,
         timeout: float = CALL_TIMEOUT_S,
-        repeatable: bool = True,
+        valid_in_new_era: bool = True,
     ) -> BackendResponse:
         """Send a call and return its response.
 
         Parameters
         ----------
-        repeatable
-            Whether the response is good for use although a new era has begun since the
+        valid_in_new_era
+            Whether the response can be used although a new era has begun since the
             call was sent.
         """
         target = _PATH_PREFIX + path + (f"?{urlencode(query)}" if query else "")
@@ -351,7 +355,7 @@
         if response.status in refused:
             raise StoreUnavailableError(f"{name}: HTTP status {response.status}")
         self._note_era(response)
-        if era not in (0, self.era) and not repeatable:
+        if era not in (0, self.era) and not valid_in_new_era:
             message = f"{name}: the store came back from an older copy meanwhile"
             raise StoreOutcomeUnknownError(message)
         return response
