Judge each request by the body limit in force

Callers would see: after an operator raised max_body_bytes, the next request on a connection that was kept open was refused with 413 by the earlier limit; after it was lowered, one that the new limit forbids was taken.

Cause: a reader took the limit over when the request before had ended, not when the next one began.

Evidence: test_next_request_of_a_connection_has_the_limits_in_force failed before in both cases.

--- a/packages/almondrouter/src/almondrouter/transport/readers.py
+++ b/packages/almondrouter/src/almondrouter/transport/readers.py
@@ -217,8 +217,10 @@
         if self.stopped:
             return
         self.receiving = True
+        limits = self._limits()
+        self._max_body_bytes = limits.max_body_bytes
         self._began_at = self._clock.monotonic()
-        self.expires_at = self._began_at + self._limits().header_timeout
+        self.expires_at = self._began_at + limits.header_timeout
 
     def on_url(self, url: bytes) -> None:
         """Store a part of the request target."""
--- a/tests/test_transport_readers.py
+++ b/tests/test_transport_readers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from parameterized import parameterized
@@ -52,11 +53,23 @@
     def setUp(self):
         self.clock = ManualClock()
         self.sink = ListSink()
-        limits = CallerLimits(MAX_HEADERS, MAX_BODY, HEADER_TIMEOUT_S, 75.0)
+        self.limits = CallerLimits(MAX_HEADERS, MAX_BODY, HEADER_TIMEOUT_S, 75.0)
         self.reader = RequestReader(
-            sink=self.sink, limits=lambda: limits, clock=self.clock
+            sink=self.sink, limits=lambda: self.limits, clock=self.clock
         )
 
+    @parameterized.expand([("raised", 20, []), ("lowered", 5, ["body_too_large"])])
+    def test_next_request_of_a_connection_has_the_limits_in_force(
+        self, _, max_body, refusals
+    ):
+        """Guards against requests that are judged by an earlier configuration."""
+        self.reader.feed(POST)
+        self.limits = dataclasses.replace(self.limits, max_body_bytes=max_body)
+        body = bytes(max_body if not refusals else MAX_BODY)
+        head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.reader.feed(head + body)
+        self.assertEqual(refusals, self.sink.refusals)
+
     @parameterized.expand([(1,), (7,), (64,), (1000,)])
     def test_pieces_of_any_size_give_the_same_requests(self, size):
         """Guards against requests that depend on how TCP splits them."""
