Give the backend servers of the crowd tests their body limit in time

Cause: the test raised the limit of the simulated backend server by replacing a function after the daemon had connected. The connection that was open by then kept the function, and with it a limit of 2 MB. Whether the daemon uses that connection depends on the machine: a request that may run once takes a connection idle for up to 0.1 s, which is about what the daemon needs to read 64 MB.

The simulated server now has the limit as an attribute that its connections ask for at each request. What the test checks and its bounds are as before.

--- a/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
+++ b/packages/almondrouter-standins/src/almondrouter_standins/platform_backend.py
@@ -15,6 +15,7 @@
 
 from almondrouter.clock import SystemClock
 from almondrouter.protocol.outcomes import CallError
+from almondrouter.state.routes import CallerLimits
 from almondrouter.transport.backends import BackendClient
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.calls import BackendResponse, CallerRequest, CallerResponse
@@ -129,6 +130,8 @@
     ----------
     unframed_share
         Share of the responses to safe requests that have no length.
+    max_body_bytes
+        Longest body that it accepts, from the next request on.
     sends_heartbeats
         Whether heartbeats are sent; a test may pause them.
     draining_since
@@ -176,6 +179,7 @@
         self._first_name = name
         self.acknowledged = Counter[str]()
         self.crashing_targets: frozenset[str] = frozenset()
+        self.max_body_bytes = MAX_BODY_BYTES
         self.server = self._make_server()
 
     def _make_server(self) -> CallerServer:
@@ -183,6 +187,7 @@
             address=f"{self._ip}:7001",
             handler=self._handle,
             max_body_bytes=MAX_BODY_BYTES,
+            limits=lambda: CallerLimits(max_body_bytes=self.max_body_bytes),
         )
 
     async def start(self) -> None:
--- a/tests/test_almondrouterd_host_crowds.py
+++ b/tests/test_almondrouterd_host_crowds.py
@@ -18,7 +18,6 @@
 from parameterized import parameterized
 
 import crowd_support as crowds
-from almondrouter.state.routes import CallerLimits
 from almondrouter_standins.platform_fleet import CALLER_PORT, PlatformFleet
 from platform_support import make_configuration
 
@@ -76,10 +75,11 @@
         )
         await self.fleet.start(document)
         self.memory_bytes = memory_mb * BYTES_PER_MEGABYTE
-        server = self.fleet.backends[0].server
+        backend = self.fleet.backends[0]
+        backend.max_body_bytes = crowds.MAX_BODY_BYTES
+        server = backend.server
         self.serve = server.handler
         server.handler = self.serve_long_responses
-        server.limits = lambda: CallerLimits(max_body_bytes=crowds.MAX_BODY_BYTES)
         self.sampler = crowds.ProcessSampler(self.fleet.daemons[0].pid)
         self.addAsyncCleanup(self.sampler.close)
 
