Log why the owner of a quota changes; measure its exchanges and the event loop

Callers of a deployment with quotas got 429 because no owner of the quotas answered, and nothing told why. Three explanations were possible: the owner has too much work, the daemons that report have, or frames wait on the links. Logs and metrics could not tell them apart.

No decision has changed.

--- a/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
@@ -10,6 +10,7 @@
 
 from almondrouter.coordination.quotas.ledger import TenantLedger
 from almondrouter.coordination.quotas.ranking import rank_hosts
+from almondrouter.logs import EventLogger
 from almondrouter.protocol.quotas import (
     FleetUse,
     QuotaGrant,
@@ -31,6 +32,8 @@
 LEDGER_IDLE_S = 120.0
 """Seconds after the last report about a tenant at which its ledger is dropped."""
 
+_log = EventLogger("quotas")
+
 
 @dataclass(slots=True)
 class _Member:
@@ -218,6 +221,13 @@
                 self._owned_since = -math.inf
             elif 2 * stayed <= len(hosts):
                 self._owned_since = now
+        if has_quorum is not self._has_quorum:
+            _log.info(
+                "quorum of quotas gained" if has_quorum else "quorum of quotas lost",
+                group=self._group,
+                confirmed=len(confirmed),
+                hosts=len(hosts),
+            )
         self._has_quorum = has_quorum
         return has_quorum
 
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
@@ -110,6 +110,8 @@
         self._choose_at = self._expire_at = clock.monotonic()
         self.counts: Counter[str] = Counter()
         self.refused: Counter[str] = Counter()
+        self.on_exchange: Callable[[float], None] = lambda seconds: None
+        """Called with the seconds from each report to the grant that answers it."""
 
     @property
     def has_limits(self) -> bool:
@@ -341,6 +343,7 @@
                 send=self._send_report,
                 committed_until=committed_until,
                 is_new=self._is_first_start and not self._sessions,
+                on_exchange=lambda seconds: self.on_exchange(seconds),
             )
             for group in (f"{index}/{count}" for index in range(count))
         }
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
@@ -9,6 +9,7 @@
 
 from almondrouter.coordination.quotas.allowances import Allowance
 from almondrouter.coordination.quotas.ranking import rank_hosts
+from almondrouter.logs import EventLogger
 from almondrouter.protocol.quotas import QuotaGrant, QuotaReport, TenantUse
 
 REPORT_INTERVAL_S = 0.25
@@ -42,6 +43,8 @@
 """Hosts of which one is chosen. Links are opened to them to find out whether they know
 quotas."""
 
+_log = EventLogger("quotas")
+
 
 class OwnerSession:
     """What this daemon exchanges with the owner of one group of tenants.
@@ -62,6 +65,8 @@
         Monotonic seconds until which it turns to no owner.
     is_new
         Whether the whole fleet has started for the first time.
+    on_exchange
+        Called with the seconds from each report to the grant that answers it.
     """
 
     def __init__(
@@ -74,7 +79,9 @@
         send: Callable[[str, QuotaReport], None],
         committed_until: float = -math.inf,
         is_new: bool = False,
+        on_exchange: Callable[[float], None] = lambda seconds: None,
     ) -> None:
+        self._on_exchange = on_exchange
         self.group = group
         self.owner: str | None = None
         self.allowances: dict[str, Allowance] = {}
@@ -128,8 +135,10 @@
             Hosts that may be the owner.
         """
         best = self._find_best(hosts, now)
-        if self.owner is not None and not self._may_keep(hosts, best, now):
-            self.owner = None
+        if self.owner is not None:
+            reason = self._find_reason_to_leave(hosts, best, now)
+            if reason:
+                self._leave_owner(reason, now)
         if self.owner is not None or not best or now < self._committed_until:
             return
         if self._discovery_ends is None:
@@ -144,6 +153,7 @@
             self._turn_to(best, now)
 
     def _turn_to(self, owner: str, now: float) -> None:
+        _log.info("owner of quotas chosen", group=self.group, owner=owner)
         self.owner = owner
         self._is_first, self._echo = True, 0
         self._answered_at = self._quorum_at = now
@@ -176,17 +186,32 @@
             self._preferred = (best, now)
         return best
 
-    def _may_keep(self, hosts: frozenset[str], best: str, now: float) -> bool:
+    def _find_reason_to_leave(
+        self, hosts: frozenset[str], best: str, now: float
+    ) -> str:
+        """Return why another owner is to be chosen; empty if this one stays."""
         owner = self.owner
         unanswered = bool(self._sent) and now - self._answered_at > MAX_UNANSWERED_S
         if unanswered or now - self._quorum_at > MAX_WITHOUT_QUORUM_S:
             self._failed[owner] = now + FAILED_S
-            return False
+            return "no answer" if unanswered else "no quorum"
         if owner not in hosts or not self._is_usable(owner):
-            return False
+            return "unreachable"
         if best == owner or self.is_attached(now):
-            return True
-        return now - max(self._preferred[1], self._quorum_at) < STEADY_S
+            return ""
+        has_settled = now - max(self._preferred[1], self._quorum_at) >= STEADY_S
+        return "another host precedes it" if has_settled else ""
+
+    def _leave_owner(self, reason: str, now: float) -> None:
+        _log.info(
+            "owner of quotas left",
+            group=self.group,
+            owner=self.owner,
+            reason=reason,
+            unanswered_reports=len(self._sent),
+            seconds_since_answer=round(now - self._answered_at, 3),
+        )
+        self.owner = None
 
     @property
     def is_answered(self) -> bool:
@@ -237,6 +262,7 @@
         if grant.host != self.owner or asked_at is None:
             return {}
         self._answered_at = now
+        self._on_exchange(now - asked_at)
         self._sent = {n: at for n, at in self._sent.items() if n > grant.report}
         # Without a quorum, the owner needs the confirmation soon.
         self.is_urgent = self.is_urgent or not (self._echo or grant.has_quorum)
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -75,6 +75,7 @@
     register_state_metrics,
     register_transfer_metrics,
 )
+from almondrouterd.loopdelay import LoopDelay
 from almondrouterd.metrics import DaemonMetrics
 from almondrouterd.peers import Peers
 from almondrouterd.platform.configuration import CONFIGURATION_KEY, decode_routes
@@ -170,6 +171,7 @@
         self._incarnation = int(self._clock.wall() * 1000)
         self._record_revision = 0
         self._tasks: list[asyncio.Task] = []
+        self._loop_delay = LoopDelay(self._clock)
         self._dialect = PlatformDialect()
         self._metrics = DaemonMetrics()
         self._build_state()
@@ -439,6 +441,7 @@
             directory=self.directory,
             evidence=self._evidence,
             log_writer=log_writer,
+            loop_delay=self._loop_delay,
         )
         register_call_metrics(
             self._metrics,
@@ -610,7 +613,7 @@
 
     async def _maintain_peers_forever(self) -> None:
         while True:
-            await asyncio.sleep(PEER_MAINTENANCE_INTERVAL_S)
+            await self._loop_delay.sleep(PEER_MAINTENANCE_INTERVAL_S)
             self._peers.run_maintenance()
 
     async def _divide_quotas_forever(self) -> None:
--- a/packages/almondrouterd/src/almondrouterd/hostmetrics.py
+++ b/packages/almondrouterd/src/almondrouterd/hostmetrics.py
@@ -19,9 +19,14 @@
 from almondrouter.state.rollouts import RolloutPhase
 from almondrouter.transport.callers import CallerServer
 from almondrouter.transport.links import CallLinkPool, CallLinkServer
+from almondrouterd.loopdelay import LoopDelay
 from almondrouterd.metrics import DaemonMetrics, Samples, make_unlabelled_samples
 from almondrouterd.platform.store import PlatformStore
 
+QUOTA_EXCHANGE_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2)
+"""Seconds; requests wait for `service.MAX_WAIT_S`, and grants are valid for
+`holdings.GRANT_VALID_S`."""
+
 
 def register_state_metrics(
     metrics: DaemonMetrics,
@@ -30,8 +35,14 @@
     directory: HostDirectory,
     evidence: CrashEvidence,
     log_writer: LineWriter,
+    loop_delay: LoopDelay,
 ) -> None:
-    """Register metrics of the configuration, the known hosts and the log."""
+    """Register metrics of the configuration, the known hosts, the log and the loop."""
+    metrics.add_gauge(
+        "almond_event_loop_delay_seconds",
+        "Longest delay of a timer within the last 10 to 20 seconds",
+        lambda: make_unlabelled_samples(loop_delay.longest),
+    )
     metrics.add_gauge(
         "almond_configuration_version",
         "Configuration version in force",
@@ -126,6 +137,11 @@
 
 def register_quota_metrics(metrics: DaemonMetrics, *, quotas: QuotaService) -> None:
     """Register metrics of the quotas of tenants."""
+    quotas.on_exchange = metrics.add_histogram(
+        "almond_quota_exchange_seconds",
+        "Time from a report to the owner of quotas until its grant",
+        QUOTA_EXCHANGE_BUCKETS,
+    )
     metrics.add_counter(
         "almond_quota_events_total",
         "Requests admitted and refused by the quotas of tenants; frames about them",
--- a/packages/almondrouterd/src/almondrouterd/metrics.py
+++ b/packages/almondrouterd/src/almondrouterd/metrics.py
@@ -4,7 +4,7 @@
 
 import resource
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats import text
@@ -54,6 +54,13 @@
         counter = Counter(name, summary, registry=self._registry)
         self._callbacks.append((counter, read))
 
+    def add_histogram(
+        self, name: str, summary: str, buckets: Sequence[float]
+    ) -> Callable[[float], None]:
+        """Add a histogram without labels; return the function that observes a value."""
+        histogram = Histogram(name, summary, registry=self._registry, buckets=buckets)
+        return lambda value: histogram.observe({}, value)
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         for metric, read in self._callbacks:
--- a/tests/test_almondrouterd_hostmetrics.py
+++ b/tests/test_almondrouterd_hostmetrics.py
@@ -6,9 +6,10 @@
 
 from almondrouter.clock import SystemClock
 from almondrouter.transport.links import CallLinkPool, CallLinkServer, LinkPolicy
-from almondrouterd.hostmetrics import register_link_metrics
+from almondrouterd.hostmetrics import register_link_metrics, register_quota_metrics
 from almondrouterd.metrics import DaemonMetrics
 from calls_support import make_hello, wait_until
+from quota_replay import Fleet, make_policy
 
 
 class LinkMetricsTest(unittest.IsolatedAsyncioTestCase):
@@ -52,3 +53,17 @@
             and outbound.bytes_sent == inbound.bytes_received
             and inbound.frames_sent == outbound.frames_received
         )
+
+
+class QuotaMetricsTest(unittest.TestCase):
+    """Three daemons divide the quota of a tenant in simulated time."""
+
+    def test_exchanges_with_the_owner_are_measured(self):
+        """Guards against an owner that answers late unnoticed."""
+        fleet = Fleet(3, [make_policy()])
+        metrics = DaemonMetrics()
+        register_quota_metrics(metrics, quotas=fleet.daemons["h1"].service)
+        fleet.run(2.0)
+        lines = metrics.render().decode().splitlines()
+        counts = [line for line in lines if "quota_exchange_seconds_count" in line]
+        self.assertGreater(float(counts[0].split()[-1]), 0)
