Send the owner of a quota one report at a time

Callers got 429 although their tenants had quota left: in a burst of 2.5 times the load nearly all of them, and this went on after the burst.

Cause: a daemon with waiting requests sent a report every 0.03 s without waiting for the answer to the last one. The owner, a host of 0.43 of a core, can answer about 1,000 a second and got 1,500. Grants came after the waiting requests had been refused, then too late for the quorum. Refused callers came back and kept the reports at that rate.

A daemon now has one report on the way. The next one goes when that is answered, or after 0.5 s, and asks for all requests that wait by then. The rate of reports follows what the owner can answer.

--- a/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
@@ -17,6 +17,9 @@
 has a quorum."""
 UNATTACHED_INTERVAL_S = 0.15
 """Seconds between reports while the owner has no quorum."""
+UNANSWERED_INTERVAL_S = 0.5
+"""Seconds from a report to the next one while it is not answered. Links lose no frame
+as long as they are open; more reports only keep an owner that is late busy."""
 URGENT_INTERVAL_S = 0.03
 """Least seconds between reports for requests that wait. With 5 ms, 83 daemons could
 send an owner 16,000 reports a second, too many for a small host to answer in time."""
@@ -223,6 +226,8 @@
         if self.owner is None:
             return False
         elapsed = now - self._sent_at
+        if self._sent:
+            return elapsed >= UNANSWERED_INTERVAL_S
         if self.is_urgent:
             return elapsed >= URGENT_INTERVAL_S
         if self._is_first:
--- a/tests/quota_replay.py
+++ b/tests/quota_replay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import functools
 import heapq
 import itertools
 import random
@@ -10,7 +11,13 @@
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.quotas.bounds import compute_bound
-from almondrouter.coordination.quotas.service import MAX_WAIT_S, TICK_S, QuotaService
+from almondrouter.coordination.quotas.service import (
+    MAX_WAIT_S,
+    RETRY_AFTER_SPREAD_S,
+    TICK_S,
+    UNANSWERED_RETRY_AFTER_S,
+    QuotaService,
+)
 from almondrouter.state.bounds import QuotaBounds
 from almondrouter.state.tenants import TenantPolicy, TenantTable
 
@@ -18,6 +25,10 @@
 REGIONS = 3
 LOCAL_DELAY_S, REMOTE_DELAY_S = 0.0005, 0.02
 MAX_QUEUEING_S, RUN_S = 0.3, 0.15
+REPEAT_AFTER_S = (
+    UNANSWERED_RETRY_AFTER_S,
+    UNANSWERED_RETRY_AFTER_S + RETRY_AFTER_SPREAD_S,
+)
 
 
 class Daemon:
@@ -27,6 +38,7 @@
         self.fleet, self.name, self.region = fleet, name, region
         self.incarnation = 0
         self.paused_until = 0.0
+        self.busy_until = 0.0
         self.held_back = []
         self.service = None
 
@@ -56,9 +68,19 @@
 
 
 class Fleet:
-    """Daemons, the messages between them, and what reaches backend servers."""
-
-    def __init__(self, hosts, policies, *, seed=1):
+    """Daemons, the messages between them, and what reaches backend servers.
+
+    Parameters
+    ----------
+    frame_s
+        Seconds of processor time that a daemon needs for each frame that it receives.
+    repeats
+        Times that the caller of a refused request sends it again.
+    """
+
+    def __init__(self, hosts, policies, *, seed=1, frame_s=0.0, repeats=0):
+        self.frame_s = frame_s
+        self.repeats = repeats
         self.clock = ManualClock(monotonic=0.0)
         self.random = random.Random(seed)
         self.tenants = TenantTable({policy.name: policy for policy in policies})
@@ -118,24 +140,33 @@
             return
         delay = REMOTE_DELAY_S if sender.region != receiver.region else LOCAL_DELAY_S
         delay += self.random.uniform(0, 0.002)
-        self.call_later(delay, lambda: receiver.service.handle_frame(frame), receiver)
+        self.call_later(delay, lambda: self._receive(receiver, frame), receiver)
+
+    def _receive(self, daemon, frame):
+        """Handle a frame once the daemon has handled those before it."""
+        now = self.clock.monotonic()
+        daemon.busy_until = max(now, daemon.busy_until) + self.frame_s
+        work = functools.partial(daemon.service.handle_frame, frame)
+        self.call_later(daemon.busy_until - now, work, daemon)
 
-    def request(self, host, tenant):
+    def request(self, host, tenant, *, repeats=None):
         """Let a caller send a request to a daemon."""
         daemon = self.daemons[host]
         if daemon.service is None:
             return
         policy = self.tenants.policies[tenant]
-        self.offered[tenant].append(self.clock.monotonic())
+        if repeats is None:
+            repeats = self.repeats
+            self.offered[tenant].append(self.clock.monotonic())
         token = daemon.service.take(policy)
         if token is not None:
             self._run(daemon, tenant, token)
         elif not daemon.service.may_wait(policy):
-            self._refuse(tenant, "short")
+            self._refuse(daemon, tenant, "short", repeats)
         else:
-            self._wait(daemon, policy)
+            self._wait(daemon, policy, repeats)
 
-    def _wait(self, daemon, policy):
+    def _wait(self, daemon, policy, repeats):
         waiting = [True]
 
         def deliver(token):
@@ -152,7 +183,7 @@
             if token is not None:
                 self._run(daemon, policy.name, token)
             else:
-                self._refuse(policy.name, "unanswered")
+                self._refuse(daemon, policy.name, "unanswered", repeats)
 
         daemon.service.wait_for_token(policy, deliver)
         self.call_later(MAX_WAIT_S, give_up, daemon)
@@ -170,9 +201,14 @@
         self.call_later(queueing, arrive)
         self.call_later(queueing + RUN_S, finish, daemon)
 
-    def _refuse(self, tenant, reason):
+    def _refuse(self, daemon, tenant, reason, repeats):
         self.counts[reason] += 1
         self.refused[tenant].append(self.clock.monotonic())
+        if repeats:
+            self.call_later(
+                self.random.uniform(*REPEAT_AFTER_S),
+                lambda: self.request(daemon.name, tenant, repeats=repeats - 1),
+            )
 
     def offer(self, tenant, rate, choose_host, *, begin, end):
         """Schedule requests of a tenant at random times.
--- a/tests/test_coordination_quotas.py
+++ b/tests/test_coordination_quotas.py
@@ -62,6 +62,61 @@
     fleet.call_later(3.0, lambda: setattr(fleet, "reachable", None))
 
 
+class BusyOwnerTest(unittest.TestCase):
+    """Replays in which an owner can handle about 12 reports a second and daemon.
+
+    Each of many tenants, a few of them large, has a quota of 1.6 times its usual load,
+    and all send more for some seconds. Callers repeat refused requests twice.
+    """
+
+    TENANTS = 84
+    LOAD, QUOTA = 290.0, 1.6
+    BURST_BEGIN, BURST_END = 8.0, 20.0
+
+    def replay(self, *, factor, seed):
+        weights = {f"t{number}": 1 / (number + 1) for number in range(self.TENANTS)}
+        unit = self.LOAD / sum(weights.values())
+        loads = {name: weight * unit for name, weight in weights.items()}
+        policies = [
+            make_policy(self.QUOTA * load, self.QUOTA * load, name)
+            for name, load in loads.items()
+        ]
+        fleet = Fleet(HOSTS, policies, seed=seed, frame_s=0.0035, repeats=2)
+        hosts = sorted(fleet.hosts)
+        for name, load in loads.items():
+            for rate, begin, end in (
+                (load, 4.0, 28.0),
+                (load * (factor - 1), self.BURST_BEGIN, self.BURST_END),
+            ):
+                fleet.offer(
+                    name,
+                    rate,
+                    lambda at: fleet.random.choice(hosts),
+                    begin=begin,
+                    end=end,
+                )
+        fleet.run(30.0)
+        return fleet
+
+    def find_served_share(self, fleet, begin, end):
+        """Return what was served between two times as a share of what should be."""
+        served = expected = 0.0
+        for name, policy in fleet.tenants.policies.items():
+            offered = sum(begin <= at < end for at in fleet.offered[name])
+            served += sum(begin <= at < end for at in fleet.arrivals[name])
+            expected += min(offered, policy.rate * (end - begin))
+        return served / expected
+
+    @parameterized.expand([(1.5, 1), (2.5, 1), (2.5, 2), (4.0, 1)])
+    def test_quotas_are_served_in_a_burst_and_after_it(self, factor, seed):
+        """Guards against reports that overload the owner until it has no quorum."""
+        fleet = self.replay(factor=factor, seed=seed)
+        self.assertGreater(self.find_served_share(fleet, 9.0, 20.0), 0.8)
+        self.assertGreater(self.find_served_share(fleet, 22.0, 28.0), 0.95)
+        for name in fleet.tenants.policies:
+            self.assertLessEqual(fleet.measure(name)[0], 1.0, name)
+
+
 class ReplayTest(unittest.TestCase):
     """Replays with one tenant, 24 hosts in 3 regions, and one fault."""
 
