Name only the tenants that need tokens in reports between the regular ones

Callers waited for tokens in a burst although most daemons were idle: the owner of the quotas was still the bottleneck with one report at a time.

A report between two regular ones is now partial: it names tenants whose requests wait, and those that have used half of their allowance since they were last named. The owner takes back nothing of the tenants that a partial report leaves out. The test guards the allowances of tenants that are not named; earlier daemons ignore the new field.

--- a/packages/almondrouter/src/almondrouter/coordination/quotas/allowances.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/allowances.py
@@ -51,6 +51,7 @@
         self._own = (0, 0)
         self._told_at = -math.inf
         self._is_settled = True
+        self._has_changed = False
         self._reported = (0, 0)
         self.waiters: deque[Waiter] = deque()
 
@@ -59,6 +60,7 @@
         self._demand = self._find_demand(now) + 1.0
         self._demand_at = now
         self._is_settled = False
+        self._has_changed = True
 
     def _find_demand(self, now: float) -> float:
         elapsed = now - self._demand_at
@@ -116,6 +118,7 @@
         self._used += used
         self._recent.add(used, now)
         self._is_settled = False
+        self._has_changed = True
 
     def wake_waiters(self, now: float) -> None:
         """Give the tokens to the requests that wait for them, in their order."""
@@ -157,6 +160,10 @@
         """Return whether the owner has to hear of this tenant."""
         return not self._is_settled or self.is_active(now)
 
+    def needs_tokens(self, now: float) -> bool:
+        """Return whether the owner has to hear of this tenant soon."""
+        return bool(self.waiters) or (self._has_changed and self.is_half_used(now))
+
     def was_told(self, now: float) -> bool:
         """Return whether another owner needs to hear what the last one has told."""
         return now - self._told_at < RESERVE_VALID_S
@@ -175,6 +182,7 @@
         if demand >= LEAST_DEMAND:
             wanted = max(wanted, math.ceil(demand))
         self._reported = (self._used, wanted + self._held)
+        self._has_changed = False
         if not is_first:
             total = (self._recent.total,)
             return TenantUse(tenant, self._used, self._held, wanted, total)
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
@@ -154,9 +154,10 @@
         told: tuple[FleetUse, ...] = ()
         if has_quorum:
             grants = self._grant_all(report, key, now)
-            grants += self._recall_idle(report, key, now)
+            if not report.is_partial:
+                grants += self._recall_idle(report, key, now)
+                told = self._tell_standby(report, now)
             member.unconfirmed |= {grant.tenant for grant in grants}
-            told = self._tell_standby(report, now)
         return QuotaGrant(
             self._host,
             self._group,
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
@@ -103,7 +103,7 @@
         self._has_started = False
         self._discovery_ends: float | None = None
         self._sent: dict[int, float] = {}
-        self._sent_at = -math.inf
+        self._sent_at = self._full_at = -math.inf
         self._answered_at = -math.inf
         self._quorum_at = -math.inf
         self._failed: dict[str, float] = {}
@@ -161,7 +161,7 @@
         self._is_first, self._echo = True, 0
         self._answered_at = self._quorum_at = now
         self._sent.clear()
-        self._sent_at = -math.inf
+        self._sent_at = self._full_at = -math.inf
         self._discovery_ends = None
 
     def _discover(self, hosts: frozenset[str], now: float) -> None:
@@ -171,12 +171,21 @@
         for host in itertools.islice(usable, DISCOVERY_HOSTS):
             self._send(host, self._make_report(0, ()))
 
-    def _make_report(self, echo: int, uses: tuple[TenantUse, ...]) -> QuotaReport:
+    def _make_report(
+        self, echo: int, uses: tuple[TenantUse, ...], *, is_partial: bool = False
+    ) -> QuotaReport:
         self._number += 1
         number = self._number
         first = self._is_first
         return QuotaReport(
-            *self._identity, self.group, number, echo, first, uses, self._is_new
+            *self._identity,
+            self.group,
+            number,
+            echo,
+            first,
+            uses,
+            self._is_new,
+            is_partial,
         )
 
     def _find_best(self, hosts: frozenset[str], now: float) -> str:
@@ -232,23 +241,34 @@
             return elapsed >= URGENT_INTERVAL_S
         if self._is_first:
             return elapsed >= UNATTACHED_INTERVAL_S
-        return elapsed >= REPORT_INTERVAL_S
+        return now - self._full_at >= REPORT_INTERVAL_S
 
     def find_delay(self, now: float) -> float:
         """Return the seconds until an urgent report may be sent."""
         return max(0.0, self._sent_at + URGENT_INTERVAL_S - now)
 
     def send_report(self, now: float) -> None:
-        """Send a report to the owner."""
+        """Send a report to the owner.
+
+        Notes
+        -----
+        Between the regular reports, it names only the tenants whose requests need
+        tokens: the owner has work for each tenant in a report.
+        """
         is_first = self._is_first
+        is_partial = not is_first and now - self._full_at < REPORT_INTERVAL_S
         uses = tuple(
             item.make_use(tenant, now, is_first=is_first)
             for tenant, item in self.allowances.items()
-            if item.needs_report(now) or (is_first and item.was_told(now))
+            if item.needs_tokens(now)
+            or (not is_partial and item.needs_report(now))
+            or (is_first and item.was_told(now))
         )
         if not self._sent:
             self._answered_at = now
-        report = self._make_report(self._echo, uses)
+        if not is_partial:
+            self._full_at = now
+        report = self._make_report(self._echo, uses, is_partial=is_partial)
         self._sent[report.number] = self._sent_at = now
         self.is_urgent = False
         self._send(self.owner, report)
--- a/packages/almondrouter/src/almondrouter/protocol/quotas.py
+++ b/packages/almondrouter/src/almondrouter/protocol/quotas.py
@@ -65,6 +65,8 @@
     is_new
         Whether the daemon has started with the whole fleet, for the first time, and has
         not had an owner with a quorum yet.
+    is_partial
+        Whether tenants may be missing that have requests or granted tokens.
     """
 
     host: str
@@ -75,6 +77,7 @@
     is_first: bool
     uses: tuple[TenantUse, ...] = ()
     is_new: bool = False
+    is_partial: bool = False
 
 
 class TenantGrant(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_coordination_quotas.py
+++ b/tests/test_coordination_quotas.py
@@ -10,6 +10,8 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
+from almondrouter.coordination.quotas.owner import QuotaOwner
+from almondrouter.protocol.quotas import QuotaReport, TenantUse
 from almondrouter.state.tenants import TenantTable
 from quota_replay import BOUNDS, Fleet, make_policy
 
@@ -117,6 +119,39 @@
             self.assertLessEqual(fleet.measure(name)[0], 1.0, name)
 
 
+class PartialReportTest(unittest.TestCase):
+    """One daemon reports to an owner; tenant t has used most of its quota."""
+
+    def setUp(self):
+        policy = make_policy()
+        self.owner = QuotaOwner(
+            "a",
+            "0/1",
+            bounds=BOUNDS,
+            find_policy=lambda tenant: replace(policy, name=tenant),
+            list_hosts=lambda: frozenset("a"),
+            first_number=0,
+        )
+        self.echo = self.number = 0
+        self.report(TenantUse("t", 0, 0, 0))
+        self.report(TenantUse("t", 90, 0, 10))
+        self.report(TenantUse("t", 90, 0, 10))
+
+    def report(self, *uses, is_partial=False):
+        self.number += 1
+        report = QuotaReport(
+            "a", 1, "0/1", self.number, self.echo, False, uses, True, is_partial
+        )
+        grant = self.owner.handle_report(report, now=self.number / 10)
+        self.echo = grant.number
+        return {item.tenant for item in grant.grants}
+
+    def test_tokens_of_tenants_not_named_are_kept(self):
+        """Guards against allowances that a report about another tenant takes away."""
+        self.assertEqual({"u"}, self.report(TenantUse("u", 0, 0, 1), is_partial=True))
+        self.assertEqual({"t", "u"}, self.report(TenantUse("u", 0, 0, 1)))
+
+
 class ReplayTest(unittest.TestCase):
     """Replays with one tenant, 24 hosts in 3 regions, and one fault."""
 
