Choose owners of quotas among the hosts with the most processor time

Callers of a whole fleet got 429 where the owner of their quotas was a small host: it handles the reports of all daemons beside the requests of its own host.

Cause: hosts were ranked by hash alone.

The host record now tells the processor time that the platform allows the daemon, and hosts with more of it come first. All daemons rank alike, as they all know the records. Records of earlier daemons count as 0; earlier daemons ignore the field and follow the owner that has the quorum.

--- a/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/owner.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import functools
+import itertools
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from almondrouter.coordination.quotas.ledger import TenantLedger
-from almondrouter.coordination.quotas.ranking import rank_hosts
 from almondrouter.logs import EventLogger
 from almondrouter.protocol.quotas import (
     FleetUse,
@@ -90,8 +89,9 @@
         Bounds of the deployment.
     find_policy
         Returns the policy of a tenant in force; None if it has no limit.
-    list_hosts
-        Returns the hosts whose daemons take part in quotas.
+    list_hosts, rank_hosts
+        Return the hosts whose daemons take part in quotas, and the order in which they
+        are to own a group.
     first_number
         Number of the first grant, random, so that a daemon does not confirm a grant of
         an earlier process of this host.
@@ -105,6 +105,7 @@
         bounds: QuotaBounds,
         find_policy: Callable[[str], TenantPolicy | None],
         list_hosts: Callable[[], frozenset[str]],
+        rank_hosts: Callable[[str], Sequence[str]],
         first_number: int,
     ) -> None:
         self._host = host
@@ -112,6 +113,7 @@
         self._bounds = bounds
         self._find_policy = find_policy
         self._list_hosts = list_hosts
+        self._rank_hosts = rank_hosts
         self._number = first_number
         self._members: dict[str, _Member] = {}
         self._ledgers: dict[str, TenantLedger] = {}
@@ -119,7 +121,6 @@
         self._has_quorum = False
         self._owned_since = -math.inf
         self._lost_at = -math.inf
-        self._find_standbys = functools.lru_cache(maxsize=1)(self._list_standbys)
 
     def count_members(self, now: float) -> int:
         """Return the daemons that report to this owner."""
@@ -275,7 +276,7 @@
         A new owner then knows of each tenant, even if all daemons with requests of it
         have died with the earlier owner.
         """
-        if report.host not in self._find_standbys(self._list_hosts()):
+        if report.host not in self._list_standbys():
             return ()
         described = {use.tenant for use in report.uses}
         found = (
@@ -285,9 +286,9 @@
         )
         return tuple(use for use in found if use.fleet)
 
-    def _list_standbys(self, hosts: frozenset[str]) -> list[str]:
-        ranked = rank_hosts(self._group, hosts - {self._host})
-        return ranked[:STANDBYS]
+    def _list_standbys(self) -> list[str]:
+        others = (h for h in self._rank_hosts(self._group) if h != self._host)
+        return list(itertools.islice(others, STANDBYS))
 
     def _recall_idle(
         self, report: QuotaReport, key: tuple[str, int], now: float
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/ranking.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/ranking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Mapping
 
 import xxhash
 
@@ -21,8 +21,24 @@
     return f"{xxhash.xxh32_intdigest(tenant.encode()) % groups}/{groups}"
 
 
-def rank_hosts(group: str, hosts: Collection[str]) -> list[str]:
-    """Return the hosts in the order in which they are to own a group."""
+def rank_hosts(group: str, hosts: Mapping[str, float]) -> list[str]:
+    """Return the hosts in the order in which they are to own a group.
+
+    Parameters
+    ----------
+    hosts
+        Processor time of the daemon of each host, in cores; 0 if it is not known.
+
+    Notes
+    -----
+    An owner handles the reports of all daemons beside the requests of its own host, so
+    those with the most processor time come first. The hash divides the groups among
+    equal hosts.
+    """
     return sorted(
-        hosts, key=lambda host: xxhash.xxh64_intdigest(f"{group} {host}".encode())
+        hosts,
+        key=lambda host: (
+            -hosts[host],
+            xxhash.xxh64_intdigest(f"{group} {host}".encode()),
+        ),
     )
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/service.py
@@ -6,7 +6,7 @@
 import functools
 import random as random_module
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from almondrouter.clock import Clock
 from almondrouter.coordination.callexplanation import keep_random_state
@@ -68,6 +68,8 @@
         Returns the tenants of the configuration in force; None without any.
     list_hosts
         Returns the hosts whose daemons take part, this one included.
+    rank_hosts
+        Returns these hosts in the order in which they are to own a group of tenants.
     is_usable
         Returns whether a host can be reached and knows quotas.
     send
@@ -87,6 +89,7 @@
         bounds: QuotaBounds,
         find_tenants: Callable[[], TenantTable | None],
         list_hosts: Callable[[], frozenset[str]],
+        rank_hosts: Callable[[str], Sequence[str]],
         is_usable: Callable[[str], bool],
         send: Callable[[str, Frame], None],
         call_later: Callable[[float, Callable[[], None]], object],
@@ -98,6 +101,7 @@
         self._bounds = bounds
         self._find_tenants = find_tenants
         self._list_hosts = list_hosts
+        self._rank_hosts = rank_hosts
         self._is_usable = is_usable
         self._send = send
         self._call_later = call_later
@@ -339,6 +343,7 @@
                 group,
                 self._identity,
                 window=self._bounds.window,
+                rank_hosts=self._rank_hosts,
                 is_usable=self._is_usable,
                 send=self._send_report,
                 committed_until=committed_until,
@@ -399,6 +404,7 @@
             bounds=self._bounds,
             find_policy=self.find_policy,
             list_hosts=self._list_hosts,
+            rank_hosts=self._rank_hosts,
             first_number=self._random.getrandbits(40),
         )
 
--- a/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
+++ b/packages/almondrouter/src/almondrouter/coordination/quotas/sessions.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import functools
 import itertools
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from almondrouter.coordination.quotas.allowances import Allowance
-from almondrouter.coordination.quotas.ranking import rank_hosts
 from almondrouter.logs import EventLogger
 from almondrouter.protocol.quotas import QuotaGrant, QuotaReport, TenantUse
 
@@ -60,6 +58,8 @@
         Name of this host, and start time of its daemon.
     window
         Length of the window in seconds.
+    rank_hosts
+        Returns the hosts in the order in which they are to own a group.
     is_usable
         Returns whether a host can be reached and knows quotas.
     send
@@ -78,6 +78,7 @@
         identity: tuple[str, int],
         *,
         window: float,
+        rank_hosts: Callable[[str], Sequence[str]],
         is_usable: Callable[[str], bool],
         send: Callable[[str, QuotaReport], None],
         committed_until: float = -math.inf,
@@ -93,9 +94,7 @@
         self._is_new = is_new
         self._is_usable = is_usable
         self._send = send
-        self._rank_hosts = functools.lru_cache(maxsize=1)(
-            functools.partial(rank_hosts, group)
-        )
+        self._rank_hosts = rank_hosts
         self._number = 0
         self._echo = 0
         self._is_first = True
@@ -137,7 +136,7 @@
         hosts
             Hosts that may be the owner.
         """
-        best = self._find_best(hosts, now)
+        best = self._find_best(now)
         if self.owner is not None:
             reason = self._find_reason_to_leave(hosts, best, now)
             if reason:
@@ -151,7 +150,7 @@
             self._has_started = True
             self._discovery_ends = now + DISCOVERY_S if is_needed else now
             if is_needed:
-                self._discover(hosts, now)
+                self._discover()
         if now >= self._discovery_ends:
             self._turn_to(best, now)
 
@@ -164,9 +163,9 @@
         self._sent_at = self._full_at = -math.inf
         self._discovery_ends = None
 
-    def _discover(self, hosts: frozenset[str], now: float) -> None:
+    def _discover(self) -> None:
         """Ask the first hosts which owner they know; confirm nothing to them."""
-        others = (h for h in self._rank_hosts(hosts) if h != self._identity[0])
+        others = (h for h in self._rank_hosts(self.group) if h != self._identity[0])
         usable = filter(self._is_usable, itertools.islice(others, MAX_CANDIDATES))
         for host in itertools.islice(usable, DISCOVERY_HOSTS):
             self._send(host, self._make_report(0, ()))
@@ -188,10 +187,10 @@
             is_partial,
         )
 
-    def _find_best(self, hosts: frozenset[str], now: float) -> str:
+    def _find_best(self, now: float) -> str:
         """Return the first host that can be the owner; empty if there is none."""
         self._failed = {h: until for h, until in self._failed.items() if now < until}
-        ranked = self._rank_hosts(hosts)[:MAX_CANDIDATES]
+        ranked = self._rank_hosts(self.group)[:MAX_CANDIDATES]
         usable = (h for h in ranked if h not in self._failed and self._is_usable(h))
         best = next(usable, "")
         if best != self._preferred[0]:
--- a/packages/almondrouter/src/almondrouter/state/hosts.py
+++ b/packages/almondrouter/src/almondrouter/state/hosts.py
@@ -15,12 +15,14 @@
 from almondrouter.errors import MALFORMED_DATA_ERRORS, AlmondError, ErrorCode
 
 MAX_SLOTS = 10_000
+MAX_PROCESSORS = 10_000
 MAX_SUSPECTS = 64
 """Most suspects that a record names; a few times the requests that run at once."""
 MAX_INTEGER = 2**53 - 1
 """Largest integer that all JSON and MessagePack decoders read exactly."""
 
 Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Processors = Annotated[float, msgspec.Meta(ge=0, le=MAX_PROCESSORS)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Version = Annotated[str, msgspec.Meta(max_length=200)]
@@ -117,6 +119,8 @@
         server is also ``leaving`` without one, while only its daemon stops.
     suspects
         Requests under which backend servers of the host have crashed.
+    processors
+        Processor time that the platform allows the daemon, in cores; 0 if unknown.
     """
 
     host: Name
@@ -128,6 +132,7 @@
     change: Integer = 0
     departure: Departure | None = None
     suspects: Suspects = ()
+    processors: Processors = 0.0
 
     @property
     def recency_key(self) -> tuple[int, int]:
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -336,6 +336,7 @@
             bounds=settings.quota_bounds,
             find_tenants=self._find_tenants,
             list_hosts=self._quota_links.list_hosts,
+            rank_hosts=self._quota_links.rank_hosts,
             is_usable=self._quota_links.is_usable,
             send=self._quota_links.send,
             call_later=lambda delay, work: asyncio.get_running_loop().call_later(
@@ -665,6 +666,7 @@
             self._record_revision,
             self.backend.departure,
             self._evidence.suspects,
+            settings.processors,
         )
 
     def _note_record(self, entry: HostEntry) -> None:
--- a/packages/almondrouterd/src/almondrouterd/platform/settings.py
+++ b/packages/almondrouterd/src/almondrouterd/platform/settings.py
@@ -5,12 +5,14 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
 from almondrouter.coordination.fleetretries import FleetRetryLimits
 from almondrouter.errors import ErrorCode, Finding, FindingsError
 from almondrouter.state.bounds import QuotaBounds, RevocationBounds, RolloutBounds
+from almondrouter.state.hosts import MAX_PROCESSORS
 
 SETTINGS_VARIABLE = "ALMONDROUTER_SETTINGS"
 
@@ -50,6 +52,8 @@
     memory_mb: float
     max_fds: int
     link_mbps: float = 0.0
+    cpu_share: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cores: Annotated[float, msgspec.Meta(ge=0)] = 1.0
 
 
 class _File(msgspec.Struct):
@@ -102,6 +106,8 @@
         Capacity of the network link of the host.
     memory_bytes
         Memory that the platform allows the daemon.
+    processors
+        Processor time that the platform allows the daemon, in cores; 0 if unknown.
     max_descriptors
         Open descriptors of the host, part of which belong to the platform.
     is_first_start
@@ -130,6 +136,7 @@
     link_bytes_per_second: float
     memory_bytes: float
     max_descriptors: int
+    processors: float = 0.0
     is_first_start: bool = False
     quota_bounds: QuotaBounds = QuotaBounds()
     rollout_bounds: RolloutBounds = RolloutBounds()
@@ -198,6 +205,7 @@
         link_bytes_per_second=compute_link_rate(file.limits.link_mbps),
         memory_bytes=file.limits.memory_mb * BYTES_PER_MEGABYTE,
         max_descriptors=file.limits.max_fds,
+        processors=min(file.limits.cpu_share * file.limits.cores, MAX_PROCESSORS),
         is_first_start=file.bootstrap,
         quota_bounds=QuotaBounds(
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
--- a/packages/almondrouterd/src/almondrouterd/quotalinks.py
+++ b/packages/almondrouterd/src/almondrouterd/quotalinks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from almondrouter.coordination.directory import HostDirectory
+from almondrouter.coordination.quotas.ranking import rank_hosts
 from almondrouter.protocol.calls import HostNotice
 from almondrouter.protocol.quotas import QuotaGrant, QuotaReport
 from almondrouter.state.hosts import HostEntry
@@ -35,6 +36,8 @@
         self._revision = -1
         self._addresses: dict[str, str] = {}
         self._hosts = frozenset((own_host,))
+        self._processors: dict[str, float] = {}
+        self._ranked: dict[str, list[str]] = {}
 
     def handle_notice(self, entry: HostEntry, notice: HostNotice) -> None:
         """Note whether the daemon that sent a notice knows quotas."""
@@ -49,6 +52,15 @@
             self._update()
         return self._hosts
 
+    def rank_hosts(self, group: str) -> list[str]:
+        """Return these hosts in the order in which they are to own a group."""
+        hosts = self.list_hosts()
+        ranked = self._ranked.get(group)
+        if ranked is None:
+            processors = {host: self._processors.get(host, 0.0) for host in hosts}
+            ranked = self._ranked[group] = rank_hosts(group, processors)
+        return ranked
+
     def is_usable(self, host: str) -> bool:
         """Return whether the daemon of a host can be reached and knows quotas.
 
@@ -82,4 +94,8 @@
         entries = self._directory.entries
         self._addresses = {entry.host: entry.peer_address for entry in entries}
         hosts = {e.host for e in entries if self._known.get(e.host, (0, True))[1]}
-        self._hosts = frozenset(hosts | {self._own_host})
+        processors = {entry.host: entry.processors for entry in entries}
+        hosts = frozenset(hosts | {self._own_host})
+        if (hosts, processors) != (self._hosts, self._processors):
+            self._hosts, self._processors = hosts, processors
+            self._ranked.clear()
--- a/tests/quota_replay.py
+++ b/tests/quota_replay.py
@@ -11,6 +11,7 @@
 
 from almondrouter.clock import ManualClock
 from almondrouter.coordination.quotas.bounds import compute_bound
+from almondrouter.coordination.quotas.ranking import rank_hosts
 from almondrouter.coordination.quotas.service import (
     MAX_WAIT_S,
     RETRY_AFTER_SPREAD_S,
@@ -49,6 +50,7 @@
             bounds=BOUNDS,
             find_tenants=lambda: self.fleet.tenants,
             list_hosts=lambda: self.fleet.hosts,
+            rank_hosts=self.fleet.rank_hosts,
             is_usable=lambda host: self.fleet.is_reachable(self, host),
             send=lambda host, frame: self.fleet.send(self, host, frame),
             call_later=lambda delay, work: self.fleet.call_later(delay, work, self),
@@ -74,11 +76,15 @@
     ----------
     frame_s
         Seconds of processor time that a daemon needs for each frame that it receives.
+    processors
+        Processors of hosts that have more than one.
     repeats
         Times that the caller of a refused request sends it again.
     """
 
-    def __init__(self, hosts, policies, *, seed=1, frame_s=0.0, repeats=0):
+    def __init__(
+        self, hosts, policies, *, seed=1, frame_s=0.0, processors=None, repeats=0
+    ):
         self.frame_s = frame_s
         self.repeats = repeats
         self.clock = ManualClock(monotonic=0.0)
@@ -97,6 +103,10 @@
             for number, name in enumerate(names)
         }
         self.hosts = frozenset(names)
+        self.processors = dict.fromkeys(names, 1.0) | (processors or {})
+        self.rank_hosts = functools.cache(
+            lambda group: rank_hosts(group, self.processors)
+        )
         for daemon in self.daemons.values():
             daemon.start(is_first_start=True)
 
@@ -145,7 +155,8 @@
     def _receive(self, daemon, frame):
         """Handle a frame once the daemon has handled those before it."""
         now = self.clock.monotonic()
-        daemon.busy_until = max(now, daemon.busy_until) + self.frame_s
+        frame_s = self.frame_s / self.processors[daemon.name]
+        daemon.busy_until = max(now, daemon.busy_until) + frame_s
         work = functools.partial(daemon.service.handle_frame, frame)
         self.call_later(daemon.busy_until - now, work, daemon)
 
--- a/tests/test_coordination_quotas.py
+++ b/tests/test_coordination_quotas.py
@@ -75,7 +75,7 @@
     LOAD, QUOTA = 290.0, 1.6
     BURST_BEGIN, BURST_END = 8.0, 20.0
 
-    def replay(self, *, factor, seed):
+    def replay(self, *, factor, seed, **options):
         weights = {f"t{number}": 1 / (number + 1) for number in range(self.TENANTS)}
         unit = self.LOAD / sum(weights.values())
         loads = {name: weight * unit for name, weight in weights.items()}
@@ -83,7 +83,8 @@
             make_policy(self.QUOTA * load, self.QUOTA * load, name)
             for name, load in loads.items()
         ]
-        fleet = Fleet(HOSTS, policies, seed=seed, frame_s=0.0035, repeats=2)
+        options = {"frame_s": 0.0035, "repeats": 2, **options}
+        fleet = Fleet(HOSTS, policies, seed=seed, **options)
         hosts = sorted(fleet.hosts)
         for name, load in loads.items():
             for rate, begin, end in (
@@ -113,11 +114,21 @@
     def test_quotas_are_served_in_a_burst_and_after_it(self, factor, seed):
         """Guards against reports that overload the owner until it has no quorum."""
         fleet = self.replay(factor=factor, seed=seed)
-        self.assertGreater(self.find_served_share(fleet, 9.0, 20.0), 0.8)
-        self.assertGreater(self.find_served_share(fleet, 22.0, 28.0), 0.95)
+        self.check_served(fleet)
         for name in fleet.tenants.policies:
             self.assertLessEqual(fleet.measure(name)[0], 1.0, name)
 
+    def test_quotas_are_served_where_most_hosts_are_small(self):
+        """Guards against an owner on a host that is too small for it."""
+        processors = dict.fromkeys(("h1", "h4", "h7"), 5.0)
+        fleet = self.replay(factor=2.5, seed=1, frame_s=0.03, processors=processors)
+        self.check_served(fleet)
+        self.assertIn(fleet.find_owner(), processors)
+
+    def check_served(self, fleet):
+        self.assertGreater(self.find_served_share(fleet, 9.0, 20.0), 0.8)
+        self.assertGreater(self.find_served_share(fleet, 22.0, 28.0), 0.95)
+
 
 class PartialReportTest(unittest.TestCase):
     """One daemon reports to an owner; tenant t has used most of its quota."""
@@ -130,6 +141,7 @@
             bounds=BOUNDS,
             find_policy=lambda tenant: replace(policy, name=tenant),
             list_hosts=lambda: frozenset("a"),
+            rank_hosts=lambda group: ["a"],
             first_number=0,
         )
         self.echo = self.number = 0
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -53,6 +53,12 @@
             path.write_text(text)
             return read_host_settings(str(path), **options)
 
+    def test_reads_processor_time(self):
+        """Guards against owners of quotas that are chosen without it."""
+        text = SETTINGS.replace("max_fds", "cpu_share = 0.7\ncores = 3\nmax_fds")
+        self.assertAlmostEqual(2.1, self.read(text).processors)
+        self.assertEqual(0.0, self.read(SETTINGS).processors)
+
     def test_reads_addresses_and_limits(self):
         """Guards against addresses that are assigned to the wrong setting."""
         settings = self.read(SETTINGS)
