Bound the memory of bodies that other daemons send

Clients that upload many bodies of legal size on several hosts at once ended the daemon beside the backend server that runs them: it ran out of memory, and all requests that it held ended with it.

Cause: the memory of callers is bounded on each host, but not that of bodies that come over links. BodyIntake accepts offers as long as the link carries the body in time, and the bodies then wait in the slot queue. Class: admission by one resource (the link) of work that holds another (memory).

A body now counts from the acceptance of its offer until its request has ended, in the budget that the callers of the host have. Offers without room wait in their order and are refused, as not run, once their body could not be in time. Each call repeats the random number of its offer, as offers travel on another link than long bodies. Earlier daemons ignore the field; their bodies are counted when they arrive.

--- a/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
+++ b/packages/almondrouter/src/almondrouter/coordination/callerbudget.py
@@ -205,6 +205,25 @@
             if self._queue and not self._has_pressure:
                 self._assign_turns()
 
+    def reserve_peer_body(self, size: int) -> bool:
+        """Count a body that another daemon sends; return False if it has no room.
+
+        Notes
+        -----
+        Nobody is released for it: the other daemon can turn to another host.
+        """
+        share = LARGE_SHARE if size > self._large_bytes else 1.0
+        if self.used + size > self.limit * share:
+            return False
+        self.used += size
+        return True
+
+    def release_peer_body(self, size: int) -> None:
+        """Release a body that `reserve_peer_body` has counted."""
+        self.used -= size
+        if self._queue and not self._has_pressure:
+            self._assign_turns()
+
     def measure_unsent(self, account: Account) -> None:
         """Record what the caller has yet to read; may close connections."""
         self._refresh_unsent(account)
--- a/packages/almondrouter/src/almondrouter/coordination/forwarding.py
+++ b/packages/almondrouter/src/almondrouter/coordination/forwarding.py
@@ -74,6 +74,7 @@
 """Longest body that is sent with its request; a longer one is sent after the other
 daemon has accepted a `BodyOffer`. A body of this length occupies a slow link for some
 hundredths of a second."""
+OFFER_ID_BITS = 63
 RETRY_AFTER = "retry-after"
 
 _RETRY_ELSEWHERE_CODES = frozenset(
@@ -642,6 +643,7 @@
         """
         address = destination.peer_address
         if len(call.body) > MAX_UNOFFERED_BYTES:
+            call = msgspec.structs.replace(call, offer_id=self._make_offer_id())
             try:
                 offer_reply = await self._links.call(address, make_offer(call))
             except CallError as error:
@@ -658,6 +660,9 @@
             abandon_silent=lambda: self._abandon_silent(destination, pending),
         )
 
+    def _make_offer_id(self) -> int:
+        return self._random.getrandbits(OFFER_ID_BITS) or 1
+
     def _record_result(self, pending: PendingRequest, reply: CallReply) -> None:
         elapsed = self._clock.monotonic() - pending.arrived_at
         self._on_finished(pending.route.name, reply.outcome, reply.code, elapsed)
--- a/packages/almondrouter/src/almondrouter/coordination/localbackend.py
+++ b/packages/almondrouter/src/almondrouter/coordination/localbackend.py
@@ -17,6 +17,7 @@
 from almondrouter.clock import Clock
 from almondrouter.coordination.crashes import CrashGuard
 from almondrouter.coordination.intake import BodyIntake
+from almondrouter.coordination.peerbodies import PeerBodies
 from almondrouter.coordination.quarantine import compute_fingerprint
 from almondrouter.coordination.rollouts.tally import RunTally
 from almondrouter.coordination.slots import Grant, SlotQueue
@@ -89,6 +90,8 @@
         Source of monotonic time.
     intake
         Schedules the transfer of long bodies to this host.
+    bodies
+        Memory for these bodies; if None, it is not limited.
     guard
         Refuses requests that crash backend servers.
     on_changed
@@ -111,6 +114,7 @@
         dialect: Dialect,
         clock: Clock,
         intake: BodyIntake,
+        bodies: PeerBodies | None = None,
         guard: CrashGuard,
         on_changed: Callable[[], None],
         transfers: TransferAdmission | None = None,
@@ -123,6 +127,7 @@
         self._is_barred = is_barred
         self._transfers = transfers
         self._intake = intake
+        self._bodies = bodies
         self._guard = guard
         self._sender = sender
         self._dialect = dialect
@@ -252,6 +257,8 @@
         if entry.state is not ServingState.READY:
             message = f"backend server {entry.backend!r} is {entry.state.value}"
             self.queue.refuse_waiting(ErrorCode.NO_BACKEND, message)
+            if self._bodies is not None:
+                self._bodies.refuse_waiting()
             self._not_ready.set()
         else:
             self._not_ready.clear()
@@ -387,25 +394,40 @@
         """
         try:
             self._check_destination(offer)
-            await self._wait_for_turn(self._schedule_body(offer))
-            self._check_destination(offer)
+            await self._admit_body(offer)
         except CallError as error:
             reply = make_reply(error.code, error.outcome)
             return msgspec.structs.replace(reply, load=self.load)
         status = HTTPStatus.CONTINUE
         return CallReply(0, Outcome.COMPLETE, status, (), b"", "", self.load)
 
+    async def _admit_body(self, offer: BodyOffer) -> None:
+        """Return when there is memory for a body and its transfer may start."""
+        run_time = self.queue.estimate_run_time(offer.class_name)
+        arrive_by = offer.useful_until - run_time
+        if self._bodies is not None and not await self._bodies.accept(
+            offer, until=arrive_by, run_time=run_time
+        ):
+            self._check_destination(offer)
+            message = f"no memory for {offer.size} bytes of body in time"
+            raise CallError(ErrorCode.OVERLOADED, message)
+        try:
+            self._check_destination(offer)
+            await self._wait_for_turn(self._schedule_body(offer, arrive_by))
+            self._check_destination(offer)
+        except BaseException:
+            if self._bodies is not None:
+                self._bodies.decline(offer)
+            raise
+
     async def _wait_for_turn(self, starts_at: float) -> None:
         """Wait until a body may be sent, or the backend server stops being ready."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(starts_at - self._clock.monotonic()):
                 await self._not_ready.wait()
 
-    def _schedule_body(self, offer: BodyOffer) -> float:
-        run_time = self.queue.estimate_run_time(offer.class_name)
-        starts_at = self._intake.reserve(
-            offer.size, arrive_by=offer.useful_until - run_time
-        )
+    def _schedule_body(self, offer: BodyOffer, arrive_by: float) -> float:
+        starts_at = self._intake.reserve(offer.size, arrive_by=arrive_by)
         if starts_at is None:
             message = f"{offer.size} bytes of body would arrive too late"
             raise CallError(ErrorCode.OVERLOADED, message)
--- a/packages/almondrouter/src/almondrouter/coordination/pending.py
+++ b/packages/almondrouter/src/almondrouter/coordination/pending.py
@@ -112,4 +112,5 @@
         size=len(call.body),
         deadline=call.deadline,
         useful_until=call.useful_until,
+        offer_id=call.offer_id,
     )
--- a/packages/almondrouter/src/almondrouter/protocol/calls.py
+++ b/packages/almondrouter/src/almondrouter/protocol/calls.py
@@ -103,6 +103,8 @@
         Number of requests of the receiver's data centre that this one stands for, as
         others are sent elsewhere; 0 if it is not their first attempt or comes from
         another data centre.
+    offer_id
+        Number of the `BodyOffer` that was accepted for the body; 0 if there was none.
     """
 
     call_id: int
@@ -127,6 +129,7 @@
     tenant: str = ""
     accepts_parts: bool = False
     demand_weight: float = 1.0
+    offer_id: int = 0
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -319,6 +322,8 @@
         As in `CallRequest`.
     key
         Always empty, so that the offer may be cancelled when the link closes.
+    offer_id
+        Random number that the call with this body repeats; 0 if it does not.
     """
 
     call_id: int
@@ -329,6 +334,7 @@
     deadline: float
     useful_until: float
     key: str = ""
+    offer_id: int = 0
 
 
 class VersionCounts(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/almondrouterd/src/almondrouterd/hostdaemon.py
+++ b/packages/almondrouterd/src/almondrouterd/hostdaemon.py
@@ -32,6 +32,7 @@
 from almondrouter.coordination.hostcrashes import HostCrashGuard
 from almondrouter.coordination.intake import BodyIntake
 from almondrouter.coordination.localbackend import LocalBackend, make_fingerprint
+from almondrouter.coordination.peerbodies import PeerBodies
 from almondrouter.coordination.placement import LowestCostPolicy
 from almondrouter.coordination.quotas.service import TICK_S, QuotaService
 from almondrouter.coordination.registration import HostRecords, Registration
@@ -272,6 +273,9 @@
 
     def _build_calls(self) -> None:
         settings, clock = self.settings, self._clock
+        limit = compute_budget_bytes(settings.memory_bytes)
+        self._caller_budget = CallerBudget(limit, clock=clock)
+        self._peer_bodies = PeerBodies(self._caller_budget, clock=clock)
         self._link_budget = LinkBudget(
             bytes_per_second=settings.link_bytes_per_second, clock=clock
         )
@@ -292,6 +296,7 @@
             intake=BodyIntake(
                 bytes_per_second=settings.link_bytes_per_second, clock=clock
             ),
+            bodies=self._peer_bodies,
             guard=HostCrashGuard(
                 evidence=self._evidence,
                 has_crashed=self.backend_client.has_crashed,
@@ -373,8 +378,6 @@
 
     def _build_servers(self) -> None:
         settings, clock = self.settings, self._clock
-        limit = compute_budget_bytes(settings.memory_bytes)
-        self._caller_budget = CallerBudget(limit, clock=clock)
         self._descriptors = divide_descriptors(settings.max_descriptors)
         self.callers = CallerServer(
             address=settings.caller_address,
@@ -753,7 +756,14 @@
             return make_reply(ErrorCode.CLAIM_UNAVAILABLE)
         if request.version > self.routes.version:
             self._peers.catch_up_to(request.version)
-        return await self._run_on_local_backend(request)
+        held = self._peer_bodies.begin(request)
+        if held is None:
+            reply = make_reply(ErrorCode.OVERLOADED)
+            return msgspec.structs.replace(reply, load=self.backend.load)
+        try:
+            return await self._run_on_local_backend(request)
+        finally:
+            self._peer_bodies.end(held)
 
     async def _run_on_local_backend(self, request: CallRequest) -> CallReply:
         reply = await self.backend.handle_call(request)
--- a/tests/crowd_support.py
+++ b/tests/crowd_support.py
@@ -137,11 +137,20 @@
 
     async def run(self, crowd: Crowd) -> None:
         """Start all clients; return when none of them makes progress any more."""
+        self.start(crowd)
+        await self.settle()
+
+    def start(self, crowd: Crowd) -> None:
+        """Start all clients."""
         for number in range(crowd.clients):
             # The finishing ones are among the others, so that they meet them.
-            finishes = number % (crowd.clients // crowd.finishing) == 1
+            step = crowd.clients // crowd.finishing
+            finishes = number % step == min(1, step - 1)
             pieces = crowd.make_pieces(finishes=finishes)
             self._tasks.append(asyncio.create_task(self._run_client(pieces)))
+
+    async def settle(self) -> None:
+        """Return when no client makes progress any more."""
         seen = -1
         while seen != self._progress:
             seen = self._progress
