--- a/tests/crowd_support.py
+++ b/tests/crowd_support.py
@@ -12,6 +12,12 @@
 
 MAX_HEADER_BYTES, MAX_BODY_BYTES = 16_384, 64 * 1024 * 1024
 """Documented limits on a request, which no client of a crowd exceeds."""
+CONFIGURED_LIMITS = {
+    "max_header_bytes": MAX_HEADER_BYTES,
+    "max_body_bytes": MAX_BODY_BYTES,
+    "header_timeout_s": 60,
+    "idle_timeout_s": 60,
+}
 BODY_BYTES = 4 * 1024 * 1024
 LONG_RESPONSE = bytes(1_000_000)
 LONG_RESPONSE_PATH = "/read/long"
--- a/tests/test_almondrouterd_host_crowds.py
+++ b/tests/test_almondrouterd_host_crowds.py
@@ -64,14 +64,11 @@
             max_fds=MAX_FDS,
         )
         self.addAsyncCleanup(self.fleet.close)
-        limits = {
-            "max_header_bytes": crowds.MAX_HEADER_BYTES,
-            "max_body_bytes": crowds.MAX_BODY_BYTES,
-            "header_timeout_s": 60,
-            "idle_timeout_s": 60,
-        }
         document = make_configuration(
-            1, timeout=PATIENCE_S, target_latency=PATIENCE_S, limits=limits
+            1,
+            timeout=PATIENCE_S,
+            target_latency=PATIENCE_S,
+            limits=crowds.CONFIGURED_LIMITS,
         )
         await self.fleet.start(document)
         self.memory_bytes = memory_mb * BYTES_PER_MEGABYTE
--- a/tests/test_almondrouterd_host_peer_crowds.py
+++ b/tests/test_almondrouterd_host_peer_crowds.py
@@ -46,14 +46,11 @@
             memory_mb=MEMORY_MB,
         )
         self.addAsyncCleanup(self.fleet.close)
-        limits = {
-            "max_header_bytes": crowds.MAX_HEADER_BYTES,
-            "max_body_bytes": crowds.MAX_BODY_BYTES,
-            "header_timeout_s": 60,
-            "idle_timeout_s": 60,
-        }
         document = make_configuration(
-            1, timeout=PATIENCE_S, target_latency=PATIENCE_S, limits=limits
+            1,
+            timeout=PATIENCE_S,
+            target_latency=PATIENCE_S,
+            limits=crowds.CONFIGURED_LIMITS,
         )
         await self.fleet.start(document)
         for backend in self.fleet.backends[1:]:
