--- a/tests/test_coordination_restarts.py
+++ b/tests/test_coordination_restarts.py
@@ -6,9 +6,11 @@
 import unittest
 from unittest.mock import patch
 
+from almondrouter.clock import SystemClock
 from almondrouter.coordination import restarts
 from almondrouter.coordination.restarts import run_with_restart
 from almondrouterd import hostdaemon
+from almondrouterd.loopdelay import LoopDelay
 
 TIMEOUT_S = 5.0
 
@@ -52,6 +54,7 @@
 
         daemon = object.__new__(hostdaemon.HostDaemon)
         daemon._tasks, daemon._peers = [], FailingPeers()
+        daemon._loop_delay = LoopDelay(SystemClock())
         with patch.object(hostdaemon, "PEER_MAINTENANCE_INTERVAL_S", 0.0):
             daemon._start_forever(daemon._maintain_peers_forever)
             async with asyncio.timeout(TIMEOUT_S):
